--- /dev/null
+++ b/src/main/java/forkramp/Attempt.java
@@ -0,0 +1,50 @@
+package forkramp;
+
+/** What {@link LoadShiftingBalancer} remembers of one attempt. */
+final class Attempt {
+
+    final Call call;
+    final int number;
+    final Host host;
+    /** The list entry at the time: it names the group that drops repeats. */
+    final Balancer.Upstream sentTo;
+    final double sentMs;
+    final double timeoutMs;
+    /** Null while it is out. */
+    Balancer.Outcome outcome;
+    /** Whether it has been counted as late or timely. */
+    boolean counted;
+
+    Attempt(Call call, Host host, double sentMs, double timeoutMs) {
+        this.call = call;
+        this.number = call.attempts.size();
+        this.host = host;
+        this.sentTo = host.listed;
+        this.sentMs = sentMs;
+        this.timeoutMs = timeoutMs;
+    }
+
+    /** Notes it as out with its request and its server. */
+    void begin() {
+        call.attempts.add(this);
+        call.out++;
+        host.attempts.addLast(this);
+        host.out++;
+        host.held++;
+    }
+
+    void end(Balancer.Outcome ended) {
+        outcome = ended;
+        call.out--;
+        host.attempts.remove(this);
+        host.out--;
+    }
+
+    double age(double nowMs) {
+        return nowMs - sentMs;
+    }
+
+    boolean mayHaveRun() {
+        return outcome == null || !outcome.provesNotRun();
+    }
+}
--- /dev/null
+++ b/src/main/java/forkramp/Host.java
@@ -0,0 +1,79 @@
+package forkramp;
+
+import java.util.ArrayDeque;
+
+/** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
+final class Host {
+
+    final int id;
+    /** Drawn at random when it was first listed. */
+    final double rank;
+    /** What discovery said last. */
+    Balancer.Upstream listed;
+    /** Its part of the draw. */
+    double share;
+    /** Its part of the draw at hand: the share, or 0 where it is out of it. */
+    double weight;
+    /** Latencies of this tick, each over the typical one of its class. */
+    double latencySum;
+    int samples;
+    /** Attempts that may be out at once; below one it sets a pace. */
+    double window;
+    double nextSendMs;
+    int out;
+    /** Whether a probe is out, and how many requests it was last known to hold, with those sent since. */
+    boolean probing;
+    double held;
+    /** Attempts still out, oldest first, but for started streams. */
+    final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
+    double heardMs;
+    int failures;
+    /** Why it is set aside; null while it is not. */
+    String setAside;
+    double trialAtMs;
+    double trialGapMs;
+    /** Whether staff were told that it is set aside. */
+    boolean announced;
+
+    Host(Balancer.Upstream listed, double rank) {
+        this.rank = rank;
+        this.id = listed.id();
+        this.listed = listed;
+    }
+
+    void sample(double latency) {
+        latencySum += latency;
+        samples++;
+    }
+
+    double meanSample() {
+        return samples == 0 ? 0 : latencySum / samples;
+    }
+
+    void clearSamples() {
+        latencySum = 0;
+        samples = 0;
+    }
+
+    boolean ready() {
+        return listed.status() == Balancer.Status.READY;
+    }
+
+    /** The part of its capacity that the contract lets one expect by now. */
+    double warmth(double nowMs, Balancer.Contract contract) {
+        double ageMs = nowMs - listed.startedMs();
+        if (listed.startedMs() <= 0 || ageMs >= contract.coldMs()) {
+            return 1;
+        }
+        return contract.coldFrom() + (1 - contract.coldFrom()) * Math.max(0, ageMs) / contract.coldMs();
+    }
+
+    boolean isCold(double nowMs, Balancer.Contract contract) {
+        return warmth(nowMs, contract) < 1;
+    }
+
+    @Override
+    public String toString() {
+        return "upstream " + Integer.toUnsignedString(id);
+    }
+}
--- /dev/null
+++ b/src/main/java/forkramp/HostList.java
@@ -0,0 +1,98 @@
+package forkramp;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+
+import forkramp.Balancer.ListKind;
+import forkramp.Balancer.Status;
+import forkramp.Balancer.Upstream;
+
+/** The upstreams that discovery has named, in the order in which they came, and the subset that is drawn from. */
+final class HostList {
+
+    final List<Host> hosts = new ArrayList<>();
+    final List<Host> members = new ArrayList<>();
+    private final Map<Integer, Host> byId = new HashMap<>();
+
+    /** Takes over what discovery says; an upstream that has restarted begins anew. */
+    void apply(ListKind kind, List<Upstream> entries, SplittableRandom random) {
+        if (kind != ListKind.DELTA) {
+            hosts.forEach(HostList::markGone);
+        }
+        for (Upstream entry : entries) {
+            Host known = byId.get(entry.id());
+            if (known != null && entry.startedMs() > 0 && known.listed.startedMs() != entry.startedMs()) {
+                markGone(known);
+                known = null;
+            }
+            if (known == null) {
+                known = new Host(entry, random.nextDouble());
+                hosts.add(known);
+                byId.put(entry.id(), known);
+            }
+            known.listed = entry;
+        }
+        members.removeIf(host -> !host.ready());
+        hosts.removeIf(host -> {
+            boolean gone = host.listed.status() == Status.GONE;
+            if (gone) {
+                byId.remove(host.id, host);
+            }
+            return gone;
+        });
+    }
+
+    /** The upstream of this id, or null. */
+    Host find(int id) {
+        return byId.get(id);
+    }
+
+    /** The upstreams that may be sent to. */
+    List<Host> ready() {
+        List<Host> ready = new ArrayList<>(hosts);
+        ready.removeIf(host -> !host.ready());
+        return ready;
+    }
+
+    /** The member at this part, from 0 to 1, of the sum of the members' weights; null where all are zero. */
+    Host at(double part) {
+        double point = part * members.stream().mapToDouble(host -> host.weight).sum();
+        Host found = null;
+        for (Host host : members) {
+            if (host.weight > 0) {
+                found = host;
+                point -= host.weight;
+                if (point < 0) {
+                    break;
+                }
+            }
+        }
+        return found; // rounding must not leave the last one out
+    }
+
+    /** The members with latencies in this tick. */
+    Stream<Host> sampled() {
+        return members.stream().filter(host -> host.samples > 0);
+    }
+
+    /** Scales the members' shares to a sum of 1. */
+    void normalise() {
+        double total = 0;
+        for (Host host : members) {
+            total += host.share;
+        }
+        for (Host host : members) {
+            host.share /= total;
+        }
+    }
+
+    private static void markGone(Host host) {
+        Upstream old = host.listed;
+        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(), old.cell(),
+                old.weight());
+    }
+}
--- /dev/null
+++ b/src/main/java/forkramp/simhost/Batch.java
@@ -0,0 +1,127 @@
+package forkramp.simhost;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+
+/** Reads one batch after another from a stream and hands out its fields in order. */
+final class Batch {
+
+    /** A frame beyond this is taken for garbage rather than read into memory. */
+    static final int MAX_BYTES = 1 << 28;
+
+    private static final int LENGTH_END = 12;
+    private static final int HEADER_BYTES = 20;
+
+    private final InputStream in;
+    private final ByteBuffer header = little(new byte[HEADER_BYTES]);
+    private ByteBuffer body = little(new byte[1 << 16]);
+
+    Batch(InputStream in) {
+        this.in = in;
+    }
+
+    /** Reads the next batch; false where the input has ended between batches. */
+    boolean next() throws IOException {
+        int got = in.readNBytes(header.array(), 0, HEADER_BYTES);
+        if (got == 0) {
+            return false;
+        }
+        if (got < HEADER_BYTES) {
+            throw new MalformedFrameException("input ends after " + got + " of " + HEADER_BYTES + " header bytes");
+        }
+        long length = Integer.toUnsignedLong(header.getInt(8)) - (HEADER_BYTES - LENGTH_END);
+        if (length < 0 || length > MAX_BYTES) {
+            throw new MalformedFrameException("batch " + number() + ": length field " + (length + 8)
+                    + " is outside 8 to " + MAX_BYTES);
+        }
+        if (length > body.capacity()) {
+            body = little(new byte[(int) Math.min(MAX_BYTES, 2 * length)]);
+        }
+        body.clear().limit((int) length);
+        int read = in.readNBytes(body.array(), 0, (int) length);
+        if (read < length) {
+            throw new MalformedFrameException("batch " + number() + ": input ends after " + read + " of " + length
+                    + " bytes");
+        }
+        return true;
+    }
+
+    double nowMs() {
+        return header.getDouble(0);
+    }
+
+    long records() {
+        return Integer.toUnsignedLong(header.getInt(12));
+    }
+
+    int number() {
+        return header.getInt(16);
+    }
+
+    int position() {
+        return HEADER_BYTES + body.position();
+    }
+
+    int left() {
+        return body.remaining();
+    }
+
+    int u8() throws IOException {
+        return need(1).get() & 0xff;
+    }
+
+    int u16() throws IOException {
+        return need(2).getShort() & 0xffff;
+    }
+
+    int u32() throws IOException {
+        return need(4).getInt();
+    }
+
+    long u64() throws IOException {
+        return need(8).getLong();
+    }
+
+    double f32() throws IOException {
+        return need(4).getFloat();
+    }
+
+    double f64() throws IOException {
+        return need(8).getDouble();
+    }
+
+    /** A count of items of at least {@code itemBytes} each that are still to come in this batch. */
+    int count(int itemBytes) throws IOException {
+        long count = Integer.toUnsignedLong(u32());
+        if (count * itemBytes > left()) {
+            throw new EOFException();
+        }
+        return (int) count;
+    }
+
+    byte[] bytes(int count) throws IOException {
+        need(count);
+        byte[] bytes = new byte[count];
+        body.get(bytes);
+        return bytes;
+    }
+
+    String text(int count) throws IOException {
+        return new String(bytes(count), StandardCharsets.UTF_8);
+    }
+
+    private ByteBuffer need(int count) throws IOException {
+        if (body.remaining() < count) {
+            throw new EOFException();
+        }
+        return body;
+    }
+
+    private static ByteBuffer little(byte[] bytes) {
+        return ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
+    }
+}
--- /dev/null
+++ b/src/main/java/forkramp/simhost/SettingsText.java
@@ -0,0 +1,111 @@
+package forkramp.simhost;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import forkramp.Balancer.Contract;
+import forkramp.Balancer.Effect;
+import forkramp.Balancer.Goal;
+import forkramp.Balancer.Group;
+import forkramp.Balancer.Limits;
+import forkramp.Balancer.RequestClass;
+import forkramp.Balancer.Settings;
+import forkramp.Balancer.Tenant;
+
+/**
+ * Reads the path=value lines of the first message. What is missing gets the value that keeps the rules (one attempt,
+ * nothing optional allowed, harmful to repeat); a class without its deadline has none, and is refused.
+ */
+final class SettingsText {
+
+    private static final double COLD_FROM_UNKNOWN = 0.1;
+    private static final double COLD_MS_UNKNOWN = 30_000;
+    private static final double ASK_EVERY_MS_UNKNOWN = 10_000;
+
+    private final Map<String, String> values = new HashMap<>();
+
+    private SettingsText(String text) {
+        text.lines().forEach(line -> {
+            int split = line.indexOf('=');
+            if (split > 0) {
+                values.put(line.substring(0, split).trim(), line.substring(split + 1).trim());
+            }
+        });
+    }
+
+    static Settings parse(String text) {
+        return new SettingsText(text).settings();
+    }
+
+    private Settings settings() {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; i < count("lanes.count"); i++) {
+            classes.add(requestClass("lanes." + i + "."));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < count("tenants.count"); i++) {
+            String path = "tenants." + i + ".";
+            tenants.add(new Tenant(word(path + "name", "tenant-" + i), number(path + "portion", 0),
+                    number(path + "quotaPerS", 0)));
+        }
+        String fields = "off".equals(word("report.via", "off")) ? "" : word("report.fields", "");
+        Limits limits = new Limits((int) number("limits.maxAttempts", 1), flag("limits.secondCopies"),
+                flag("limits.cancel"), flag("limits.probing"),
+                flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
+        Contract contract = new Contract(number("contract.coldFrom", COLD_FROM_UNKNOWN),
+                number("contract.coldMs", COLD_MS_UNKNOWN), number("contract.overloadFactor", 1),
+                number("contract.fallMs", 0), number("contract.askEveryMs", ASK_EVERY_MS_UNKNOWN));
+        Goal goal = new Goal(number("scoringMix.whole", 1), number("scoringMix.worstClass", 0),
+                number("scoringMix.worstTenant", 0), number("charges.probe", 0));
+        return new Settings(classes, tenants, (int) number("instances", 1),
+                "ask".equals(word("membershipMode", "push")), flag("clients.marksRetry"),
+                number("tickMs", 0), number("overShareWorth", 1),
+                fields.isEmpty() ? List.of() : List.of(fields.split(",")), limits, contract, goal);
+    }
+
+    private RequestClass requestClass(String path) {
+        if (!values.containsKey(path + "hardLimitMs")) {
+            throw new IllegalArgumentException("setting " + path + "hardLimitMs is missing");
+        }
+        double deadlineMs = number(path + "hardLimitMs", 0);
+        Effect effect = switch (word(path + "idempotency", "fragile")) {
+            case "retryable" -> Effect.SAFE;
+            case "dedup" -> Effect.KEYED;
+            default -> Effect.UNSAFE;
+        };
+        Group group = switch (word(path + "group", "cell")) {
+            case "all" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            default -> Group.CELL;
+        };
+        return new RequestClass(word(path + "name", "class"), number(path + "aimMs", deadlineMs), deadlineMs,
+                number(path + "worth", 1), number(path + "lateWorth", 0), effect, group,
+                number(path + "windowMs", 0), flag(path + "streaming"));
+    }
+
+    private int count(String path) {
+        return (int) number(path, 0);
+    }
+
+    private boolean flag(String path) {
+        return "true".equals(values.get(path));
+    }
+
+    private String word(String path, String otherwise) {
+        return values.getOrDefault(path, otherwise);
+    }
+
+    private double number(String path, double otherwise) {
+        String value = values.get(path);
+        if (value == null) {
+            return otherwise;
+        }
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("setting " + path + " is not a number: " + value, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/forkramp/simhost/SimHost.java
@@ -0,0 +1,220 @@
+package forkramp.simhost;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import forkramp.Balancer;
+import forkramp.Balancer.AttemptEnd;
+import forkramp.Balancer.ListKind;
+import forkramp.Balancer.Outcome;
+import forkramp.Balancer.Request;
+import forkramp.Balancer.Settings;
+import forkramp.Balancer.Status;
+import forkramp.Balancer.Upstream;
+
+/** Hosts many balancers behind the simulator's wire: reads batches, passes events on, writes one reply to each. */
+final class SimHost {
+
+    /** Makes the balancer of one instance. */
+    interface Factory {
+        Balancer create(Settings settings, long seed, Balancer.Actions actions);
+    }
+
+    private static final int BANKS = 16;
+    private static final int ENTRY_BYTES = 22;
+    private static final int REPEAT_FLAG = 2;
+    private static final double[] NO_REPORT = {};
+    private static final ListKind[] LIST_KINDS = ListKind.values();
+    private static final Outcome[] OUTCOMES = Outcome.values();
+    private static final Status[] STATUSES = Status.values();
+
+    private final Factory factory;
+    private final Batch batch;
+    private final OutputStream out;
+    private final Reply reply = new Reply();
+    private final Map<Integer, Balancer> balancers = new HashMap<>();
+    private final List<List<Upstream>> banks = new ArrayList<>();
+
+    SimHost(Factory factory, InputStream in, OutputStream out) {
+        this.factory = factory;
+        this.batch = new Batch(in);
+        this.out = out;
+        for (int i = 0; i < BANKS; i++) {
+            banks.add(List.of());
+        }
+    }
+
+    /** Runs until the input ends. */
+    void run() throws IOException {
+        while (batch.next()) {
+            reply.begin(batch.number());
+            int instance = -1;
+            for (long i = 0; i < batch.records(); i++) {
+                int start = batch.position();
+                try {
+                    int code = batch.u16();
+                    if (code == 12) {
+                        instance = batch.u16();
+                    } else if (code == 11) {
+                        readBank();
+                    } else if (instance < 0) {
+                        throw new MalformedFrameException("an event comes before any instance is named");
+                    } else {
+                        event(instance, code);
+                    }
+                } catch (EOFException e) {
+                    throw malformed(i, start, "the record runs past the end of the batch");
+                } catch (MalformedFrameException e) {
+                    throw malformed(i, start, e.getMessage());
+                }
+            }
+            if (batch.left() > 0) {
+                throw malformed(batch.records(), batch.position(), batch.left() + " bytes follow the last record");
+            }
+            reply.writeTo(out);
+        }
+    }
+
+    private MalformedFrameException malformed(long record, int position, String what) {
+        return new MalformedFrameException("batch " + Integer.toUnsignedString(batch.number()) + ", record " + record
+                + " at byte " + position + ": " + what);
+    }
+
+    /** Reads the fields of one event whole, then tells it; a module's exception ends in the panic action. */
+    private void event(int instance, int code) throws IOException {
+        double now = batch.nowMs();
+        Balancer balancer = balancers.get(instance);
+        switch (code) {
+            case 1 -> {
+                long seed = batch.u64();
+                String options = batch.text(batch.count(1));
+                guarded(instance, () -> {
+                    Balancer fresh = factory.create(SettingsText.parse(options), seed, reply.actionsOf(instance));
+                    balancers.put(instance, fresh);
+                    fresh.start(now);
+                });
+            }
+            case 2 -> {
+                ListKind kind = pick(LIST_KINDS, batch.u8(), "list kind");
+                batch.u32();
+                int bank = batch.u8();
+                if (kind != ListKind.FAILED && bank >= BANKS) {
+                    throw new MalformedFrameException("list number " + bank + " is not below " + BANKS);
+                }
+                List<Upstream> entries = kind == ListKind.FAILED ? List.of() : banks.get(bank);
+                tell(instance, balancer, () -> balancer.upstreams(now, kind, entries));
+            }
+            case 3 -> {
+                int id = batch.u32();
+                int flags = batch.u8();
+                batch.u64();
+                int requestClass = batch.u16();
+                double timeoutMs = batch.f64();
+                int tenant = batch.u32();
+                batch.f64();
+                tell(instance, balancer, () -> balancer.request(now,
+                        new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0)));
+            }
+            case 4 -> {
+                int id = batch.u32();
+                batch.u32();
+                int attempt = batch.u8();
+                double elapsedMs = batch.f64();
+                tell(instance, balancer, () -> balancer.streamStarted(now, id, attempt, elapsedMs));
+            }
+            case 5 -> {
+                int id = batch.u32();
+                double elapsedMs = batch.f64();
+                boolean done = batch.u8() != 0;
+                int upstream = batch.u32();
+                int attempt = batch.u8();
+                Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
+                double[] report = report();
+                tell(instance, balancer, () -> balancer.attemptEnded(now,
+                        new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
+            }
+            case 6 -> {
+                int id = batch.u32();
+                tell(instance, balancer, () -> balancer.clientLeft(now, id));
+            }
+            case 7 -> {
+                int token = batch.u32();
+                tell(instance, balancer, () -> balancer.timer(now, token));
+            }
+            case 8 -> {
+                int upstream = batch.u32();
+                Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
+                double elapsedMs = batch.f64();
+                double[] report = report();
+                tell(instance, balancer, () -> balancer.probeEnded(now, upstream, outcome, elapsedMs, report));
+            }
+            case 9 -> {
+                int sender = batch.u16();
+                byte[] message = batch.bytes(batch.u16());
+                tell(instance, balancer, () -> balancer.peerMessage(now, sender, message));
+            }
+            case 10 -> balancers.remove(instance);
+            default -> throw new MalformedFrameException("unknown event code " + code);
+        }
+    }
+
+    private void readBank() throws IOException {
+        int bank = batch.u8();
+        if (bank >= BANKS) {
+            throw new MalformedFrameException("list number " + bank + " is not below " + BANKS);
+        }
+        Upstream[] entries = new Upstream[batch.count(ENTRY_BYTES)];
+        for (int i = 0; i < entries.length; i++) {
+            double startedMs = batch.f64();
+            int zone = batch.u16();
+            int kind = batch.u8();
+            int cell = batch.u16();
+            int id = batch.u32();
+            double weight = batch.f32();
+            Status status = pick(STATUSES, batch.u8(), "status");
+            entries[i] = new Upstream(id, status, startedMs, zone, kind, cell, Math.max(0, weight));
+        }
+        banks.set(bank, List.of(entries));
+    }
+
+    private double[] report() throws IOException {
+        int count = batch.u8();
+        if (count == 0) {
+            return NO_REPORT;
+        }
+        double[] report = new double[count];
+        for (int i = 0; i < count; i++) {
+            report[i] = batch.f32();
+        }
+        return report;
+    }
+
+    private static <T> T pick(T[] values, int code, String what) throws MalformedFrameException {
+        if (code >= values.length) {
+            throw new MalformedFrameException("unknown " + what + " " + code);
+        }
+        return values[code];
+    }
+
+    /** An instance that has not started, has been killed or has failed hears nothing. */
+    private void tell(int instance, Balancer balancer, Runnable event) {
+        if (balancer != null) {
+            guarded(instance, event);
+        }
+    }
+
+    private void guarded(int instance, Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            balancers.remove(instance);
+            reply.panic(instance, String.valueOf(e.getMessage() == null ? e : e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/forkramp/DeparturesTest.java
@@ -0,0 +1,478 @@
+package forkramp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import forkramp.Balancer.Effect;
+import forkramp.Balancer.Group;
+import forkramp.Balancer.Limits;
+import forkramp.Balancer.ListKind;
+import forkramp.Balancer.Outcome;
+import forkramp.Balancer.RequestClass;
+import forkramp.Balancer.Settings;
+import forkramp.Balancer.Status;
+
+/** Each departure from the ordinary path: that it acts on its condition, and that it ends. */
+class DeparturesTest {
+
+    private static final Limits LIMITS = new Limits(4, true, true, false, 0);
+
+    /** What an upstream does with an attempt: its outcome once the time has come, or null to stay silent. */
+    private interface Fleet {
+        Outcome answer(Sidecar.Sent attempt, double ageMs);
+    }
+
+    private static final Fleet SOUND = (attempt, ageMs) -> ageMs >= 50 ? Outcome.OK : null;
+
+    /** Plays requests at a steady pace, the classes in turn. */
+    private static void play(Sidecar sidecar, double ms, double everyMs, Fleet fleet) {
+        int classes = sidecar.settings.classes().size();
+        double until = sidecar.now + ms;
+        for (int i = 0; sidecar.now < until; i++) {
+            sidecar.request(i % classes);
+            for (double passed = 0; passed < everyMs; passed += Samples.TICK_MS) {
+                sidecar.pass(Samples.TICK_MS);
+                for (Sidecar.Sent attempt : sidecar.out()) {
+                    Outcome outcome = fleet.answer(attempt, sidecar.now - attempt.atMs);
+                    if (outcome != null) {
+                        sidecar.end(attempt, outcome);
+                    }
+                }
+            }
+        }
+    }
+
+    private static Fleet one(int upstream, Fleet its) {
+        return (attempt, ageMs) -> (attempt.upstream == upstream ? its : SOUND).answer(attempt, ageMs);
+    }
+
+    private static long sentTo(Sidecar sidecar, int upstream, double sinceMs) {
+        return sidecar.sent.stream().filter(s -> s.upstream == upstream && s.atMs >= sinceMs).count();
+    }
+
+    private static Sidecar sidecar(int upstreams) {
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(upstreams);
+        play(sidecar, 5000, 10, SOUND);
+        return sidecar;
+    }
+
+    /** Eight sidecars have room for one attempt each at a slow server. */
+    private static Sidecar oneOfEight(int upstreams) {
+        Sidecar sidecar = new Sidecar(Samples.settings(8, LIMITS, false, List.of(),
+                Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+        sidecar.ready(upstreams);
+        play(sidecar, 5000, 10, SOUND);
+        return sidecar;
+    }
+
+    private static void assertSetAsideAndBack(Fleet trouble) {
+        Sidecar sidecar = sidecar(5);
+        play(sidecar, 1000, 10, one(2, trouble));
+        double later = sidecar.now;
+        play(sidecar, 8000, 10, one(2, trouble));
+        assertTrue(sentTo(sidecar, 2, later) <= 12, "only trials: " + sentTo(sidecar, 2, later));
+        assertTrue(sidecar.logs.stream().anyMatch(line -> line.startsWith("upstream 2 is set aside")));
+        play(sidecar, 15_000, 10, SOUND);
+        long last = sentTo(sidecar, 2, sidecar.now - 5000);
+        assertTrue(last > 10, "back in the draw: " + last);
+        assertTrue(sidecar.logs.stream().anyMatch(line -> line.startsWith("upstream 2 answers again")));
+        assertTrue(sidecar.served > 0.95 * (sidecar.served + sidecar.refused + sidecar.failed));
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void aSilentServerIsSetAsideAndComesBack() {
+        assertSetAsideAndBack((attempt, ageMs) -> null);
+    }
+
+    @Test
+    void aServerThatFailsAtOnceDrawsNoLoad() {
+        assertSetAsideAndBack((attempt, ageMs) -> Outcome.ERROR);
+    }
+
+    @Test
+    void aServerOutOfReachIsSetAsideAndComesBack() {
+        assertSetAsideAndBack((attempt, ageMs) -> ageMs >= 100 ? Outcome.CONNECT_FAILED : null);
+    }
+
+    @Test
+    void aServerThatRefusesIsSetAsideAndComesBack() {
+        assertSetAsideAndBack((attempt, ageMs) -> Outcome.REJECTED);
+    }
+
+    @Test
+    void unsafeRequestsAreNotRiskedOnTrials() {
+        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(Effect.UNSAFE, Group.ALL, 1),
+                Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+        sidecar.ready(5);
+        play(sidecar, 5000, 10, SOUND);
+        play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> null));
+        double later = sidecar.now;
+        play(sidecar, 5000, 10, one(2, (attempt, ageMs) -> null));
+        assertTrue(sidecar.sent.stream().filter(s -> s.upstream == 2 && s.atMs >= later)
+                .noneMatch(s -> s.request % 2 == 1), "requests of odd number are unsafe");
+        assertTrue(sentTo(sidecar, 2, later) > 0, "safe ones try it");
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void whereNothingIsSafeAServerSetAsideStillComesBack() {
+        // Only safe requests were trials: without such a class a server once set aside stayed out for good.
+        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(Effect.UNSAFE, Group.ALL, 1)), 5);
+        sidecar.ready(5);
+        play(sidecar, 5000, 10, SOUND);
+        play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> ageMs >= 100 ? Outcome.CONNECT_FAILED : null));
+        double later = sidecar.now;
+        play(sidecar, 3000, 10, one(2, (attempt, ageMs) -> ageMs >= 100 ? Outcome.CONNECT_FAILED : null));
+        assertTrue(sentTo(sidecar, 2, later) <= 10, "out for the most part");
+        play(sidecar, 8000, 10, SOUND);
+        assertTrue(sentTo(sidecar, 2, sidecar.now - 3000) > 20, "back: " + sentTo(sidecar, 2, sidecar.now - 3000));
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    /** Settings of sidecars that are told by probes what servers hold. */
+    private static Sidecar probing(double price) {
+        Settings plain = Samples.settings(Samples.requestClass(Effect.UNSAFE, Group.ALL, 1));
+        Settings settings = new Settings(plain.classes(), List.of(), 1, false, true, 1, 1,
+                List.of("waiting", "active"), new Limits(4, true, true, true, 0), plain.contract(),
+                new Balancer.Goal(1, 0, 0, price));
+        Sidecar sidecar = new Sidecar(settings, 5);
+        sidecar.ready(8);
+        return sidecar;
+    }
+
+    @Test
+    void aRequestGoesToTheProbedMemberThatHoldsLeast() {
+        Sidecar sidecar = probing(0.002);
+        for (int round = 0; round < 20; round++) {
+            int request = sidecar.request(0);
+            assertTrue(sidecar.attemptsOf(request).isEmpty(), "it waits for the probes");
+            List<Integer> probed = List.copyOf(sidecar.probed);
+            sidecar.probed.clear();
+            assertEquals(5, probed.stream().distinct().count());
+            int idle = probed.get(round % 5);
+            probed.forEach(id -> sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1,
+                    new double[] {0, id == idle ? 0 : 2}));
+            assertEquals(idle, sidecar.last().upstream);
+            sidecar.end(sidecar.last(), Outcome.OK);
+        }
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void aRequestIsNotSentWhereProbesLeaveItNoTime() {
+        // All members held more than could be served within the aim, and were sent ever more.
+        Sidecar sidecar = probing(0.002);
+        int request = sidecar.request(0);
+        List.copyOf(sidecar.probed).forEach(id -> sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1,
+                new double[] {8, 9}));
+        sidecar.pass(1000);
+        assertTrue(sidecar.ended(request));
+        assertEquals(0, sidecar.attemptsOf(request).size());
+        assertEquals(1, sidecar.refused);
+    }
+
+    @Test
+    void probesThatAreNotAnsweredHoldARequestForAControlTickAtMost() {
+        Sidecar sidecar = probing(0.002);
+        int request = sidecar.request(0);
+        sidecar.pass(130); // two control ticks of a sixteenth of the aim
+        assertEquals(1, sidecar.attemptsOf(request).size());
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void dearProbesAreNotSent() {
+        Sidecar sidecar = probing(0.05);
+        int request = sidecar.request(0);
+        assertEquals(1, sidecar.attemptsOf(request).size());
+        assertTrue(sidecar.probed.isEmpty());
+    }
+
+    @Test
+    void whenMostFailTheyAreStillTried() {
+        Sidecar sidecar = sidecar(5);
+        play(sidecar, 10_000, 20, (attempt, ageMs) -> Outcome.ERROR);
+        double from = sidecar.now;
+        play(sidecar, 3000, 20, SOUND);
+        assertTrue(sidecar.sent.stream().filter(s -> s.atMs >= from && s.outcome == Outcome.OK).count() > 20);
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void aStuckAttemptIsCopiedOnlyWhereAllowed() {
+        for (boolean copies : new boolean[] {true, false}) {
+            Sidecar sidecar = new Sidecar(Samples.settings(1, new Limits(4, copies, true, false, 0), false,
+                    List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+            sidecar.ready(5);
+            play(sidecar, 5000, 10, SOUND);
+            double from = sidecar.now;
+            play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> null));
+            boolean copied = sidecar.sent.stream().anyMatch(s -> s.atMs >= from && s.number > 0
+                    && s.atMs < from + 500);
+            assertEquals(copies, copied);
+            assertEquals(List.of(), sidecar.breaches);
+        }
+    }
+
+    @Test
+    void aSparseSidecarCopiesNothing() {
+        // At two requests a second a long request looks stuck; its copy only cost work.
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(5);
+        play(sidecar, 20_000, 500, SOUND);
+        double from = sidecar.now;
+        play(sidecar, 20_000, 500, one(2, (attempt, ageMs) -> ageMs >= 800 ? Outcome.OK : null));
+        assertTrue(sentTo(sidecar, 2, from) > 0);
+        assertTrue(sidecar.sent.stream().allMatch(s -> s.number == 0), "no copies");
+    }
+
+    @Test
+    void slowServersGetFewerAttemptsAtATimeAndRecover() {
+        Sidecar sidecar = oneOfEight(5);
+        play(sidecar, 10_000, 10, (attempt, ageMs) -> ageMs >= 400 ? Outcome.OK : null);
+        assertTrue(sidecar.out().size() <= 10, "few out at slow servers: " + sidecar.out().size());
+        assertTrue(sidecar.refused > 0);
+        play(sidecar, 20_000, 10, SOUND);
+        int refused = sidecar.refused;
+        play(sidecar, 5000, 10, SOUND);
+        assertEquals(refused, sidecar.refused);
+        assertTrue(sidecar.logs.contains("all members full: refusing requests"));
+        assertTrue(sidecar.logs.contains("nothing refused any more"));
+    }
+
+    @Test
+    void overloadShedsRepeatsFirst() {
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(2);
+        play(sidecar, 5000, 20, SOUND);
+        List<Integer> first = new ArrayList<>();
+        List<Integer> repeats = new ArrayList<>();
+        for (int i = 0; i < 1500; i++) {
+            for (int k = 0; k < 3; k++) {
+                first.add(sidecar.request(0, 0, 4000, false));
+                repeats.add(sidecar.request(0, 0, 4000, true));
+            }
+            sidecar.pass(20);
+            List<Sidecar.Sent> out = sidecar.out();
+            for (Sidecar.Sent attempt : out.subList(0, Math.min(3, out.size()))) { // three of the six that came
+                sidecar.end(attempt, Outcome.OK);
+            }
+        }
+        assertTrue(part(sidecar, first) > 2 * part(sidecar, repeats), part(sidecar, first) + ", "
+                + part(sidecar, repeats));
+    }
+
+    @Test
+    void aSparseSidecarShedsTheLeastWorthyWhenAttemptsAreLateAndAdmitsAllAgain() {
+        // With two requests a second no window ever fills; only the lateness of all attempts shows a jam.
+        Settings settings = Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
+                Samples.requestClass(Effect.SAFE, Group.ALL, 5));
+        Sidecar sidecar = new Sidecar(settings, 5);
+        sidecar.ready(10);
+        play(sidecar, 10_000, 500, SOUND);
+        int before = sidecar.refused;
+        assertEquals(0, before);
+        Fleet jammed = (attempt, ageMs) -> ageMs >= 900 ? Outcome.OK : null;
+        play(sidecar, 15_000, 500, jammed);
+        double from = sidecar.now;
+        play(sidecar, 30_000, 500, jammed);
+        int[] sent = new int[2];
+        sidecar.sent.stream().filter(s -> s.atMs > from && s.number == 0).forEach(s -> sent[(s.request + 1) % 2]++);
+        assertTrue(sent[0] + sent[1] < 30, "of 60 admitted: " + (sent[0] + sent[1]));
+        assertTrue(sent[1] >= sent[0], sent[1] + " and " + sent[0]);
+        play(sidecar, 25_000, 500, SOUND);
+        int refused = sidecar.refused;
+        play(sidecar, 10_000, 500, SOUND);
+        assertEquals(refused, sidecar.refused, "all admitted again");
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void aFleetThatIsSlowForGoodIsUsedAgainInBoundedTime() {
+        Sidecar sidecar = sidecar(5);
+        Fleet slow = (attempt, ageMs) -> ageMs >= 200 ? Outcome.OK : null;
+        play(sidecar, 60_000, 20, slow);
+        int served = sidecar.served;
+        play(sidecar, 5000, 20, slow);
+        assertTrue(sidecar.served - served > 200, "of 250 served: " + (sidecar.served - served));
+    }
+
+    private static double part(Sidecar sidecar, List<Integer> requests) {
+        return requests.stream().filter(id -> sidecar.attemptsOf(id).stream()
+                .anyMatch(s -> s.outcome == Outcome.OK)).count() / (double) requests.size();
+    }
+
+    @Test
+    void theWorthierClassIsServedFirstUnderOverload() {
+        Settings settings = Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
+                Samples.requestClass(Effect.SAFE, Group.ALL, 5));
+        Sidecar sidecar = new Sidecar(settings, 5);
+        sidecar.ready(2);
+        play(sidecar, 5000, 20, SOUND);
+        double from = sidecar.now;
+        play(sidecar, 10_000, 5, (attempt, ageMs) -> ageMs >= 150 ? Outcome.OK : null);
+        int[] sent = new int[2];
+        sidecar.sent.stream().filter(s -> s.atMs > from + 2000).forEach(s -> sent[(s.request + 1) % 2]++);
+        assertTrue(sent[1] > 2 * sent[0], sent[1] + " and " + sent[0]);
+    }
+
+    @Test
+    void aColdServerGetsItsPartAndSidecarsTogetherStayInTheBudget() {
+        List<Sidecar> sidecars = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            Settings settings = Samples.settings(3, LIMITS, false, List.of(),
+                    Samples.requestClass(Effect.SAFE, Group.ALL, 1));
+            Sidecar sidecar = new Sidecar(settings, i);
+            sidecar.ready(5);
+            play(sidecar, 5000, 10, SOUND);
+            sidecar.list(ListKind.DELTA, Sidecar.upstream(9, Status.READY, sidecar.now - 100));
+            sidecars.add(sidecar);
+        }
+        double from = sidecars.get(0).now;
+        double warmPerS = 0;
+        double coldPerS = 0;
+        for (Sidecar sidecar : sidecars) {
+            play(sidecar, 2000, 10, SOUND);
+            coldPerS += sentTo(sidecar, 9, from) / 2.0;
+            warmPerS += sentTo(sidecar, 1, from) / 2.0;
+        }
+        // A quarter warm at the start, and the fleet far from full: about a third of a warm server's rate.
+        assertTrue(coldPerS > 0.1 * warmPerS && coldPerS < 0.7 * warmPerS, coldPerS + " of " + warmPerS);
+        for (Sidecar sidecar : sidecars) {
+            play(sidecar, 20_000, 10, SOUND);
+            assertTrue(sentTo(sidecar, 9, sidecar.now - 3000) > 20, "warm now");
+        }
+    }
+
+    @Test
+    void aFirstTimeoutUnderTheTypicalLatencyLeavesTheSharesSound() {
+        // The running median fell to zero, every share became NaN and nothing was sent ever after.
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(5);
+        for (int i = 0; i < 3; i++) {
+            sidecar.request(0, 0, 95, false);
+            sidecar.pass(100);
+        }
+        sidecar.request(0);
+        sidecar.pass(3000);
+        int before = sidecar.sent.size();
+        play(sidecar, 5000, 50, SOUND);
+        assertTrue(sidecar.sent.size() - before >= 95, "sent: " + (sidecar.sent.size() - before));
+    }
+
+    @Test
+    void sidecarsTogetherHeapNothingOnAColdServerWhenAllOthersFail() {
+        // Forty-five sidecars that each had a token saved for it pushed it over when the others were full.
+        double coldFrom = Samples.safe().contract().coldFrom();
+        int sent = 0;
+        int offered = 0;
+        for (int i = 0; i < 45; i++) {
+            Sidecar sidecar = new Sidecar(Samples.settings(45, LIMITS, false, List.of(),
+                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), i);
+            sidecar.ready(9);
+            play(sidecar, 5000, 50, SOUND);
+            play(sidecar, 3000, 50, (attempt, ageMs) -> ageMs >= 20 ? Outcome.REJECTED : null);
+            sidecar.list(ListKind.DELTA, Sidecar.upstream(10, Status.READY, sidecar.now));
+            double from = sidecar.now;
+            play(sidecar, 1000, 50, (attempt, ageMs) -> ageMs >= 20 ? Outcome.REJECTED : null);
+            sent += sentTo(sidecar, 10, from);
+            offered += 20;
+        }
+        double part = sent / (offered / 10.0);
+        assertTrue(part > 0 && part < 2 * coldFrom, "of its share: " + part);
+    }
+
+    @Test
+    void anEmptyListHoldsThenRefusesAndServesWhenServersCome() {
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.list(ListKind.CACHED);
+        int early = sidecar.request(0);
+        int late = sidecar.request(0);
+        sidecar.pass(400);
+        assertFalse(sidecar.ended(early));
+        sidecar.pass(700);
+        assertTrue(sidecar.ended(early) && sidecar.ended(late));
+        int third = sidecar.request(0);
+        sidecar.ready(2);
+        assertEquals(1, sidecar.attemptsOf(third).size());
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
+    @Test
+    void aSubsetGrowsWhereItsMembersAreFull() {
+        Sidecar sidecar = oneOfEight(14);
+        assertEquals(10, sidecar.sent.stream().map(s -> s.upstream).distinct().count());
+        play(sidecar, 10_000, 5, (attempt, ageMs) -> ageMs >= 400 ? Outcome.OK : null);
+        assertTrue(sidecar.sent.stream().map(s -> s.upstream).distinct().count() > 12);
+    }
+
+    @Test
+    void oneRequestInManySecondsIsServedAndLeavesNoTimers() {
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(3);
+        for (int i = 0; i < 20; i++) {
+            int request = sidecar.request(0);
+            sidecar.pass(50);
+            sidecar.end(sidecar.last(), Outcome.OK);
+            assertTrue(sidecar.ended(request));
+            sidecar.pass(30_000);
+        }
+        assertTrue(sidecar.actions.size() < 20 * 4, "idle sidecars set no timers: " + sidecar.actions.size());
+    }
+
+    @Test
+    void anAskingSidecarSubscribesAndDoesSoAgainAtPacedRandomTimes() {
+        List<Double> delays = new ArrayList<>();
+        for (int seed = 0; seed < 20; seed++) {
+            Sidecar sidecar = new Sidecar(Samples.settings(20, LIMITS, true, List.of(),
+                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), seed);
+            assertEquals(1, sidecar.subscriptions);
+            sidecar.list(ListKind.FAILED);
+            sidecar.list(ListKind.FAILED);
+            double from = sidecar.now;
+            while (sidecar.subscriptions == 1) {
+                sidecar.pass(1);
+            }
+            delays.add(sidecar.now - from);
+            for (int i = 0; i < 10; i++) {
+                sidecar.list(ListKind.FAILED);
+                sidecar.pass(sidecar.settings.contract().askEveryMs() / 2);
+            }
+            assertEquals(12, sidecar.subscriptions, "asks again within half the time allowed");
+        }
+        assertTrue(delays.stream().distinct().count() > 10, "spread out: " + delays);
+        assertTrue(delays.stream().allMatch(delay -> delay >= 100 && delay <= 400), "paced: " + delays);
+    }
+
+    @Test
+    void aRestartedServerBeginsAnew() {
+        Sidecar sidecar = sidecar(3);
+        sidecar.list(ListKind.DELTA, Sidecar.upstream(1, Status.READY, sidecar.now));
+        double from = sidecar.now;
+        play(sidecar, 1000, 10, SOUND);
+        assertTrue(sentTo(sidecar, 1, from) < 0.7 * sentTo(sidecar, 2, from), "cold again");
+    }
+
+    @Test
+    void wrongArgumentsAreRejectedWithAMessage() {
+        assertMessage("cold share", () -> new Balancer.Contract(0, 1, 1, 1, 1));
+        assertMessage("at least one request class", () -> Samples.settings(new RequestClass[0]));
+        assertMessage("at least one attempt", () -> new Limits(0, true, true, true, 0));
+        assertMessage("weight", () -> new Balancer.Upstream(1, Status.READY, 0, 0, 0, 0, -1));
+        assertMessage("status", () -> new Balancer.Upstream(1, null, 0, 0, 0, 0, 1));
+    }
+
+    private static void assertMessage(String part, Runnable call) {
+        RuntimeException thrown = assertThrows(RuntimeException.class, call::run);
+        assertTrue(thrown.getMessage().contains(part), thrown.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/forkramp/IdleBalancer.java
@@ -0,0 +1,35 @@
+package forkramp;
+
+import java.util.List;
+
+/** A balancer that does nothing: for tests of what stands around one. */
+public class IdleBalancer implements Balancer {
+
+    @Override
+    public void start(double nowMs) {
+    }
+
+    @Override
+    public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {
+    }
+
+    @Override
+    public void request(double nowMs, Request request) {
+    }
+
+    @Override
+    public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {
+    }
+
+    @Override
+    public void attemptEnded(double nowMs, AttemptEnd end) {
+    }
+
+    @Override
+    public void clientLeft(double nowMs, int request) {
+    }
+
+    @Override
+    public void timer(double nowMs, int token) {
+    }
+}
