Test the sidecar over loopback sockets, ending by ending

Each row of the protocol's table, broken and split answers, connections that die idle or never come up, bad input, drains, leaving clients, discovery's watch with half lines.

--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -28,11 +28,18 @@
     private static final double LONGEST_IDLE_MS = 10_000;
     private static final double PART_OF_IDLE_LIMIT = 0.5;
     private static final long REPORT_S = 10;
-    private static final long CLOSE_IDLE_AFTER_MS = 400; // from the signal on, new connections still come
-    private static final long STOP_LISTENING_AFTER_MS = 600;
+    /** After the signal new connections still come for up to 0.4 s. */
+    private static final DrainTimes DRAIN_TIMES = new DrainTimes(400, 600);
     private static final long POLL_MS = 5;
     private static final long LONGEST_DRAIN_S = 15;
 
+    /**
+     * When, after the signal to end, idle client connections close and when the listener does; the first come before,
+     * so that a request that crosses the close finds a new connection.
+     */
+    record DrainTimes(long closeIdleMs, long stopListeningMs) {
+    }
+
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final UpstreamPool pool;
@@ -41,11 +48,13 @@
     private final Discovery discovery;
     private final Log log;
     private final Config config;
+    private final DrainTimes drainTimes;
     private final PooledByteBufAllocator buffers;
     private final CountDownLatch drained = new CountDownLatch(1);
 
-    Sidecar(Config config, Log log, Clock clock) {
+    Sidecar(Config config, Log log, Clock clock, DrainTimes drainTimes) {
         this.config = config;
+        this.drainTimes = drainTimes;
         this.log = log;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
@@ -68,7 +77,7 @@
     public static void serve(Map<String, String> environment) throws IOException {
         Config config = Config.load(environment);
         Clock clock = Clock.system();
-        Sidecar sidecar = new Sidecar(config, new Log(System.err, clock), clock);
+        Sidecar sidecar = new Sidecar(config, new Log(System.err, clock), clock, DRAIN_TIMES);
         sidecar.start();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
     }
@@ -104,8 +113,8 @@
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand");
             server.drain();
-            loop.schedule(server::closeIdle, CLOSE_IDLE_AFTER_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(this::stopListening, STOP_LISTENING_AFTER_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(server::closeIdle, drainTimes.closeIdleMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(this::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
         });
         try {
             if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
--- /dev/null
+++ b/src/test/java/forkramp/sidecar/SidecarTest.java
@@ -0,0 +1,409 @@
+package forkramp.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A whole sidecar between a client, upstreams and discovery, all on loopback. */
+@Timeout(30)
+class SidecarTest {
+
+    private static final String LIST_END = "\r\n\r\n";
+
+    @TempDir
+    Path dir;
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private Sidecar sidecar;
+    private Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0);
+    private InetSocketAddress address;
+
+    @AfterEach
+    void stop() throws Exception {
+        for (AutoCloseable each : toClose) {
+            each.close();
+        }
+        if (sidecar != null) {
+            sidecar.drain();
+        }
+    }
+
+    private void start(InetSocketAddress discovery, String known) throws IOException {
+        start(discovery, known, 1024);
+    }
+
+    private void start(InetSocketAddress discovery, String known, int sockets) throws IOException {
+        Clock clock = Clock.system();
+        Config config = Config.load(Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString()));
+        sidecar = new Sidecar(config, new Log(new PrintStream(OutputStream.nullOutputStream()), clock), clock,
+                drainTimes);
+        address = sidecar.start();
+    }
+
+    private Path config(InetSocketAddress discovery, String known, int sockets) throws IOException {
+        return Files.writeString(dir.resolve("config.json"), """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"ff0e5a0000000001",
+                 "limits":{"sockets":%d},"known":{"seq":3,"whole":true,"hosts":[%s]},
+                 "settings":{"instances":1,"tickMs":5,"tenants":[],"unheard":{"of":[1,2]},
+                  "lanes":[{"name":"read","aimMs":1500,"hardLimitMs":6000,"idempotency":"retryable","worth":1},
+                           {"name":"submit","aimMs":1500,"hardLimitMs":6000,"idempotency":"fragile","worth":5}],
+                  "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
+                            "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":60000},
+                  "report":{"via":"inline","fields":["rps","cpu"]},"failureDomains":["a"],"kinds":["k"]}}
+                """.formatted(text(discovery), sockets, known));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static String host(String name, InetSocketAddress address, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + text(address) + "\",\"site\":\"a\",\"class\":\"k\","
+                + "\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0,\"new\":{\"field\":1}}";
+    }
+
+    private FakeServer serve(FakeServer server) {
+        toClose.add(server);
+        return server;
+    }
+
+    private Client client() throws IOException {
+        Client client = new Client(address);
+        toClose.add(client);
+        return client;
+    }
+
+    private static final class Client implements AutoCloseable {
+        private final Socket socket;
+
+        Client(InetSocketAddress address) throws IOException {
+            socket = new Socket(address.getAddress(), address.getPort());
+            socket.setSoTimeout(10_000);
+        }
+
+        void write(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /** Reads one answer; null at the end of the connection. */
+        String read() throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            String text = "";
+            while (!text.contains("\r\n\r\n")) {
+                int next = socket.getInputStream().read();
+                if (next < 0) {
+                    return null;
+                }
+                bytes.write(next);
+                text = bytes.toString(StandardCharsets.ISO_8859_1);
+            }
+            int at = text.toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
+            int length = Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
+            return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+        }
+
+        String ask(String text) throws IOException {
+            write(text);
+            return read();
+        }
+
+        int status(String text) throws IOException {
+            String answer = ask(text);
+            return answer == null ? -1 : Integer.parseInt(answer.substring(9, 12));
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static String read(int budgetMs) {
+        return "GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Budget-Ms: " + budgetMs + LIST_END;
+    }
+
+    private static String submit(int budgetMs) {
+        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: c\r\nX-Budget-Ms: " + budgetMs
+                + "\r\nContent-Length: 5\r\n\r\nhello";
+    }
+
+    private static String ready() {
+        return "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+
+    @Test
+    void startsFromNothingButTheKnownListWhileDiscoveryIsDown() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        Client client = client();
+        assertEquals(200, client.status(ready()));
+        String answer = client.ask(read(3000));
+        assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("body"), answer);
+        assertTrue(client.ask(submit(3000)).endsWith("body"));
+        assertTrue(upstream.nextRequest().startsWith("GET /read?obj=1 HTTP/1.1"));
+        assertTrue(upstream.nextRequest().endsWith("hello"));
+    }
+
+    @Test
+    void isNotReadyBeforeItHasAList() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        FakeServer discovery = serve(new FakeServer(connection -> {
+            connection.read();
+            asked.await();
+            answerList(connection, 4, host("s-1", upstream.address(), "Ready"));
+            connection.read();
+            Thread.sleep(10_000);
+        }));
+        start(discovery.address(), "");
+        Client client = client();
+        assertEquals(503, client.status(ready()));
+        asked.countDown();
+        while (client.status(ready()) != 200) {
+            Thread.sleep(5);
+        }
+        assertTrue(client.ask(read(3000)).endsWith("body"));
+    }
+
+    private static void answerList(FakeServer.Connection connection, int seq, String hosts) throws IOException {
+        String list = "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[" + hosts + "]}";
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + LIST_END + list);
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    @Test
+    void followsTheWatchThroughHalfLinesAndResumesWhereItBroke() throws Exception {
+        FakeServer first = serve(FakeServer.answering(FakeServer.OK.replace("body", "one.")));
+        FakeServer second = serve(FakeServer.answering(FakeServer.OK.replace("body", "two.")));
+        String gone = "{\"seq\":9,\"whole\":false,\"hosts\":[" + host("s-1", first.address(), "Gone") + ","
+                + host("s-2", second.address(), "Ready") + "]}\n";
+        FakeServer discovery = serve(new FakeServer(connection -> {
+            for (String call = connection.read(); call != null; call = connection.read()) {
+                if (!call.contains("stream=1")) {
+                    answerList(connection, 7, host("s-1", first.address(), "Ready"));
+                    continue;
+                }
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+                if (call.contains("index=7")) {
+                    connection.write(chunk(gone.substring(0, 50)));
+                    Thread.sleep(30);
+                    connection.write(chunk(gone.substring(50)) + chunk("{\"seq\":10,\"who"));
+                    connection.socket.close();
+                    return;
+                }
+            }
+        }));
+        start(discovery.address(), "");
+        assertTrue(discovery.nextRequest().startsWith("GET /registry/instances HTTP/1.1"));
+        assertTrue(discovery.nextRequest().contains("?stream=1&index=7 "));
+        assertTrue(discovery.nextRequest().contains("?stream=1&index=9 "), "half a line goes with its connection");
+        String answer = client().ask(read(3000));
+        assertTrue(answer.endsWith("two."), answer);
+    }
+
+    @Test
+    void asksForTheWholeListAfterALineThatCanNotBeRead() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        FakeServer discovery = serve(new FakeServer(connection -> {
+            for (String call = connection.read(); call != null; call = connection.read()) {
+                if (!call.contains("stream=1")) {
+                    answerList(connection, 7, host("s-1", upstream.address(), "Ready"));
+                } else {
+                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{\"seq\":}\n"));
+                }
+            }
+        }));
+        start(discovery.address(), "");
+        assertNotNull(discovery.nextRequest());
+        assertTrue(discovery.nextRequest().contains("index=7"));
+        assertTrue(discovery.nextRequest().startsWith("GET /registry/instances HTTP/1.1"));
+    }
+
+    @Test
+    void answersBadInputAndGoesOn() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        Client client = client();
+        assertEquals(404, client.status("GET /other HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n\r\n"));
+        assertEquals(404, client.status("GET /reader HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n\r\n"));
+        assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Budget-Ms: 100\r\n\r\n"));
+        assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\n\r\n"));
+        assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: soon\r\n\r\n"));
+        assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: -5\r\n\r\n"));
+        assertEquals(405, client.status("GET /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n\r\n"));
+        assertEquals(413, client().status("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n"
+                + "Content-Length: 70000\r\n\r\n" + "x".repeat(70_000)));
+        assertEquals(400, client().status("\u0001\u0002 no HTTP\r\n\r\n"));
+        assertTrue(upstream.requests.isEmpty());
+        assertTrue(client.ask(read(3000)).endsWith("body"));
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunFailsAndIsNotSentAgain() throws Exception {
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            connection.read();
+            connection.reset();
+        }));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready") + ","
+                + host("s-2", upstream.address(), "Ready"));
+        int status = client().status(submit(3000));
+        assertTrue(status >= 500 && status != 503, "failed, not refused: " + status);
+        assertEquals(1, upstream.requests.size());
+    }
+
+    @Test
+    void anUnsafeRequestThatWasTurnedAwayGoesToAnotherUpstream() throws Exception {
+        FakeServer busy = serve(FakeServer.answering(FakeServer.REJECTED));
+        FakeServer free = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", busy.address(), "Ready") + ","
+                + host("s-2", free.address(), "Ready"));
+        Client client = client();
+        for (int i = 0; i < 4; i++) {
+            assertEquals(200, client.status(submit(3000)));
+        }
+        assertEquals(4, free.requests.size());
+    }
+
+    @Test
+    void aRefusalComesAtOnceAndSaysWhenToComeBack() throws Exception {
+        start(FakeServer.nobody(), host("s-1", FakeServer.nobody(), "Ready"));
+        long startedNs = System.nanoTime();
+        String answer = client().ask(submit(6000));
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("retry-after: 1.5\r\n"), answer);
+        assertTrue(System.nanoTime() - startedNs < TimeUnit.MILLISECONDS.toNanos(3000), "well before its deadline");
+    }
+
+    @Test
+    void aSilentUpstreamEndsInOneAnswerBeforeTheDeadline() throws Exception {
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            connection.read();
+            Thread.sleep(10_000);
+        }));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        long startedNs = System.nanoTime();
+        int status = client().status(submit(600));
+        assertTrue(status >= 500 && status != 503, "it may have run: " + status);
+        assertTrue(System.nanoTime() - startedNs < TimeUnit.MILLISECONDS.toNanos(1200), "not at the aim of 1500 ms");
+    }
+
+    @Test
+    void aClientThatLeavesCallsItsRequestOff() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            connection.read();
+            assertNull(connection.read());
+            closed.countDown();
+        }));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        Client client = client();
+        client.write(read(5000));
+        assertNotNull(upstream.nextRequest());
+        client.close();
+        assertTrue(closed.await(2, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void finishesWhatItHasAndStillServesWhatComesWhenToldToEnd() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            for (String next = connection.read(); next != null; next = connection.read()) {
+                if (next.contains("hello")) {
+                    go.await();
+                }
+                connection.write(FakeServer.OK);
+            }
+        }));
+        drainTimes = new Sidecar.DrainTimes(2000, 2500);
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        Client inHand = client();
+        Client kept = client();
+        assertEquals(200, kept.status(ready()));
+        inHand.write(submit(5000));
+        assertNotNull(upstream.nextRequest());
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(sidecar::drain);
+        Thread.sleep(250);
+        for (Client late : List.of(kept, client())) {
+            String answer = late.ask(read(3000));
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            assertTrue(answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"), answer);
+            assertNull(late.read());
+        }
+        Client idle = client();
+        assertNull(idle.read(), "an idle connection is closed in the end");
+        Thread.sleep(1000);
+        assertThrows(IOException.class, () -> new Socket(address.getAddress(), address.getPort()).close());
+        assertFalse(ended.isDone());
+        go.countDown();
+        assertTrue(inHand.read().endsWith("body"));
+        ended.get(5, TimeUnit.SECONDS);
+        sidecar = null;
+    }
+
+    @Test
+    void clientsBeyondTheBoundWaitForAFreePlace() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 64 + 5); // three of them for clients
+        Client first = client();
+        List<Client> others = List.of(client(), client());
+        assertEquals(200, first.status(read(3000)));
+        for (Client other : others) {
+            assertEquals(200, other.status(read(3000)));
+        }
+        Client waiting = client();
+        waiting.write(read(3000));
+        first.close();
+        assertTrue(waiting.read().startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    void aMalformedConfigurationIsOneLine() throws Exception {
+        Path file = dir.resolve("bad.json");
+        assertThrows(ConfigException.class, () -> Config.load(Map.of()));
+        for (String text : List.of("{", "{}", "{\"settings\":{}}", "{\"settings\":{},\"name\":\"n\",\"listen\":\"x\"}",
+                Files.readString(config(FakeServer.nobody(), "", 99)).replace("\"hardLimitMs\":6000,", ""),
+                Files.readString(config(FakeServer.nobody(), "{}", 99)))) {
+            Files.writeString(file, text);
+            ConfigException e = assertThrows(ConfigException.class,
+                    () -> Config.load(Map.of("EDGE_CONFIG", file.toString())));
+            assertEquals(1, e.getMessage().lines().count(), e.getMessage());
+        }
+    }
+
+    @Test
+    void theClockCountsOnFromUnixTimeByTheMonotonicClock() {
+        long[] nanos = {5_000_000};
+        Clock clock = new Clock(1_700_000_000_000L, () -> nanos[0]);
+        assertEquals(1_700_000_000_000.0, clock.nowMs());
+        nanos[0] += 2_500_000;
+        assertEquals(1_700_000_000_002.5, clock.nowMs());
+    }
+}
--- /dev/null
+++ b/src/test/java/forkramp/sidecar/UpstreamPoolTest.java
@@ -0,0 +1,388 @@
+package forkramp.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import forkramp.Balancer.Outcome;
+import forkramp.sidecar.UpstreamAttempt.Ending;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+
+/** What becomes of an attempt on a real socket, ending by ending, by the table of the protocol. */
+@Timeout(20)
+class UpstreamPoolTest {
+
+    private static final double LONG_MS = 5000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = Clock.system();
+    private final Log log = new Log(new PrintStream(OutputStream.nullOutputStream()), clock);
+    private UpstreamPool pool = pool(100, 10_000);
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private UpstreamPool pool(int connections, double idleMs) {
+        return new UpstreamPool(loop, clock, new UpstreamPool.Limits(connections, 250, idleMs),
+                new LoadReport(List.of("rps", "cpu")), new Bootstrap(), log);
+    }
+
+    private static Node node(InetSocketAddress address) {
+        Node node = new Node(0, "s-1");
+        node.address = address;
+        node.ready = true;
+        return node;
+    }
+
+    private static ClientRequest request(HttpMethod method, byte[] body) {
+        return new ClientRequest(method, "/window-read?obj=a%20b&x=1", new DefaultHttpHeaders()
+                .set("X-Call-Id", "c1").set("Content-Length", body.length), body, 0, 0, false, 0, 6000);
+    }
+
+    private Sent send(Node node, double timeoutMs) {
+        return send(node, timeoutMs, request(HttpMethod.POST, "hello".getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private Sent send(Node node, double timeoutMs, ClientRequest request) {
+        Sent sent = new Sent();
+        sent.attempt = new UpstreamAttempt(node, request, timeoutMs, ending -> {
+            sent.endings++;
+            sent.ending.complete(ending);
+        });
+        loop.execute(() -> pool.send(sent.attempt));
+        return sent;
+    }
+
+    private <T> T onLoop(java.util.concurrent.Callable<T> call) {
+        return loop.submit(call).syncUninterruptibly().getNow();
+    }
+
+    private static final class Sent {
+        UpstreamAttempt attempt;
+        volatile int endings;
+        final CompletableFuture<Ending> ending = new CompletableFuture<>();
+
+        Outcome outcome() throws Exception {
+            return ending.get(10, TimeUnit.SECONDS).outcome();
+        }
+    }
+
+    @Test
+    void aServedAnswerComesWholeWithItsLoadReport() throws Exception {
+        try (FakeServer server = FakeServer.answering("HTTP/1.1 200 OK\r\nContent-Type: text/x\r\n"
+                + "X-Load-Report: TEXT rps=7.5, cpu=0.25, other=1\r\nContent-Length: 4\r\n\r\nbody")) {
+            Sent sent = send(node(server.address()), 1234.5);
+            assertEquals(Outcome.OK, sent.outcome());
+            Ending ending = sent.ending.get();
+            assertEquals("body", new String(ending.body(), StandardCharsets.UTF_8));
+            assertEquals("text/x", ending.contentType());
+            assertArrayEquals(new double[] {7.5, 0.25}, ending.report());
+            String request = server.nextRequest();
+            assertTrue(request.startsWith("POST /window-read?obj=a%20b&x=1 HTTP/1.1\r\n"), request);
+            assertTrue(request.contains("X-Call-Id: c1\r\n"), request);
+            assertTrue(request.contains("X-Budget-Ms: 1234\r\n"), request);
+            assertTrue(request.endsWith("\r\n\r\nhello"), request);
+        }
+    }
+
+    @Test
+    void anAnswerSplitAtEveryByteIsTheSame() throws Exception {
+        String answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "3\r\nbod\r\n1\r\ny\r\n0\r\n\r\n";
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.socket.setTcpNoDelay(true);
+            connection.read();
+            for (char next : answer.toCharArray()) {
+                connection.write(String.valueOf(next));
+                Thread.sleep(1);
+            }
+        })) {
+            Sent sent = send(node(server.address()), LONG_MS);
+            assertEquals(Outcome.OK, sent.outcome());
+            assertEquals("body", new String(sent.ending.get().body(), StandardCharsets.UTF_8));
+        }
+    }
+
+    @Test
+    void theOutcomeFollowsStatusAndProof() throws Exception {
+        assertEquals(Outcome.REJECTED, outcomeOf(FakeServer.REJECTED));
+        assertEquals(Outcome.REJECTED, outcomeOf(FakeServer.REJECTED.replace("503", "504")));
+        assertEquals(Outcome.ERROR, outcomeOf("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"));
+        // The proof counts with 503 and 504 only.
+        assertEquals(Outcome.ERROR, outcomeOf(FakeServer.REJECTED.replace("503", "500")));
+        assertEquals(Outcome.ERROR, outcomeOf("HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n"));
+        assertEquals(Outcome.ERROR, outcomeOf("HTTP/1.1 302 There\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    private Outcome outcomeOf(String answer) throws Exception {
+        try (FakeServer server = FakeServer.answering(answer)) {
+            return send(node(server.address()), LONG_MS).outcome();
+        }
+    }
+
+    @Test
+    void aTruncatedOversizedOrGarbledAnswerIsNotServed() throws Exception {
+        assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"));
+        assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo"));
+        assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody"));
+        assertEquals(Outcome.RESET, outcomeOfBroken(""));
+        assertEquals(Outcome.RESET, outcomeOfBroken("no such thing\r\n\r\n"));
+        assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"
+                + "x".repeat(70_000)));
+    }
+
+    private Outcome outcomeOfBroken(String part) throws Exception {
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write(part);
+            connection.socket.close();
+        })) {
+            return send(node(server.address()), LONG_MS).outcome();
+        }
+    }
+
+    @Test
+    void aBreakAfterTheLastByteMayHaveRun() throws Exception {
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.reset();
+        })) {
+            assertEquals(Outcome.RESET, send(node(server.address()), LONG_MS).outcome());
+        }
+    }
+
+    @Test
+    void aBreakBeforeTheLastByteHasNotRun() throws Exception {
+        // The body is more than the buffers of both sides hold, so its last byte is still here at the break.
+        byte[] body = new byte[32 << 20];
+        try (FakeServer server = new FakeServer(connection -> {
+            Thread.sleep(100);
+            connection.reset();
+        })) {
+            assertEquals(Outcome.CONNECT_FAILED,
+                    send(node(server.address()), LONG_MS, request(HttpMethod.POST, body)).outcome());
+        }
+    }
+
+    @Test
+    void aTimeOutBeforeTheLastByteProvesThatNothingRan() throws Exception {
+        byte[] body = new byte[32 << 20];
+        try (FakeServer server = new FakeServer(connection -> Thread.sleep(10_000))) {
+            assertEquals(Outcome.CONNECT_FAILED,
+                    send(node(server.address()), 150, request(HttpMethod.POST, body)).outcome());
+        }
+    }
+
+    @Test
+    void aRefusedConnectionHasNotRun() throws Exception {
+        assertEquals(Outcome.CONNECT_FAILED, send(node(FakeServer.nobody()), LONG_MS).outcome());
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpEndsWithoutTheRequest() throws Exception {
+        try (FullBacklog full = new FullBacklog()) {
+            long startedNs = System.nanoTime();
+            assertEquals(Outcome.CONNECT_FAILED, send(node(full.address()), LONG_MS).outcome());
+            assertTrue(System.nanoTime() - startedNs < TimeUnit.MILLISECONDS.toNanos(3000), "the connect time-out");
+            assertEquals(Outcome.CONNECT_FAILED, send(node(full.address()), 50).outcome(), "its own time-out");
+        }
+    }
+
+    /** A listener that accepts nothing and whose backlog is full: further connections stay without an answer. */
+    private static final class FullBacklog implements AutoCloseable {
+        private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> waiting = new ArrayList<>();
+
+        FullBacklog() throws IOException {
+            try {
+                while (waiting.size() < 100) {
+                    Socket socket = new Socket();
+                    waiting.add(socket);
+                    socket.connect(listener.getLocalSocketAddress(), 100);
+                }
+            } catch (java.net.SocketTimeoutException e) {
+                return; // full
+            }
+            throw new IOException("the backlog does not fill");
+        }
+
+        InetSocketAddress address() {
+            return (InetSocketAddress) listener.getLocalSocketAddress();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            for (Socket socket : waiting) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    void aSilentPeerTimesOutOnceAndIsLeft() throws Exception {
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            assertNull(connection.read(), "the connection is closed, for that calls the attempt off");
+            connection.requests.add("closed");
+        })) {
+            Sent sent = send(node(server.address()), 100);
+            assertEquals(Outcome.TIMEOUT, sent.outcome());
+            assertNotNull(server.nextRequest());
+            assertEquals("closed", server.nextRequest());
+            assertEquals(1, sent.endings);
+            assertEquals(0, onLoop(pool::open));
+        }
+    }
+
+    @Test
+    void aCancelledAttemptEndsOnceByClosing() throws Exception {
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.read();
+            connection.requests.add("closed");
+        })) {
+            Sent sent = send(node(server.address()), LONG_MS);
+            assertNotNull(server.nextRequest());
+            onLoop(() -> {
+                sent.attempt.stop(Outcome.CANCELLED);
+                sent.attempt.stop(Outcome.CANCELLED);
+                return null;
+            });
+            assertEquals(Outcome.CANCELLED, sent.outcome());
+            assertEquals("closed", server.nextRequest());
+            assertEquals(1, sent.endings);
+        }
+    }
+
+    @Test
+    void aConnectionIsUsedAgainAndByOneRequestAtATime() throws Exception {
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            for (int i = 0; i < 3; i++) {
+                assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+            }
+            assertEquals(1, server.accepted.size());
+            List<Sent> both = List.of(send(node, LONG_MS), send(node, LONG_MS));
+            for (Sent sent : both) {
+                assertEquals(Outcome.OK, sent.outcome());
+            }
+            assertTrue(onLoop(pool::opened) <= 2);
+        }
+    }
+
+    @Test
+    void aConnectionThatTheUpstreamEndsIsNotUsedAgain() throws Exception {
+        try (FakeServer server = FakeServer.answering(FakeServer.OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"))) {
+            Node node = node(server.address());
+            assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+            assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+            assertEquals(2, server.accepted.size());
+        }
+    }
+
+    @Test
+    void aPooledConnectionThatDiedIdleIsNotTaken() throws Exception {
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write(FakeServer.OK);
+            connection.reset();
+        })) {
+            Node node = node(server.address());
+            assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+            while (onLoop(pool::open) > 0) {
+                Thread.sleep(5);
+            }
+            assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+        }
+    }
+
+    @Test
+    void idleConnectionsCloseInTime() throws Exception {
+        pool = pool(100, 200);
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write(FakeServer.OK);
+            assertNull(connection.read());
+            connection.requests.add("closed");
+        })) {
+            assertEquals(Outcome.OK, send(node(server.address()), LONG_MS).outcome());
+            assertNotNull(server.nextRequest());
+            assertEquals("closed", server.nextRequest());
+        }
+    }
+
+    @Test
+    void aNodeThatDrainsWhileAConnectionComesUpIsSentNothing() throws Exception {
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            Sent sent = onLoop(() -> {
+                Sent started = new Sent();
+                started.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[0]), LONG_MS,
+                        started.ending::complete);
+                pool.send(started.attempt);
+                node.ready = false;
+                return started;
+            });
+            assertEquals(Outcome.NOT_SENT, sent.outcome());
+            assertEquals(Outcome.NOT_SENT, send(node, LONG_MS).outcome());
+            assertTrue(server.requests.isEmpty());
+        }
+    }
+
+    @Test
+    void aDrainedNodesIdleConnectionsClose() throws Exception {
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
+            onLoop(() -> {
+                pool.closeIdle(node);
+                return null;
+            });
+            while (onLoop(pool::open) > 0) {
+                Thread.sleep(5);
+            }
+            assertFalse(onLoop(() -> pool.open() > 0));
+        }
+    }
+
+    @Test
+    void atItsBoundTheOldestIdleConnectionMakesRoomAndElseNothingIsSent() throws Exception {
+        pool = pool(1, 10_000);
+        try (FakeServer quick = FakeServer.answering(FakeServer.OK);
+                FakeServer silent = new FakeServer(connection -> Thread.sleep(10_000))) {
+            assertEquals(Outcome.OK, send(node(quick.address()), LONG_MS).outcome());
+            Sent held = send(node(silent.address()), 500);
+            assertEquals(Outcome.NOT_SENT, send(node(quick.address()), LONG_MS).outcome());
+            assertEquals(Outcome.TIMEOUT, held.outcome());
+        }
+    }
+}
