--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -14,8 +14,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 
@@ -23,7 +21,6 @@
 final class ClientServer {
 
     private static final int MAX_BODY = 64 * 1024;
-    private static final int BACKLOG = 1024;
 
     private final Driver driver;
     private final Clock clock;
@@ -50,18 +47,15 @@
         }
     }
 
-    /** Begins to listen; the bootstrap brings the event loop and the kind of channel. */
+    /** Begins to listen; the bootstrap brings the event loop, the kind of channel and its options. */
     ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-        ChannelFuture bound = bootstrap.option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
-                                new ClientConnection(ClientServer.this, driver, clock));
-                    }
-                }).bind(address);
+        ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
+                        new ClientConnection(ClientServer.this, driver, clock));
+            }
+        }).bind(address);
         listener = bound.channel();
         return bound;
     }
--- a/src/main/java/forkramp/sidecar/Discovery.java
+++ b/src/main/java/forkramp/sidecar/Discovery.java
@@ -9,13 +9,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -56,11 +55,11 @@
         this.loop = loop;
         this.listener = listener;
         this.log = log;
-        this.bootstrap = base.group(loop).channel(NioSocketChannel.class).remoteAddress(address)
+        this.bootstrap = base.group(loop).remoteAddress(address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
                                 new Call());
                     }
--- a/src/main/java/forkramp/sidecar/HostUpdate.java
+++ b/src/main/java/forkramp/sidecar/HostUpdate.java
@@ -1,6 +1,6 @@
 package forkramp.sidecar;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -14,7 +14,7 @@
     static final HostUpdate NOTHING_KNOWN = new HostUpdate(0, true, List.of());
 
     /** One upstream; {@code bornMs} 0 means long ago. */
-    record Entry(String host, InetSocketAddress address, Status status, double bornMs, String zone, String kind,
+    record Entry(String host, SocketAddress address, Status status, double bornMs, String zone, String kind,
                  int cell, double weight) {
     }
 
--- a/src/main/java/forkramp/sidecar/Node.java
+++ b/src/main/java/forkramp/sidecar/Node.java
@@ -1,13 +1,13 @@
 package forkramp.sidecar;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 
 /** One upstream as this sidecar knows it: its number for the module, where to dial it, and whether it may be sent to. */
 final class Node {
 
     final int id;
     final String host;
-    InetSocketAddress address;
+    SocketAddress address;
     boolean ready;
 
     Node(int id, String host) {
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -16,10 +16,12 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** A real sidecar: puts the parts together on one event loop, starts them, and ends them in order. */
 public final class Sidecar {
 
+    private static final int BACKLOG = 1024;
     private static final int PAGE_BYTES = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB: small messages, little memory
     private static final int CACHED_BUFFERS = 32;
@@ -31,6 +33,7 @@
     /** After the signal new connections still come for up to 0.4 s. */
     private static final DrainTimes DRAIN_TIMES = new DrainTimes(400, 600);
     private static final long POLL_MS = 5;
+    private static final long LONGEST_WARM_UP_MS = 1500;
     private static final long LONGEST_DRAIN_S = 15;
 
     /**
@@ -63,7 +66,8 @@
         UpstreamPool.Limits limits = new UpstreamPool.Limits(sockets - clients, (int) config.connectTimeoutMs(),
                 Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()));
         buffers = new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
-        Bootstrap base = new Bootstrap().option(ChannelOption.ALLOCATOR, buffers);
+        Bootstrap base = new Bootstrap().channel(NioSocketChannel.class).option(ChannelOption.ALLOCATOR, buffers)
+                .option(ChannelOption.TCP_NODELAY, true);
         pool = new UpstreamPool(loop, clock, limits, new LoadReport(config.settings().reportFields()), base.clone(),
                 log);
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
@@ -77,6 +81,7 @@
     public static void serve(Map<String, String> environment) throws IOException {
         Config config = Config.load(environment);
         Clock clock = Clock.system();
+        Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
         Sidecar sidecar = new Sidecar(config, new Log(System.err, clock), clock, DRAIN_TIMES);
         sidecar.start();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
@@ -97,7 +102,9 @@
         discovery.start();
         loop.scheduleAtFixedRate(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
         return server.listen(new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .childOption(ChannelOption.ALLOCATOR, buffers), config.listen());
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true),
+                config.listen());
     }
 
     private void report() {
--- a/src/main/java/forkramp/sidecar/UpstreamPool.java
+++ b/src/main/java/forkramp/sidecar/UpstreamPool.java
@@ -9,12 +9,11 @@
 import forkramp.Balancer.Outcome;
 import forkramp.sidecar.UpstreamAttempt.Ending;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
@@ -36,14 +35,14 @@
     private int open;
     private long opened;
 
+    /** {@code base} says what kind of channels to open, and with which options. */
     UpstreamPool(EventLoop loop, Clock clock, Limits limits, LoadReport reports, Bootstrap base, Log log) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.reports = reports;
         this.log = log;
-        this.bootstrap = base.group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        this.bootstrap = base.group(loop)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
         loop.scheduleWithFixedDelay(this::closeLongIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -91,9 +90,9 @@
         UpstreamConnection connection = new UpstreamConnection(node, this, reports);
         open++;
         opened++;
-        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
-            protected void initChannel(SocketChannel channel) {
+            protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), connection);
             }
         }).connect(node.address);
--- /dev/null
+++ b/src/main/java/forkramp/sidecar/Warmup.java
@@ -0,0 +1,165 @@
+package forkramp.sidecar;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import forkramp.Balancer.Effect;
+import forkramp.Balancer.RequestClass;
+import forkramp.Balancer.Settings;
+import forkramp.Balancer.Status;
+import forkramp.LoadShiftingBalancer;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Passes requests through a scratch copy of the request path, in memory and without sockets, before the sidecar says
+ * that it is ready. Guards against the first requests of a fresh process waiting for classes to load and for code to
+ * be compiled: after a restart they come all at once, and those with little time left ran out of it.
+ */
+final class Warmup {
+
+    private static final int REQUESTS = 400;
+    private static final int BODY_BYTES = 512;
+    private static final long IDLE_MS = 10_000;
+    private static final int CONNECTIONS = 16;
+    private static final String BUDGET_MS = "5000";
+
+    private final Settings settings;
+    private final Clock clock = Clock.system();
+    private final Log silent = new Log(new PrintStream(OutputStream.nullOutputStream()), clock);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private volatile int sent;
+
+    private Warmup(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Tells whether all its requests were answered in the time that it may take. */
+    static boolean run(Settings settings, long longestMs) {
+        return new Warmup(settings).run(longestMs);
+    }
+
+    private boolean run(long longestMs) {
+        boolean whole = false;
+        try {
+            loop.submit(this::begin).sync();
+            whole = done.await(longestMs, TimeUnit.MILLISECONDS);
+            if (!whole) { // ready late is worse than ready cold
+                System.err.println("the warm-up was cut short after " + sent + " of " + REQUESTS + " requests");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+        return whole;
+    }
+
+    private void begin() {
+        LocalAddress upstream = new LocalAddress("warm-up upstream");
+        new ServerBootstrap().group(group).channel(LocalServerChannel.class).childHandler(initializer(() ->
+                new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
+                        new Upstream()})).bind(upstream);
+        UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS),
+                new LoadReport(settings.reportFields()), new Bootstrap().channel(LocalChannel.class), silent);
+        Driver driver = new Driver(settings, 1, LoadShiftingBalancer::new, loop, clock,
+                new Directory(List.of(), List.of(), pool::closeIdle), pool, silent);
+        driver.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
+        LocalAddress listen = new LocalAddress("warm-up sidecar");
+        new ClientServer(settings, driver, clock, CONNECTIONS, silent)
+                .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
+        new Bootstrap().group(loop).channel(LocalChannel.class).handler(initializer(() ->
+                new ChannelHandler[] {new HttpClientCodec(), new HttpObjectAggregator(1 << 16),
+                        new Client()})).connect(listen);
+    }
+
+    private static HostUpdate.Entry entry(String host, LocalAddress address) {
+        return new HostUpdate.Entry(host, address, Status.READY, 0, "", "", 0, 1);
+    }
+
+    private interface Handlers {
+        ChannelHandler[] make();
+    }
+
+    private static ChannelInitializer<Channel> initializer(Handlers handlers) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(handlers.make());
+            }
+        };
+    }
+
+    /** Answers at once; what it turned away would make the module slow its pace. */
+    private final class Upstream extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                    Unpooled.wrappedBuffer(new byte[BODY_BYTES]));
+            answer.headers().set("Content-Length", BODY_BYTES);
+            String values = String.join(", ", settings.reportFields().stream().map(name -> name + "=0.5").toList());
+            answer.headers().set("X-Load-Report", "TEXT " + values);
+            // Later, as over sockets: in memory it would come before the request counts as written.
+            ctx.executor().execute(() -> ctx.writeAndFlush(answer));
+        }
+    }
+
+    /** Sends one request after another, of each class in turn. */
+    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            next(ctx);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (sent < REQUESTS) {
+                next(ctx);
+            } else {
+                ctx.close();
+                done.countDown();
+            }
+        }
+
+        private void next(ChannelHandlerContext ctx) {
+            RequestClass spec = settings.classes().get(sent % settings.classes().size());
+            sent++;
+            boolean safe = spec.effect() == Effect.SAFE;
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    safe ? HttpMethod.GET : HttpMethod.POST, "/" + spec.name() + "?obj=1",
+                    Unpooled.wrappedBuffer(new byte[safe ? 0 : BODY_BYTES]));
+            request.headers().set("Host", "warm-up").set("X-Call-Id", sent).set("X-Budget-Ms", BUDGET_MS);
+            request.headers().set("Content-Length", safe ? 0 : BODY_BYTES);
+            ctx.writeAndFlush(request);
+        }
+    }
+}
