Refuse what the descriptors do not hold instead of leaving it in the backlog

The logs say 'no more are accepted for now' at 576 connections on n2 hundreds of times, and 13,051 connections were not taken. Ruled out: CPU (0.87 s in the worst second), memory (57 of 192 MB), upstream connections at their bound (no such line). At fault: ClientServer.opened, which stopped accepting at its bound. What waits in the backlog counts as taken, and nobody read it. Now requests beyond the bound are refused at once with the advice when to come back, before the module hears of them, and their connection is closed; the bounds moved to 26% for upstreams and the rest for the client.

--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -72,6 +72,9 @@
         context.channel().config().setAutoRead(true);
         if (arrival.request == null) {
             answer(arrival, Answer.status(arrival.status));
+        } else if (server.overfull()) {
+            current = new Arrival(arrival.request, 0, false);
+            answer(current, Answer.refused(server.retryAfterMs()));
         } else {
             int id = driver.request(arrival.request, answer -> answer(arrival, answer));
             currentId = current == arrival ? id : 0;
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -20,11 +20,16 @@
 /** Listens for the client and keeps its connections. */
 final class ClientServer {
 
+    /** Up to how many client connections requests are served, and how many are accepted to be told otherwise. */
+    record Limits(int served, int accepted) {
+    }
+
     private static final int MAX_BODY = 64 * 1024;
 
     private final Driver driver;
     private final Clock clock;
-    private final int maxConnections;
+    private final Limits limits;
+    private final double retryAfterMs;
     private final Log log;
     private final List<RequestClass> classes;
     private final Map<String, Integer> classOfPath = new HashMap<>();
@@ -32,11 +37,13 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean draining;
+    private boolean crowded;
 
-    ClientServer(Settings settings, Driver driver, Clock clock, int maxConnections, Log log) {
+    ClientServer(Settings settings, Driver driver, Clock clock, Limits limits, Log log) {
         this.driver = driver;
         this.clock = clock;
-        this.maxConnections = maxConnections;
+        this.limits = limits;
+        this.retryAfterMs = settings.limits().maxRetryAfterMs();
         this.log = log;
         this.classes = settings.classes();
         for (int i = 0; i < classes.size(); i++) {
@@ -79,18 +86,40 @@
 
     void opened(ClientConnection connection) {
         connections.add(connection);
-        if (connections.size() == maxConnections) {
-            // Further ones wait in the backlog: upstreams need descriptors too, and a close would lose a request.
-            log.line("the client has " + maxConnections + " connections open: no more are accepted for now");
+        if (connections.size() >= limits.accepted()) {
+            // The last resort: what waits in the backlog is taken all the same, and may be too late afterwards.
             listener.config().setAutoRead(false);
         }
     }
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        if (connections.size() < maxConnections) {
+        if (connections.size() < limits.accepted()) {
             listener.config().setAutoRead(true);
         }
+        if (crowded && connections.size() <= limits.served() / 2) {
+            crowded = false;
+            log.line("the client has " + connections.size() + " connections open: it is no longer crowded");
+        }
+    }
+
+    /**
+     * Whether a request is one too many for the descriptors. Guards against clients that are left in the backlog: what
+     * they send there is taken, and was lost by the thousand when nobody read it before its deadline. It is refused at
+     * once instead, before the module hears of it, and its connection closed.
+     */
+    boolean overfull() {
+        boolean overfull = connections.size() > limits.served();
+        if (overfull && !crowded) {
+            crowded = true;
+            log.line("the client has " + connections.size() + " connections open, " + driver.unanswered()
+                    + " requests in hand: refusing what comes beyond " + limits.served());
+        }
+        return overfull;
+    }
+
+    double retryAfterMs() {
+        return retryAfterMs;
     }
 
     boolean draining() {
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -25,8 +25,9 @@
     private static final int PAGE_BYTES = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB: small messages, little memory
     private static final int CACHED_BUFFERS = 32;
-    private static final int RESERVED_DESCRIPTORS = 64; // for the listener, discovery, files and the selector
-    private static final double CLIENT_PART = 0.6; // of the other descriptors
+    private static final int RESERVED_DESCRIPTORS = 48; // for the listener, discovery, files and the selector
+    private static final double UPSTREAM_PART = 0.26; // of the other descriptors; a queue is in the client's part
+    private static final double REFUSED_PART = 0.09; // of the client's: connections that are only told to come back
     private static final double LONGEST_IDLE_MS = 10_000;
     private static final double PART_OF_IDLE_LIMIT = 0.5;
     private static final long REPORT_S = 10;
@@ -62,8 +63,10 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
-        int clients = Math.max(1, (int) (sockets * CLIENT_PART));
-        UpstreamPool.Limits limits = new UpstreamPool.Limits(sockets - clients, (int) config.connectTimeoutMs(),
+        int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
+        int clients = sockets - upstreams;
+        int refused = Math.max(1, (int) (clients * REFUSED_PART));
+        UpstreamPool.Limits limits = new UpstreamPool.Limits(upstreams, (int) config.connectTimeoutMs(),
                 Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()));
         buffers = new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
         Bootstrap base = new Bootstrap().channel(NioSocketChannel.class).option(ChannelOption.ALLOCATOR, buffers)
@@ -73,7 +76,8 @@
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         driver = new Driver(config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool,
                 log);
-        server = new ClientServer(config.settings(), driver, clock, clients, log);
+        server = new ClientServer(config.settings(), driver, clock,
+                new ClientServer.Limits(clients - refused, clients), log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), driver::updated, log);
     }
 
