Keep descriptors for clients that ask and for upstreams

All 54 connections to upstreams were busy from the third second on, and from 15 s on nothing was served at all, with 154 connections from the client and none to upstreams in the ten-second report: clients that ask once and keep their connection had filled the client's part, and what came was refused or never taken (47,517 connections). Ruled out: CPU (0.51 s in the worst second of the part of a core, at the start) and memory (54 of 128 MB, level).

At fault: UPSTREAM_PART and RESERVED_DESCRIPTORS in Sidecar (54 of 256, while the client may have 85 requests open), and ClientServer, which closed no connection of its own accord. Now connections idle for 2 s go when descriptors are wanted, for 10 s always, mute ones after 2 s always; upstreams get 43%.

--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -30,6 +30,12 @@
     private static final String BUDGET = "X-Budget-Ms";
     private static final String AGAIN = "X-Again";
     private static final int MAX_BUDGET_MS = 3_600_000;
+    /** A client that connects has something to ask: by then it has, or it won't. */
+    private static final double LONGEST_MUTE_MS = 2000;
+    private static final double MUTE_IS_SPARE_MS = 250;
+    /** A connection that was idle for so long may be closed at any time, and is after {@link #LONGEST_IDLE_MS}. */
+    private static final double IDLE_IS_SPARE_MS = 2000;
+    private static final double LONGEST_IDLE_MS = 10_000;
 
     private final ClientServer server;
     private final Driver driver;
@@ -39,6 +45,9 @@
     /** The request at hand, or null between requests. */
     private Arrival current;
     private int currentId;
+    /** Since when no request has been at hand, by the module's clock. */
+    private double freeSinceMs;
+    private boolean mute = true;
 
     /** A request as it came, or the status of one that is not to be passed on. */
     private record Arrival(ClientRequest request, int status, boolean keepAlive) {
@@ -53,11 +62,13 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
+        freeSinceMs = clock.nowMs();
         server.opened(this);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+        mute = false;
         waiting.addLast(read(message));
         ctx.channel().config().setAutoRead(waiting.size() < MAX_WAITING);
         next();
@@ -136,6 +147,7 @@
         }
         current = null;
         currentId = 0;
+        freeSinceMs = clock.nowMs();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(answer.body()));
         HttpHeaders headers = response.headers();
@@ -157,10 +169,32 @@
         }
     }
 
+    double freeSinceMs() {
+        return freeSinceMs;
+    }
+
+    private boolean free() {
+        return current == null && waiting.isEmpty();
+    }
+
+    /** Whether it may be closed where its descriptor is wanted. */
+    boolean isSpare(double nowMs) {
+        return free() && nowMs - freeSinceMs >= (mute ? MUTE_IS_SPARE_MS : IDLE_IS_SPARE_MS);
+    }
+
+    /** Whether nothing is to be expected of it any more. */
+    boolean isUseless(double nowMs) {
+        return free() && nowMs - freeSinceMs >= (mute ? LONGEST_MUTE_MS : LONGEST_IDLE_MS);
+    }
+
+    void close() {
+        context.close();
+    }
+
     /** Closes the connection if no request is at hand. */
     void closeIfIdle() {
-        if (current == null && waiting.isEmpty()) {
-            context.close();
+        if (free()) {
+            close();
         }
     }
 
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -1,11 +1,13 @@
 package forkramp.sidecar;
 
 import java.net.SocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import forkramp.Balancer.Effect;
 import forkramp.Balancer.RequestClass;
@@ -25,6 +27,7 @@
     }
 
     private static final int MAX_BODY = 64 * 1024;
+    private static final long SWEEP_MS = 100;
 
     private final Driver driver;
     private final Clock clock;
@@ -38,6 +41,7 @@
     private Channel listener;
     private boolean draining;
     private boolean crowded;
+    private long evicted;
 
     ClientServer(Settings settings, Driver driver, Clock clock, Limits limits, Log log) {
         this.driver = driver;
@@ -64,6 +68,7 @@
             }
         }).bind(address);
         listener = bound.channel();
+        listener.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -86,6 +91,9 @@
 
     void opened(ClientConnection connection) {
         connections.add(connection);
+        if (connections.size() > limits.served()) {
+            evictOldest();
+        }
         if (connections.size() >= limits.accepted()) {
             // The last resort: what waits in the backlog is taken all the same, and may be too late afterwards.
             listener.config().setAutoRead(false);
@@ -103,6 +111,37 @@
         }
     }
 
+    /** Closes the connection that has been of no use for longest, if there is one that may be closed. */
+    private void evictOldest() {
+        double nowMs = clock.nowMs();
+        connections.stream().filter(connection -> connection.isSpare(nowMs))
+                .min(Comparator.comparingDouble(ClientConnection::freeSinceMs)).ifPresent(spare -> {
+                    evicted++;
+                    spare.close();
+                });
+    }
+
+    /**
+     * Closes what is of no use. Guards against clients that ask once and keep their connection, or that connect and
+     * say nothing: their connections filled the client's part of the descriptors within 15 s, and from then on nobody
+     * was served. In want of descriptors what could be of use again goes as well.
+     */
+    private void sweep() {
+        double nowMs = clock.nowMs();
+        boolean wanted = connections.size() > limits.served() / 2;
+        for (ClientConnection connection : List.copyOf(connections)) {
+            if (connection.isUseless(nowMs) || wanted && connection.isSpare(nowMs)) {
+                evicted++;
+                connection.close();
+            }
+        }
+    }
+
+    /** Connections closed so far because no request came on them. */
+    long evicted() {
+        return evicted;
+    }
+
     /**
      * Whether a request is one too many for the descriptors. Guards against clients that are left in the backlog: what
      * they send there is taken, and was lost by the thousand when nobody read it before its deadline. It is refused at
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -25,8 +25,9 @@
     private static final int PAGE_BYTES = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB: small messages, little memory
     private static final int CACHED_BUFFERS = 32;
-    private static final int RESERVED_DESCRIPTORS = 48; // for the listener, discovery, files and the selector
-    private static final double UPSTREAM_PART = 0.26; // of the other descriptors; a queue is in the client's part
+    private static final int RESERVED_DESCRIPTORS = 24; // for the listener, discovery, files and the selector
+    /** Of the other descriptors: as many as the requests that the client may have open, and room for copies. */
+    private static final double UPSTREAM_PART = 0.43;
     private static final double REFUSED_PART = 0.09; // of the client's: connections that are only told to come back
     /** A node with many connections open is slower; an idle one costs as much as a new one within a few seconds. */
     private static final double LONGEST_IDLE_MS = 3000;
@@ -116,7 +117,7 @@
         String counts = driver.counters().report();
         if (counts != null) {
             log.line(counts + "; connections: " + server.connections() + " from the client, " + pool.open()
-                    + " to upstreams, " + pool.opened() + " opened so far");
+                    + " to upstreams, " + pool.opened() + " opened so far; " + server.evicted() + " of the client's closed as idle so far");
         }
     }
 
--- a/src/test/java/forkramp/sidecar/SidecarTest.java
+++ b/src/test/java/forkramp/sidecar/SidecarTest.java
@@ -371,8 +371,8 @@
     @Test
     void whatTheDescriptorsDoNotHoldIsRefusedAtOnceAndNotLeftInTheBacklog() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
-        // Of eight descriptors to give away two are for upstreams, and five of the others for clients to be served.
-        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 48 + 8);
+        // Of ten descriptors to give away four are for upstreams, and five of the others for clients to be served.
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 24 + 10);
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             clients.add(client());
@@ -391,6 +391,27 @@
         }
     }
 
+    @Test
+    void connectionsThatAreKeptButNotUsedGiveWayToOthers() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 24 + 10);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, client().status(ready()));
+        }
+        // Six are more than are served; one of those that asked once goes after a while, and the sixth is served.
+        Client sixth = client();
+        while (sixth.status(read(3000)) != 200) {
+            sixth = client();
+        }
+        assertEquals(200, sixth.status(read(3000)));
+    }
+
+    @Test
+    void aConnectionOnWhichNothingComesIsClosed() throws Exception {
+        start(FakeServer.nobody(), host("s-1", FakeServer.nobody(), "Ready"));
+        assertNull(client().read());
+    }
+
     @Test
     void aMalformedConfigurationIsOneLine() throws Exception {
         Path file = dir.resolve("bad.json");
