Let nobody wait long for room: who waits holds a connection of the client

Ruled out: descriptors (289 of 384), CPU after the start, the upstream side's bound. At fault: shed() in LoadShiftingBalancer, which let a request wait until only one typical latency was left of its aim.

Now it waits 0.3 typical latencies and is refused then, with the advice when to come back. Where no upstream is known at all requests wait as before: a list is about to come.

The module's Javadoc names no page any more that does not exist.

--- a/src/main/java/forkramp/Call.java
+++ b/src/main/java/forkramp/Call.java
@@ -17,6 +17,8 @@
     /** The servers asked what they hold, in the order in which they were drawn, and when. */
     final List<Host> asked = new ArrayList<>(0);
     double askedMs;
+    /** Since when it waits for room; far off until it does. */
+    double waitingSinceMs = Double.MAX_VALUE;
     int out;
     boolean done;
     /** Whether it had its one chance to go to a cold server. */
--- a/src/main/java/forkramp/LoadShiftingBalancer.java
+++ b/src/main/java/forkramp/LoadShiftingBalancer.java
@@ -8,10 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-/**
- * The decision module: load shifting by latency-equalising shares. Interface: {@code Balancer.java}; reasons:
- * {@code docs/design.md}. The ordinary path first, then each departure: what it guards against, and when.
- */
+/** Load shifting by latency-equalising shares, behind {@code Balancer.java}: first the ordinary path. */
 public final class LoadShiftingBalancer implements Balancer {
 
     private static final double STEP = 0.2; // of a share, for a deviation of one mean in a tick: the paper's
@@ -37,6 +34,7 @@
     private static final double REPEAT_WORTH = 0.1; // of a first try: the aim has run since that
     private static final double FADE = 0.02; // of what was offered and served that is forgotten in a tick
     private static final double PROBES_WORTH = 0.02; // of a request's worth, for the probes of one attempt
+    private static final double LONGEST_WAIT = 0.3; // of a typical latency: it holds a client's connection
     private static final double LATE = 0.75; // of the aim: a request that takes longer is about to be lost
     private static final double TOLERATED = 1 / 3.0; // of the attempts late: the sick servers'
     private static final double CUT = 0.75; // of what is admitted, in an aim in which all is late
@@ -132,6 +130,7 @@
         } else if (probes > 0 && call.asked.isEmpty() && ask(nowMs, call)) {
             asking.add(call);
         } else if ((!waiting.isEmpty() || !dispatch(nowMs, call)) && !shed(nowMs, call)) {
+            call.waitingSinceMs = nowMs;
             waiting.add(call);
         }
     }
@@ -432,7 +431,8 @@
     // are late, a growing part of the least worthy is refused at once.
 
     private boolean shed(double nowMs, Call call) {
-        boolean hopeless = call.usefulUntilMs - nowMs <= Math.max(controlMs, call.view.typicalMs);
+        boolean hopeless = call.usefulUntilMs - nowMs <= Math.max(controlMs, call.view.typicalMs)
+                || !members.isEmpty() && nowMs - call.waitingSinceMs > LONGEST_WAIT * call.view.typicalMs;
         if (hopeless) {
             refuse(call);
         }
--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -45,6 +45,8 @@
     /** A connection that was idle for so long may be closed at any time, and is after {@link #LONGEST_IDLE_MS}. */
     private static final double IDLE_IS_SPARE_MS = 2000;
     private static final double LONGEST_IDLE_MS = 10_000;
+    /** A client that uses a connection again mostly does so sooner. */
+    private static final double LEAST_IDLE_MS = 500;
 
     private final RequestReader reader;
     private final ClientServer server;
@@ -198,6 +200,11 @@
         return freeSinceMs;
     }
 
+    /** Whether it may be closed where there is no descriptor left, if none has been free for longer. */
+    boolean isLeastUseful(double nowMs) {
+        return isLeft(nowMs, MUTE_IS_SPARE_MS, LEAST_IDLE_MS, LEAST_IDLE_MS);
+    }
+
     /** Whether it may be closed where its descriptor is wanted. */
     boolean isSpare(double nowMs) {
         return isLeft(nowMs, MUTE_IS_SPARE_MS, PARTIAL_IS_SPARE_MS, IDLE_IS_SPARE_MS);
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -116,10 +116,13 @@
         listener.config().setAutoRead(connections.size() < limits.accepted() && !descriptors.full());
     }
 
-    /** Closes the connection that has been of no use for longest, if there is one that may be closed. */
+    /**
+     * Closes the connection that has been of no use for longest, if there is one that may be closed: else a request
+     * that has come is refused for the sake of connections on which none may ever come.
+     */
     private void evictOldest() {
         double nowMs = clock.nowMs();
-        connections.stream().filter(connection -> connection.isSpare(nowMs))
+        connections.stream().filter(connection -> connection.isLeastUseful(nowMs))
                 .min(Comparator.comparingDouble(ClientConnection::freeSinceMs)).ifPresent(spare -> {
                     evicted++;
                     spare.close();
--- a/src/test/java/forkramp/DeparturesTest.java
+++ b/src/test/java/forkramp/DeparturesTest.java
@@ -407,6 +407,21 @@
         assertEquals(List.of(), sidecar.breaches);
     }
 
+    @Test
+    void whoFindsNoRoomWaitsForAMomentAndIsRefusedThen() {
+        // The client has few connections: those that wait for an aim left none for requests that there was room for.
+        Sidecar sidecar = sidecar(1);
+        int request = sidecar.request(0);
+        while (!sidecar.attemptsOf(request).isEmpty()) {
+            request = sidecar.request(0);
+        }
+        sidecar.pass(20);
+        assertFalse(sidecar.ended(request), "room may come at once");
+        sidecar.pass(180);
+        assertTrue(sidecar.ended(request), "long before its aim of a second");
+        assertEquals(List.of(), sidecar.breaches);
+    }
+
     @Test
     void aSubsetGrowsWhereItsMembersAreFull() {
         Sidecar sidecar = oneOfEight(14);
