Close idle client connections sooner while there are many

A trace of its client's connections showed 122 of the 128 that the client may use for requests idle and 6 busy: clients ask once and keep the connection, and each held a place for the 2 s after which it was closed. Ruled out: descriptors (142 of 360 in use), the listener (accepting), half requests (none), the module (2 refused in 5 s).

Now idle connections go after 250 ms, the oldest first, while there are more than 31% of the descriptors (the client may have a third for requests); none after the signal to end, when the client gets no others.

--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -40,13 +40,11 @@
     /** A client that connects has something to ask: by then it has, or it won't. */
     private static final double LONGEST_MUTE_MS = 2000;
     private static final double LONGEST_PARTIAL_MS = 2000;
-    private static final double PARTIAL_IS_SPARE_MS = 1000;
-    private static final double MUTE_IS_SPARE_MS = 250;
-    /** A connection that was idle for so long may be closed at any time, and is after {@link #LONGEST_IDLE_MS}. */
-    private static final double IDLE_IS_SPARE_MS = 2000;
     private static final double LONGEST_IDLE_MS = 10_000;
-    /** A client that uses a connection again mostly does so sooner. */
-    private static final double LEAST_IDLE_MS = 500;
+    /** Where there are many connections, what is of no use for so long goes. */
+    private static final double MUTE_IS_SPARE_MS = 250;
+    private static final double PARTIAL_IS_SPARE_MS = 1000;
+    private static final double IDLE_IS_SPARE_MS = 250;
 
     private final RequestReader reader;
     private final ClientServer server;
@@ -200,12 +198,7 @@
         return freeSinceMs;
     }
 
-    /** Whether it may be closed where there is no descriptor left, if none has been free for longer. */
-    boolean isLeastUseful(double nowMs) {
-        return isLeft(nowMs, MUTE_IS_SPARE_MS, LEAST_IDLE_MS, LEAST_IDLE_MS);
-    }
-
-    /** Whether it may be closed where its descriptor is wanted. */
+    /** Whether it may be closed where there are many. */
     boolean isSpare(double nowMs) {
         return isLeft(nowMs, MUTE_IS_SPARE_MS, PARTIAL_IS_SPARE_MS, IDLE_IS_SPARE_MS);
     }
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -21,8 +21,11 @@
 /** Listens for the client and keeps its connections. */
 final class ClientServer {
 
-    /** Up to how many client connections requests are served, and how many are accepted to be told otherwise. */
-    record Limits(int served, int accepted) {
+    /**
+     * Up to how many client connections none is closed early, up to how many requests are served, and how many are
+     * accepted to be told otherwise.
+     */
+    record Limits(int comfortable, int served, int accepted) {
     }
 
     private static final long SWEEP_MS = 100;
@@ -38,6 +41,7 @@
     private final Map<String, Integer> tenantOfName = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
+    private boolean ending;
     private boolean draining;
     private boolean crowded;
     private long evicted;
@@ -95,9 +99,7 @@
     void opened(ClientConnection connection) {
         connections.add(connection);
         descriptors.take();
-        if (connections.size() > limits.served() || descriptors.full()) {
-            evictOldest();
-        }
+        evict(1);
         adjustAccepting();
     }
 
@@ -117,33 +119,30 @@
     }
 
     /**
-     * Closes the connection that has been of no use for longest, if there is one that may be closed: else a request
-     * that has come is refused for the sake of connections on which none may ever come.
+     * Closes connections of no use while there are many, those that have been so for longest first, up to so many at
+     * once. Guards against clients that ask once and keep their connection, or that connect and say nothing: the
+     * client has only so many connections for requests, and most requests found none while these were kept.
      */
-    private void evictOldest() {
-        double nowMs = clock.nowMs();
-        connections.stream().filter(connection -> connection.isLeastUseful(nowMs))
-                .min(Comparator.comparingDouble(ClientConnection::freeSinceMs)).ifPresent(spare -> {
-                    evicted++;
-                    spare.close();
-                });
+    private void evict(int most) {
+        int tooMany = ending ? 0 : descriptors.full() ? most : Math.min(most, connections.size() - limits.comfortable());
+        if (tooMany > 0) {
+            double nowMs = clock.nowMs();
+            connections.stream().filter(connection -> connection.isSpare(nowMs))
+                    .sorted(Comparator.comparingDouble(ClientConnection::freeSinceMs)).limit(tooMany).toList()
+                    .forEach(this::evict);
+        }
+    }
+
+    private void evict(ClientConnection connection) {
+        evicted++;
+        connection.close();
     }
 
-    /**
-     * Closes what is of no use. Guards against clients that ask once and keep their connection, or that connect and
-     * say nothing: their connections filled the client's part of the descriptors within 15 s, and from then on nobody
-     * was served. In want of descriptors what could be of use again goes as well.
-     */
     private void sweep() {
-        double nowMs = clock.nowMs();
         adjustAccepting(); // descriptors may have come free on the other side
-        boolean wanted = connections.size() > limits.served() / 2 || descriptors.full();
-        for (ClientConnection connection : List.copyOf(connections)) {
-            if (connection.isUseless(nowMs) || wanted && connection.isSpare(nowMs)) {
-                evicted++;
-                connection.close();
-            }
-        }
+        double nowMs = clock.nowMs();
+        List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs)).forEach(this::evict);
+        evict(connections.size());
     }
 
     /** Requests refused so far for want of descriptors. */
@@ -180,6 +179,11 @@
         return draining;
     }
 
+    /** From now on no connection is closed for others' sake: the client gets no new ones. */
+    void keepConnections() {
+        ending = true;
+    }
+
     /** From now on each answer ends its connection. */
     void drain() {
         draining = true;
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -38,6 +38,8 @@
     /** Of the other descriptors, together more than all: what one side leaves the other may use. */
     private static final double UPSTREAM_PART = 0.5;
     private static final double CLIENT_PART = 0.7;
+    /** Of all descriptors: the client may have a third for requests, and must not run out of them. */
+    private static final double COMFORTABLE_PART = 0.31;
     private static final double REFUSED_PART = 0.06; // of the client's: connections that are only told to come back
     /** A node with many connections open is slower; an idle one costs as much as a new one within a few seconds. */
     private static final double LONGEST_IDLE_MS = 3000;
@@ -100,8 +102,10 @@
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         driver = new Driver(config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool,
                 log);
+        int served = clients - refused;
+        int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
         server = new ClientServer(config.settings(), driver, clock,
-                new ClientServer.Limits(clients - refused, clients), descriptors, log);
+                new ClientServer.Limits(comfortable, served, clients), descriptors, log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), driver::updated, log);
     }
 
@@ -181,6 +185,7 @@
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
                     + drainTimes.stopServingMs() + " ms");
+            server.keepConnections();
             loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
             loop.schedule(this::stopServing, drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
         });
