Serve to the end after SIGTERM, and leave the client a free connection

One time line of a restart: SIGTERM 0, exit 2.34 s, next process begins 3.50 s, ready 3.0 to 3.7 s after that. Leaving at 1.1 to 1.5 s changed nothing: the next one began at 3.50 s again (longest deadline + 0.7 s). So leaving early only lengthens the gap, and Sidecar.DrainTimes left 1.16 s early.

Ruled out: connections closed from here (none), answers that end their connection (none before the end), the module (nothing given up).

Now, after the signal, a request that takes one of the last tenth of the connections is refused at once, with the advice when to come back; idle ones are kept; what is open 0.2 s before the process's time is up is failed.

The warm-up's two ends are plain bytes now: half of the code it ran was the client's and the upstream's codecs.

--- a/src/main/java/forkramp/LoadShiftingBalancer.java
+++ b/src/main/java/forkramp/LoadShiftingBalancer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,9 @@
     private static final int CONTROL_TIMER = 1;
     private static final int SUBSCRIBE_TIMER = 2;
 
+    /** Why a request is given up: more than is admitted, no room or no time left, or its attempts failed. */
+    private enum Cause { ADMISSION, ROOM, TIME, ATTEMPTS }
+
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
@@ -70,8 +74,7 @@
     private double known; // attempts, late or timely; older ones count less
     private boolean dense; // enough answers of each member in the last tick
     private double extra = EXTRA_SAVED / 2;
-    private boolean shed; // in this tick, and in the one before
-    private boolean wasShed;
+    private final Map<Cause, Integer> givenUp = new EnumMap<>(Cause.class); // in this tick
 
     public LoadShiftingBalancer(Settings settings, long seed, Actions actions) {
         this.settings = settings;
@@ -120,13 +123,13 @@
         if (random.nextDouble() >= refusedPart[queue]) {
             place(nowMs, call);
         } else {
-            refuse(call);
+            giveUp(call, Cause.ADMISSION);
         }
     }
 
     private void place(double nowMs, Call call) {
         if (call.usefulUntilMs - nowMs <= call.view.typicalMs / 2) {
-            giveUp(call); // too late to earn, and perhaps too late to be answered in time after an attempt
+            giveUp(call, Cause.TIME); // to earn, and perhaps to be answered in time after an attempt
         } else if (probes > 0 && call.asked.isEmpty() && ask(nowMs, call)) {
             asking.add(call);
         } else if ((!waiting.isEmpty() || !dispatch(nowMs, call)) && !shed(nowMs, call)) {
@@ -271,14 +274,23 @@
             subsetSize++; // the design's small subset leaves servers idle while its own members are full
             fillSubset();
         }
-        if (shed != wasShed) {
-            actions.log(shed ? "all members full: refusing requests" : "nothing refused any more");
-        }
-        wasShed = shed;
-        shed = false;
+        tellGivenUp(nowMs);
         foundFull = false;
     }
 
+    /** Explains the gaps of a tick: why so many requests were given up, and how much room the members had. */
+    private void tellGivenUp(double nowMs) {
+        if (!givenUp.isEmpty()) {
+            long full = members.stream().filter(host -> host.out >= Math.max(1, host.window)).count();
+            long cold = members.stream().filter(host -> host.isCold(nowMs, settings.contract())).count();
+            long aside = members.stream().filter(host -> host.setAside != null).count();
+            actions.log("given up within " + Math.round(TICK_MS) + " ms: " + givenUp + "; admitting "
+                    + Math.round(100 * admit) + "%; of " + members.size() + " members " + full
+                    + " full, " + cold + " cold, " + aside + " set aside");
+        }
+        givenUp.clear();
+    }
+
     // ---- Outcomes: what was learnt, and whether the request gets another attempt.
 
     @Override
@@ -298,7 +310,7 @@
             extra -= 1;
             place(nowMs, call);
         } else if (call.out == 0) {
-            giveUp(call);
+            giveUp(call, Cause.ATTEMPTS);
         }
         waiting.offer(held -> dispatch(nowMs, held));
     }
@@ -336,12 +348,8 @@
                 && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
 
-    private void refuse(Call call) {
-        shed = true;
-        giveUp(call);
-    }
-
-    private void giveUp(Call call) {
+    private void giveUp(Call call, Cause cause) {
+        givenUp.merge(cause, 1, Integer::sum);
         if (call.mayBeRefused()) {
             actions.refuse(call.id, settings.limits().maxRetryAfterMs());
         } else {
@@ -434,7 +442,7 @@
         boolean hopeless = call.usefulUntilMs - nowMs <= Math.max(controlMs, call.view.typicalMs)
                 || !members.isEmpty() && nowMs - call.waitingSinceMs > LONGEST_WAIT * call.view.typicalMs;
         if (hopeless) {
-            refuse(call);
+            giveUp(call, Cause.ROOM);
         }
         return hopeless;
     }
--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -126,6 +126,8 @@
         } else if (server.overfull()) {
             current = new Arrival(arrival.request, 0, false);
             answer(current, Answer.refused(server.retryAfterMs()));
+        } else if (server.takesTheLast()) {
+            answer(arrival, Answer.refused(server.retryAfterMs()));
         } else {
             int id = driver.request(arrival.request, answer -> answer(arrival, answer));
             currentId = current == arrival ? id : 0;
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -29,6 +29,8 @@
     }
 
     private static final long SWEEP_MS = 100;
+    /** Of the client's connections: so many requests may come at once before the first of them is refused. */
+    private static final double SPARE_PART = 0.1;
 
     private final Driver driver;
     private final Clock clock;
@@ -141,11 +143,13 @@
     private void sweep() {
         adjustAccepting(); // descriptors may have come free on the other side
         double nowMs = clock.nowMs();
-        List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs)).forEach(this::evict);
-        evict(connections.size());
+        if (!ending) {
+            List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs)).forEach(this::evict);
+            evict(connections.size());
+        }
     }
 
-    /** Requests refused so far for want of descriptors. */
+    /** Requests refused so far for want of descriptors, or of connections that the client could still open. */
     long turnedAway() {
         return turnedAway;
     }
@@ -171,6 +175,19 @@
         return overfull;
     }
 
+    /**
+     * Whether a request takes one of the last free connections that the client has and can't replace. Guards against a
+     * client that finds none free after the signal to end: it was seen to send nothing more then, on any of them, until
+     * the next process was there. Such a request is refused at once, and its connection is free again. It does harm
+     * where a client would have waited for the next free connection instead.
+     */
+    boolean takesTheLast() {
+        int spare = (int) Math.ceil(connections.size() * SPARE_PART);
+        boolean last = ending && driver.unanswered() >= connections.size() - spare;
+        turnedAway += last ? 1 : 0;
+        return last;
+    }
+
     double retryAfterMs() {
         return retryAfterMs;
     }
--- a/src/main/java/forkramp/sidecar/Driver.java
+++ b/src/main/java/forkramp/sidecar/Driver.java
@@ -163,6 +163,19 @@
         }
     }
 
+    /** Fails what is still open when the process is about to end: after that nobody could answer it. */
+    void failOpen() {
+        List<Exchange> open = exchanges.values().stream().filter(exchange -> !exchange.over).toList();
+        if (!open.isEmpty()) {
+            log.line("ending: " + open.size() + " requests were still open and are failed");
+        }
+        for (Exchange exchange : open) {
+            counters.failed++;
+            answer(exchange, Answer.status(FAILED));
+            tell(() -> balancer.clientLeft(clock.nowMs(), exchange.id));
+        }
+    }
+
     private void ended(Exchange exchange, int number, double sentMs, Ending ending) {
         exchange.out--;
         counters.ended(ending.outcome());
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -50,22 +50,31 @@
     /** The process is left the longest deadline, or so much if that is less, and a while more to end in. */
     private static final double LONGEST_TIME_TO_END_MS = 3000;
     private static final double MORE_TIME_TO_END_MS = 700;
-    private static final double END_MARGIN_MS = 250;
+    private static final double END_MARGIN_MS = 200;
+    /** Of the longest time in which an answer is of use: what is taken last is left this much, and most take less. */
+    private static final double LAST_PART = 0.3;
     private static final long POLL_MS = 5;
     private static final long LONGEST_WARM_UP_MS = 1500;
     private static final long LONGEST_DRAIN_S = 15;
 
-    /** When, after the signal to end, the listener closes, and when the connections of the client do. */
-    record DrainTimes(long stopListeningMs, long stopServingMs) {
+    /**
+     * When, after the signal to end, the listener closes, when the connections of the client do, and when what is still
+     * open then is failed.
+     */
+    record DrainTimes(long stopListeningMs, long stopServingMs, long failRestMs) {
 
-        /** Serves for as long as what is taken last can still be answered before the process is killed. */
+        /**
+         * Serves for about as long as the process is left. Guards against a gap that nobody needed: the next process
+         * comes when this one's time is up, however early it has ended. What is taken last may be failed in the end, and
+         * would have found nobody otherwise; it does harm where a process is killed sooner than it was promised.
+         */
         static DrainTimes longest(Settings settings) {
             double deadlineMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
             double answerMs = settings.classes().stream()
                     .mapToDouble(spec -> spec.lateWorth() > 0 ? spec.deadlineMs() : spec.aimMs()).max().orElse(0);
-            double serveMs = Math.min(LONGEST_TIME_TO_END_MS, deadlineMs) + MORE_TIME_TO_END_MS - answerMs
-                    - END_MARGIN_MS;
-            return new DrainTimes(STOP_LISTENING_MS, Math.max(STOP_LISTENING_MS, (long) serveMs));
+            double allMs = Math.min(LONGEST_TIME_TO_END_MS, deadlineMs) + MORE_TIME_TO_END_MS - END_MARGIN_MS;
+            return new DrainTimes(STOP_LISTENING_MS,
+                    Math.max(STOP_LISTENING_MS, (long) (allMs - LAST_PART * answerMs)), (long) allMs);
         }
     }
 
@@ -172,7 +181,7 @@
             log.line(counts + "; connections: " + server.connections() + " from the client, " + pool.open()
                     + " to upstreams, " + pool.opened() + " opened and " + pool.spoilt() + " spoilt answers so far; " + server.evicted()
                     + " of the client's closed as idle and " + server.turnedAway() + " requests refused for want of"
-                    + " descriptors so far");
+                    + " descriptors or, when ending, of connections so far");
         }
     }
 
@@ -188,6 +197,7 @@
             server.keepConnections();
             loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
             loop.schedule(this::stopServing, drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(driver::failOpen, drainTimes.failRestMs(), TimeUnit.MILLISECONDS);
         });
         try {
             if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
--- a/src/main/java/forkramp/sidecar/Warmup.java
+++ b/src/main/java/forkramp/sidecar/Warmup.java
@@ -2,6 +2,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import forkramp.LoadShiftingBalancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
@@ -25,16 +27,6 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * Passes requests through a scratch copy of the request path, in memory and without sockets, before the sidecar says
@@ -55,10 +47,16 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final CountDownLatch done = new CountDownLatch(1);
+    private final byte[] answer;
     private volatile int sent;
+    private int read;
 
     private Warmup(Settings settings) {
         this.settings = settings;
+        String report = String.join(", ", settings.reportFields().stream().map(name -> name + "=0.5").toList());
+        answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\nContent-Type: application/json\r\n"
+                + "X-Load-Report: TEXT " + report + "\r\n\r\n" + "x".repeat(BODY_BYTES))
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     /** Tells whether all its requests were answered in the time that it may take. */
@@ -85,8 +83,7 @@
     private void begin() {
         LocalAddress upstream = new LocalAddress("warm-up upstream");
         new ServerBootstrap().group(group).channel(LocalServerChannel.class).childHandler(initializer(() ->
-                new ChannelHandler[] {new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                        new Upstream()})).bind(upstream);
+                new ChannelHandler[] {new Upstream()})).bind(upstream);
         Descriptors descriptors = new Descriptors(2 * CONNECTIONS);
         UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS), descriptors,
                 new LoadReport(settings.reportFields()), new Bootstrap().channel(LocalChannel.class), silent);
@@ -98,8 +95,7 @@
                 silent)
                 .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
         new Bootstrap().group(loop).channel(LocalChannel.class).handler(initializer(() ->
-                new ChannelHandler[] {new HttpClientCodec(), new HttpObjectAggregator(1 << 16),
-                        new Client()})).connect(listen);
+                new ChannelHandler[] {new Client()})).connect(listen);
     }
 
     private static HostUpdate.Entry entry(String host, LocalAddress address) {
@@ -120,22 +116,16 @@
     }
 
     /** Answers at once; what it turned away would make the module slow its pace. */
-    private final class Upstream extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Upstream extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(new byte[BODY_BYTES]));
-            answer.headers().set("Content-Length", BODY_BYTES);
-            String values = String.join(", ", settings.reportFields().stream().map(name -> name + "=0.5").toList());
-            answer.headers().set("X-Load-Report", "TEXT " + values);
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
             // Later, as over sockets: in memory it would come before the request counts as written.
-            ctx.executor().execute(() -> ctx.writeAndFlush(answer));
+            ctx.executor().execute(() -> ctx.writeAndFlush(Unpooled.wrappedBuffer(answer)));
         }
     }
 
     /** Sends one request after another, of each class in turn. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
-
+    private final class Client extends SimpleChannelInboundHandler<ByteBuf> {
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -143,7 +133,17 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf part) {
+            read += part.readableBytes();
+        }
+
+        /** The sidecar writes an answer whole, so that it has come when what could be read has been. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (read < BODY_BYTES) {
+                return;
+            }
+            read = 0;
             if (sent < REQUESTS) {
                 next(ctx);
             } else {
@@ -156,12 +156,10 @@
             RequestClass spec = settings.classes().get(sent % settings.classes().size());
             sent++;
             boolean safe = spec.effect() == Effect.SAFE;
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    safe ? HttpMethod.GET : HttpMethod.POST, "/" + spec.name() + "?obj=1",
-                    Unpooled.wrappedBuffer(new byte[safe ? 0 : BODY_BYTES]));
-            request.headers().set("Host", "warm-up").set("X-Call-Id", sent).set("X-Budget-Ms", BUDGET_MS);
-            request.headers().set("Content-Length", safe ? 0 : BODY_BYTES);
-            ctx.writeAndFlush(request);
+            String head = (safe ? "GET /" : "POST /") + spec.name() + "?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: warm-up\r\n"
+                    + "X-Call-Id: " + sent + "\r\nX-Budget-Ms: " + BUDGET_MS + "\r\n"
+                    + (safe ? "\r\n" : "Content-Length: " + BODY_BYTES + "\r\n\r\n" + "x".repeat(BODY_BYTES));
+            ctx.writeAndFlush(Unpooled.copiedBuffer(head, StandardCharsets.US_ASCII));
         }
     }
 }
