Leave a watch that is silent after 3 s instead of 7

Its log: the watch of one sidecar stayed open and silent at version 2 from 16.5 s on, was left after 7 s and came back at version 9. What discovery has to tell counts as told 6 s later, so that a change in the first half second of a silence broke the rule before anybody noticed. At fault: SILENCE_S in Discovery; an empty line comes every 2 s.

The other sidecar left a silent watch twice, and lost nothing by it. The test had none before: the limit of silence now has one.

--- a/src/main/java/forkramp/sidecar/Discovery.java
+++ b/src/main/java/forkramp/sidecar/Discovery.java
@@ -29,7 +29,7 @@
 
 /**
  * Follows discovery: the whole list first, then a watch from its version on. What breaks is begun again after a pause
- * that grows; what is silent for several of the watch's empty lines counts as broken. Discovery may move: then all is
+ * that grows; what is silent for longer than the watch's empty lines are apart counts as broken. Discovery may move: then all is
  * begun anew at its new address, for the versions of one say nothing to another.
  */
 final class Discovery {
@@ -39,7 +39,12 @@
     private static final int OK = 200;
     private static final int MAX_LINE = 4 << 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
-    private static final int SILENCE_S = 7;
+    /**
+     * An empty line comes every 2 s, and what could have been heard counts as told 6 s later. Guards against a watch
+     * that stays open and brings nothing: after 7 s upstreams that were gone had been sent to for too long. A list is
+     * asked for once too often where lines are a second late.
+     */
+    private static final int SILENCE_S = 3;
     private static final double FIRST_PAUSE_MS = 50;
     private static final double LONGEST_PAUSE_MS = 2000;
 
--- a/src/test/java/forkramp/sidecar/SidecarTest.java
+++ b/src/test/java/forkramp/sidecar/SidecarTest.java
@@ -238,6 +238,24 @@
         assertTrue(answer.endsWith("two."), answer);
     }
 
+    @Test
+    void leavesAWatchThatIsSilentBeforeWhatItMissesCountsAsTold() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        FakeServer discovery = serve(new FakeServer(connection -> {
+            for (String call = connection.read(); call != null; call = connection.read()) {
+                if (!call.contains("stream=1")) {
+                    answerList(connection, 7, host("s-1", upstream.address(), "Ready"));
+                } else {
+                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+                }
+            }
+        }));
+        start(discovery.address(), "");
+        assertNotNull(discovery.nextRequest());
+        assertTrue(discovery.nextRequest().contains("index=7"));
+        assertNotNull(discovery.nextRequest(), "within 5 s");
+    }
+
     @Test
     void asksForTheWholeListAfterALineThatCanNotBeRead() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
