Let the warm-up take up to 3 s: the first seconds need it more

Where a start's CPU goes (cgroup of half a core, per thread): JVM, configuration and Netty 0.33 to 0.36 s, C1 0.54 to 0.58 s, the warm-up's own thread 0.55 to 0.62 s for some 110 requests, 3.4 ms each as long as they are interpreted. Ruled out or too small to keep, by five starts each: lower compile thresholds, less inlining, no relocation of the archive, G1, no JFR events, the old locale data (0 to 10%, within the noise).

At fault: LONGEST_WARM_UP_MS in Sidecar. At the first start nobody waits for it; a restart takes up to 1.5 s longer.

--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -54,7 +54,7 @@
     /** Of the longest time in which an answer is of use: what is taken last is left this much, and most take less. */
     private static final double LAST_PART = 0.3;
     private static final long POLL_MS = 5;
-    private static final long LONGEST_WARM_UP_MS = 1500;
+    private static final long LONGEST_WARM_UP_MS = 3000;
     private static final long LONGEST_DRAIN_S = 15;
 
     /**
