--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -205,9 +205,9 @@
         return isLeft(nowMs, MUTE_IS_SPARE_MS, PARTIAL_IS_SPARE_MS, IDLE_IS_SPARE_MS);
     }
 
-    /** Whether nothing is to be expected of it any more. */
-    boolean isUseless(double nowMs) {
-        return isLeft(nowMs, LONGEST_MUTE_MS, LONGEST_PARTIAL_MS, LONGEST_IDLE_MS);
+    /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
+    boolean isUseless(double nowMs, boolean keepIdle) {
+        return isLeft(nowMs, LONGEST_MUTE_MS, LONGEST_PARTIAL_MS, keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS);
     }
 
     /** Whether it has been free for so long: since it came, since half a request did, or since its last answer. */
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -143,10 +143,9 @@
     private void sweep() {
         adjustAccepting(); // descriptors may have come free on the other side
         double nowMs = clock.nowMs();
-        if (!ending) {
-            List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs)).forEach(this::evict);
-            evict(connections.size());
-        }
+        // When ending, those that have brought requests are kept: the client gets no others.
+        List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs, ending)).forEach(this::evict);
+        evict(connections.size());
     }
 
     /** Requests refused so far for want of descriptors, or of connections that the client could still open. */
--- a/src/test/java/forkramp/sidecar/SidecarTest.java
+++ b/src/test/java/forkramp/sidecar/SidecarTest.java
@@ -561,6 +561,20 @@
         sidecar = null;
     }
 
+    @Test
+    void aConnectionThatSaysNothingIsClosedAlsoAfterTheSignalToEnd() throws Exception {
+        drainTimes = new Sidecar.DrainTimes(0, 6000, 10_000);
+        start(FakeServer.nobody(), host("s-1", FakeServer.nobody(), "Ready"));
+        Client kept = client();
+        assertEquals(200, kept.status(ready()));
+        Client mute = client();
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(sidecar::drain);
+        assertNull(mute.read());
+        assertEquals(200, kept.status(ready()), "long before the end");
+        ended.get(10, TimeUnit.SECONDS);
+        sidecar = null;
+    }
+
     @Test
     void whatIsOpenWhenItsTimeIsUpIsFailedBeforeTheProcessEnds() throws Exception {
         FakeServer upstream = serve(new FakeServer(connection -> {
