--- a/src/main/java/forkramp/sidecar/ClientConnection.java
+++ b/src/main/java/forkramp/sidecar/ClientConnection.java
@@ -3,6 +3,7 @@
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import forkramp.Balancer.Effect;
 import io.netty.buffer.Unpooled;
@@ -60,6 +61,10 @@
     private boolean mute = true;
     /** Whether something has come that can't be read: nothing behind it is. */
     private boolean ended;
+    /** Whether it is about to be closed as of no use. */
+    private boolean retiring;
+    /** Reads that brought something, so far. */
+    private long reads;
     /** Whether half a request has come, and on a connection that has brought others since when. */
     private boolean partial;
     private double partialSinceMs;
@@ -104,6 +109,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        reads++;
         if (!partial && !mute && reader.midRequest()) {
             partialSinceMs = clock.nowMs();
         }
@@ -214,12 +220,30 @@
     private boolean isLeft(double nowMs, double muteMs, double partialMs, double idleMs) {
         double sinceMs = partial && !mute ? partialSinceMs : freeSinceMs;
         double mostMs = partial ? partialMs : mute ? muteMs : idleMs;
-        return current == null && waiting.isEmpty() && nowMs - sinceMs >= mostMs;
+        return !retiring && current == null && waiting.isEmpty() && nowMs - sinceMs >= mostMs;
     }
 
-    /** Closes it between requests; half a request gets an answer first. */
-    void close() {
-        if (partial) {
+    /**
+     * Closes it between requests, if nothing has come on it by the end of the next pass over the sockets; half a request
+     * gets an answer first. Guards against a request that came while the event loop was held up: the connection looks
+     * as if it had been free all that time, and closing it would leave the request without an answer.
+     */
+    void retire() {
+        if (!retiring) {
+            retiring = true;
+            long before = reads;
+            // Not execute(): that would run in this same pass, before the sockets are looked at again.
+            context.executor().schedule(() -> endRetirement(before), 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void endRetirement(long before) {
+        retiring = false;
+        if (current != null || !waiting.isEmpty() || !context.channel().isActive()) {
+            server.spared(context.channel().isActive());
+        } else if (reads != before) {
+            server.spared(true);
+        } else if (partial) {
             current = new Arrival(null, TIMED_OUT, false);
             answer(current, Answer.status(TIMED_OUT));
         } else {
@@ -230,7 +254,7 @@
     /** Closes the connection if no request is at hand. */
     void closeIfIdle() {
         if (current == null && waiting.isEmpty()) {
-            close();
+            retire();
         }
     }
 
--- a/src/main/java/forkramp/sidecar/ClientServer.java
+++ b/src/main/java/forkramp/sidecar/ClientServer.java
@@ -45,8 +45,10 @@
     private Channel listener;
     private boolean ending;
     private boolean draining;
+    private boolean refusing;
     private boolean crowded;
     private long evicted;
+    private long spared;
     private long turnedAway;
 
     ClientServer(Settings settings, Driver driver, Clock clock, Limits limits, Descriptors descriptors, Log log) {
@@ -137,7 +139,15 @@
 
     private void evict(ClientConnection connection) {
         evicted++;
-        connection.close();
+        connection.retire();
+    }
+
+    /** Notes a connection that was about to be closed; {@code inUse} where something came on it meanwhile. */
+    void spared(boolean inUse) {
+        if (inUse) {
+            spared++;
+            log.line("a client's connection that looked unused was not closed: a request had come on it");
+        }
     }
 
     private void sweep() {
@@ -155,7 +165,7 @@
 
     /** Connections closed so far because no request came on them. */
     long evicted() {
-        return evicted;
+        return evicted - spared;
     }
 
     /**
@@ -164,9 +174,9 @@
      * once instead, before the module hears of it, and its connection closed.
      */
     boolean overfull() {
-        boolean overfull = connections.size() > limits.served();
+        boolean overfull = refusing || connections.size() > limits.served();
         turnedAway += overfull ? 1 : 0;
-        if (overfull && !crowded) {
+        if (overfull && !crowded && !refusing) {
             crowded = true;
             log.line("the client has " + connections.size() + " connections open, " + driver.unanswered()
                     + " requests in hand: refusing what comes beyond " + limits.served());
@@ -205,6 +215,11 @@
         draining = true;
     }
 
+    /** From now on nothing is taken any more: the process ends before it could be answered. */
+    void refuseAll() {
+        refusing = true;
+    }
+
     void closeIdle() {
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
--- a/src/main/java/forkramp/sidecar/Config.java
+++ b/src/main/java/forkramp/sidecar/Config.java
@@ -51,6 +51,15 @@
         }
     }
 
+    /** The discovery that the file names, unchecked beyond that; null where it can't be read. */
+    static InetSocketAddress discoveryIn(String file) {
+        try {
+            return address(JSON.readTree(Files.readAllBytes(Path.of(file))).path("discovery").asText(""));
+        } catch (IOException | IllegalArgumentException e) { // a path that is none among them
+            return null;
+        }
+    }
+
     private static Config read(JsonNode root, Map<String, String> environment) {
         if (!root.path("settings").isObject()) {
             throw new IllegalArgumentException("settings are missing");
--- a/src/main/java/forkramp/sidecar/Directory.java
+++ b/src/main/java/forkramp/sidecar/Directory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,12 +18,24 @@
  */
 final class Directory {
 
+    private static final int MOST_ENDED = 256;
+
     private final Map<String, Node> byHost = new HashMap<>();
     private final Map<Integer, Node> byId = new HashMap<>();
     private final Map<String, Integer> zones;
     private final Map<String, Integer> kinds;
     private final Consumer<Node> retired;
+    /** When those last started that were told gone last: a process that has ended never comes back. */
+    private final Map<String, Double> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > MOST_ENDED;
+        }
+    };
     private int nextId;
+    private int stale;
 
     /** Tells {@code retired} of each node whose connections are of no more use. */
     Directory(List<String> zones, List<String> kinds, Consumer<Node> retired) {
@@ -31,24 +44,39 @@
         this.retired = retired;
     }
 
-    /** Takes over an update and returns its entries in the module's form. */
+    /**
+     * Takes over an update and returns its entries in the module's form. A drain, and an end, are for good: another
+     * address of discovery that still has the same process ready is behind, and what it says of that is left out.
+     */
     List<Upstream> apply(HostUpdate update) {
         Set<Node> named = new HashSet<>();
         List<Upstream> entries = new ArrayList<>();
         for (HostUpdate.Entry entry : update.entries()) {
+            if (update.fromElsewhere() && ended.containsKey(entry.host())
+                    && ended.get(entry.host()) == entry.bornMs()) {
+                stale++;
+                continue;
+            }
             Node node = byHost.computeIfAbsent(entry.host(), this::add);
             named.add(node);
             boolean moved = !entry.address().equals(node.address);
+            boolean undrained = update.fromElsewhere() && node.draining && node.bornMs == entry.bornMs()
+                    && entry.status() == Status.READY;
+            Status status = undrained ? Status.DRAINING : entry.status();
+            stale += undrained ? 1 : 0;
             node.address = entry.address();
-            node.ready = entry.status() == Status.READY;
+            node.bornMs = entry.bornMs();
+            node.ready = status == Status.READY;
+            node.draining = status == Status.DRAINING;
             if (moved || !node.ready) {
                 retired.accept(node);
             }
-            entries.add(new Upstream(node.id, entry.status(), entry.bornMs(), number(zones, entry.zone()),
+            entries.add(new Upstream(node.id, status, entry.bornMs(), number(zones, entry.zone()),
                     number(kinds, entry.kind()), entry.cell(), entry.weight()));
         }
         for (HostUpdate.Entry entry : update.entries()) {
             if (entry.status() == Status.GONE) {
+                ended.put(entry.host(), entry.bornMs());
                 forget(byHost.get(entry.host()));
             }
         }
@@ -67,6 +95,11 @@
         }
     }
 
+    /** Entries left out so far, for they were behind. */
+    int stale() {
+        return stale;
+    }
+
     /** The node of this number, or null. */
     Node node(int id) {
         return byId.get(id);
--- a/src/main/java/forkramp/sidecar/Discovery.java
+++ b/src/main/java/forkramp/sidecar/Discovery.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -30,7 +31,9 @@
 /**
  * Follows discovery: the whole list first, then a watch from its version on. What breaks is begun again after a pause
  * that grows; what is silent for longer than the watch's empty lines are apart counts as broken. Discovery may move: then all is
- * begun anew at its new address, for the versions of one say nothing to another.
+ * begun anew at its new address, for the versions of one say nothing to another; the old one is heard until the new one
+ * has answered. Whenever a call has ended, {@code where} is asked for the address that holds now: a move that nobody has
+ * told of is found then.
  */
 final class Discovery {
 
@@ -45,12 +48,16 @@
      * asked for once too often where lines are a second late.
      */
     private static final int SILENCE_S = 3;
+    /** Where discovery is an agent of this machine, it answers a call at once or not at all. */
+    private static final int FIRST_ANSWER_MS = 1000;
     private static final double FIRST_PAUSE_MS = 50;
     private static final double LONGEST_PAUSE_MS = 2000;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Consumer<HostUpdate> listener;
+    private final int firstAnswerMs;
+    private final Clock clock;
     private final Log log;
     /** The version that all is known up to, or -1 where the whole list is needed. */
     private long seq = -1;
@@ -58,13 +65,22 @@
     private boolean reachable = true;
     private boolean stopped;
     private SocketAddress address;
-    /** The call at hand; what others still bring is late and is ignored. */
+    private final Supplier<SocketAddress> where;
+    /** Since when it has been asked at this address without a word from there, or NaN. */
+    private double movedMs = Double.NaN;
+    /** The call at hand; what others still bring is late and is ignored, but for one to the address before a move. */
     private Channel current;
+    private Channel previous;
     private ScheduledFuture<?> nextStart;
 
-    Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Consumer<HostUpdate> listener, Log log) {
+    /** {@code where} may return null: then the address stays. {@code atOnce}: whether a call is answered at once. */
+    Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, boolean atOnce,
+            Consumer<HostUpdate> listener, Clock clock, Log log) {
         this.loop = loop;
+        this.where = where;
+        this.firstAnswerMs = atOnce ? FIRST_ANSWER_MS : SILENCE_S * 1000;
         this.listener = listener;
+        this.clock = clock;
         this.log = log;
         this.address = address;
         this.bootstrap = base.group(loop)
@@ -73,7 +89,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
-                                new Call());
+                                new Call(seq));
                     }
                 });
     }
@@ -96,16 +112,21 @@
         if (next.equals(address)) {
             return;
         }
+        log.line("discovery moves from " + address + " to " + next + ", at version " + seq
+                + (reachable ? "" : ", while it does not answer"));
         address = next;
+        movedMs = clock.nowMs();
         seq = -1;
         pauseMs = FIRST_PAUSE_MS;
         if (nextStart != null) {
             nextStart.cancel(false);
         }
-        Channel old = current;
-        if (old != null) { // else nothing has been started yet
+        if (current != null) { // else nothing has been started yet
+            if (previous != null) {
+                previous.close();
+            }
+            previous = current;
             start();
-            old.close();
         }
     }
 
@@ -116,19 +137,33 @@
         // At random times: many sidecars come back to one service.
         double delayMs = pauseMs * (0.5 + ThreadLocalRandom.current().nextDouble() / 2);
         pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * pauseMs);
-        nextStart = loop.schedule(this::start, (long) delayMs, TimeUnit.MILLISECONDS);
+        nextStart = loop.schedule(this::startWhereItIs, (long) delayMs, TimeUnit.MILLISECONDS);
     }
 
-    private void take(HostUpdate update) {
-        if (!reachable) {
-            log.line("discovery answers again, at version " + update.seq());
+    /** Guards against a signal that never came: without it the sidecar stayed at an address that had closed for good. */
+    private void startWhereItIs() {
+        SocketAddress now = where.get();
+        if (now != null && !now.equals(address)) {
+            moveTo(now);
+        } else {
+            start();
         }
+    }
+
+    /** The first word after a move, or after a call that broke, ends what the old address has to say. */
+    private void heard(long version, int entries) {
+        if (!Double.isNaN(movedMs)) {
+            log.line("discovery at " + address + " first answers after " + Math.round(clock.nowMs() - movedMs)
+                    + " ms: version " + version + ", " + entries + " entries");
+        } else if (!reachable) {
+            log.line("discovery answers again, at version " + version);
+        }
+        movedMs = Double.NaN;
         reachable = true;
         pauseMs = FIRST_PAUSE_MS;
-        // A watch that is resumed may say again what is known; what is older must not undo it.
-        if (update.whole() || update.seq() > seq) {
-            seq = update.seq();
-            listener.accept(update);
+        if (previous != null) {
+            previous.close();
+            previous = null;
         }
     }
 
@@ -144,26 +179,37 @@
 
         private ByteBuf text;
         private boolean watching;
+        /** The version that all is known up to by this address, or -1 where the whole list is needed. */
+        private long version;
+        private ScheduledFuture<?> firstAnswer;
+
+        Call(long version) {
+            this.version = version;
+        }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             text = ctx.alloc().buffer();
+            firstAnswer = loop.schedule(() -> {
+                exceptionCaught(ctx, new IOException("no answer within " + firstAnswerMs + " ms"));
+            }, firstAnswerMs, TimeUnit.MILLISECONDS);
             ask(ctx);
         }
 
         private void ask(ChannelHandlerContext ctx) {
-            watching = seq >= 0;
+            watching = version >= 0;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    watching ? WATCH + seq : LIST);
+                    watching ? WATCH + version : LIST);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             ctx.writeAndFlush(request);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-            if (ctx.channel() != current) {
+            if (ctx.channel() != current && ctx.channel() != previous) {
                 return;
             }
+            firstAnswer.cancel(false);
             if (message.decoderResult().isFailure()) {
                 throw new IOException("what came is no HTTP");
             }
@@ -176,7 +222,7 @@
                     throw new IOException("a line is longer than " + MAX_LINE + " bytes");
                 }
                 if (watching) {
-                    readLines();
+                    readLines(ctx.channel());
                 }
                 if (message instanceof LastHttpContent) {
                     ended(ctx);
@@ -188,18 +234,18 @@
             if (watching) {
                 throw new IOException("the watch has ended");
             }
-            read(text.readSlice(text.readableBytes()));
+            read(ctx.channel(), text.readSlice(text.readableBytes()));
             text.clear();
             ask(ctx);
         }
 
         /** Reads what is whole; half a line waits for the rest, or goes with the connection. */
-        private void readLines() throws IOException {
+        private void readLines(Channel channel) throws IOException {
             for (int length = text.bytesBefore((byte) '\n'); length >= 0; length = text.bytesBefore((byte) '\n')) {
                 ByteBuf line = text.readSlice(length);
                 text.skipBytes(1);
                 if (!isBlank(line)) {
-                    read(line);
+                    read(channel, line);
                 }
             }
             text.discardSomeReadBytes();
@@ -209,20 +255,38 @@
             return line.forEachByte(value -> value == ' ' || value == '\r') < 0;
         }
 
-        private void read(ByteBuf json) throws IOException {
+        private void read(Channel channel, ByteBuf json) throws IOException {
             HostUpdate update;
             try {
                 update = HostUpdate.read(Config.JSON.readTree(new ByteBufInputStream(json).readAllBytes()));
             } catch (IOException | IllegalArgumentException e) {
-                seq = -1; // it may have said something that is now missed: only the whole list makes up for that
+                if (channel == current) {
+                    seq = -1; // it may have said something that is now missed: only the whole list makes up for that
+                }
                 throw new IOException("a line can't be read: " + e.getMessage().lines().findFirst().orElse(""), e);
             }
-            take(update);
+            take(channel, update);
+        }
+
+        private void take(Channel channel, HostUpdate update) {
+            boolean moved = channel == current && !Double.isNaN(movedMs);
+            if (channel == current) {
+                heard(update.seq(), update.entries().size());
+            }
+            // A watch that is resumed may say again what is known; what is older must not undo it.
+            if (update.whole() || update.seq() > version) {
+                version = update.seq();
+                if (channel == current) {
+                    seq = version;
+                }
+                listener.accept(moved ? update.elsewhere() : update);
+            }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (ctx.channel() == current) {
+                // The time-out of reading has no words of its own.
                 lost(cause.getMessage() == null ? "silent for " + SILENCE_S + " s" : cause.getMessage());
             }
             ctx.close();
@@ -232,6 +296,7 @@
         public void handlerRemoved(ChannelHandlerContext ctx) {
             if (text != null) {
                 text.release();
+                firstAnswer.cancel(false);
             }
             if (ctx.channel() == current) {
                 lost("not connected");
--- a/src/main/java/forkramp/sidecar/HangUp.java
+++ b/src/main/java/forkramp/sidecar/HangUp.java
@@ -11,8 +11,11 @@
     private HangUp() {
     }
 
-    /** From now on runs {@code action} at each SIGHUP, on a thread of its own. */
-    static void handle(Runnable action) {
+    /**
+     * From now on runs {@code action} at each SIGHUP, on a thread of its own. Returns false where no SIGHUP will come: the
+     * process was started with the signal ignored, as by nohup, and Java leaves it so.
+     */
+    static boolean handle(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -21,8 +24,9 @@
                         action.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), acting);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("this Java runtime lets nobody handle SIGHUP", e);
         }
--- a/src/main/java/forkramp/sidecar/HostUpdate.java
+++ b/src/main/java/forkramp/sidecar/HostUpdate.java
@@ -8,11 +8,22 @@
 
 import forkramp.Balancer.Status;
 
-/** What discovery says of upstreams: the whole list, or the entries that changed up to version {@code seq}. */
-record HostUpdate(long seq, boolean whole, List<Entry> entries) {
+/**
+ * What discovery says of upstreams: the whole list, or the entries that changed up to version {@code seq}; and whether
+ * it is the first word from another address, which may be older than what is known.
+ */
+record HostUpdate(long seq, boolean whole, boolean fromElsewhere, List<Entry> entries) {
 
     static final HostUpdate NOTHING_KNOWN = new HostUpdate(0, true, List.of());
 
+    HostUpdate(long seq, boolean whole, List<Entry> entries) {
+        this(seq, whole, false, entries);
+    }
+
+    HostUpdate elsewhere() {
+        return new HostUpdate(seq, whole, true, entries);
+    }
+
     /** One upstream; {@code bornMs} 0 means long ago. */
     record Entry(String host, SocketAddress address, Status status, double bornMs, String zone, String kind,
                  int cell, double weight) {
--- a/src/main/java/forkramp/sidecar/Node.java
+++ b/src/main/java/forkramp/sidecar/Node.java
@@ -9,6 +9,9 @@
     final String host;
     SocketAddress address;
     boolean ready;
+    boolean draining;
+    /** When its process started, as discovery told last, Unix time in milliseconds; 0 for long ago. */
+    double bornMs;
 
     Node(int id, String host) {
         this.id = id;
--- a/src/main/java/forkramp/sidecar/Sidecar.java
+++ b/src/main/java/forkramp/sidecar/Sidecar.java
@@ -54,6 +54,9 @@
     /** Of the longest time in which an answer is of use: what is taken last is left this much, and most take less. */
     private static final double LAST_PART = 0.3;
     private static final long POLL_MS = 5;
+    /** A file that can't be read is tried again so often, for so long. */
+    private static final long RELOAD_PAUSE_MS = 50;
+    private static final double LONGEST_RELOAD_MS = 5000;
     private static final long LONGEST_WARM_UP_MS = 3000;
     private static final long LONGEST_DRAIN_S = 15;
 
@@ -85,15 +88,21 @@
     private final ClientServer server;
     private final Discovery discovery;
     private final Log log;
+    private final Clock clock;
     private final Config config;
+    private final ConfigFile file;
     private final DrainTimes drainTimes;
     private final PooledByteBufAllocator buffers;
     private final CountDownLatch drained = new CountDownLatch(1);
+    /** Signals to read the configuration again so far. */
+    private int reloads;
 
-    Sidecar(Config config, Log log, Clock clock, DrainTimes drainTimes) {
+    Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes) {
+        this.file = file;
         this.config = config;
         this.drainTimes = drainTimes;
         this.log = log;
+        this.clock = clock;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
@@ -115,16 +124,22 @@
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
         server = new ClientServer(config.settings(), driver, clock,
                 new ClientServer.Limits(comfortable, served, clients), descriptors, log);
-        discovery = new Discovery(loop, base.clone(), config.discovery(), driver::updated, log);
+        discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
+                !config.settings().askForList(),
+                driver::updated, clock, log);
     }
 
     /** Runs a sidecar as the environment says, until the process is told to end. */
     public static void serve(Map<String, String> environment) throws IOException {
         Config config = Config.load(environment);
         Clock clock = Clock.system();
-        Sidecar sidecar = new Sidecar(config, new Log(System.err, clock), clock,
+        Log log = new Log(System.err, clock);
+        Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
                 DrainTimes.longest(config.settings()));
-        HangUp.handle(() -> sidecar.reload(environment));
+        if (!HangUp.handle(sidecar::reload)) {
+            log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
+                    + " read again only when a connection to discovery has ended");
+        }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
         sidecar.start();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
@@ -159,20 +174,34 @@
      * Reads the configuration file again and follows discovery to where it is now; nothing else of it can change while
      * the sidecar runs. Each call reads the file on the event loop, so that the last one takes the newest text.
      */
-    void reload(Map<String, String> environment) {
-        if (loop.isShuttingDown()) {
-            return;
+    void reload() {
+        double toldMs = clock.nowMs();
+        if (!loop.isShuttingDown()) {
+            loop.execute(() -> reload(++reloads, toldMs));
         }
-        loop.execute(() -> {
-            try {
-                // The file alone: the environment still says what held at the start.
-                Config next = Config.load(Map.of(Config.FILE, environment.getOrDefault(Config.FILE, "")));
-                log.line("told to read the configuration again: discovery is at " + NetUtil.toSocketAddressString(next.discovery()));
-                discovery.moveTo(next.discovery());
-            } catch (ConfigException e) {
-                log.line("going on as before: " + e.getMessage());
+    }
+
+    private void reload(int number, double toldMs) {
+        if (number < reloads || loop.isShuttingDown()) {
+            return; // a later signal reads the file by itself
+        }
+        double sinceMs = clock.nowMs() - toldMs;
+        try {
+            InetSocketAddress next = file.discovery();
+            log.line("told to read the configuration again (signal " + number + ", read after " + Math.round(sinceMs)
+                    + " ms): discovery is at " + NetUtil.toSocketAddressString(next));
+            discovery.moveTo(next);
+        } catch (ConfigException e) {
+            // It may be half replaced.
+            boolean last = sinceMs > LONGEST_RELOAD_MS;
+            if (last || sinceMs < RELOAD_PAUSE_MS) {
+                log.line("signal " + number + ": going on as before" + (last ? "" : ", and trying for a while") + ": "
+                        + e.getMessage());
             }
-        });
+            if (!last) {
+                loop.schedule(() -> reload(number, toldMs), RELOAD_PAUSE_MS, TimeUnit.MILLISECONDS);
+            }
+        }
     }
 
     private void report() {
@@ -197,7 +226,10 @@
             server.keepConnections();
             loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
             loop.schedule(this::stopServing, drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
-            loop.schedule(driver::failOpen, drainTimes.failRestMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(() -> {
+                server.refuseAll();
+                driver.failOpen();
+            }, drainTimes.failRestMs(), TimeUnit.MILLISECONDS);
         });
         try {
             if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
--- a/src/test/java/forkramp/sidecar/SidecarTest.java
+++ b/src/test/java/forkramp/sidecar/SidecarTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -22,6 +23,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -38,6 +42,10 @@
     Path dir;
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private Sidecar sidecar;
+    /** How far the sidecar's clock is ahead of this machine's. */
+    private final AtomicLong aheadNanos = new AtomicLong();
+    private final Clock clock = new Clock(System.currentTimeMillis(), () -> System.nanoTime() + aheadNanos.get());
+    private PrintStream lines = new PrintStream(OutputStream.nullOutputStream());
     private Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0, 10_000);
     private InetSocketAddress address;
 
@@ -56,10 +64,8 @@
     }
 
     private void start(InetSocketAddress discovery, String known, int sockets) throws IOException {
-        Clock clock = Clock.system();
-        Config config = Config.load(Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString()));
-        sidecar = new Sidecar(config, new Log(new PrintStream(OutputStream.nullOutputStream()), clock), clock,
-                drainTimes);
+        Map<String, String> environment = Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString());
+        sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment), new Log(lines, clock), clock, drainTimes);
         address = sidecar.start();
     }
 
@@ -373,10 +379,8 @@
         start(old.address(), "");
         assertNotNull(old.nextRequest());
         assertNotNull(old.nextRequest());
-        Map<String, String> environment = Map.of("EDGE_CONFIG", dir.resolve("config.json").toString(),
-                "EDGE_DISCOVERY", text(old.address()));
         Files.writeString(dir.resolve("config.json"), "{ half a fi");
-        sidecar.reload(environment);
+        sidecar.reload();
         assertTrue(client().ask(read(3000)).endsWith("one."), "a bad file changes nothing");
         FakeServer next = serve(new FakeServer(connection -> {
             for (String call = connection.read(); call != null; call = connection.read()) {
@@ -388,8 +392,8 @@
             }
         }));
         config(next.address(), "", 1024);
-        sidecar.reload(environment);
-        sidecar.reload(environment);
+        sidecar.reload();
+        sidecar.reload();
         assertTrue(next.nextRequest().startsWith("GET /registry/instances HTTP/1.1"));
         assertTrue(next.nextRequest().contains("index=5 "));
         moved.countDown();
@@ -397,10 +401,256 @@
         assertEquals(1, next.accepted.size());
     }
 
+    /** A discovery that gives this list, then a watch that says {@code later} once {@code go} is counted down. */
+    private FakeServer roster(int seq, String hosts, CountDownLatch go, String later) throws IOException {
+        return serve(new FakeServer(connection -> {
+            for (String call = connection.read(); call != null; call = connection.read()) {
+                if (!call.contains("stream=1")) {
+                    answerList(connection, seq, hosts);
+                    continue;
+                }
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+                while (!go.await(200, TimeUnit.MILLISECONDS)) {
+                    connection.write(chunk("\n"));
+                }
+                if (later != null) {
+                    connection.write(chunk("{\"seq\":" + (seq + 1) + ",\"whole\":false,\"hosts\":[" + later + "]}\n"));
+                }
+            }
+        }));
+    }
+
+    private void awaitAnswer(String end) throws Exception {
+        while (!client().ask(read(3000)).endsWith(end)) {
+            Thread.sleep(10);
+        }
+    }
+
+    @Test
+    void aConfigurationThatIsHalfReplacedAtTheSignalIsReadOnceItIsWhole() throws Exception {
+        FakeServer first = serve(FakeServer.answering(FakeServer.OK.replace("body", "one.")));
+        FakeServer second = serve(FakeServer.answering(FakeServer.OK.replace("body", "two.")));
+        CountDownLatch never = new CountDownLatch(1);
+        FakeServer old = roster(9, host("s-1", first.address(), "Ready"), never, null);
+        FakeServer next = roster(5, host("s-2", second.address(), "Ready"), never, null);
+        start(old.address(), "");
+        awaitAnswer("one.");
+        for (String half : List.of("", "{\"name\":\"n0\",\"discovery\":\"" + text(next.address()) + "\",\"sett")) {
+            Files.writeString(dir.resolve("config.json"), half);
+            sidecar.reload();
+            assertTrue(client().ask(read(3000)).endsWith("one."));
+        }
+        config(next.address(), "", 1024);
+        awaitAnswer("two.");
+    }
+
+    @Test
+    void theLastOfTwoSignalsCounts() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        CountDownLatch never = new CountDownLatch(1);
+        FakeServer old = roster(9, host("s-1", upstream.address(), "Ready"), never, null);
+        FakeServer between = roster(9, host("s-1", upstream.address(), "Ready"), never, null);
+        FakeServer last = roster(9, host("s-1", upstream.address(), "Ready"), never, null);
+        start(old.address(), "");
+        assertNotNull(old.nextRequest());
+        config(between.address(), "", 1024);
+        sidecar.reload();
+        config(last.address(), "", 1024);
+        sidecar.reload();
+        assertNotNull(last.nextRequest());
+        assertTrue(last.nextRequest().contains("stream=1"));
+        assertEquals(200, client().status(read(3000)));
+    }
+
+    @Test
+    void theOldAddressIsHeardUntilTheNewOneAnswers() throws Exception {
+        FakeServer first = serve(FakeServer.answering(FakeServer.OK.replace("body", "one.")));
+        FakeServer second = serve(FakeServer.answering(FakeServer.OK.replace("body", "two.")));
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer old = roster(9, host("s-1", first.address(), "Ready"), go, host("s-1", first.address(), "Gone") + ","
+                + host("s-2", second.address(), "Ready"));
+        CountDownLatch speaks = new CountDownLatch(1);
+        FakeServer mute = serve(new FakeServer(connection -> {
+            connection.read();
+            speaks.await();
+        }));
+        start(old.address(), "");
+        awaitAnswer("one.");
+        config(mute.address(), "", 1024);
+        sidecar.reload();
+        assertNotNull(mute.nextRequest());
+        go.countDown();
+        awaitAnswer("two.");
+        assertNotNull(mute.requests.poll(2, TimeUnit.SECONDS), "what accepts and says nothing is soon asked anew");
+        speaks.countDown();
+    }
+
+    @Test
+    void anAddressThatIsNotUpYetIsTriedUntilItIsAndASignalEndsThePause() throws Exception {
+        FakeServer first = serve(FakeServer.answering(FakeServer.OK.replace("body", "one.")));
+        FakeServer second = serve(FakeServer.answering(FakeServer.OK.replace("body", "two.")));
+        start(FakeServer.nobody(), host("s-1", first.address(), "Ready"));
+        Thread.sleep(300); // into the longer pauses between tries
+        config(FakeServer.nobody(), "", 1024);
+        sidecar.reload();
+        FakeServer next = roster(5, host("s-2", second.address(), "Ready"), new CountDownLatch(1), null);
+        config(next.address(), "", 1024);
+        sidecar.reload();
+        awaitAnswer("two.");
+    }
+
+    @Test
+    void anOlderListFromANewAddressBringsNothingBackThatDrainsOrIsGone() throws Exception {
+        FakeServer drains = serve(FakeServer.answering(FakeServer.OK.replace("body", "no 1")));
+        FakeServer gone = serve(FakeServer.answering(FakeServer.OK.replace("body", "no 2")));
+        FakeServer stays = serve(FakeServer.answering(FakeServer.OK));
+        FakeServer told = serve(FakeServer.answering(FakeServer.OK.replace("body", "told")));
+        String before = host("s-1", drains.address(), "Ready") + "," + host("s-2", gone.address(), "Ready");
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer old = roster(9, before + "," + host("s-3", stays.address(), "Ready"), go,
+                host("s-1", drains.address(), "Terminating") + "," + host("s-2", gone.address(), "Gone") + ","
+                        + host("s-4", told.address(), "Ready"));
+        CountDownLatch restarted = new CountDownLatch(1);
+        FakeServer next = roster(5, before + "," + host("s-3", stays.address(), "Ready"), restarted,
+                host("s-1", drains.address(), "Ready").replace("\"born_ms\":0", "\"born_ms\":5"));
+        start(old.address(), "");
+        awaitAnswer("no 1");
+        go.countDown();
+        awaitAnswer("told");
+        config(next.address(), "", 1024);
+        sidecar.reload();
+        assertNotNull(next.nextRequest());
+        assertTrue(next.nextRequest().contains("index=5 "));
+        drains.requests.clear();
+        gone.requests.clear();
+        for (int i = 0; i < 40; i++) {
+            assertTrue(client().ask(read(3000)).endsWith("body"));
+        }
+        assertTrue(drains.requests.isEmpty() && gone.requests.isEmpty());
+        restarted.countDown();
+        awaitAnswer("no 1"); // under the same name, but another process
+    }
+
+    /** The real program, whose signals this test can set: started with SIGHUP ignored, by {@code prefix}. */
+    private Process startIgnoringHangUp(String prefix, FakeServer roster) throws Exception {
+        config(roster.address(), "", 1024);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + prefix + " '"
+                + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:TieredStopAtLevel=1 -cp '"
+                + System.getProperty("java.class.path") + "' forkramp.Main serve").redirectErrorStream(true)
+                .redirectOutput(dir.resolve("out.log").toFile());
+        builder.environment().put("EDGE_CONFIG", dir.resolve("config.json").toString());
+        Process process = builder.start();
+        toClose.add(process::destroyForcibly);
+        return process;
+    }
+
+    @Test
+    void withTheSignalIgnoredByWhoeverStartedItTheDeployedCommandHearsItAllTheSame() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run =")).findFirst().orElseThrow();
+        String prefix = run.substring(run.indexOf('"') + 1, run.indexOf(" java "));
+        CountDownLatch never = new CountDownLatch(1);
+        FakeServer old = roster(9, "", never, null);
+        FakeServer next = roster(5, "", never, null);
+        Process process = startIgnoringHangUp(prefix, old);
+        assertNotNull(old.requests.poll(20, TimeUnit.SECONDS));
+        config(next.address(), "", 1024);
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+        assertNotNull(next.nextRequest(), () -> "the old address stays open: " + process);
+    }
+
+    @Test
+    void whereNoSignalCanComeTheFileIsReadWhenDiscoveryHasClosed() throws Exception {
+        FakeServer old = roster(9, "", new CountDownLatch(1), null);
+        FakeServer next = roster(5, "", new CountDownLatch(1), null);
+        startIgnoringHangUp("exec", old);
+        assertNotNull(old.requests.poll(20, TimeUnit.SECONDS));
+        assertNotNull(old.nextRequest());
+        config(next.address(), "", 1024);
+        old.close();
+        assertNotNull(next.nextRequest());
+        assertTrue(Files.readString(dir.resolve("out.log")).contains("SIGHUP is ignored"));
+    }
+
+    /** Stops the event loop in the midst of a pass over the sockets, at the first line that holds {@code words}. */
+    private static PrintStream haltingAt(String words, CountDownLatch halted, CountDownLatch go) {
+        return new PrintStream(OutputStream.nullOutputStream()) {
+            @Override
+            public void println(String line) {
+                if (line.contains(words)) {
+                    halted.countDown();
+                    try {
+                        go.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+            }
+        };
+    }
+
+    @Test
+    void whatCameWhileTheEventLoopWasHeldUpIsServedAndItsConnectionNotClosedAsUnused() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        CountDownLatch fail = new CountDownLatch(1);
+        FakeServer discovery = serve(new FakeServer(connection -> {
+            connection.read();
+            fail.await();
+            connection.write("HTTP/1.1 500 Odd\r\nContent-Length: 0\r\n\r\n");
+            connection.read();
+        }));
+        CountDownLatch halted = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        lines = haltingAt("it answers 500", halted, go);
+        start(discovery.address(), host("s-1", upstream.address(), "Ready"));
+        Client mute = client();
+        Client half = client();
+        half.write(read(3000).substring(0, 20));
+        Client used = client();
+        assertEquals(200, used.status(read(3000)));
+        fail.countDown();
+        halted.await();
+        // Meanwhile each sends what is missing, and time goes by until all three seem to be of no use.
+        mute.write(read(3000).replace("Id: c", "Id: c1"));
+        half.write(read(3000).substring(20).replace("Id: c", "Id: c2"));
+        used.write(read(3000).replace("Id: c", "Id: c3"));
+        aheadNanos.set(TimeUnit.SECONDS.toNanos(15));
+        Thread.sleep(300); // until the next look for unused connections is overdue
+        go.countDown();
+        assertTrue(used.read().endsWith("body"));
+        assertTrue(half.read().endsWith("body"));
+        assertTrue(mute.read().endsWith("body"));
+    }
+
+    @Test
+    void whatComesAfterTheRestHasBeenFailedIsRefusedAtOnce() throws Exception {
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            while (connection.read() != null) { // takes requests and answers none
+            }
+        }));
+        drainTimes = new Sidecar.DrainTimes(0, 0, 300);
+        String hosts = IntStream.range(0, 12).mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
+                .collect(Collectors.joining(","));
+        start(FakeServer.nobody(), hosts);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) { // so many that a free connection for each of them is not what refuses it
+            clients.add(client());
+            clients.get(i).write(submit(5000).replace("Id: s", "Id: s" + i) + submit(5000).replace("Id: s", "Id: t" + i));
+            assertNotNull(upstream.nextRequest());
+        }
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(sidecar::drain);
+        for (Client client : clients) {
+            assertTrue(client.read().startsWith("HTTP/1.1 502"));
+            assertTrue(client.read().startsWith("HTTP/1.1 503"));
+        }
+        ended.get(4, TimeUnit.SECONDS);
+        sidecar = null;
+    }
+
     @Test
     void aSignalToReadTheConfigurationAgainDoesNotEndTheProcess() throws Exception {
         CountDownLatch told = new CountDownLatch(2);
-        HangUp.handle(told::countDown);
+        assumeTrue(HangUp.handle(told::countDown), "these tests run with SIGHUP ignored");
         for (int i = 0; i < 2; i++) {
             long before = told.getCount();
             new ProcessBuilder("kill", "-HUP", String.valueOf(ProcessHandle.current().pid())).start().waitFor();
