--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/referee/Referee.java
@@ -0,0 +1,226 @@
+package ivybank.rehearsal.referee;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import ivybank.rehearsal.scenario.Scenario.Effect;
+
+/**
+ * Keeps the rules from what nodes, roster and clients saw, never from what a sidecar says of itself. Pure: it is told
+ * events in the order in which they happened, with times in ms of one clock. It keeps a record of each call of the day.
+ */
+public final class Referee {
+
+    /** The rules; each is worded in docs/operators/rehearsal.md. */
+    public enum Rule {
+        /** Each call that is taken gets exactly one final answer in time, made for it. */
+        ANSWER,
+        /** What may have run is not sent again beyond what its class allows. */
+        REPEAT,
+        /** What may have run is not refused, for a refusal says that trying again is harmless. */
+        REFUSAL,
+        /** Nothing new to a node that was told draining or gone. */
+        DRAIN,
+        /** No cold node is pushed over. */
+        COLD,
+        /** What is given up is answered at once. */
+        HELD_BACK,
+        /** A sidecar runs for as long as nobody ends it. */
+        CRASH
+    }
+
+    /** One breach: when, and what was seen. */
+    public record Breach(Rule rule, double atMs, String what) {
+    }
+
+    /** How a node saw an attempt end. */
+    public enum Ending { SERVED, ERROR, REJECTED, SPOILT, SILENT, CLOSED }
+
+    /** An attempt as its node saw it. */
+    public static final class Attempt {
+        private final Call call;
+        private final String host;
+        private Ending ending;
+
+        private Attempt(Call call, String host) {
+            this.call = call;
+            this.host = host;
+        }
+    }
+
+    private static final class Call {
+        private final int sidecar;
+        private final Effect effect;
+        private final double aimMs;
+        private final List<Attempt> attempts = new ArrayList<>(1);
+        private double takenMs = Double.NaN;
+        private double lastEndMs = Double.NaN;
+        private int open;
+        private boolean answered;
+        private boolean over;
+        private final List<String> served = new ArrayList<>(1);
+
+        private Call(int sidecar, Effect effect, double aimMs) {
+            this.sidecar = sidecar;
+            this.effect = effect;
+            this.aimMs = aimMs;
+        }
+
+        /** Whether a node has begun it and has not proved that it did not run. */
+        private boolean mayHaveRun() {
+            return attempts.stream().anyMatch(attempt -> attempt.ending != Ending.REJECTED);
+        }
+    }
+
+    private static final int EXAMPLES = 20;
+    private static final int OK = 200;
+    private static final int BUSY = 429;
+    private static final int UNAVAILABLE = 503;
+    /** Waiting for room, and tries to connect, are no holding back: both are bounded well under this. */
+    private static final double WAIT_PART = 0.6;
+    private static final double CONNECTS_MS = 1500;
+
+    private final double drainGraceMs;
+    private final double marginMs;
+    private final Map<String, Call> calls = new HashMap<>();
+    private final List<Map<String, Double>> told = new ArrayList<>();
+    private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
+    private final List<Breach> examples = new ArrayList<>();
+
+    public Referee(int sidecars, double drainGraceMs, double marginMs) {
+        this.drainGraceMs = drainGraceMs;
+        this.marginMs = marginMs;
+        for (int i = 0; i < sidecars; i++) {
+            told.add(new HashMap<>());
+        }
+    }
+
+    private void breach(Rule rule, double nowMs, String what) {
+        int count = counts.merge(rule, 1, Integer::sum);
+        if (count <= EXAMPLES) {
+            examples.add(new Breach(rule, nowMs, what));
+        }
+    }
+
+    /** How often each broken rule was broken. */
+    public Map<Rule, Integer> counts() {
+        return Map.copyOf(counts);
+    }
+
+    /** The first breaches of each rule, in the order in which they were seen. */
+    public List<Breach> examples() {
+        return List.copyOf(examples);
+    }
+
+    // ---- What clients saw.
+
+    /** A client is about to send a call to a sidecar. */
+    public void call(String id, int sidecar, Effect effect, double aimMs) {
+        calls.put(id, new Call(sidecar, effect, aimMs));
+    }
+
+    /** Its last byte is written to a connection that the sidecar's machine accepted. */
+    public void taken(String id, double nowMs) {
+        calls.get(id).takenMs = nowMs;
+    }
+
+    /** A whole answer has come. */
+    public void answered(String id, int status, String body, double nowMs) {
+        Call call = calls.get(id);
+        if (call.answered) {
+            breach(Rule.ANSWER, nowMs, "call " + id + " was answered twice");
+            return;
+        }
+        call.answered = true;
+        call.over = true;
+        if (status == OK) {
+            if (!call.served.contains(body)) {
+                breach(Rule.ANSWER, nowMs, "call " + id + " was served with what no node made for it");
+            }
+            return;
+        }
+        boolean refused = status == BUSY || status == UNAVAILABLE;
+        if (refused && call.effect == Effect.UNSAFE && call.mayHaveRun()) {
+            breach(Rule.REFUSAL, nowMs, "call " + id + " was refused, and " + call.attempts.get(0).host + " had begun it");
+        }
+        double sinceMs = Double.isNaN(call.lastEndMs) ? call.takenMs : call.lastEndMs;
+        if (call.open == 0 && nowMs - sinceMs > WAIT_PART * call.aimMs + CONNECTS_MS) {
+            breach(Rule.HELD_BACK, nowMs, "call " + id + " was answered " + status + " "
+                    + Math.round(nowMs - sinceMs) + " ms after anything was still tried");
+        }
+    }
+
+    /** The client's time is up with no answer, and the sidecar had no reason to be silent. */
+    public void unanswered(String id, double nowMs, String how) {
+        Call call = calls.get(id);
+        call.over = true;
+        breach(Rule.ANSWER, nowMs, "call " + id + " " + how);
+    }
+
+    /** The client no longer waits, or its sidecar was ended: nothing is owed. */
+    public void excused(String id) {
+        calls.get(id).over = true;
+    }
+
+    // ---- What nodes saw.
+
+    /** A whole request has come to a node; null where no client sent one of this id. */
+    public Attempt begun(String host, String id, double firstByteMs, double nowMs) {
+        Call call = calls.get(id);
+        if (call == null) {
+            breach(Rule.REPEAT, nowMs, host + " was sent a request of id " + id + ", which no client has sent");
+            return null;
+        }
+        Double toldMs = told.get(call.sidecar).get(host);
+        if (toldMs != null && firstByteMs > toldMs + drainGraceMs + marginMs) {
+            breach(Rule.DRAIN, nowMs, "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
+                    + Math.round(firstByteMs - toldMs) + " ms after it was told that it drains or is gone");
+        }
+        if (call.effect == Effect.UNSAFE && call.mayHaveRun()) {
+            breach(Rule.REPEAT, nowMs, "call " + id + " must not run twice: begun by " + call.attempts.get(0).host
+                    + ", then sent to " + host);
+        }
+        Attempt attempt = new Attempt(call, host);
+        call.attempts.add(attempt);
+        call.open++;
+        return attempt;
+    }
+
+    /** A node has answered an attempt, or seen its connection end; only the first end counts. */
+    public void ended(Attempt attempt, Ending ending, String body, double nowMs) {
+        if (attempt == null || attempt.ending != null) {
+            return;
+        }
+        attempt.ending = ending;
+        attempt.call.open--;
+        attempt.call.lastEndMs = nowMs;
+        if (ending == Ending.SERVED) {
+            attempt.call.served.add(body);
+        }
+    }
+
+    /** A cold node was sent more than it can bear and stays down. */
+    public void fell(String host, double nowMs, double pushed) {
+        breach(Rule.COLD, nowMs, host + " was cold and fell over: sent " + Math.round(100 * pushed) + "% of what it bears");
+    }
+
+    // ---- What the roster did, and the kit.
+
+    /** A sidecar was told, or counts as told, that a node drains or is gone; the first time counts. */
+    public void told(int sidecar, String host, double nowMs) {
+        told.get(sidecar).putIfAbsent(host, nowMs);
+    }
+
+    /** A sidecar has begun anew: it knows only what its own configuration names. */
+    public void startedAnew(int sidecar) {
+        told.get(sidecar).clear();
+    }
+
+    /** A sidecar ended that nobody had ended. */
+    public void crashed(int sidecar, int exitCode, double nowMs) {
+        breach(Rule.CRASH, nowMs, "sidecar " + sidecar + " ended by itself with exit code " + exitCode);
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -0,0 +1,92 @@
+package ivybank.rehearsal.scenario;
+
+import java.util.List;
+
+/**
+ * A day to rehearse: a fleet, classes of requests, traffic and a time line of faults. Times are in seconds from the first
+ * request where a name ends in S, in milliseconds where it ends in Ms; a pair is a range that a draw picks from.
+ */
+public record Scenario(String name, String title, double lengthS, long seed, Fleet fleet, List<Kind> kinds, Cold cold,
+                       List<RequestClass> classes, Traffic traffic, Clients clients, Limits limits, Rules rules,
+                       Roster roster, List<Fault> faults, Floor floor) {
+
+    /** What a second run of a request would do, by the protocol. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** What goes wrong. */
+    public enum FaultKind {
+        /** Nodes accept requests and answer none. */
+        SILENT,
+        /** Another program takes part of the nodes' machines. */
+        SLOW,
+        /** Nodes are replaced in batches: drained, ended, followed by cold ones under new names. */
+        DEPLOY,
+        /** Nodes end at once, their connections are reset and nobody listens; the roster tells so late. */
+        DIE,
+        /** Nodes' machines are cut off: connections stay open and say nothing. */
+        VANISH,
+        /** Nodes spoil a part of their answers. */
+        SPOIL,
+        /** Sidecars are killed and started again. */
+        KILL,
+        /** Sidecars are told to end, and started again. */
+        TERM,
+        /** Discovery says nothing. */
+        ROSTER_SILENT,
+        /** Discovery sends a line that can't be read. */
+        ROSTER_ODD,
+        /** Discovery moves: the configuration is replaced and the sidecars are signalled. */
+        ROSTER_MOVE
+    }
+
+    public record Fleet(int nodes, int sites) {
+    }
+
+    /** A kind of node: cores, speed of a core against the yardstick, room, connections it bears and what one costs. */
+    public record Kind(String name, double share, int cores, double[] speed, int queuePerCore, int connections,
+                       double connectMs) {
+    }
+
+    /** How a started node warms up, and how it falls over: sent so many times its capacity for so long. */
+    public record Cold(double from, double warmS, double fallMultiple, double fallS) {
+    }
+
+    public record RequestClass(String name, double share, double[] workMs, double[] waitMs, double aimMs,
+                               double deadlineMs, double worth, Effect effect) {
+    }
+
+    /** Requests a second in all; the share of the first sidecar against an even one; a swing over the day, in parts. */
+    public record Traffic(double rate, int sidecars, double skew, double swing) {
+    }
+
+    /** Tries are given up after a share of the deadline; retries wait as long as they are told, or {@code backoffMs}. */
+    public record Clients(int retries, double[] tryShare, double[] backoffMs, double honour, double rubbish) {
+    }
+
+    public record Limits(int memoryMb, int sockets, int attempts) {
+    }
+
+    public record Rules(double drainGraceMs, double marginMs) {
+    }
+
+    /** How late each change reaches a sidecar, and after what time it counts as told all the same. */
+    public record Roster(double[] noticeMs, double toldMs) {
+    }
+
+    /**
+     * One fault: when, for how long, on what part of the nodes or sidecars; {@code size} and {@code extra} as the kind
+     * needs them.
+     */
+    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra) {
+    }
+
+    /** What service must be reached at least, 0 to 1. */
+    public record Floor(double service) {
+    }
+
+    public Scenario {
+        kinds = List.copyOf(kinds);
+        classes = List.copyOf(classes);
+        faults = List.copyOf(faults);
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -0,0 +1,113 @@
+package ivybank.rehearsal.scenario;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import ivybank.rehearsal.scenario.Scenario.Effect;
+import ivybank.rehearsal.scenario.Scenario.Fault;
+import ivybank.rehearsal.scenario.Scenario.FaultKind;
+import ivybank.rehearsal.scenario.Scenario.Kind;
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
+import ivybank.toml.InputException;
+import ivybank.toml.StrictTable;
+
+/** Reads a scenario from TOML; the page docs/operators/rehearsal.md lists the keys. */
+public final class ScenarioReader {
+
+    private static final double MUST = Double.NaN;
+
+    private ScenarioReader() {
+    }
+
+    public static Scenario read(String file, String text) throws InputException {
+        StrictTable root = StrictTable.parse(file, text);
+        StrictTable fleet = root.table("fleet");
+        StrictTable cold = root.table("cold");
+        StrictTable traffic = root.table("traffic");
+        StrictTable clients = root.table("clients");
+        StrictTable limits = root.table("limits");
+        StrictTable rules = root.table("rules");
+        StrictTable roster = root.table("roster");
+        StrictTable floor = root.table("floor");
+        Scenario scenario = new Scenario(root.text("name", null), root.text("title", ""),
+                root.number("length_s", 1, 3600, MUST), (long) root.number("seed", 0, 1e15, 1),
+                new Scenario.Fleet(fleet.integer("nodes", 1, 200, 12), fleet.integer("sites", 1, 8, 4)), kinds(root),
+                new Scenario.Cold(cold.number("from", 0.01, 1, 0.12), cold.number("warm_s", 0.1, 600, 22),
+                        cold.number("fall_multiple", 1, 100, 2.5), cold.number("fall_s", 0.1, 60, 2)),
+                classes(root),
+                new Scenario.Traffic(traffic.number("rate", 1, 20_000, 200), traffic.integer("sidecars", 1, 16, 2),
+                        traffic.number("skew", 0.1, 10, 1), traffic.number("swing", 0, 0.9, 0.1)),
+                new Scenario.Clients(clients.integer("retries", 0, 5, 1), clients.range("try_share", 0.05, 1, 1),
+                        clients.range("backoff_ms", 0, 60_000, 50, 100), clients.number("honour", 0, 1, 1),
+                        clients.number("rubbish", 0, 0.2, 0)),
+                new Scenario.Limits(limits.integer("memory_mb", 32, 65_536, 192), limits.integer("sockets", 64, 65_536, 512),
+                        limits.integer("attempts", 1, 6, 6)),
+                new Scenario.Rules(rules.number("drain_grace_ms", 1, 60_000, 500), rules.number("margin_ms", 0, 1000, 50)),
+                new Scenario.Roster(roster.range("notice_ms", 0, 60_000, 200, 800),
+                        roster.number("told_ms", 100, 60_000, 6000)),
+                faults(root), new Scenario.Floor(floor.number("service", 0, 1, 0)));
+        for (StrictTable table : List.of(fleet, cold, traffic, clients, limits, rules, roster, floor, root)) {
+            table.end();
+        }
+        return scenario;
+    }
+
+    private static List<Kind> kinds(StrictTable root) throws InputException {
+        List<Kind> kinds = new ArrayList<>();
+        for (StrictTable table : root.tables("kind")) {
+            kinds.add(new Kind(table.text("name", null), table.number("share", 0.001, 1, 1), table.integer("cores", 1, 64, 4),
+                    table.range("speed", 0.01, 100, 1), table.integer("queue_per_core", 0, 1000, 16),
+                    table.integer("connections", 1, 10_000, 76), table.number("connect_ms", 0, 1000, 2)));
+            table.end();
+        }
+        if (kinds.isEmpty()) {
+            throw root.error("kind", "is missing: a scenario needs a [[kind]] of node at least");
+        }
+        return kinds;
+    }
+
+    private static List<RequestClass> classes(StrictTable root) throws InputException {
+        List<RequestClass> classes = new ArrayList<>();
+        for (StrictTable table : root.tables("class")) {
+            double aimMs = table.number("aim_ms", 1, 600_000, MUST);
+            classes.add(new RequestClass(table.text("name", null), table.number("share", 0.001, 1, 1),
+                    table.range("work_ms", 0, 60_000, 10), table.range("wait_ms", 0, 60_000, 0), aimMs,
+                    table.number("deadline_ms", aimMs, 600_000, MUST), table.number("worth", 0, 1e6, 1),
+                    Effect.valueOf(word(table.choice("effect", words(Effect.values()), null)))));
+            table.end();
+        }
+        if (classes.isEmpty()) {
+            throw root.error("class", "is missing: a scenario needs a [[class]] of requests at least");
+        }
+        return classes;
+    }
+
+    private static List<Fault> faults(StrictTable root) throws InputException {
+        List<Fault> faults = new ArrayList<>();
+        for (StrictTable table : root.tables("fault")) {
+            FaultKind kind = FaultKind.valueOf(word(table.choice("kind", words(FaultKind.values()), null)));
+            double size = switch (kind) {
+                case SLOW -> table.number("share", 0, 0.95, 0.5); // of the machine, taken by the neighbour
+                case DEPLOY -> table.number("batch", 0.01, 1, 0.19); // of the fleet, replaced at a time
+                case SPOIL -> table.number("share", 0, 1, 0.05); // of the answers
+                case KILL, TERM -> table.number("away_s", 0, 60, 0.5); // before the next process is started
+                default -> 0;
+            };
+            double extra = kind == FaultKind.DEPLOY ? table.number("drain_s", 0.1, 60, 3) : 0;
+            faults.add(new Fault(kind, table.number("at_s", 0, 3600, MUST), table.number("for_s", 0, 3600, 10),
+                    table.number("part", 0, 1, 1), size, extra));
+            table.end();
+        }
+        return faults;
+    }
+
+    private static List<String> words(Enum<?>[] values) {
+        return Arrays.stream(values).map(value -> value.name().toLowerCase(Locale.ROOT).replace('_', '-')).toList();
+    }
+
+    private static String word(String choice) {
+        return choice.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -0,0 +1,403 @@
+package ivybank.rehearsal.stand;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import ivybank.common.Clock;
+import ivybank.rehearsal.referee.Referee;
+import ivybank.rehearsal.referee.Service;
+import ivybank.rehearsal.scenario.Plan;
+import ivybank.rehearsal.scenario.Plan.Arrival;
+import ivybank.rehearsal.scenario.Plan.NodeSpec;
+import ivybank.rehearsal.scenario.Plan.Target;
+import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.Scenario.Fault;
+import ivybank.rehearsal.stand.RosterServer.Entry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * Plays one drawn day: starts nodes, roster and sidecars, sends the clients' requests, brings about the faults at their
+ * times and ends all that it started. One instance plays once.
+ */
+public final class Day implements AutoCloseable {
+
+    /** What happened when, for people; times in ms of the day. */
+    public record Event(double atMs, String what) {
+    }
+
+    /** Memory in MB, descriptors and CPU seconds of a sidecar's process at a time of the day. */
+    public record Usage(double atMs, int sidecar, double memoryMb, double descriptors, double cpuS) {
+    }
+
+    /** What a day came to; connections and attempts are those that nodes saw. */
+    public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<Usage> usage,
+                         double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, long attempts) {
+    }
+
+    private static final AtomicInteger NETS = new AtomicInteger((int) (ProcessHandle.current().pid() % 200));
+    private static final long READY_MS = 30_000;
+    private static final double END_AFTER_TERM_MS = 700;
+    private static final double LONGEST_DEADLINE_MS = 3000;
+    private static final double REJECT_AFTER_MS = 2500; // a drained node finishes what it has, then wants nothing new
+    private static final double USAGE_EVERY_MS = 500;
+    private static final double SETTLE_MS = 500;
+
+    private final Plan plan;
+    private final Scenario scenario;
+    private final String command;
+    private final Path folder;
+    private final Path state;
+    private final Consumer<String> progress;
+    private final MultiThreadIoEventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final ExecutorService hands = Executors.newCachedThreadPool(); // waits for processes; ended by close
+    private final Referee referee;
+    private final Service service;
+    private final World world;
+    private final Map<String, NodeServer> nodes = new LinkedHashMap<>();
+    private final Map<String, NodeSpec> specs = new LinkedHashMap<>();
+    private final List<RosterServer> rosters = new ArrayList<>();
+    private final List<SidecarProcess> sidecars = new ArrayList<>();
+    private final List<ClientApp> clients = new ArrayList<>();
+    private final List<Double> downSinceMs = new ArrayList<>(); // NaN while a sidecar is up and not told to end
+    private final List<Event> events = new ArrayList<>();
+    private final List<Usage> usage = new ArrayList<>();
+    private final List<Double> readyAfterMs = new ArrayList<>();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private int nodesMade;
+    private double mostPushed;
+
+    /**
+     * @param command starts a sidecar, by /bin/sh in {@code folder}
+     * @param state an empty folder for configurations and logs
+     */
+    public Day(Plan plan, String command, Path folder, Path state, Consumer<String> progress) {
+        this.plan = plan;
+        this.scenario = plan.scenario();
+        this.command = command;
+        this.folder = folder;
+        this.state = state;
+        this.progress = progress;
+        referee = new Referee(scenario.traffic().sidecars(), scenario.rules().drainGraceMs(), scenario.rules().marginMs());
+        service = new Service(scenario.classes(), scenario.lengthS());
+        world = new World(scenario, acceptor, loop, Clock.system(), referee, 20 + NETS.getAndIncrement() % 200);
+    }
+
+    /** Plays it. */
+    public Result play() throws IOException, InterruptedException {
+        onLoop(this::startNodes);
+        for (int i = 0; i < scenario.traffic().sidecars(); i++) {
+            makeSidecar(i);
+        }
+        for (SidecarProcess sidecar : sidecars) {
+            sidecar.start();
+        }
+        for (SidecarProcess sidecar : sidecars) {
+            long from = System.nanoTime();
+            if (!sidecar.awaitReady(READY_MS)) {
+                throw new IOException(sidecar + " was not ready within " + READY_MS / 1000 + " s: see " + state);
+            }
+            readyAfterMs.add((System.nanoTime() - from) / 1e6);
+        }
+        onLoop(this::begin);
+        double lengthMs = scenario.lengthS() * 1000;
+        for (double nowMs = onLoopNow(); nowMs < lengthMs; nowMs = onLoopNow()) {
+            progress.accept(String.format(java.util.Locale.ROOT, "%.0f of %.0f s, %s", nowMs / 1000, scenario.lengthS(),
+                    events.isEmpty() ? "nothing has gone wrong yet" : events.get(events.size() - 1).what()));
+            Thread.sleep((long) Math.min(1000, Math.max(1, lengthMs - nowMs)));
+        }
+        awaitRest();
+        onLoop(() -> nodes.values().forEach(node -> mostPushed = Math.max(mostPushed, node.pushed())));
+        return new Result(plan, service, referee, List.copyOf(events), List.copyOf(usage), world.latenessMs(), mostPushed,
+                List.copyOf(readyAfterMs), world.connections(), world.attempts());
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        loop.submit(task).sync();
+    }
+
+    private double onLoopNow() throws InterruptedException {
+        return loop.submit(world::nowMs).sync().getNow();
+    }
+
+    /** What is still open when the day is over ends by its own patience. */
+    private void awaitRest() throws InterruptedException {
+        while (loop.submit(() -> clients.stream().mapToInt(ClientApp::openTries).sum()).sync().getNow() > 0) {
+            Thread.sleep(20);
+        }
+        Thread.sleep((long) SETTLE_MS);
+    }
+
+    private void startNodes() {
+        for (NodeSpec spec : plan.nodes()) {
+            addNode(spec, false);
+        }
+    }
+
+    private NodeServer addNode(NodeSpec spec, boolean cold) {
+        NodeModel model = new NodeModel(spec.kind(), spec.speed(), scenario.cold(),
+                cold ? world.nowMs() : Double.NEGATIVE_INFINITY);
+        NodeServer node = new NodeServer(world, spec.host(), model, spec.kind().connections(), spec.kind().connectMs(),
+                nodesMade++, cold, plan.seed() + nodesMade);
+        nodes.put(spec.host(), node);
+        specs.put(spec.host(), spec);
+        return node;
+    }
+
+    private void makeSidecar(int number) throws IOException, InterruptedException {
+        RosterServer roster = loop.submit(() -> {
+            RosterServer made = new RosterServer(world, number);
+            nodes.keySet().forEach(host -> made.change(entry(host, "Ready")));
+            return made;
+        }).sync().getNow();
+        rosters.add(roster);
+        Path own = Files.createDirectories(state.resolve("sidecar-" + number));
+        SidecarProcess sidecar = new SidecarProcess(scenario, number, command, folder, own, freeAddress(number),
+                plan.seed() * 31 + number);
+        sidecars.add(sidecar);
+        downSinceMs.add(Double.NaN);
+        sidecar.configure(roster.address(), roster.known());
+        ClientApp client = new ClientApp(world, number, sidecar.listen(), scenario.limits().sockets() / 3, service,
+                atMs -> downSinceMs.get(number) <= atMs);
+        clients.add(client);
+    }
+
+    /** A port that is free now; a sidecar must know its own before it starts. */
+    private InetSocketAddress freeAddress(int number) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127." + world.net + ".210." + (1 + number)))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private Entry entry(String host, String health) {
+        NodeServer node = nodes.get(host);
+        NodeSpec spec = specs.get(host);
+        return new Entry(host, node.dial(), spec.site(), spec.kind().name(), health, node.bornUnixMs());
+    }
+
+    private void begin() {
+        world.begin();
+        for (Arrival arrival : plan.arrivals()) {
+            world.at(arrival.atMs(), () -> clients.get(arrival.sidecar()).arrive(arrival));
+        }
+        for (Target target : plan.targets()) {
+            world.at(target.fault().atS() * 1000, () -> strike(target));
+        }
+        watchProcesses();
+    }
+
+    private void watchProcesses() {
+        for (int i = 0; i < sidecars.size(); i++) {
+            SidecarProcess sidecar = sidecars.get(i);
+            if (sidecar.crashed() && Double.isNaN(downSinceMs.get(i))) {
+                downSinceMs.set(i, world.nowMs());
+                referee.crashed(i, sidecar.exitCode(), world.nowMs());
+            }
+            double[] now = sidecar.alive() ? sidecar.usage() : null;
+            if (now != null) {
+                usage.add(new Usage(world.nowMs(), i, now[0], now[1], now[2]));
+            }
+        }
+        world.after(USAGE_EVERY_MS, this::watchProcesses);
+    }
+
+    private void event(String what) {
+        events.add(new Event(world.nowMs(), what));
+    }
+
+    // ---- Faults.
+
+    private void strike(Target target) {
+        Fault fault = target.fault();
+        List<NodeServer> hit = new ArrayList<>();
+        if (target.members().stream().allMatch(member -> member < plan.nodes().size())) {
+            target.members().forEach(member -> hit.add(nodes.get(plan.nodes().get(member).host())));
+        }
+        switch (fault.kind()) {
+            case SILENT -> whileOn(fault, hit.size() + " nodes accept and answer nothing", on ->
+                    hit.forEach(node -> node.silent(on)));
+            case SLOW -> whileOn(fault, "a neighbour takes " + Math.round(100 * fault.size()) + "% of " + hit.size()
+                    + " nodes", on -> hit.forEach(node -> node.neighbour(on ? fault.size() : 0)));
+            case SPOIL -> whileOn(fault, Math.round(100 * fault.size()) + "% of the answers of " + hit.size()
+                    + " nodes are spoilt", on -> hit.forEach(node -> node.spoil(on ? fault.size() : 0)));
+            case DIE -> {
+                event(hit.size() + " nodes die");
+                hit.forEach(node -> {
+                    node.end();
+                    announce(node.host(), "Gone");
+                });
+            }
+            case VANISH -> {
+                event(hit.size() + " nodes are cut off");
+                hit.forEach(node -> {
+                    node.cutOff();
+                    announce(node.host(), "Gone");
+                });
+            }
+            case DEPLOY -> deploy(fault, target.members());
+            case KILL, TERM -> restart(fault, target.members());
+            case ROSTER_SILENT -> whileOn(fault, "the roster says nothing to " + target.members().size() + " sidecars", on ->
+                    target.members().forEach(member -> rosters.get(member).silent(on)));
+            case ROSTER_ODD -> {
+                event("the roster sends a line that can't be read to " + target.members().size() + " sidecars");
+                target.members().forEach(member -> rosters.get(member).odd());
+            }
+            case ROSTER_MOVE -> {
+                event("the roster moves for " + target.members().size() + " sidecars");
+                target.members().forEach(this::moveRoster);
+            }
+        }
+    }
+
+    private void whileOn(Fault fault, String what, Consumer<Boolean> act) {
+        event(what);
+        act.accept(true);
+        world.after(fault.forS() * 1000, () -> {
+            event("over: " + what);
+            act.accept(false);
+        });
+    }
+
+    /** Each sidecar hears of a change at a time of its own. */
+    private void announce(String host, String health) {
+        Entry entry = entry(host, health);
+        double[] notice = scenario.roster().noticeMs();
+        for (int i = 0; i < rosters.size(); i++) {
+            RosterServer roster = rosters.get(i);
+            double part = rosters.size() == 1 ? 0.5 : (double) i / (rosters.size() - 1);
+            world.after(notice[0] + part * (notice[1] - notice[0]), () -> roster.change(entry));
+        }
+    }
+
+    /** Batches: drained, ended, and followed by a cold one, spread evenly over the time of the deploy. */
+    private void deploy(Fault fault, List<Integer> members) {
+        int batch = Math.max(1, (int) Math.floor(fault.size() * plan.nodes().size()));
+        int batches = (members.size() + batch - 1) / batch;
+        event("a deploy replaces " + members.size() + " of " + plan.nodes().size() + " nodes, " + batch + " at a time");
+        for (int b = 0; b < batches; b++) {
+            List<Integer> now = members.subList(b * batch, Math.min(members.size(), (b + 1) * batch));
+            world.after(fault.forS() * 1000 * b / batches, () -> now.forEach(member -> replace(fault, member)));
+        }
+        world.after(fault.forS() * 1000, () -> event("the deploy is over"));
+    }
+
+    private void replace(Fault fault, int member) {
+        NodeSpec old = plan.nodes().get(member);
+        NodeServer leaving = nodes.get(old.host());
+        announce(old.host(), "Terminating");
+        world.after(REJECT_AFTER_MS, leaving::reject);
+        world.after(fault.extra() * 1000, () -> {
+            mostPushed = Math.max(mostPushed, leaving.pushed());
+            leaving.end();
+            announce(old.host(), "Gone");
+            NodeSpec next = new NodeSpec(old.host() + "x", old.kind(), old.site(), old.speed());
+            addNode(next, true);
+            announce(next.host(), "Ready");
+        });
+    }
+
+    private void moveRoster(int member) {
+        RosterServer roster = rosters.get(member);
+        SidecarProcess sidecar = sidecars.get(member);
+        roster.move();
+        String address = roster.address();
+        var known = roster.known();
+        hands.execute(() -> {
+            try {
+                sidecar.configure(address, known);
+                sidecar.signal("HUP");
+            } catch (IOException e) {
+                loop.execute(() -> event("the configuration of " + sidecar + " could not be replaced: " + e.getMessage()));
+            }
+        });
+    }
+
+    private void restart(Fault fault, List<Integer> members) {
+        boolean killed = fault.kind() == Scenario.FaultKind.KILL;
+        double deadlineMs = scenario.classes().stream().mapToDouble(Scenario.RequestClass::deadlineMs).max().orElse(0);
+        double endMs = killed ? 0 : Math.min(LONGEST_DEADLINE_MS, deadlineMs) + END_AFTER_TERM_MS;
+        double apartMs = members.size() > 1 ? fault.forS() * 1000 / (members.size() - 1) : 0;
+        for (int i = 0; i < members.size(); i++) {
+            int member = members.get(i);
+            world.after(i * apartMs, () -> {
+                event("sidecar " + member + (killed ? " is killed with " : " is told to end with ")
+                        + clients.get(member).openTries() + " calls open");
+                SidecarProcess sidecar = sidecars.get(member);
+                sidecar.expectEnd();
+                if (killed) {
+                    downSinceMs.set(member, world.nowMs());
+                } else {
+                    // What is lost before its time is up is lost for no reason.
+                    world.after(endMs, () -> downSinceMs.set(member, world.nowMs()));
+                }
+                hands.execute(() -> again(fault, member, endMs));
+            });
+        }
+    }
+
+    private void again(Fault fault, int member, double endMs) {
+        SidecarProcess sidecar = sidecars.get(member);
+        try {
+            if (endMs > 0) {
+                sidecar.signal("TERM");
+                Thread.sleep((long) endMs);
+            }
+            sidecar.kill();
+            Thread.sleep((long) (fault.size() * 1000));
+            RosterServer roster = rosters.get(member);
+            String address = loop.submit(roster::address).sync().getNow();
+            var known = loop.submit(roster::known).sync().getNow();
+            sidecar.configure(address, known);
+            onLoop(() -> referee.startedAnew(member));
+            long from = System.nanoTime();
+            sidecar.start();
+            boolean ready = sidecar.awaitReady(READY_MS);
+            double tookMs = (System.nanoTime() - from) / 1e6;
+            onLoop(() -> {
+                readyAfterMs.add(tookMs);
+                downSinceMs.set(member, Double.NaN);
+                event("sidecar " + member + (ready ? " is ready again after " : " is not ready after ")
+                        + Math.round(tookMs) + " ms");
+            });
+        } catch (IOException e) {
+            loop.execute(() -> event("sidecar " + member + " could not be started again: " + e.getMessage()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends all that it started; the second time it does nothing. */
+    @Override
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        hands.shutdownNow();
+        try {
+            hands.awaitTermination(5, TimeUnit.SECONDS); // or one that is being started again would outlive this
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        sidecars.forEach(SidecarProcess::kill);
+        loop.execute(() -> nodes.values().forEach(NodeServer::end));
+        acceptor.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/stand/Loopback.java
@@ -0,0 +1,41 @@
+package ivybank.rehearsal.stand;
+
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/** Listeners on addresses of this machine alone, at ports that the system chooses: kits don't meet each other. */
+final class Loopback {
+
+    private static final int BACKLOG = 512;
+
+    private Loopback() {
+    }
+
+    /**
+     * Listens at a port of 127.{@code net}.{@code a}.{@code b} that the system chooses. Waits until it does, so that
+     * {@code acceptor} must be another thread than the caller's.
+     */
+    static Channel listen(EventLoopGroup acceptor, EventLoop loop, int net, int a, int b, Consumer<Channel> accepted) {
+        return new ServerBootstrap().group(acceptor, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted.accept(channel);
+                    }
+                }).bind(new InetSocketAddress("127." + net + "." + a + "." + b, 0)).syncUninterruptibly().channel();
+    }
+
+    static String text(Channel listener) {
+        InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -0,0 +1,199 @@
+package ivybank.rehearsal.stand;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.util.ReferenceCountUtil;
+import ivybank.common.Json;
+
+/**
+ * Discovery as one sidecar sees it: an agent on its machine that tells what it has been sent, answers at once and is silent
+ * while discovery is down. It can move to another address; the old one takes nothing new then, and closes after a while.
+ */
+final class RosterServer {
+
+    private static final String STREAM = "stream=1";
+    private static final double BEAT_MS = 2000;
+    private static final double OLD_CLOSES_MS = 1500;
+
+    /** What is listed of a node. */
+    record Entry(String host, String dial, String site, String kind, String health, double bornUnixMs) {
+
+        private ObjectNode json() {
+            return Json.MAPPER.createObjectNode().put("host", host).put("dial", dial).put("site", site)
+                    .put("class", kind).put("block", 0).put("health", health).put("share", 1.0).put("born_ms", bornUnixMs);
+        }
+    }
+
+    private final World world;
+    private final int sidecar;
+    private final Map<String, Entry> list = new LinkedHashMap<>();
+    private final List<Entry> gone = new ArrayList<>();
+    private final Set<Channel> watches = new HashSet<>();
+    private final Set<Channel> open = new HashSet<>();
+    private Channel listener;
+    private long seq;
+    private boolean silent;
+
+    RosterServer(World world, int sidecar) {
+        this.world = world;
+        this.sidecar = sidecar;
+        this.listener = listen();
+        world.after(BEAT_MS, this::beat);
+    }
+
+    private Channel listen() {
+        return Loopback.listen(world.acceptor, world.loop, world.net, 200, 1 + sidecar, channel -> channel.pipeline()
+                .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1024), new Caller()));
+    }
+
+    String address() {
+        return Loopback.text(listener);
+    }
+
+    private void beat() {
+        if (!silent) {
+            watches.forEach(watch -> watch.writeAndFlush(Unpooled.copiedBuffer("1\r\n\n\r\n", StandardCharsets.US_ASCII)));
+        }
+        world.after(BEAT_MS, this::beat);
+    }
+
+    /** A change has come to the agent. */
+    void change(Entry entry) {
+        if (silent) {
+            world.after(100, () -> change(entry)); // discovery is down: the change comes when it is back
+            return;
+        }
+        seq++;
+        if (entry.health().equals("Gone")) {
+            list.remove(entry.host());
+            gone.add(entry);
+        } else {
+            list.put(entry.host(), entry);
+        }
+        String line = text(false, Json.MAPPER.createArrayNode().add(entry.json())) + "\n";
+        watches.forEach(watch -> watch.writeAndFlush(Unpooled.copiedBuffer(chunk(line), StandardCharsets.UTF_8)));
+        if (!watches.isEmpty()) {
+            told(entry);
+        }
+        world.after(world.scenario.roster().toldMs(), () -> {
+            if (!silent) {
+                told(entry);
+            }
+        });
+    }
+
+    /** What it has to say of this node counts as told from now on. */
+    void told(Entry entry) {
+        if (!entry.health().equals("Ready")) {
+            world.referee.told(sidecar, entry.host(), world.nowMs());
+        }
+    }
+
+    /** Sends what can't be read to those that watch. */
+    void odd() {
+        watches.forEach(watch -> watch.writeAndFlush(Unpooled.copiedBuffer(chunk("{\"seq\": 7, \"hosts\": [{oops\n"),
+                StandardCharsets.US_ASCII)));
+    }
+
+    void silent(boolean on) {
+        silent = on;
+    }
+
+    /** Goes on at another port; returns nothing until the configuration is replaced and the sidecar signalled. */
+    void move() {
+        Channel old = listener;
+        Set<Channel> calls = Set.copyOf(open);
+        listener = listen();
+        old.close();
+        world.after(OLD_CLOSES_MS, () -> calls.forEach(Channel::close));
+    }
+
+    /** The list as it is, in the protocol's form. */
+    ObjectNode known() {
+        return whole(true, entries());
+    }
+
+    private ArrayNode entries() {
+        ArrayNode entries = Json.MAPPER.createArrayNode();
+        list.values().forEach(entry -> entries.add(entry.json()));
+        return entries;
+    }
+
+    private ObjectNode whole(boolean whole, ArrayNode entries) {
+        ObjectNode root = Json.MAPPER.createObjectNode().put("seq", seq).put("whole", whole);
+        root.set("hosts", entries);
+        return root;
+    }
+
+    private String text(boolean whole, ArrayNode entries) {
+        return whole(whole, entries).toString();
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+    }
+
+    private final class Caller extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            open.add(ctx.channel());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                if (message instanceof FullHttpRequest request) {
+                    answer(ctx, request.uri());
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, String uri) {
+            if (silent) {
+                world.after(200, () -> answer(ctx, uri));
+                return;
+            }
+            list.values().forEach(RosterServer.this::told); // at the latest now
+            gone.forEach(RosterServer.this::told);
+            if (uri.contains(STREAM)) {
+                boolean behind = !uri.endsWith("index=" + seq);
+                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + chunk(behind ? text(true, entries()) + "\n" : "\n"), StandardCharsets.UTF_8));
+                watches.add(ctx.channel());
+            } else {
+                String body = text(true, entries());
+                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: "
+                        + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body, StandardCharsets.UTF_8));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            open.remove(ctx.channel());
+            watches.remove(ctx.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/stand/World.java
@@ -0,0 +1,109 @@
+package ivybank.rehearsal.stand;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import ivybank.common.Clock;
+import ivybank.rehearsal.referee.Referee;
+import ivybank.rehearsal.scenario.Scenario;
+
+/**
+ * What the stand-ins of one day share: one thread, on which all of them live, its clock, the referee and what each call
+ * takes. The day begins when {@link #begin} is called; times are in ms from then on, and negative before.
+ */
+public final class World {
+
+    private static final long LATENESS_EVERY_MS = 10;
+
+    final Scenario scenario;
+    final EventLoopGroup acceptor;
+    final EventLoop loop;
+    final Referee referee;
+    final int net; // second part of the addresses
+    private final Map<String, Load> loads = new HashMap<>();
+    private final Clock clock;
+    private double beganMs;
+    private double expectedMs;
+    private double lateMs;
+    private long connections;
+    private long attempts;
+
+    /** {@code net}: 1 to 254, the second part of all its addresses. */
+    public World(Scenario scenario, EventLoopGroup acceptor, EventLoop loop, Clock clock, Referee referee, int net) {
+        this.scenario = scenario;
+        this.acceptor = acceptor;
+        this.loop = loop;
+        this.clock = clock;
+        this.referee = referee;
+        this.net = net;
+        this.beganMs = clock.nowMs();
+    }
+
+    /** The day begins now. */
+    public void begin() {
+        beganMs = clock.nowMs();
+        expectedMs = nowMs() + LATENESS_EVERY_MS;
+        loop.schedule(this::watchLateness, LATENESS_EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** How late this thread itself is: what it measures of others is no better than that. */
+    private void watchLateness() {
+        lateMs = Math.max(lateMs, nowMs() - expectedMs);
+        expectedMs = nowMs() + LATENESS_EVERY_MS;
+        loop.schedule(this::watchLateness, LATENESS_EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** The most that the kit itself was late so far, in ms. */
+    public double latenessMs() {
+        return lateMs;
+    }
+
+    public double nowMs() {
+        return clock.nowMs() - beganMs;
+    }
+
+    /** Unix time in ms, as the roster states starts. */
+    double unixMs() {
+        return clock.nowMs();
+    }
+
+    public ScheduledFuture<?> after(double delayMs, Runnable task) {
+        return loop.schedule(task, Math.max(0, (long) (delayMs * 1000)), TimeUnit.MICROSECONDS);
+    }
+
+    /** At a time of the day. */
+    public ScheduledFuture<?> at(double atMs, Runnable task) {
+        return after(atMs - nowMs(), task);
+    }
+
+    /** Notes a connection to a node. */
+    void connected() {
+        connections++;
+    }
+
+    /** Notes an attempt at a node. */
+    void attempted() {
+        attempts++;
+    }
+
+    long connections() {
+        return connections;
+    }
+
+    long attempts() {
+        return attempts;
+    }
+
+    void load(String callId, Load load) {
+        loads.put(callId, load);
+    }
+
+    /** What a call takes; null if no client has sent it. */
+    Load load(String callId) {
+        return loads.get(callId);
+    }
+}
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -18,6 +18,9 @@
     void eachPackageIsUsedByThoseAboveItAlone() {
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ivybank..")
                 .layer("main").definedBy("ivybank")
+                .layer("cli").definedBy("ivybank.cli..")
+                .layer("rehearsal").definedBy("ivybank.rehearsal..")
+                .layer("toml").definedBy("ivybank.toml..")
                 .layer("daemon").definedBy("ivybank.daemon..")
                 .layer("simhost").definedBy("ivybank.simhost..")
                 .layer("client").definedBy("ivybank.client..")
@@ -28,6 +31,9 @@
                 .layer("common").definedBy("ivybank.common..")
                 .layer("policy").definedBy("ivybank.policy..")
                 .whereLayer("main").mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
+                .whereLayer("rehearsal").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("toml").mayOnlyBeAccessedByLayers("cli", "rehearsal")
                 .whereLayer("daemon").mayOnlyBeAccessedByLayers("main")
                 .whereLayer("simhost").mayOnlyBeAccessedByLayers("main")
                 .whereLayer("client").mayOnlyBeAccessedByLayers("daemon")
@@ -46,6 +52,16 @@
                 .check(PROGRAM);
     }
 
+    @Test
+    void theRefereeAndTheModelsOfTheKitDoNoInputAndOutputAndKnowNothingOfTheSidecar() {
+        noClasses().that().resideInAnyPackage("ivybank.rehearsal.referee..", "ivybank.rehearsal.scenario..").should()
+                .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..")
+                .check(PROGRAM);
+        noClasses().that().resideInAPackage("ivybank.rehearsal..").should().dependOnClassesThat()
+                .resideInAnyPackage("ivybank.policy..", "ivybank.daemon..", "ivybank.client..", "ivybank.upstream..",
+                        "ivybank.discovery..", "ivybank.exchange..").check(PROGRAM);
+    }
+
     @Test
     void whatDecidesReadsNoClock() {
         noClasses().that().resideInAPackage("ivybank.policy..").should().callMethod(System.class, "nanoTime")
--- a/src/test/java/ivybank/RepositoryTest.java
+++ b/src/test/java/ivybank/RepositoryTest.java
@@ -28,14 +28,17 @@
     void theModuleStaysWithinItsLimits() throws IOException {
         String folder = "src/main/java/ivybank/policy";
         List<String> lines = new ArrayList<>();
+        List<String> names = new ArrayList<>();
         try (Stream<Path> files = Files.list(Path.of(folder))) {
-            for (Path file : files.toList()) {
+            for (Path file : files.sorted().toList()) {
                 lines.addAll(Files.readAllLines(file));
+                names.add("\"" + folder + "/" + file.getFileName() + "\"");
             }
         }
         long written = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(written <= 1200, written + " lines");
-        assertTrue(Files.readString(Path.of("deploy/balancer.toml")).contains("policy = [\"" + folder + "\"]"));
+        assertTrue(Files.readString(Path.of("deploy/balancer.toml"))
+                .contains("policy = [" + String.join(", ", names) + "]"), "the deployment names all of them");
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -0,0 +1,231 @@
+package ivybank.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+import ivybank.rehearsal.scenario.Plan;
+import ivybank.rehearsal.scenario.ScenarioReader;
+import ivybank.rehearsal.stand.Day;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Sidecars that are broken on purpose: each is the true source with a few words changed, compiled beside it. The kit must
+ * catch each of them, for its own reason, and pass the true build on the same days. {@code -Dmutants.seeds=20} plays each
+ * on so many seeds and leaves a table in target/mutants.md.
+ */
+class MutantsTest {
+
+    private static final int SEEDS = Integer.getInteger("mutants.seeds", 1);
+    private static final int AT_ONCE = Math.max(1, Integer.getInteger("mutants.jobs",
+            Math.min(3, Runtime.getRuntime().availableProcessors() / 2)));
+    private static final Path SOURCES = Path.of("src/main/java/ivybank");
+
+    /** The days that mutants are played on, and the true build too. */
+    private enum Night {
+        CALM("", 5, 150, 1),
+        SPOILT("[[fault]]\nkind='spoil'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1),
+        DEPLOY("[[fault]]\nkind='deploy'\nat_s=1\nfor_s=2\npart=0.34\nbatch=0.2\ndrain_s=3\n", 7, 150, 1),
+        TERM("[[fault]]\nkind='term'\nat_s=1\nfor_s=1\n", 7, 150, 1, 300),
+        OVERLOAD("", 6, 300, 0.12),
+        ODD("[[fault]]\nkind='roster-odd'\nat_s=1\n", 4, 150, 1),
+        MOVE("[[fault]]\nkind='roster-move'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=3\nfor_s=1\npart=0.34\nbatch=0.4\n"
+                + "drain_s=3\n", 8, 150, 1),
+        SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1);
+
+        private final String toml;
+
+        Night(String faults, int lengthS, int rate, double speed) {
+            this(faults, lengthS, rate, speed, 20);
+        }
+
+        Night(String faults, int lengthS, int rate, double speed, int waitMs) {
+            toml = "name='" + name() + "'\nlength_s=" + lengthS + "\n[fleet]\nnodes=6\nsites=2\n[[kind]]\nname='k'\ncores=2\n"
+                    + "speed=" + speed + "\nconnect_ms=1\n[cold]\nfrom=0.12\nwarm_s=10\nfall_multiple=2.5\nfall_s=2\n"
+                    + "[[class]]\nname='read'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\ndeadline_ms=4000\n"
+                    + "effect='safe'\n[[class]]\nname='submit'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\n"
+                    + "deadline_ms=4000\nworth=5\neffect='unsafe'\n[traffic]\nrate=" + rate + "\nsidecars=1\n"
+                    + "[roster]\nnotice_ms=100\ntold_ms=1500\n" + faults;
+        }
+    }
+
+    private record Edit(String file, String from, String to) {
+    }
+
+    /** @param seen what a reason of the verdict must hold, one of these */
+    private record Mutant(String name, Night night, List<String> seen, List<Edit> edits) {
+    }
+
+    private static final List<Mutant> MUTANTS = List.of(
+            new Mutant("sends to a draining node", Night.DEPLOY, List.of("rule drain"),
+                    List.of(new Edit("discovery/Directory.java", "Status status = undrained ? Status.DRAINING : entry.status();",
+                            "Status status = Status.READY;"))),
+            new Mutant("repeats event-submit after a reset", Night.SPOILT, List.of("rule repeat"),
+                    List.of(new Edit("policy/Balancer.java", "RESET(false)", "RESET(true)"))),
+            new Mutant("loses requests on restart", Night.TERM, List.of("rule answer"),
+                    List.of(new Edit("client/ClientConnection.java", "        if (current == null && waiting.isEmpty()) {\n"
+                            + "            retire();\n        }", "        context.close();"))),
+            new Mutant("answers with another request's body", Night.CALM, List.of("rule answer"),
+                    List.of(new Edit("daemon/Driver.java", "Answer.served(ending.contentType(), ending.body())",
+                            "Answer.served(ending.contentType(), mixed(ending.body()))"),
+                            new Edit("daemon/Driver.java", "    private void answer(Exchange exchange, Answer answer) {",
+                                    "    private byte[] kept;\n    private int turn;\n\n    private byte[] mixed(byte[] body) {\n"
+                                            + "        byte[] other = kept == null || ++turn % 50 != 0 ? body : kept;\n"
+                                            + "        kept = body;\n        return other;\n    }\n\n"
+                                            + "    private void answer(Exchange exchange, Answer answer) {"))),
+            new Mutant("floods a cold node", Night.DEPLOY, List.of("rule cold"),
+                    List.of(new Edit("policy/LoadShiftingBalancer.java", "        Host host = list.at(random.nextDouble());\n"
+                            + "        double warmth", "        Host host = members.stream().filter(each -> each.isCold(nowMs,"
+                            + " settings.contract())).findFirst().orElseThrow();\n        double warmth"),
+                            new Edit("policy/LoadShiftingBalancer.java", "random.nextDouble() < part ? host", "part > 0 ? host"))),
+            new Mutant("refuses what may have run", Night.SPOILT, List.of("rule refusal"),
+                    List.of(new Edit("daemon/Driver.java", "            counters.failed++;\n            answer(exchange,"
+                            + " Answer.status(FAILED));\n        }\n    }\n\n    @Override\n    public void cancel",
+                            "            counters.failed++;\n            answer(exchange, Answer.refused(0));\n        }\n    }\n\n"
+                                    + "    @Override\n    public void cancel"))),
+            new Mutant("holds refusals back", Night.OVERLOAD, List.of("rule held-back"),
+                    List.of(new Edit("daemon/Driver.java", "            answer(exchange, Answer.refused(retryAfterMs));",
+                            "            schedule(exchange.deadlineMs - clock.nowMs() - 200, () -> {\n"
+                                    + "                if (!exchange.over) {\n"
+                                    + "                    answer(exchange, Answer.refused(retryAfterMs));\n"
+                                    + "                }\n            });"))),
+            new Mutant("opens a connection for each request", Night.CALM, List.of("connections were opened"),
+                    List.of(new Edit("upstream/UpstreamPool.java", "!connection.node.ready || moved", "!moved"))),
+            new Mutant("leaks memory", Night.CALM, List.of("rule crash", "goes on growing"),
+                    List.of(new Edit("daemon/Driver.java", "            exchanges.remove(exchange.id);",
+                            "            LEAK.add(new byte[exchange.id > 400 ? 200_000 : 0]);"), // the warm-up has 400
+                            new Edit("daemon/Driver.java", "    private final Settings settings;\n",
+                                    "    private static final List<byte[]> LEAK = new ArrayList<>();\n"
+                                            + "    private final Settings settings;\n"))),
+            new Mutant("dies on an odd roster line", Night.ODD, List.of("rule crash"),
+                    List.of(new Edit("discovery/Discovery.java", "            } catch (IOException | IllegalArgumentException e) {",
+                            "            } catch (IOException | IllegalArgumentException e) {\n                Runtime.getRuntime().halt(3);"))),
+            new Mutant("stays at an address that discovery has left", Night.MOVE, List.of("rule drain"),
+                    List.of(new Edit("daemon/Sidecar.java", "            discovery.moveTo(next);", ""),
+                            new Edit("daemon/ConfigFile.java", "return now;", "return null;"))),
+            new Mutant("waits for a silent node for ever", Night.SILENT, List.of("rule answer"),
+                    List.of(new Edit("upstream/UpstreamPool.java", "attempt.stop(Outcome.TIMEOUT)", "attempt.ended()"),
+                            new Edit("daemon/Driver.java", "        if (!exchange.over) {\n            counters.expired++;",
+                                    "        if (exchange.over) {\n            counters.expired++;")))
+    );
+
+    @TempDir
+    Path dir;
+
+    /** Compiles the changed files into a folder of their own. */
+    private static void compile(Mutant mutant, Path into) throws IOException {
+        Map<String, String> texts = new LinkedHashMap<>();
+        for (Edit edit : mutant.edits) {
+            String text = texts.containsKey(edit.file) ? texts.get(edit.file)
+                    : Files.readString(SOURCES.resolve(edit.file));
+            assertTrue(text.contains(edit.from), mutant.name + ": " + edit.file + " has changed, look at: " + edit.from);
+            texts.put(edit.file, text.replace(edit.from, edit.to));
+        }
+        List<String> arguments = new ArrayList<>(List.of("-nowarn", "-proc:none", "-cp",
+                "target/classes:" + System.getProperty("java.class.path"), "-d", into.toString()));
+        for (Map.Entry<String, String> each : texts.entrySet()) {
+            Path source = into.resolve("src").resolve(each.getKey());
+            Files.createDirectories(source.getParent());
+            arguments.add(Files.writeString(source, each.getValue()).toString());
+        }
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        StringWriter said = new StringWriter();
+        boolean good = compiler.getTask(said, null, null, arguments.subList(0, 6), null,
+                compiler.getStandardFileManager(null, null, null)
+                        .getJavaFileObjectsFromStrings(arguments.subList(6, arguments.size()))).call();
+        assertTrue(good, () -> mutant.name + ": " + said);
+    }
+
+    /** Plays a night; a machine that was too busy is given two more chances. */
+    private static List<String> play(Night night, long seed, Path classes, Path state) throws Exception {
+        String path = (classes == null ? "" : classes + ":") + System.getProperty("java.class.path");
+        String command = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
+                + " -XX:TieredStopAtLevel=1 -Xmx48m -XX:+ExitOnOutOfMemoryError -cp '" + path + "' ivybank.Main serve";
+        List<String> reasons = List.of();
+        for (int i = 0; i < 3; i++) {
+            Path own = Files.createDirectories(state.resolve("try-" + i));
+            Plan plan = Plan.draw(ScenarioReader.read(night.name(), night.toml), seed);
+            Verdict verdict;
+            try (Day day = new Day(plan, command, Path.of("").toAbsolutePath(), own, line -> { })) {
+                verdict = Verdict.of(day.play());
+            }
+            reasons = verdict.reasons();
+            if (verdict.kind() != Verdict.Kind.NOT_JUDGED) {
+                return reasons;
+            }
+        }
+        return reasons;
+    }
+
+    @Test
+    @Timeout(7200)
+    void eachMutantIsCaughtAndTheTrueBuildPasses() throws Exception {
+        ExecutorService workers = Executors.newFixedThreadPool(AT_ONCE);
+        Map<String, List<Future<List<String>>>> plays = new LinkedHashMap<>();
+        for (Mutant mutant : MUTANTS) {
+            Path classes = Files.createDirectories(dir.resolve("m" + plays.size()));
+            compile(mutant, classes);
+            plays.put(mutant.name, submit(workers, mutant.night, classes));
+        }
+        for (Night night : Night.values()) {
+            plays.put(night.name(), submit(workers, night, null));
+        }
+        List<String> wrong = new ArrayList<>();
+        StringBuilder table = new StringBuilder("| build | night | as it should be | first reason seen |\n| --- | --- | --- | --- |\n");
+        for (Mutant mutant : MUTANTS) {
+            row(table, wrong, mutant.name, mutant.night, plays.get(mutant.name), reasons -> mutant.seen.stream()
+                    .anyMatch(word -> reasons.stream().anyMatch(reason -> reason.contains(word))));
+        }
+        for (Night night : Night.values()) {
+            row(table, wrong, "true build", night, plays.get(night.name()), List::isEmpty);
+        }
+        workers.shutdown();
+        Files.writeString(Path.of("target/mutants.md"), table);
+        assertEquals(List.of(), wrong);
+    }
+
+    private static List<Future<List<String>>> submit(ExecutorService workers, Night night, Path classes) throws IOException {
+        List<Future<List<String>>> played = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            long drawn = seed;
+            Path state = Files.createTempDirectory(Path.of("target"), "rehearsal");
+            Callable<List<String>> play = () -> play(night, drawn, classes, state);
+            played.add(workers.submit(play));
+        }
+        return played;
+    }
+
+    private static void row(StringBuilder table, List<String> wrong, String build, Night night,
+            List<Future<List<String>>> played, java.util.function.Predicate<List<String>> good) throws Exception {
+        int right = 0;
+        String first = "";
+        for (int i = 0; i < played.size(); i++) {
+            List<String> reasons = played.get(i).get();
+            first = first.isEmpty() && !reasons.isEmpty() ? reasons.get(0) : first;
+            if (good.test(reasons)) {
+                right++;
+            } else {
+                wrong.add(build + " on " + night + ", seed " + (i + 1) + ": " + reasons);
+            }
+        }
+        table.append("| ").append(build).append(" | ").append(night.name().toLowerCase(java.util.Locale.ROOT)).append(" | ")
+                .append(right).append(" of ").append(played.size()).append(" | ").append(first).append(" |\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
@@ -0,0 +1,76 @@
+package ivybank.rehearsal.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import ivybank.rehearsal.Scenarios;
+import ivybank.rehearsal.scenario.Plan.Arrival;
+import ivybank.toml.InputException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ScenarioTest {
+
+    private static final String GOOD = """
+            name = "x"
+            length_s = 5
+            [[kind]]
+            name = "k"
+            [[class]]
+            name = "c"
+            aim_ms = 100
+            deadline_ms = 400
+            effect = "safe"
+            [traffic]
+            rate = 100
+            [[fault]]
+            kind = "silent"
+            at_s = 1
+            part = 0.2
+            """;
+
+    @Test
+    void allThatShipCanBeUsed() throws InputException {
+        assertTrue(Scenarios.names().size() >= 8);
+        for (String name : Scenarios.names()) {
+            assertEquals(name, Scenarios.find(name).name());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "length_s = 5 | length_s = -1 | f.toml: length_s is -1: a number from 1 to 3600 is allowed",
+        "length_s = 5 | length_s = \"5\" | f.toml: length_s is \"5\": a number from 1 to 3600 is allowed",
+        "length_s = 5 | lenght_s = 5 | f.toml: length_s is missing: a number from 1 to 3600 is allowed",
+        "rate = 100 | rates = 100 | f.toml: traffic.rates is not known here: allowed are [rate, sidecars, skew, swing]",
+        "\"silent\" | \"silence\" | f.toml: fault[0].kind is \"silence\": one of [silent, slow, deploy, die, vanish, spoil, "
+                + "kill, term, roster-silent, roster-odd, roster-move] is allowed",
+        "deadline_ms = 400 | deadline_ms = 50 | f.toml: class[0].deadline_ms is 50: a number from 100 to 600000 is allowed",
+        "[[kind]] | [kinds] | f.toml: kind is missing: a scenario needs a [[kind]] of node at least",
+        "name = \"x\" | name = x | f.toml, line 1",
+        "rate = 100 | rate = [3, 1] | f.toml: traffic.rate is [3,1]: a number from 1 to 20000 is allowed"})
+    void whatIsWrongIsSaidInOneLineWithThePlaceAndWhatIsAllowed(String from, String to, String message) {
+        InputException e = assertThrows(InputException.class, () -> ScenarioReader.read("f.toml", GOOD.replace(from, to)));
+        assertTrue(e.getMessage().startsWith(message), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameDayAndAnotherSeedAnother() throws InputException {
+        Scenario scenario = ScenarioReader.read("f.toml", GOOD);
+        Plan plan = Plan.draw(scenario, 7);
+        assertEquals(plan, Plan.draw(scenario, 7));
+        assertNotEquals(plan.arrivals(), Plan.draw(scenario, 8).arrivals());
+        assertEquals(2, plan.targets().get(0).members().size());
+        List<Arrival> arrivals = plan.arrivals();
+        assertTrue(arrivals.size() > 400 && arrivals.size() < 600, arrivals.size() + " in 5 s at 100 a second");
+        for (int i = 1; i < arrivals.size(); i++) {
+            assertTrue(arrivals.get(i).atMs() >= arrivals.get(i - 1).atMs());
+        }
+    }
+}
