Rehearsal: page of plots, overhead, jams, rude clients, a roster behind, keyed classes; operator file

What the kit still lacked of a bad night, and a place for what operators set.

`rehearse overhead`: every other request past the sidecar, in the same run. - Nodes jam when crowded for too long, cut answers short and close; clients send what can't be used and are owed an error or a close in 3 s; the roster can move to an address that is behind; keyed classes are judged by group and time, and refusals of those keyed by site too. Without it `serve` loads no class of it.

--- a/src/main/java/ivybank/Main.java
+++ b/src/main/java/ivybank/Main.java
@@ -5,6 +5,7 @@
 import ivybank.cli.Ivybank;
 import ivybank.daemon.Sidecar;
 import ivybank.simhost.SimHost;
+import ivybank.toml.InputException;
 
 /**
  * The two hosts of the decision module: {@code serve} is a real sidecar on sockets, {@code simhost} plays the
@@ -17,13 +18,19 @@
 
     /** The two hosts take a short cut past the command line: a restart has half a core. */
     public static void main(String[] args) {
-        String host = args.length == 1 ? args[0] : "";
+        String host = args.length == 0 ? "" : args[0];
+        boolean operator = args.length == 3 && host.equals("serve") && args[1].equals("--operator");
         try {
-            switch (host) {
-                case "serve" -> Sidecar.serve(System.getenv());
-                case "simhost" -> SimHost.runOnStandardStreams();
-                default -> System.exit(Ivybank.run(args));
+            if (host.equals("serve") && (args.length == 1 || operator)) {
+                Sidecar.serve(System.getenv(), operator ? args[2] : System.getenv("EDGE_OPERATOR"));
+            } else if (host.equals("simhost") && args.length == 1) {
+                SimHost.runOnStandardStreams();
+            } else {
+                System.exit(Ivybank.run(args));
             }
+        } catch (InputException e) {
+            System.err.println("ivybank: " + e.getMessage());
+            System.exit(2);
         } catch (IOException e) {
             System.err.println("ivybank: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/ivybank/cli/Ivybank.java
+++ b/src/main/java/ivybank/cli/Ivybank.java
@@ -12,7 +12,7 @@
         description = "A sidecar load balancer, and a kit to rehearse its bad nights.",
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:good", "1:the check or the rehearsal failed", "2:wrong use, or an input that can't be used"},
-        subcommands = {RehearseCommand.class, Ivybank.Serve.class, Ivybank.SimHost.class, HelpCommand.class})
+        subcommands = {RehearseCommand.class, CheckCommand.class, Ivybank.Serve.class, Ivybank.SimHost.class, HelpCommand.class})
 public final class Ivybank implements Runnable {
 
     static final int FAILED = 1;
@@ -38,14 +38,15 @@
     }
 
     /** Here for the help alone. */
-    @Command(name = "serve", description = "One sidecar, as EDGE_CONFIG says; takes no options.")
+    @Command(name = "serve", description = "One sidecar, as EDGE_CONFIG says. With --operator FILE, or EDGE_OPERATOR,"
+            + " it takes an operator file too.")
     static final class Serve implements Runnable {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
 
         @Override
         public void run() {
-            throw new CommandLine.ParameterException(spec.commandLine(), "serve takes no options");
+            throw new CommandLine.ParameterException(spec.commandLine(), "serve takes no option but --operator FILE");
         }
     }
 
--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -13,6 +13,7 @@
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.Overhead;
 import ivybank.toml.InputException;
 import ivybank.toml.StrictTable;
 import picocli.CommandLine;
@@ -21,7 +22,7 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank rehearse}: plays bad nights on stand-ins round real sidecars. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = RehearseCommand.Run.class,
+@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = {RehearseCommand.Run.class, RehearseCommand.Cost.class},
         description = "Plays a bad night on this machine: stand-in nodes, roster and clients round real sidecars.")
 final class RehearseCommand implements Runnable {
 
@@ -53,6 +54,79 @@
         return 0;
     }
 
+    /** {@code rehearse overhead}. */
+    @Command(name = "overhead", mixinStandardHelpOptions = true,
+            description = "Measures what a sidecar costs: direct against through it, in the same run.")
+    static final class Cost implements Callable<Integer> {
+
+        private static final double HELD = 0.99; // of the requests served in time: the rate is held
+
+        @Option(names = "--rate", paramLabel = "N", defaultValue = "200,1000", split = ",",
+                description = "requests a second, half of them each way (default ${DEFAULT-VALUE})")
+        private List<Double> rates;
+
+        @Option(names = "--most", paramLabel = "N", defaultValue = "0",
+                description = "goes on from the last rate by steps of a quarter, up to this one or the last that is held")
+        private double most;
+
+        @Option(names = "--seconds", paramLabel = "N", defaultValue = "8", description = "for each rate")
+        private double seconds;
+
+        @Option(names = "--sidecar", paramLabel = "COMMAND", description = "as with run")
+        private String command;
+
+        @Override
+        public Integer call() throws InputException, IOException, InterruptedException {
+            Path folder = Files.createTempDirectory("ivybank-overhead");
+            Scenario scenario = Scenarios.find("calm");
+            System.out.println("rate/s  direct p50, p99 ms   through p50, p99 ms  sidecar CPU ms/request  in time   kit late ms");
+            try (Overhead overhead = new Overhead(scenario, sidecar(command), Path.of("").toAbsolutePath(), folder, 231)) {
+                overhead.play(rates.get(0), 4); // warm
+                for (double rate : rates) {
+                    print(overhead.play(rate, seconds));
+                }
+                double rate = rates.get(rates.size() - 1);
+                for (boolean held = true; held && rate * 1.25 <= most;) {
+                    rate *= 1.25;
+                    held = print(overhead.play(rate, seconds)) >= HELD;
+                }
+            }
+            remove(folder);
+            return 0;
+        }
+
+        private static double print(Overhead.Row row) {
+            System.out.printf("%6.0f  %9.3f %9.3f  %9.3f %9.3f  %22.3f  %6.2f%%  %12.0f%n", row.rate(), row.directMs()[0],
+                    row.directMs()[1], row.throughMs()[0], row.throughMs()[1], row.cpuMs(), 100 * row.servedPart(),
+                    row.latenessMs());
+            return row.servedPart();
+        }
+    }
+
+    /** The command that starts a sidecar: as given, as deployed from this folder, or this program's own. */
+    private static String sidecar(String given) throws InputException, IOException {
+        Path deployed = Path.of("deploy", "balancer.toml");
+        if (given != null) {
+            return given;
+        }
+        if (Files.exists(deployed)) {
+            return StrictTable.parse(deployed.toString(), Files.readString(deployed)).text("run", null);
+        }
+        return "exec env --default-signal=HUP '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
+                + "' ivybank.Main serve";
+    }
+
+    private static void remove(Path folder) throws IOException {
+        List<Path> all;
+        try (var files = Files.walk(folder)) {
+            all = files.sorted(Comparator.reverseOrder()).toList();
+        }
+        for (Path each : all) {
+            Files.delete(each);
+        }
+    }
+
     /** {@code rehearse run}. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a scenario and judges it.")
     static final class Run implements Callable<Integer> {
@@ -70,6 +144,9 @@
         @Option(names = "--json", paramLabel = "FILE", description = "writes the report as JSON too")
         private Path json;
 
+        @Option(names = "--html", paramLabel = "FILE", description = "writes the report as one page with plots too")
+        private Path html;
+
         @Option(names = "--state", paramLabel = "DIR",
                 description = "keeps the sidecars' configurations and logs here; otherwise they go when a run is good")
         private Path state;
@@ -81,7 +158,7 @@
             boolean keep = state != null;
             Path folder = keep ? Files.createDirectories(state) : Files.createTempDirectory("ivybank-rehearsal");
             Day.Result result;
-            try (Day day = new Day(plan, sidecar(), Path.of("").toAbsolutePath(), folder, new Progress())) {
+            try (Day day = new Day(plan, sidecar(command), Path.of("").toAbsolutePath(), folder, new Progress())) {
                 Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
                 result = day.play();
             }
@@ -90,6 +167,9 @@
             if (json != null) {
                 report.write(json);
             }
+            if (html != null) {
+                report.writeHtml(html);
+            }
             boolean passed = report.verdict().kind() == Verdict.Kind.PASSED;
             if (passed && !keep) {
                 remove(folder);
@@ -98,28 +178,5 @@
             }
             return passed ? 0 : Ivybank.FAILED;
         }
-
-        private String sidecar() throws InputException, IOException {
-            Path deployed = Path.of("deploy", "balancer.toml");
-            if (command != null) {
-                return command;
-            }
-            if (Files.exists(deployed)) {
-                return StrictTable.parse(deployed.toString(), Files.readString(deployed)).text("run", null);
-            }
-            return "exec env --default-signal=HUP '" + Path.of(System.getProperty("java.home"), "bin", "java")
-                    + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
-                    + "' ivybank.Main serve";
-        }
-
-        private static void remove(Path folder) throws IOException {
-            List<Path> all;
-            try (var files = Files.walk(folder)) {
-                all = files.sorted(Comparator.reverseOrder()).toList();
-            }
-            for (Path each : all) {
-                Files.delete(each);
-            }
-        }
     }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -12,9 +13,12 @@
 import ivybank.common.Log;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
+import ivybank.discovery.Timing;
+import ivybank.operator.OperatorFile;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
+import ivybank.toml.InputException;
 import ivybank.upstream.LoadReport;
 import ivybank.upstream.UpstreamPool;
 import io.netty.bootstrap.Bootstrap;
@@ -105,7 +109,8 @@
     /** Signals to read the configuration again so far. */
     private int reloads;
 
-    Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes) {
+    Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes,
+            Timing timing) {
         this.file = file;
         this.config = config;
         this.drainTimes = drainTimes;
@@ -133,17 +138,24 @@
         server = new ClientServer(config.settings(), driver, clock,
                 new ClientServer.Limits(comfortable, served, clients), descriptors, log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
-                !config.settings().askForList(),
-                driver::updated, clock, log);
+                timing, driver::updated, clock, log);
     }
 
-    /** Runs a sidecar as the environment says, until the process is told to end. */
-    public static void serve(Map<String, String> environment) throws IOException {
+    /**
+     * Runs a sidecar as the environment says, until the process is told to end.
+     *
+     * @param operator the operator file, or null for none
+     */
+    public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
         Config config = Config.load(environment);
+        boolean asked = config.settings().askForList();
+        // Without the file nothing of it is loaded.
+        Timing timing = operator == null ? Timing.standard(asked)
+                : OperatorFile.read(Path.of(operator), asked).discovery();
         Clock clock = Clock.system();
         Log log = new Log(System.err, clock);
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
-                DrainTimes.longest(config.settings()));
+                DrainTimes.longest(config.settings()), timing);
         if (!HangUp.handle(sidecar::reload)) {
             log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                     + " read again only when a connection to discovery has ended");
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -45,21 +45,12 @@
     private static final int OK = 200;
     private static final int MAX_LINE = 4 << 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
-    /**
-     * An empty line comes every 2 s, and what could have been heard counts as told 6 s later. Guards against a watch
-     * that stays open and brings nothing: after 7 s upstreams that were gone had been sent to for too long. A list is
-     * asked for once too often where lines are a second late.
-     */
-    private static final int SILENCE_S = 3;
-    /** Where discovery is an agent of this machine, it answers a call at once or not at all. */
-    private static final int FIRST_ANSWER_MS = 1000;
     private static final double FIRST_PAUSE_MS = 50;
-    private static final double LONGEST_PAUSE_MS = 2000;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Consumer<HostUpdate> listener;
-    private final int firstAnswerMs;
+    private final Timing timing;
     private final Clock clock;
     private final Log log;
     /** The version that all is known up to, or -1 where the whole list is needed. */
@@ -76,12 +67,12 @@
     private Channel previous;
     private ScheduledFuture<?> nextStart;
 
-    /** {@code where} may return null: then the address stays. {@code atOnce}: whether a call is answered at once. */
-    public Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, boolean atOnce,
+    /** {@code where} may return null: then the address stays. */
+    public Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, Timing timing,
             Consumer<HostUpdate> listener, Clock clock, Log log) {
         this.loop = loop;
         this.where = where;
-        this.firstAnswerMs = atOnce ? FIRST_ANSWER_MS : SILENCE_S * 1000;
+        this.timing = timing;
         this.listener = listener;
         this.clock = clock;
         this.log = log;
@@ -91,7 +82,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new ReadTimeoutHandler(SILENCE_S), new HttpClientCodec(),
+                        channel.pipeline().addLast(new ReadTimeoutHandler(timing.silenceMs(), TimeUnit.MILLISECONDS), new HttpClientCodec(),
                                 new Call(seq));
                     }
                 });
@@ -139,7 +130,7 @@
         }
         // At random times: many sidecars come back to one service.
         double delayMs = pauseMs * (0.5 + ThreadLocalRandom.current().nextDouble() / 2);
-        pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * pauseMs);
+        pauseMs = Math.min(timing.longestPauseMs(), 2 * pauseMs);
         nextStart = loop.schedule(this::startWhereItIs, (long) delayMs, TimeUnit.MILLISECONDS);
     }
 
@@ -194,8 +185,8 @@
         public void channelActive(ChannelHandlerContext ctx) {
             text = ctx.alloc().buffer();
             firstAnswer = loop.schedule(() -> {
-                exceptionCaught(ctx, new IOException("no answer within " + firstAnswerMs + " ms"));
-            }, firstAnswerMs, TimeUnit.MILLISECONDS);
+                exceptionCaught(ctx, new IOException("no answer within " + timing.firstAnswerMs() + " ms"));
+            }, timing.firstAnswerMs(), TimeUnit.MILLISECONDS);
             ask(ctx);
         }
 
@@ -290,7 +281,7 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (ctx.channel() == current) {
                 // The time-out of reading has no words of its own.
-                lost(cause.getMessage() == null ? "silent for " + SILENCE_S + " s" : cause.getMessage());
+                lost(cause.getMessage() == null ? "silent for " + timing.silenceMs() + " ms" : cause.getMessage());
             }
             ctx.close();
         }
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -66,6 +66,11 @@
         Files.move(part, file, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
+    /** Writes the page with plots. */
+    public void writeHtml(Path file) throws IOException {
+        new HtmlReport(day, verdict).write(file);
+    }
+
     ObjectNode json() {
         Service service = day.service();
         ObjectNode root = Json.MAPPER.createObjectNode().put("version", VERSION).put("scenario", day.plan().scenario().name())
@@ -101,7 +106,7 @@
         ArrayNode usage = root.putArray("usage");
         day.usage().forEach(each -> usage.addObject().put("at_ms", each.atMs()).put("sidecar", each.sidecar())
                 .put("memory_mb", each.memoryMb()).put("descriptors", each.descriptors()).put("cpu_s", each.cpuS()));
-        root.put("connections", day.connections()).put("attempts", day.attempts());
+        root.put("connections", day.connections()).put("attempts", day.attempts()).put("given_up", day.givenUp());
         root.put("cold_pushed", day.mostPushed()).put("kit_late_ms", day.latenessMs());
         return root;
     }
--- a/src/main/java/ivybank/rehearsal/scenario/Plan.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Plan.java
@@ -97,7 +97,7 @@
         List<Target> targets = new ArrayList<>();
         for (Fault fault : scenario.faults()) {
             int all = switch (fault.kind()) {
-                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_MOVE -> scenario.traffic().sidecars();
+                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_OLD, ROSTER_MOVE -> scenario.traffic().sidecars();
                 default -> nodes;
             };
             List<Integer> order = new ArrayList<>();
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -89,7 +89,7 @@
 
         void begin() {
             openTries++;
-            world.referee.call(id, sidecar, spec.effect(), spec.aimMs());
+            world.referee.call(id, sidecar, spec);
             world.load(id, new Load(arrival.workMs(), arrival.waitMs()));
             patience = world.after(arrival.patienceMs() + MARGIN_MS, this::giveUp);
             send();
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -78,7 +78,7 @@
         ArrayNode lanes = settings.putArray("lanes");
         for (RequestClass spec : scenario.classes()) {
             lanes.addObject().put("name", spec.name()).put("aimMs", spec.aimMs()).put("hardLimitMs", spec.deadlineMs())
-                    .put("worth", spec.worth()).put("group", "all").put("windowMs", spec.deadlineMs()).put("idempotency", switch (spec.effect()) {
+                    .put("worth", spec.worth()).put("group", spec.bySite() ? "zone" : "all").put("windowMs", spec.windowMs()).put("idempotency", switch (spec.effect()) {
                         case SAFE -> "retryable";
                         case KEYED -> "dedup";
                         case UNSAFE -> "fragile";
--- a/src/main/java/ivybank/rehearsal/stand/World.java
+++ b/src/main/java/ivybank/rehearsal/stand/World.java
@@ -31,6 +31,7 @@
     private double lateMs;
     private long connections;
     private long attempts;
+    private long givenUp;
 
     /** {@code net}: 1 to 254, the second part of all its addresses. */
     public World(Scenario scenario, EventLoopGroup acceptor, EventLoop loop, Clock clock, Referee referee, int net) {
@@ -90,6 +91,15 @@
         attempts++;
     }
 
+    /** Notes an attempt whose connection was closed under it: giving one up costs its connection. */
+    void gaveUp() {
+        givenUp++;
+    }
+
+    long givenUp() {
+        return givenUp;
+    }
+
     long connections() {
         return connections;
     }
--- /dev/null
+++ b/src/test/java/ivybank/cli/IvybankTest.java
@@ -0,0 +1,118 @@
+package ivybank.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line as a process: what it prints, and its exit codes. */
+@Timeout(60)
+class IvybankTest {
+
+    private static final String SERVE = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+            + "' -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path") + "' ivybank.Main serve";
+
+    @TempDir
+    Path dir;
+    private String said;
+
+    private int run(String... arguments) throws Exception {
+        String[] command = new String[arguments.length + 4];
+        command[0] = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        command[1] = "-cp";
+        command[2] = System.getProperty("java.class.path");
+        command[3] = "ivybank.Main";
+        System.arraycopy(arguments, 0, command, 4, arguments.length);
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return process.waitFor();
+    }
+
+    private Path scenario(double floor) throws Exception {
+        return Files.writeString(dir.resolve("night.toml"), """
+                name = "night <1>"
+                length_s = 3
+                [fleet]
+                nodes = 3
+                sites = 1
+                [[kind]]
+                name = "k"
+                [[class]]
+                name = "read"
+                work_ms = 5
+                aim_ms = 800
+                deadline_ms = 2000
+                effect = "safe"
+                [traffic]
+                rate = 50
+                sidecars = 1
+                [clients]
+                rubbish = 0.1
+                [[fault]]
+                kind = "kill"
+                at_s = 1
+                away_s = 0.1
+                [floor]
+                service = %s
+                """.formatted(floor));
+    }
+
+    @Test
+    void wrongUseAndUnusableInputAreToldInWordsAndByTheirExitCode() throws Exception {
+        assertEquals(0, run("--version"));
+        assertTrue(said.startsWith("ivybank "), said);
+        assertEquals(2, run());
+        assertEquals(2, run("serve", "now"));
+        assertEquals(0, run("check", "operator", "deploy/operator.toml"));
+        assertTrue(said.contains("silenceMs=3000, firstAnswerMs=1000, longestPauseMs=2000"), "the standard values: " + said);
+        Path operator = Files.writeString(dir.resolve("operator.toml"), "[discovery]\nsilence = 3\n");
+        for (String[] use : new String[][] {{"check", "operator", operator.toString()}, {"check", "operator", dir.toString()}}) {
+            assertEquals(2, run(use));
+            assertEquals(1, said.lines().count(), said);
+        }
+        assertEquals(2, run("check", "operator", operator.toString()));
+        assertTrue(said.contains("operator.toml: discovery.silence is not known here: allowed are [first_answer_ms,"
+                + " longest_pause_ms, silence_ms]"), said);
+        assertEquals(2, run("rehearse", "run", "no-such-night"));
+        assertTrue(said.contains("no scenario \"no-such-night\"") && said.contains("calm") && said.lines().count() == 1, said);
+        assertEquals(0, run("rehearse", "check", scenario(0).toString()));
+        Files.writeString(dir.resolve("night.toml"), "name = \"x\"\nlength_s = 0\n");
+        assertEquals(2, run("rehearse", "check", dir.resolve("night.toml").toString()));
+        assertTrue(said.contains("night.toml: length_s is 0: a number from 1 to 3600 is allowed"), said);
+    }
+
+    @Test
+    void aRunTellsWhatItSawAndPassesOrFailsByItsFloor() throws Exception {
+        Path json = dir.resolve("night.json");
+        Path html = dir.resolve("night.html");
+        int code = run("rehearse", "run", scenario(1).toString(), "--seed", "5", "--sidecar", SERVE, "--json", json.toString(),
+                "--html", html.toString(), "--state", dir.resolve("state").toString());
+        JsonNode report = new ObjectMapper().readTree(json.toFile());
+        assertEquals(1, code, said);
+        assertEquals("failed", report.get("verdict").asText(), said);
+        assertTrue(report.get("reasons").get(0).asText().contains("under the floor of 1.000"), said);
+        assertEquals(5, report.get("seed").asInt());
+        int counted = 0;
+        for (JsonNode second : report.get("seconds")) {
+            for (JsonNode count : second) {
+                counted += count.asInt();
+            }
+        }
+        assertEquals(report.get("first_tries").asInt(), counted, "each first try came to something");
+        assertTrue(report.get("events").toString().contains("sidecar 0 is killed"));
+        assertTrue(report.get("rules").isEmpty(), report.get("breaches").toString());
+        String page = Files.readString(html);
+        assertTrue(page.contains("night &lt;1&gt;") && page.contains("<svg") && page.contains("sidecar 0 is killed"));
+        assertFalse(page.contains("src=") || page.contains("href="), "it is whole in itself");
+        assertTrue(Files.exists(dir.resolve("state/sidecar-0/sidecar.log")));
+    }
+}
