--- a/src/main/java/ivybank/rehearsal/stand/Overhead.java
+++ b/src/main/java/ivybank/rehearsal/stand/Overhead.java
@@ -38,6 +38,7 @@
 
     private static final long READY_MS = 30_000;
     private static final int NODES = 8;
+    private static final int DIRECT = 1; // the number of "another sidecar" for the referee
     private static final double MICROS_IN_MS = 1000;
 
     private final Scenario scenario;
@@ -82,7 +83,9 @@
     public Row play(double rate, double seconds) throws InterruptedException {
         Service direct = new Service(scenario.classes(), seconds);
         Service through = new Service(scenario.classes(), seconds);
-        ClientApp past = new ClientApp(world, 1, Addresses.parse(nodes.get(0).dial()), 128, direct, atMs -> false);
+        // One for each node: alone it would meet the connections that one node bears.
+        List<ClientApp> past = nodes.stream()
+                .map(node -> new ClientApp(world, DIRECT, Addresses.parse(node.dial()), 128, direct, atMs -> false)).toList();
         ClientApp via = new ClientApp(world, 0, sidecar.listen(), 128, through, atMs -> false);
         int count = (int) (rate * seconds);
         double[] before = sidecar.usage();
@@ -92,12 +95,12 @@
                 double atMs = i * 1000 / rate;
                 Arrival arrival = new Arrival(i, atMs, 0, 0, Integer.toHexString(i), 0, 0,
                         scenario.classes().get(0).deadlineMs(), 0, false);
-                ClientApp client = i % 2 == 0 ? past : via;
+                ClientApp client = i % 2 == 0 ? past.get(i / 2 % past.size()) : via;
                 world.at(atMs, () -> client.arrive(arrival));
             }
         }).sync();
         Thread.sleep((long) (seconds * 1000));
-        while (loop.submit(() -> past.openTries() + via.openTries()).sync().getNow() > 0) {
+        while (loop.submit(() -> via.openTries() + past.stream().mapToInt(ClientApp::openTries).sum()).sync().getNow() > 0) {
             Thread.sleep(20);
         }
         double[] after = sidecar.usage();
