Kit: broken and replaced nodes, limits enforced, 100 in hand at a kill, ceiling

New faults: `break` (what lies between breaks an exchange so that sidecar and node each blame the other, three ways) and `replace` (a cold node under a new name at the same address); `like` lets two faults meet the same nodes, whose state is now what is worst about them. Descriptors are held to the limit by ulimit, a sidecar beyond its memory is killed.

--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -12,6 +12,7 @@
 import ivybank.rehearsal.Verdict;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.stand.Ceiling;
 import ivybank.rehearsal.stand.Day;
 import ivybank.rehearsal.stand.Overhead;
 import ivybank.toml.InputException;
@@ -22,7 +23,8 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank rehearse}: plays bad nights on stand-ins round real sidecars. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = {RehearseCommand.Run.class, RehearseCommand.Cost.class},
+@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = {RehearseCommand.Run.class, RehearseCommand.Cost.class,
+        RehearseCommand.Highest.class},
         description = "Plays a bad night on this machine: stand-in nodes, roster and clients round real sidecars.")
 final class RehearseCommand implements Runnable {
 
@@ -103,6 +105,41 @@
         }
     }
 
+    /** {@code rehearse ceiling}. */
+    @Command(name = "ceiling", mixinStandardHelpOptions = true,
+            description = "The highest rate of one sidecar: clients that ask again as soon as they are answered.")
+    static final class Highest implements Callable<Integer> {
+
+        @Option(names = "--clients", paramLabel = "N", defaultValue = "1,4,16,64", split = ",",
+                description = "how many ask at once (default ${DEFAULT-VALUE})")
+        private List<Integer> clients;
+
+        @Option(names = "--seconds", paramLabel = "N", defaultValue = "4", description = "for each row")
+        private double seconds;
+
+        @Option(names = "--sidecar", paramLabel = "COMMAND", description = "as with run")
+        private String command;
+
+        @Override
+        public Integer call() throws InputException, IOException, InterruptedException {
+            Path folder = Files.createTempDirectory("ivybank-ceiling");
+            System.out.println("clients  direct/s  through/s  not served/s  sidecar's cores  its CPU ms/request");
+            try (Ceiling ceiling = new Ceiling(Scenarios.find("calm"), sidecar(command), Path.of("").toAbsolutePath(), folder, 232)) {
+                ceiling.play(16, 4, true); // warm
+                ceiling.play(16, 2, false);
+                for (int count : clients) {
+                    Ceiling.Row direct = ceiling.play(count, seconds, false);
+                    Ceiling.Row through = ceiling.play(count, seconds, true);
+                    System.out.printf("%7d  %8.0f  %9.0f  %12.0f  %15.2f  %18.3f%n", count, direct.servedRate(),
+                            through.servedRate(), through.otherRate(), through.cores(),
+                            1000 * through.cores() / Math.max(1, through.servedRate() + through.otherRate()));
+                }
+            }
+            remove(folder);
+            return 0;
+        }
+    }
+
     /** The command that starts a sidecar: as given, as deployed from this folder, or this program's own. */
     private static String sidecar(String given) throws InputException, IOException {
         Path deployed = Path.of("deploy", "balancer.toml");
--- a/src/main/java/ivybank/rehearsal/referee/Referee.java
+++ b/src/main/java/ivybank/rehearsal/referee/Referee.java
@@ -185,6 +185,11 @@
         }
     }
 
+    /** Whether a node has begun a call: its sidecar had read it then, and a close can't have crossed it. */
+    public boolean hasBegun(String id) {
+        return !calls.get(id).attempts.isEmpty();
+    }
+
     // ---- What nodes saw.
 
     /** A whole request has come to a node; null where no client sent one of this id. */
--- a/src/main/java/ivybank/rehearsal/scenario/Plan.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Plan.java
@@ -95,6 +95,7 @@
 
     private static List<Target> targets(Scenario scenario, int nodes, SplittableRandom random) {
         List<Target> targets = new ArrayList<>();
+        List<List<Integer>> orders = new ArrayList<>();
         for (Fault fault : scenario.faults()) {
             int all = switch (fault.kind()) {
                 case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_OLD, ROSTER_MOVE -> scenario.traffic().sidecars();
@@ -110,8 +111,11 @@
                 order.set(i, order.get(other));
                 order.set(other, kept);
             }
+            boolean alike = fault.like() > 0 && orders.get(fault.like() - 1).size() == all;
+            orders.add(alike ? orders.get(fault.like() - 1) : order);
             int count = (int) Math.round(fault.part() * all);
-            targets.add(new Target(fault, List.copyOf(order.subList(0, Math.max(fault.part() > 0 ? 1 : 0, count)))));
+            targets.add(new Target(fault, List.copyOf(orders.get(orders.size() - 1)
+                    .subList(0, Math.max(fault.part() > 0 ? 1 : 0, count)))));
         }
         targets.sort(Comparator.comparingDouble(target -> target.fault().atS()));
         return targets;
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -27,6 +27,10 @@
         VANISH,
         /** Nodes spoil a part of their answers. */
         SPOIL,
+        /** What lies between breaks a part of the exchanges, and node and sidecar each see something else of it. */
+        BREAK,
+        /** Nodes end at once; after a while others, cold and under new names, listen at the same addresses. */
+        REPLACE,
         /** Sidecars are killed and started again. */
         KILL,
         /** Sidecars are told to end, and started again. */
@@ -91,9 +95,10 @@
 
     /**
      * One fault: when, for how long, on what part of the nodes or sidecars; {@code size} and {@code extra} as the kind
-     * needs them.
+     * needs them. With {@code like} it meets those that the fault of this number meets, counted from 1; 0 for a draw of its
+     * own.
      */
-    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra) {
+    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra, int like) {
     }
 
     /** What service must be reached at least, 0 to 1. */
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -97,14 +97,15 @@
             double size = switch (kind) {
                 case SLOW -> table.number("share", 0, 0.95, 0.5); // of the machine, taken by the neighbour
                 case DEPLOY -> table.number("batch", 0.01, 1, 0.19); // of the fleet, replaced at a time
-                case SPOIL -> table.number("share", 0, 1, 0.05); // of the answers
+                case SPOIL, BREAK -> table.number("share", 0, 1, 0.05); // of the answers, or exchanges
+                case REPLACE -> table.number("away_s", 0, 60, 0.3); // before the next one listens
                 case ROSTER_OLD -> table.number("behind_s", 0.1, 600, 5);
                 case KILL, TERM -> table.number("away_s", 0, 60, 0.5); // before the next process is started
                 default -> 0;
             };
             double extra = kind == FaultKind.DEPLOY ? table.number("drain_s", 0.1, 60, 3) : 0;
             faults.add(new Fault(kind, table.number("at_s", 0, 3600, MUST), table.number("for_s", 0, 3600, 10),
-                    table.number("part", 0, 1, 1), size, extra));
+                    table.number("part", 0, 1, 1), size, extra, table.integer("like", 0, faults.size(), 0)));
             table.end();
         }
         return faults;
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -96,7 +96,7 @@
         }
 
         private void send() {
-            Connection free = idle.pollFirst();
+            Connection free = sentAgain ? null : idle.pollFirst(); // once more means on a new one
             while (free != null && !free.channel.isActive()) {
                 free = idle.pollFirst();
             }
@@ -152,7 +152,7 @@
         }
 
         /** Its connection ended with no whole answer. */
-        void broken(boolean reused, boolean anyByte) {
+        void broken(boolean kept, boolean anyByte) {
             if (over) {
                 return;
             }
@@ -160,7 +160,7 @@
             if (endedBefore.test(world.nowMs())) {
                 world.referee.excused(id);
                 end(Result.FAILED, 0, Double.NaN);
-            } else if (reused && !anyByte && !sentAgain) {
+            } else if (kept && !anyByte && !sentAgain && !world.referee.hasBegun(id)) {
                 sentAgain = true; // closed between requests, as it may be: once more on a new one
                 send();
             } else {
@@ -198,7 +198,7 @@
         private Try current;
         private boolean written;
         private boolean anyByte;
-        private int carried;
+        private boolean kept; // it has stood idle, and may be closed at any time
 
         Connection(Try first) {
             current = first;
@@ -236,7 +236,6 @@
             next.connection = this;
             written = false;
             anyByte = false;
-            carried++;
             channel.writeAndFlush(Unpooled.copiedBuffer(next.text(), StandardCharsets.US_ASCII)).addListener(done -> {
                 if (done.isSuccess() && current == next) {
                     written = true;
@@ -246,6 +245,7 @@
         }
 
         private void free() {
+            kept = true;
             if (channel.isActive()) {
                 idle.addFirst(this);
             }
@@ -286,7 +286,7 @@
             if (current != null) {
                 Try lost = current;
                 current = null;
-                lost.broken(carried > 1, anyByte);
+                lost.broken(kept, anyByte);
             }
         }
 
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -1,12 +1,16 @@
 package ivybank.rehearsal.stand;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
+import ivybank.common.Addresses;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.referee.Service;
@@ -48,7 +53,13 @@
 
     /** What a day came to; connections, attempts and attempts given up are those that nodes saw. */
     public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<NodeState> states, List<Usage> usage,
-                         double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, long attempts, long givenUp) {
+                         double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, Map<String, Long> attemptsOf,
+                         long givenUp) {
+
+        /** Attempts at all nodes. */
+        public long attempts() {
+            return attemptsOf.values().stream().mapToLong(Long::longValue).sum();
+        }
     }
 
     private static final AtomicInteger NETS = new AtomicInteger((int) (ProcessHandle.current().pid() % 200));
@@ -77,6 +88,8 @@
     private final List<RosterServer> rosters = new ArrayList<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<ClientApp> clients = new ArrayList<>();
+    private final List<String> members = new ArrayList<>(); // by number, the node that stands there now
+    private final Set<String> gone = new HashSet<>();
     private final List<Double> downSinceMs = new ArrayList<>(); // NaN while a sidecar is up and not told to end
     private final List<Event> events = new ArrayList<>();
     private final List<NodeState> states = new ArrayList<>();
@@ -121,7 +134,7 @@
         onLoop(this::begin);
         double lengthMs = scenario.lengthS() * 1000;
         for (double nowMs = onLoopNow(); nowMs < lengthMs; nowMs = onLoopNow()) {
-            progress.accept(String.format(java.util.Locale.ROOT, "%.0f of %.0f s, %s", nowMs / 1000, scenario.lengthS(),
+            progress.accept(String.format(Locale.ROOT, "%.0f of %.0f s, %s", nowMs / 1000, scenario.lengthS(),
                     events.isEmpty() ? "nothing has gone wrong yet" : events.get(events.size() - 1).what()));
             Thread.sleep((long) Math.min(1000, Math.max(1, lengthMs - nowMs)));
         }
@@ -149,23 +162,20 @@
 
     private void startNodes() {
         for (NodeSpec spec : plan.nodes()) {
-            addNode(spec, false);
+            members.add(spec.host());
+            addNode(spec, false, NodeServer.address(world.net, nodesMade));
         }
     }
 
-    private NodeServer addNode(NodeSpec spec, boolean cold) {
+    private NodeServer addNode(NodeSpec spec, boolean cold, InetSocketAddress address) {
         NodeModel model = new NodeModel(spec.kind(), spec.speed(), scenario.cold(), scenario.choke(),
                 cold ? world.nowMs() : Double.NEGATIVE_INFINITY);
         NodeServer node = new NodeServer(world, spec.host(), spec.site(), model, spec.kind().connections(), spec.kind().connectMs(),
-                nodesMade++, cold, plan.seed() + nodesMade);
+                address, cold, plan.seed() + ++nodesMade);
         nodes.put(spec.host(), node);
-        state(spec.host(), cold ? "cold" : "ready");
+        state(node);
         if (cold) {
-            world.after(scenario.cold().warmS() * 1000, () -> {
-                if (!node.fallen()) {
-                    state(spec.host(), "ready");
-                }
-            });
+            world.after(scenario.cold().warmS() * 1000, () -> state(node));
         }
         specs.put(spec.host(), spec);
         return node;
@@ -224,13 +234,18 @@
             double[] now = sidecar.alive() ? sidecar.usage() : null;
             if (now != null) {
                 usage.add(new Usage(world.nowMs(), i, now[0], now[1], now[2]));
+                if (now[0] > scenario.limits().memoryMb()) {
+                    event(String.format(Locale.ROOT, "sidecar %d holds %.0f MB of memory, %d are allowed: it is killed", i, now[0],
+                            scenario.limits().memoryMb()));
+                    sidecar.killForMemory();
+                }
             }
         }
         world.after(USAGE_EVERY_MS, this::watchProcesses);
     }
 
-    private void state(String host, String state) {
-        states.add(new NodeState(world.nowMs(), host, state));
+    private void state(NodeServer node) {
+        states.add(new NodeState(world.nowMs(), node.host(), node.condition()));
     }
 
     private void event(String what) {
@@ -242,29 +257,38 @@
     private void strike(Target target) {
         Fault fault = target.fault();
         List<NodeServer> hit = new ArrayList<>();
-        if (target.members().stream().allMatch(member -> member < plan.nodes().size())) {
-            target.members().forEach(member -> hit.add(nodes.get(plan.nodes().get(member).host())));
+        if (target.members().stream().allMatch(member -> member < members.size())) {
+            target.members().forEach(member -> hit.add(nodes.get(members.get(member))));
         }
         switch (fault.kind()) {
             case SILENT -> whileOn(fault, hit.size() + " nodes accept and answer nothing", on -> hit.forEach(node -> {
                 node.silent(on);
-                state(node.host(), on ? "silent" : "ready");
+                state(node);
             }));
             case SLOW -> whileOn(fault, "a neighbour takes " + Math.round(100 * fault.size()) + "% of " + hit.size()
                     + " nodes", on -> hit.forEach(node -> {
                         node.neighbour(on ? fault.size() : 0);
-                        state(node.host(), on ? "slow" : "ready");
+                        state(node);
                     }));
             case SPOIL -> whileOn(fault, Math.round(100 * fault.size()) + "% of the answers of " + hit.size()
                     + " nodes are spoilt", on -> hit.forEach(node -> {
                         node.spoil(on ? fault.size() : 0);
-                        state(node.host(), on ? "spoils" : "ready");
+                        state(node);
                     }));
+            case BREAK -> whileOn(fault, Math.round(100 * fault.size()) + "% of the exchanges with " + hit.size()
+                    + " nodes are broken in between", on -> hit.forEach(node -> {
+                        node.broken(on ? fault.size() : 0);
+                        state(node);
+                    }));
+            case REPLACE -> {
+                event(hit.size() + " nodes are replaced at their addresses");
+                target.members().forEach(member -> replaceInPlace(fault, member));
+            }
             case DIE -> {
                 event(hit.size() + " nodes die");
                 hit.forEach(node -> {
                     node.end();
-                    state(node.host(), "down");
+                    state(node);
                     announce(node.host(), "Gone");
                 });
             }
@@ -272,7 +296,7 @@
                 event(hit.size() + " nodes are cut off");
                 hit.forEach(node -> {
                     node.cutOff();
-                    state(node.host(), "down");
+                    state(node);
                     announce(node.host(), "Gone");
                 });
             }
@@ -307,6 +331,12 @@
 
     /** Each sidecar hears of a change at a time of its own. */
     private void announce(String host, String health) {
+        if (gone.contains(host)) {
+            return; // two faults met it: it does not come back
+        }
+        if (health.equals("Gone")) {
+            gone.add(host);
+        }
         Entry entry = entry(host, health);
         double[] notice = scenario.roster().noticeMs();
         for (int i = 0; i < rosters.size(); i++) {
@@ -317,31 +347,56 @@
     }
 
     /** Batches: drained, ended, and followed by a cold one, spread evenly over the time of the deploy. */
-    private void deploy(Fault fault, List<Integer> members) {
+    private void deploy(Fault fault, List<Integer> hit) {
         int batch = Math.max(1, (int) Math.floor(fault.size() * plan.nodes().size()));
-        int batches = (members.size() + batch - 1) / batch;
-        event("a deploy replaces " + members.size() + " of " + plan.nodes().size() + " nodes, " + batch + " at a time");
+        int batches = (hit.size() + batch - 1) / batch;
+        event("a deploy replaces " + hit.size() + " of " + plan.nodes().size() + " nodes, " + batch + " at a time");
         for (int b = 0; b < batches; b++) {
-            List<Integer> now = members.subList(b * batch, Math.min(members.size(), (b + 1) * batch));
+            List<Integer> now = hit.subList(b * batch, Math.min(hit.size(), (b + 1) * batch));
             world.after(fault.forS() * 1000 * b / batches, () -> now.forEach(member -> replace(fault, member)));
         }
         world.after(fault.forS() * 1000, () -> event("the deploy is over"));
     }
 
     private void replace(Fault fault, int member) {
-        NodeSpec old = plan.nodes().get(member);
+        NodeSpec old = specs.get(members.get(member));
         NodeServer leaving = nodes.get(old.host());
-        state(old.host(), "draining");
+        states.add(new NodeState(world.nowMs(), old.host(), "draining"));
         announce(old.host(), "Terminating");
-        world.after(REJECT_AFTER_MS, leaving::reject);
+        world.after(REJECT_AFTER_MS, () -> {
+            leaving.reject();
+            state(leaving);
+        });
         world.after(fault.extra() * 1000, () -> {
             mostPushed = Math.max(mostPushed, leaving.pushed());
             leaving.end();
-            state(old.host(), "down");
+            state(leaving);
             announce(old.host(), "Gone");
-            NodeSpec next = new NodeSpec(old.host() + "x", old.kind(), old.site(), old.speed());
-            addNode(next, true);
-            announce(next.host(), "Ready");
+            if (members.get(member).equals(old.host())) { // or another fault has brought its successor already
+                succeed(old, member, "x", NodeServer.address(world.net, nodesMade));
+            }
+        });
+    }
+
+    private void succeed(NodeSpec old, int member, String mark, InetSocketAddress address) {
+        NodeSpec next = new NodeSpec(old.host() + mark, old.kind(), old.site(), old.speed());
+        members.set(member, next.host());
+        addNode(next, true, address);
+        announce(next.host(), "Ready");
+    }
+
+    /** What a sidecar sends to the old one, before it is told, meets the new one. */
+    private void replaceInPlace(Fault fault, int member) {
+        NodeSpec old = specs.get(members.get(member));
+        NodeServer leaving = nodes.get(old.host());
+        mostPushed = Math.max(mostPushed, leaving.pushed());
+        leaving.end();
+        state(leaving);
+        announce(old.host(), "Gone");
+        world.after(fault.size() * 1000, () -> {
+            if (members.get(member).equals(old.host())) {
+                succeed(old, member, "r", Addresses.parse(leaving.dial()));
+            }
         });
     }
 
@@ -361,13 +416,13 @@
         });
     }
 
-    private void restart(Fault fault, List<Integer> members) {
+    private void restart(Fault fault, List<Integer> hit) {
         boolean killed = fault.kind() == Scenario.FaultKind.KILL;
         double deadlineMs = scenario.classes().stream().mapToDouble(Scenario.RequestClass::deadlineMs).max().orElse(0);
         double endMs = killed ? 0 : Math.min(LONGEST_DEADLINE_MS, deadlineMs) + END_AFTER_TERM_MS;
-        double apartMs = members.size() > 1 ? fault.forS() * 1000 / (members.size() - 1) : 0;
-        for (int i = 0; i < members.size(); i++) {
-            int member = members.get(i);
+        double apartMs = hit.size() > 1 ? fault.forS() * 1000 / (hit.size() - 1) : 0;
+        for (int i = 0; i < hit.size(); i++) {
+            int member = hit.get(i);
             world.after(i * apartMs, () -> {
                 event("sidecar " + member + (killed ? " is killed with " : " is told to end with ")
                         + clients.get(member).openTries() + " calls open");
--- a/src/main/java/ivybank/rehearsal/stand/Loopback.java
+++ b/src/main/java/ivybank/rehearsal/stand/Loopback.java
@@ -22,11 +22,13 @@
     private Loopback() {
     }
 
-    /**
-     * Listens at a port of 127.{@code net}.{@code a}.{@code b} that the system chooses. Waits until it does, so that
-     * {@code acceptor} must be another thread than the caller's.
-     */
+    /** Listens at a port of 127.{@code net}.{@code a}.{@code b} that the system chooses; see the other one. */
     static Channel listen(EventLoopGroup acceptor, EventLoop loop, int net, int a, int b, Consumer<Channel> accepted) {
+        return listen(acceptor, loop, new InetSocketAddress("127." + net + "." + a + "." + b, 0), accepted);
+    }
+
+    /** Listens at an address. Waits until it does, so that {@code acceptor} must be another thread than the caller's. */
+    static Channel listen(EventLoopGroup acceptor, EventLoop loop, InetSocketAddress address, Consumer<Channel> accepted) {
         return new ServerBootstrap().group(acceptor, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -34,7 +36,7 @@
                     protected void initChannel(Channel channel) {
                         accepted.accept(channel);
                     }
-                }).bind(new InetSocketAddress("127." + net + "." + a + "." + b, 0)).syncUninterruptibly().channel();
+                }).bind(address).syncUninterruptibly().channel();
     }
 
     /** A port of 127.{@code net}.210.x that is free now: a sidecar must know its own before it starts. */
--- a/src/main/java/ivybank/rehearsal/stand/NodeServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/NodeServer.java
@@ -1,5 +1,6 @@
 package ivybank.rehearsal.stand;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Locale;
@@ -27,6 +28,12 @@
 
     private static final int MAX_BODY = 64 * 1024;
     private static final double REPORT_EVERY_MS = 200;
+    /** How an exchange is broken by what lies between. */
+    private static final int NOT_BROKEN = -1;
+    private static final int UNDER_THE_SIDECAR = 0;
+    private static final int UNDER_THE_NODE = 1;
+    private static final int BEFORE_IT_IS_BEGUN = 2;
+    private static final int BREAKS = 3;
 
     private final World world;
     private final String host;
@@ -46,13 +53,15 @@
     private boolean cutOff;
     private boolean ended;
     private double spoilt;
+    private double broken;
+    private double neighbour;
     private String report = "";
     private double reportedMs = Double.NEGATIVE_INFINITY;
     private int answersInPeriod;
 
-    /** A node that starts now, cold, or has run for long. */
-    NodeServer(World world, String host, String site, NodeModel model, int mostConnections, double connectMs, int number, boolean cold,
-            long seed) {
+    /** A node that starts now, cold, or has run for long, at {@code address}, whose port may be left to the system. */
+    NodeServer(World world, String host, String site, NodeModel model, int mostConnections, double connectMs,
+            InetSocketAddress address, boolean cold, long seed) {
         this.world = world;
         this.host = host;
         this.site = site;
@@ -61,15 +70,19 @@
         this.connectMs = connectMs;
         this.random = new SplittableRandom(seed);
         this.bornUnixMs = cold ? world.unixMs() : 0;
-        this.listener = Loopback.listen(world.acceptor, world.loop, world.net, 1 + number / 250, 1 + number % 250,
-                channel -> {
-                    Connection connection = new Connection(channel);
-                    channel.pipeline().addLast(new FirstByte(connection), new HttpRequestDecoder(),
-                            new HttpObjectAggregator(MAX_BODY), connection);
-                });
+        this.listener = Loopback.listen(world.acceptor, world.loop, address, channel -> {
+            Connection connection = new Connection(channel);
+            channel.pipeline().addLast(new FirstByte(connection), new HttpRequestDecoder(),
+                    new HttpObjectAggregator(MAX_BODY), connection);
+        });
         this.dial = Loopback.text(listener);
     }
 
+    /** The address of the node of this number, at a port that the system chooses. */
+    static InetSocketAddress address(int net, int number) {
+        return new InetSocketAddress("127." + net + "." + (1 + number / 250) + "." + (1 + number % 250), 0);
+    }
+
     public String host() {
         return host;
     }
@@ -101,7 +114,19 @@
         spoilt = part;
     }
 
+    /** Which part of its exchanges what lies between breaks. */
+    void broken(double part) {
+        broken = part;
+    }
+
+    /** What it is now, in a word; of several things that are wrong the worst one. */
+    String condition() {
+        return ended || cutOff || model.fallen() ? "down" : silent ? "silent" : rejecting ? "draining" : neighbour > 0 ? "slow"
+                : spoilt > 0 || broken > 0 ? "spoils" : model.warmth(world.nowMs()) < 1 ? "cold" : "ready";
+    }
+
     void neighbour(double part) {
+        neighbour = part;
         model.neighbour(part);
     }
 
@@ -185,8 +210,18 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (connection.deaf) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
             if (Double.isNaN(connection.firstByteMs)) {
                 connection.firstByteMs = world.nowMs();
+                connection.draw = random.nextDouble() < broken ? random.nextInt(BREAKS) : NOT_BROKEN;
+                if (connection.draw == BEFORE_IT_IS_BEGUN) {
+                    ReferenceCountUtil.release(message);
+                    connection.reset();
+                    return;
+                }
             }
             ctx.fireChannelRead(message);
         }
@@ -198,6 +233,8 @@
         private final String id;
         private final Attempt attempt;
         private Job job;
+        /** The connection is gone and the node does not know it yet. */
+        private boolean cut;
 
         Exchange(Connection connection, String id, Attempt attempt) {
             this.connection = connection;
@@ -221,6 +258,10 @@
             }
             answersInPeriod++;
             connection.exchange = null;
+            if (cut) {
+                world.referee.ended(attempt, Ending.CLOSED, null, world.nowMs()); // it has run, and nobody is there
+                return;
+            }
             if (random.nextDouble() < spoilt) {
                 world.referee.ended(attempt, Ending.SPOILT, null, world.nowMs());
                 spoil();
@@ -237,6 +278,8 @@
         private final Channel channel;
         private double firstByteMs = Double.NaN;
         private Exchange exchange;
+        private int draw = NOT_BROKEN;
+        private boolean deaf; // half open: the node has closed it, and the sidecar will never hear of that
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -283,7 +326,7 @@
                 channel.close();
                 return;
             }
-            world.attempted();
+            world.attempted(host);
             Load load = world.load(id);
             Attempt attempt = world.referee.begun(host, site, id, first, nowMs);
             if (load != null && !bears(load.workMs())) {
@@ -299,6 +342,25 @@
                 if (!silent) {
                     exchange.job = submit(exchange, load);
                 }
+                breakOff();
+            }
+        }
+
+        /**
+         * Breaks the connection under a request that is begun: the sidecar sees a reset and the node works on, or the node
+         * sees its client leave and the sidecar hears nothing.
+         */
+        private void breakOff() {
+            if (draw == UNDER_THE_SIDECAR) {
+                exchange.cut = exchange.job != null;
+                reset();
+            } else if (draw == UNDER_THE_NODE) {
+                deaf = true;
+                world.referee.ended(exchange.attempt, Ending.CLOSED, null, world.nowMs());
+                if (exchange.job != null) {
+                    model.cancel(world.nowMs(), exchange.job);
+                }
+                exchange = null;
             }
         }
 
@@ -312,7 +374,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
-            if (exchange != null) {
+            if (exchange != null && !exchange.cut) {
                 world.gaveUp();
                 world.referee.ended(exchange.attempt, silent ? Ending.SILENT : Ending.CLOSED, null, world.nowMs());
                 if (exchange.job != null) {
--- a/src/main/java/ivybank/rehearsal/stand/Overhead.java
+++ b/src/main/java/ivybank/rehearsal/stand/Overhead.java
@@ -57,7 +57,7 @@
                 NodeModel model = new NodeModel(spec.kind(), spec.speed(), scenario.cold(), scenario.choke(),
                         Double.NEGATIVE_INFINITY);
                 NodeServer node = new NodeServer(world, spec.host(), spec.site(), model, spec.kind().connections(), 0,
-                        nodes.size(), false, 1);
+                        NodeServer.address(net, nodes.size()), false, 1);
                 nodes.add(node);
                 made.change(new Entry(spec.host(), node.dial(), spec.site(), spec.kind().name(), "Ready", 0));
             }
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -52,6 +52,8 @@
     private final Set<Channel> watches = new HashSet<>();
     private final Set<Channel> open = new HashSet<>();
     private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+    /** What waits until discovery says something again: the day's changes, and calls of one sidecar. */
+    private final List<Runnable> whenBack = new ArrayList<>();
     /** What it shows while it is behind; null otherwise. */
     private Snapshot behind;
     private Channel listener;
@@ -88,7 +90,7 @@
     /** A change has come to the agent. */
     void change(Entry entry) {
         if (silent) {
-            world.after(100, () -> change(entry)); // discovery is down: the change comes when it is back
+            whenBack.add(() -> change(entry)); // discovery is down: the change comes when it is back
             return;
         }
         snapshots.addLast(new Snapshot(world.nowMs(), seq, Map.copyOf(list)));
@@ -145,6 +147,11 @@
 
     void silent(boolean on) {
         silent = on;
+        if (!on) {
+            List<Runnable> waiting = List.copyOf(whenBack);
+            whenBack.clear();
+            waiting.forEach(Runnable::run);
+        }
     }
 
     /** Goes on at another port, of which the sidecar learns by its configuration. */
@@ -201,7 +208,7 @@
 
         private void answer(ChannelHandlerContext ctx, String uri) {
             if (silent) {
-                world.after(200, () -> answer(ctx, uri));
+                whenBack.add(() -> answer(ctx, uri));
                 return;
             }
             if (uri.contains(STREAM)) {
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -94,10 +94,11 @@
         return settings;
     }
 
-    /** Starts it; what it prints goes to its log. */
+    /** Starts it with the descriptors that it may have and no more; what it prints goes to its log. */
     void start() throws IOException {
         expected = false;
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile())
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
+                "ulimit -n " + scenario.limits().sockets() + " && " + command).directory(folder.toFile())
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(state.resolve("sidecar.log").toFile()));
         builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
@@ -153,6 +154,11 @@
         }
     }
 
+    /** Kills it as a machine does that has no more memory for it: nobody has asked for its end. */
+    void killForMemory() {
+        process.destroyForcibly();
+    }
+
     boolean alive() {
         return process.isAlive();
     }
--- a/src/main/java/ivybank/rehearsal/stand/World.java
+++ b/src/main/java/ivybank/rehearsal/stand/World.java
@@ -30,7 +30,7 @@
     private double expectedMs;
     private double lateMs;
     private long connections;
-    private long attempts;
+    private final Map<String, Long> attempts = new HashMap<>(); // by node
     private long givenUp;
 
     /** {@code net}: 1 to 254, the second part of all its addresses. */
@@ -87,8 +87,8 @@
     }
 
     /** Notes an attempt at a node. */
-    void attempted() {
-        attempts++;
+    void attempted(String host) {
+        attempts.merge(host, 1L, Long::sum);
     }
 
     /** Notes an attempt whose connection was closed under it: giving one up costs its connection. */
@@ -104,8 +104,8 @@
         return connections;
     }
 
-    long attempts() {
-        return attempts;
+    Map<String, Long> attempts() {
+        return Map.copyOf(attempts);
     }
 
     void load(String callId, Load load) {
--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +18,7 @@
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
 import ivybank.rehearsal.stand.Day;
+import ivybank.testing.LoadedClasses;
 import ivybank.testing.ShortNight;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -28,23 +31,108 @@
     @TempDir
     Path dir;
 
-    private Verdict play(String name, String options) throws Exception {
+    private Day.Result night(String name, String command, String toml) throws Exception {
         Path state = Files.createDirectories(dir.resolve(name));
-        try (Day day = new Day(Plan.draw(ScenarioReader.read(name, ShortNight.TOML), 1), ShortNight.program(options) + "serve", Path.of("").toAbsolutePath(), state, line -> { })) {
-            return Verdict.of(day.play());
+        try (Day day = new Day(Plan.draw(ScenarioReader.read(name, toml), 1), command, Path.of("").toAbsolutePath(), state,
+                line -> { })) {
+            return day.play();
         }
     }
 
+    private Verdict play(String name, String options) throws Exception {
+        return Verdict.of(night(name, ShortNight.program(options) + "serve", ShortNight.TOML));
+    }
+
+    @Test
+    void aNodeThatIsReplacedAtItsAddressWhileItIsSilentAndSlowIsFollowedByAColdOneUnderANewName() throws Exception {
+        Day.Result day = night("replaced", ShortNight.program("") + "serve", ShortNight.TOML.replace("length_s = 2", "length_s = 6")
+                .replace("work_ms = 5", "work_ms = 30") + """
+                [roster]
+                notice_ms = 600
+                [[fault]]
+                kind = "silent"
+                at_s = 0.5
+                for_s = 1.5
+                part = 0.34
+                [[fault]]
+                kind = "slow"
+                at_s = 0.5
+                for_s = 1.5
+                part = 0.34
+                like = 1
+                [[fault]]
+                kind = "replace"
+                at_s = 1
+                part = 0.34
+                away_s = 0.1
+                like = 1
+                """);
+        assertEquals(List.of(), Verdict.of(day).reasons());
+        List<String> old = day.states().stream().filter(state -> !state.host().endsWith("r") && day.states().stream()
+                .anyMatch(next -> next.host().equals(state.host() + "r"))).map(Day.NodeState::state).toList();
+        assertEquals(List.of("ready", "silent", "silent", "down", "down", "down"), old, "the worst that is wrong with it, at each change");
+        String successor = day.states().stream().map(Day.NodeState::host).filter(host -> host.endsWith("r")).findFirst().orElseThrow();
+        assertTrue(day.attemptsOf().getOrDefault(successor, 0L) > 0, "it takes requests at the old address");
+    }
+
+    @Test
+    void whatBreaksInBetweenIsNotRepeatedThoughEachSideBlamesTheOther() throws Exception {
+        String toml = ShortNight.TOML.replace("length_s = 2", "length_s = 4").replace("safe", "unsafe") + """
+                [[fault]]
+                kind = "break"
+                at_s = 0.2
+                for_s = 3
+                share = 0.3
+                """;
+        Day.Result day = night("broken", ShortNight.program("") + "serve", toml);
+        assertEquals(List.of(), Verdict.of(day).reasons());
+        assertTrue(day.service().figure() < 0.95, "many were broken: " + day.service().figure());
+    }
+
+    @Test
+    void aSidecarIsKilledWithAHundredRequestsInHand() throws Exception {
+        Day.Result day = night("hands-full", ShortNight.program("") + "serve", ShortNight.TOML.replace("length_s = 2", "length_s = 6")
+                .replace("rate = 50", "rate = 450").replace("work_ms = 5", "work_ms = 5\nwait_ms = 450").replace("safe", "unsafe") + """
+                [[fault]]
+                kind = "kill"
+                at_s = 3
+                away_s = 0.1
+                """);
+        assertEquals(List.of(), Verdict.of(day).reasons());
+        String killed = day.events().stream().map(Day.Event::what).filter(what -> what.contains("is killed with")).findFirst().orElseThrow();
+        assertTrue(Integer.parseInt(killed.replaceAll(".* with ([0-9]+) calls open", "$1")) >= 100, killed);
+    }
+
+    @Test
+    void memoryAndDescriptorsAreHeldToTheLimits() throws Exception {
+        Day.Result greedy = night("greedy", ShortNight.program("-Xms300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
+        assertTrue(greedy.events().stream().anyMatch(event -> event.what().contains("MB of memory, 192 are allowed: it is killed")),
+                greedy.events().toString());
+        assertTrue(Verdict.of(greedy).reasons().contains("rule crash broken 1 times"));
+        Day.Result held = night("held", "test \"$(ulimit -n)\" = 100 || exit 9; " + ShortNight.program("") + "serve",
+                ShortNight.TOML + "[limits]\nsockets = 100\n");
+        assertTrue(held.service().figure() > 0.9, "it was started with so many");
+    }
+
+    @Test
+    void serveTakesAnOperatorFileAndStopsAtOneThatItCantUse() throws Exception {
+        Path good = Files.writeString(dir.resolve("good.toml"), "[discovery]\nsilence_ms = 2500\n");
+        Path bad = Files.writeString(dir.resolve("bad.toml"), "[discovery]\nsilence = 2500\n");
+        Path loaded = dir.resolve("operator.log");
+        assertEquals(List.of(), Verdict.of(night("good", ShortNight.program("-Xlog:class+load:file=" + loaded) + "serve --operator "
+                + good, ShortNight.TOML)).reasons());
+        assertTrue(Files.readString(loaded).contains("ivybank.operator.OperatorFile"));
+        IOException e = assertThrows(IOException.class, () -> night("bad", ShortNight.program("") + "serve --operator " + bad,
+                ShortNight.TOML));
+        assertTrue(e.getMessage().contains("was not ready"), e.getMessage());
+        assertTrue(Files.readString(dir.resolve("bad/sidecar-0/sidecar.log")).contains("bad.toml: discovery.silence is not known here"));
+    }
+
     @Test
     void serveLoadsNoClassOfThePartsThatAreOff() throws Exception {
         Path loaded = dir.resolve("loaded.log");
         play("classes", "-Xlog:class+load:file=" + loaded);
-        List<String> classes = Files.readAllLines(loaded);
-        assertTrue(classes.stream().anyMatch(line -> line.contains("ivybank.daemon.Sidecar")));
-        for (String part : List.of("ivybank.rehearsal", "ivybank.cli.", "ivybank.operator", "ivybank.toml.StrictTable", "picocli", "org.HdrHistogram",
-                "dataformat.toml")) {
-            assertEquals(List.of(), classes.stream().filter(line -> line.contains(part)).toList());
-        }
+        LoadedClasses.assertServeAlone(loaded);
     }
 
     @Test
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -53,7 +53,9 @@
         ODD("[[fault]]\nkind='roster-odd'\nat_s=1\n", 4, 150, 1),
         MOVE("[[fault]]\nkind='roster-move'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=3\nfor_s=1\npart=0.34\nbatch=0.4\n"
                 + "drain_s=3\n", 8, 150, 1),
-        SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1);
+        SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1),
+        RUDE("[clients]\nrubbish=0.05\n", 4, 150, 1),
+        BROKEN("[[fault]]\nkind='break'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1);
 
         private final String toml;
 
@@ -131,7 +133,13 @@
             new Mutant("waits for a silent node for ever", Night.SILENT, List.of("rule answer"),
                     List.of(new Edit("upstream/UpstreamPool.java", "attempt.stop(Outcome.TIMEOUT)", "attempt.ended()"),
                             new Edit("daemon/Driver.java", "        if (!exchange.over) {\n            counters.expired++;",
-                                    "        if (exchange.over) {\n            counters.expired++;")))
+                                    "        if (exchange.over) {\n            counters.expired++;"))),
+            new Mutant("leaves rude clients without an answer", Night.RUDE, List.of("rule answer"),
+                    List.of(new Edit("client/ClientConnection.java", "        if (arrival.request == null) {\n",
+                            "        if (arrival.request == null && arrival.status == BAD_REQUEST) {\n            return;\n"
+                                    + "        } else if (arrival.request == null) {\n"))),
+            new Mutant("repeats what was broken in between", Night.BROKEN, List.of("rule repeat"),
+                    List.of(new Edit("policy/Balancer.java", "RESET(false)", "RESET(true)")))
     );
 
     @TempDir
--- a/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
+++ b/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
@@ -49,7 +49,7 @@
         "length_s = 5 | lenght_s = 5 | f.toml: length_s is missing: a number from 1 to 3600 is allowed",
         "rate = 100 | rates = 100 | f.toml: traffic.rates is not known here: allowed are [rate, sidecars, skew, swing]",
         "\"silent\" | \"silence\" | f.toml: fault[0].kind is \"silence\": one of [silent, slow, deploy, die, vanish, spoil, "
-                + "kill, term, roster-silent, roster-odd, roster-old, roster-move] is allowed",
+                + "break, replace, kill, term, roster-silent, roster-odd, roster-old, roster-move] is allowed",
         "aim_ms = 100 | aim_ms = 500 | f.toml: class[0].aim_ms is 500: a number from 1 to 400 is allowed",
         "[[kind]] | [kinds] | f.toml: kind is missing: a scenario needs a [[kind]] of node at least",
         "name = \"x\" | name = x | f.toml, line 1",
