A store that survives cuts, and promises of unsafe requests over it

A request that must not run twice was forgotten by a sidecar that was killed: the next one could double it. ivybank.store is an append-only log with group commit, checkpoints, compaction by steps and a recovery that tells a torn write from damage (each record names where its batch begins, so a later batch proves that what is before it was forced). ivybank.promises puts a request on record before its first byte goes to a node and its answer before the client gets it; the same identity again gets the answer on record, is joined, goes out as new or fails as in doubt.

Not yet: kills under load, benchmark, mutants of the promises.

--- /dev/null
+++ b/src/main/java/ivybank/cli/StoreCommand.java
@@ -0,0 +1,90 @@
+package ivybank.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import ivybank.operator.OperatorFile;
+import ivybank.operator.OperatorFile.StoreSettings;
+import ivybank.store.Disk;
+import ivybank.store.Limits;
+import ivybank.store.Maintenance;
+import ivybank.store.RealDisk;
+import ivybank.store.RecoveryReport;
+import ivybank.store.StoreException;
+import ivybank.toml.InputException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code ivybank store}: looks at the folder of a store, which no daemon may hold meanwhile. */
+@Command(name = "store", mixinStandardHelpOptions = true, description = "Looks at the folder of a store while no daemon holds it.")
+final class StoreCommand implements Runnable {
+
+    private static final Limits STANDARD = new Limits(64L << 20, 1 << 20, 64 << 10, 4 << 20);
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "one of inspect, verify and compact is missing");
+    }
+
+    private static Disk take(Path folder) throws IOException, InputException {
+        if (!Files.isDirectory(folder)) {
+            throw new InputException(folder + ": is no folder");
+        }
+        return RealDisk.take(folder);
+    }
+
+    @Command(name = "inspect", mixinStandardHelpOptions = true, description = "What is in a store; changes nothing.")
+    int inspect(@Parameters(paramLabel = "DIR") Path folder) throws IOException, InputException {
+        RecoveryReport report = read(folder);
+        if (report == null) {
+            return Ivybank.FAILED;
+        }
+        System.out.println(folder + ": " + report.line());
+        try (var files = Files.list(folder)) {
+            for (Path file : files.sorted().toList()) {
+                System.out.printf("%12d  %s%n", Files.size(file), file.getFileName());
+            }
+        }
+        return 0;
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+            description = "Reads every record; 1 if any that was confirmed can't be read. Changes nothing.")
+    int verify(@Parameters(paramLabel = "DIR") Path folder) throws IOException, InputException {
+        RecoveryReport report = read(folder);
+        if (report != null) {
+            System.out.println(folder + ": " + (report.damage().isEmpty() ? "good; " : "") + report.line());
+        }
+        return report != null && report.damage().isEmpty() ? 0 : Ivybank.FAILED;
+    }
+
+    private static RecoveryReport read(Path folder) throws IOException, InputException {
+        try {
+            return Maintenance.verify(take(folder));
+        } catch (StoreException e) {
+            System.err.println("ivybank: " + folder + ": " + e.getMessage());
+            return null;
+        }
+    }
+
+    @Command(name = "compact", mixinStandardHelpOptions = true, description = "Drops what is dead.")
+    int compact(@Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--operator", paramLabel = "FILE", description = "the operator file, for its sizes") Path operator)
+            throws IOException, InputException {
+        StoreSettings settings = operator == null ? null : OperatorFile.read(operator, false).store();
+        try {
+            long[] bytes = Maintenance.compact(take(folder), settings == null ? STANDARD : settings.limits());
+            System.out.println(folder + ": " + bytes[0] + " bytes before, " + bytes[1] + " now");
+            return 0;
+        } catch (StoreException e) {
+            System.err.println("ivybank: " + folder + ": " + e.getMessage());
+            return Ivybank.FAILED;
+        }
+    }
+}
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -173,9 +173,13 @@
                 || strayBody) {
             return new Arrival(null, BAD_REQUEST, keepAlive);
         }
+        String identity = server.identityHeader() == null ? null : fields.token(server.identityHeader());
+        if (server.identityHeader() != null && !fields.isTokenOrAbsent(server.identityHeader())) {
+            return new Arrival(null, BAD_REQUEST, keepAlive); // it must not be taken for one without an identity
+        }
         return new Arrival(new ClientRequest(method, uri, id, fields.token(IDEMPOTENCY_KEY), message.body(),
                 requestClass, server.tenantOf(head.headers().get(CALLER)), "1".equals(head.headers().get(AGAIN)),
-                clock.nowMs(), budgetMs), 0, keepAlive);
+                clock.nowMs(), budgetMs, identity, null), 0, keepAlive);
     }
 
     private void answer(Arrival arrival, Answer answer) {
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -46,6 +46,7 @@
     private final Map<String, Integer> classOfPath = new HashMap<>();
     private final Map<String, Integer> tenantOfName = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final String identityHeader;
     private Channel listener;
     private boolean ending;
     private boolean draining;
@@ -54,7 +55,10 @@
     private long evicted;
     private long turnedAway;
 
-    public ClientServer(Settings settings, RequestHandler driver, Clock clock, Limits limits, Descriptors descriptors, Log log) {
+    /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
+    public ClientServer(Settings settings, RequestHandler driver, Clock clock, Limits limits, Descriptors descriptors,
+            String identityHeader, Log log) {
+        this.identityHeader = identityHeader;
         this.driver = driver;
         this.clock = clock;
         this.limits = limits;
@@ -86,6 +90,10 @@
         return bound;
     }
 
+    String identityHeader() {
+        return identityHeader;
+    }
+
     public int connections() {
         return connections.size();
     }
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -21,6 +21,7 @@
 import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
 import ivybank.exchange.RequestHandler;
+import ivybank.exchange.SendRecord;
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.ListKind;
 import ivybank.policy.Balancer.Outcome;
@@ -191,6 +192,13 @@
     private void ended(Exchange exchange, int number, double sentMs, Ending ending) {
         exchange.out--;
         counters.ended(ending.outcome());
+        SendRecord record = exchange.request.record();
+        if (record != null && exchange.attempts.get(number).wentOut()) {
+            record.ended(ending.outcome().provesNotRun());
+            if (ending.outcome() == Outcome.OK && exchange.over) {
+                record.servedLate(Answer.served(ending.contentType(), ending.body()));
+            }
+        }
         if (ending.outcome() == Outcome.OK && !exchange.over) {
             counters.served++;
             answer(exchange, Answer.served(ending.contentType(), ending.body()));
@@ -267,8 +275,35 @@
         if (exchange.over || mostMs <= 0 || number >= settings.limits().maxAttempts()) {
             attempt.end(Ending.of(Outcome.NOT_SENT));
         } else {
+            send(exchange, attempt);
+        }
+    }
+
+    private void send(Exchange exchange, UpstreamAttempt attempt) {
+        SendRecord record = exchange.request.record();
+        if (record == null) {
+            pool.send(attempt);
+        } else if (record.recorded()) {
+            record.sending();
+            attempt.goOut();
             pool.send(attempt);
+        } else {
+            record.record(() -> {
+                if (!attempt.ended()) { // or it was called off meanwhile
+                    send(exchange, attempt);
+                }
+            }, () -> unrecorded(exchange, attempt));
+        }
+    }
+
+    /** It can't be put on record that the request may run: it is refused, since nothing of it has gone out. */
+    private void unrecorded(Exchange exchange, UpstreamAttempt attempt) {
+        if (!exchange.over) {
+            counters.refused++;
+            answer(exchange, Answer.refused(settings.limits().maxRetryAfterMs()));
+            tell(() -> balancer.clientLeft(clock.nowMs(), exchange.id));
         }
+        attempt.end(Ending.of(Outcome.CANCELLED));
     }
 
     @Override
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -14,10 +14,12 @@
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
 import ivybank.discovery.Timing;
+import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.operator.OperatorFile;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
+import ivybank.promises.PromiseKeeper;
 import ivybank.toml.InputException;
 import ivybank.upstream.LoadReport;
 import ivybank.upstream.UpstreamPool;
@@ -105,12 +107,14 @@
     private final ConfigFile file;
     private final DrainTimes drainTimes;
     private final PooledByteBufAllocator buffers;
+    private final PromiseKeeper promises; // null: none are kept
     private final CountDownLatch drained = new CountDownLatch(1);
     /** Signals to read the configuration again so far. */
     private int reloads;
 
+    /** @param store where promises are kept; null for none */
     Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes,
-            Timing timing) {
+            Timing timing, StoreSettings store) throws IOException {
         this.file = file;
         this.config = config;
         this.drainTimes = drainTimes;
@@ -133,10 +137,12 @@
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         driver = new Driver(config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool,
                 log);
+        promises = store == null ? null : promises(store);
         int served = clients - refused;
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
-        server = new ClientServer(config.settings(), driver, clock,
-                new ClientServer.Limits(comfortable, served, clients), descriptors, log);
+        server = new ClientServer(config.settings(), promises == null ? driver : promises, clock,
+                new ClientServer.Limits(comfortable, served, clients), descriptors,
+                store == null ? null : store.promises().header(), log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
                 timing, driver::updated, clock, log);
     }
@@ -150,12 +156,12 @@
         Config config = Config.load(environment);
         boolean asked = config.settings().askForList();
         // Without the file nothing of it is loaded.
-        Timing timing = operator == null ? Timing.standard(asked)
-                : OperatorFile.read(Path.of(operator), asked).discovery();
+        OperatorFile more = operator == null ? null : OperatorFile.read(Path.of(operator), asked);
+        Timing timing = more == null ? Timing.standard(asked) : more.discovery();
         Clock clock = Clock.system();
         Log log = new Log(System.err, clock);
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
-                DrainTimes.longest(config.settings()), timing);
+                DrainTimes.longest(config.settings()), timing, more == null ? null : more.store());
         if (!HangUp.handle(sidecar::reload)) {
             log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                     + " read again only when a connection to discovery has ended");
@@ -165,6 +171,17 @@
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
     }
 
+    private PromiseKeeper promises(StoreSettings store) throws IOException {
+        try {
+            PromiseKeeper keeper = KeptPromises.open(store, config.settings(), loop, clock, log);
+            keeper.driver(driver);
+            return keeper;
+        } catch (IOException e) {
+            group.shutdownGracefully();
+            throw new IOException("store " + store.folder() + ": " + e.getMessage(), e);
+        }
+    }
+
     /** Starts the module with the list as it was last known, then listens and follows discovery. */
     InetSocketAddress start() throws IOException {
         ChannelFuture bound = loop.submit(this::begin).syncUninterruptibly().getNow().awaitUninterruptibly();
@@ -232,6 +249,9 @@
                     + " of the client's closed as idle and " + server.turnedAway() + " requests refused for want of"
                     + " descriptors or, when ending, of connections so far");
         }
+        if (counts != null && promises != null) {
+            log.line(promises.report());
+        }
     }
 
     /**
@@ -258,14 +278,21 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (promises != null) {
+            promises.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(1, TimeUnit.SECONDS);
     }
 
+    private int unanswered() {
+        return promises == null ? driver.unanswered() : promises.unanswered();
+    }
+
     private void stopServing() {
         server.drain();
         loop.scheduleWithFixedDelay(() -> {
             server.closeIdle();
-            if (driver.unanswered() == 0 && server.connections() == 0) {
+            if (unanswered() == 0 && server.connections() == 0) {
                 discovery.stop();
                 pool.closeAllIdle();
                 report();
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -100,7 +100,7 @@
         driver.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
         LocalAddress listen = new LocalAddress("warm-up sidecar");
         new ClientServer(settings, driver, clock, new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS), descriptors,
-                silent)
+                null, silent)
                 .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
         new Bootstrap().group(loop).channel(LocalChannel.class).handler(initializer(() ->
                 new ChannelHandler[] {new Client()})).connect(listen);
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import ivybank.discovery.Timing;
+import ivybank.promises.PromiseSettings;
+import ivybank.store.Limits;
 import ivybank.toml.InputException;
 import ivybank.toml.StrictTable;
 
@@ -12,10 +15,15 @@
  * What operators set beside the platform's configuration, in TOML: all that is new goes here, and without the file all of it
  * is off or standard. Read once, at the start.
  */
-public record OperatorFile(Timing discovery) {
+public record OperatorFile(Timing discovery, StoreSettings store) {
+
+    /** Where promises are kept, how large that may get, and how; null in its place: they are not. */
+    public record StoreSettings(Path folder, Limits limits, boolean degrade, PromiseSettings promises) {
+    }
 
     private static final int LEAST_MS = 50;
     private static final int MOST_MS = 600_000;
+    private static final int LEAST_SEGMENTS = 8;
 
     /**
      * Reads a file.
@@ -36,9 +44,38 @@
         OperatorFile read = new OperatorFile(new Timing(
                 discovery.integer("silence_ms", LEAST_MS, MOST_MS, standard.silenceMs()),
                 discovery.integer("first_answer_ms", LEAST_MS, MOST_MS, standard.firstAnswerMs()),
-                discovery.number("longest_pause_ms", LEAST_MS, MOST_MS, standard.longestPauseMs())));
+                discovery.number("longest_pause_ms", LEAST_MS, MOST_MS, standard.longestPauseMs())), store(root));
         discovery.end();
         root.end();
         return read;
     }
+
+    private static StoreSettings store(StrictTable root) throws InputException {
+        if (!root.has("store")) {
+            if (root.has("promises")) {
+                throw root.error("promises", "needs a [store] to be kept in");
+            }
+            return null;
+        }
+        StrictTable store = root.table("store");
+        StrictTable promises = root.table("promises");
+        int segmentKb = store.integer("segment_kb", 64, 1 << 18, 1024);
+        int diskMb = store.integer("disk_mb", 1, 1 << 20, 64);
+        int valueKb = store.integer("value_kb", 1, 1 << 14, 64);
+        if (diskMb * 1024L < segmentKb * LEAST_SEGMENTS) {
+            throw store.error("disk_mb", "is " + diskMb + ": room for " + LEAST_SEGMENTS + " segments of segment_kb at least is needed");
+        }
+        if (valueKb * 2 > segmentKb) {
+            throw store.error("value_kb", "is " + valueKb + ": half of segment_kb at most is allowed");
+        }
+        StoreSettings read = new StoreSettings(Path.of(store.text("folder", null)), new Limits(diskMb * 1024L * 1024, segmentKb * 1024,
+                valueKb * 1024, 1024 * store.integer("waiting_kb", 64, 1 << 18, 4096)),
+                store.choice("damage", List.of("refuse", "go-on"), "refuse").equals("go-on"),
+                new PromiseSettings(promises.text("identity", "Idempotency-Key"),
+                        1000 * promises.number("keep_s", 1, 1e8, 86_400), promises.integer("most", 100, 10_000_000, 100_000),
+                        promises.choice("when_failing", List.of("refuse", "let-through"), "refuse").equals("let-through")));
+        store.end();
+        promises.end();
+        return read;
+    }
 }
--- /dev/null
+++ b/src/main/java/ivybank/store/Maintenance.java
@@ -0,0 +1,38 @@
+package ivybank.store;
+
+import java.io.IOException;
+
+/** What can be done with the folder of a store while no daemon holds it. */
+public final class Maintenance {
+
+    private Maintenance() {
+    }
+
+    /** Reads every record and tells what a start would find; changes nothing. */
+    public static RecoveryReport verify(Disk disk) throws IOException {
+        try (disk) {
+            return Recovery.check(disk);
+        }
+    }
+
+    /** Drops all that is dead and can be dropped; returns the bytes of records before and after. */
+    public static long[] compact(Disk disk, Limits limits) throws IOException {
+        SegmentLog log;
+        try {
+            log = Recovery.run(disk, limits, false).log();
+        } catch (IOException | RuntimeException e) {
+            disk.close();
+            throw e;
+        }
+        try (log) {
+            long before = log.used();
+            log.finishSegment();
+            long used = Long.MAX_VALUE;
+            while (log.isCompacting() || log.used() < used) {
+                used = log.isCompacting() ? used : log.used();
+                log.compact(1);
+            }
+            return new long[] {before, log.used()};
+        }
+    }
+}
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -27,6 +27,7 @@
     private ScheduledFuture<?> timer;
     private UpstreamConnection connection;
     private boolean ended;
+    private boolean wentOut;
 
     public UpstreamAttempt(Node node, ClientRequest request, double timeoutMs, Consumer<Ending> listener) {
         this.node = node;
@@ -35,10 +36,19 @@
         this.listener = listener;
     }
 
-    boolean ended() {
+    public boolean ended() {
         return ended;
     }
 
+    /** From now on it may reach its node. */
+    public void goOut() {
+        wentOut = true;
+    }
+
+    public boolean wentOut() {
+        return wentOut;
+    }
+
     void timer(ScheduledFuture<?> running) {
         timer = running;
     }
--- /dev/null
+++ b/src/test/java/ivybank/daemon/PromiseKeeperTest.java
@@ -0,0 +1,214 @@
+package ivybank.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.discovery.Timing;
+import ivybank.operator.OperatorFile;
+import ivybank.testing.FakeServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Promises of a sidecar on sockets, over restarts. */
+@Timeout(60)
+class PromiseKeeperTest {
+
+    private record Got(int status, String body) {
+    }
+
+    @TempDir
+    Path dir;
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+    private final AtomicInteger ran = new AtomicInteger();
+    private Sidecar sidecar;
+    private InetSocketAddress address;
+    private int asked;
+
+    @AfterEach
+    void close() throws Exception {
+        if (sidecar != null) {
+            sidecar.drain();
+        }
+        for (AutoCloseable each : toClose) {
+            each.close();
+        }
+    }
+
+    private InetSocketAddress node(FakeServer.Script script) throws IOException {
+        FakeServer node = new FakeServer(script);
+        toClose.add(node);
+        return node.address();
+    }
+
+    private void start(InetSocketAddress node) throws Exception {
+        Path file = Files.writeString(dir.resolve("config.json"), """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":256},
+                 "known":{"seq":3,"whole":true,"hosts":[{"host":"h","dial":"127.0.0.1:%d","site":"a","class":"k","block":1,
+                  "health":"Ready","share":1.0,"born_ms":0}]},
+                 "settings":{"instances":1,"tickMs":5,"lanes":[
+                  {"name":"read","aimMs":1500,"hardLimitMs":6000,"idempotency":"retryable","worth":1},
+                  {"name":"submit","aimMs":1500,"hardLimitMs":6000,"idempotency":"fragile","worth":5}],
+                  "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfterMs":1500,
+                   "connectTimeoutMs":250,"connIdleMs":60000},
+                  "report":{"via":"inline","fields":[]},"failureDomains":["a"],"kinds":["k"]}}
+                """.formatted(node.getPort()));
+        Path operator = Files.writeString(dir.resolve("operator.toml"), "[store]\nfolder = \"" + dir.resolve("store")
+                + "\"\n[promises]\nidentity = \"X-Event\"\n");
+        Clock clock = Clock.system();
+        Map<String, String> environment = Map.of("EDGE_CONFIG", file.toString());
+        sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment),
+                new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock), clock, new Sidecar.DrainTimes(10, 20, 200),
+                Timing.standard(false), OperatorFile.read(operator, false).store());
+        address = sidecar.start();
+    }
+
+    private Got submit(String event, int budgetMs) throws IOException {
+        HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/submit").toURL().openConnection();
+        call.setRequestMethod("POST");
+        call.setDoOutput(true);
+        call.setRequestProperty("X-Call-Id", "c" + ++asked);
+        call.setRequestProperty("X-Budget-Ms", String.valueOf(budgetMs));
+        if (event != null) {
+            call.setRequestProperty("X-Event", event);
+        }
+        call.getOutputStream().write("{}".getBytes(StandardCharsets.US_ASCII));
+        int status = call.getResponseCode();
+        var body = status < 400 ? call.getInputStream() : call.getErrorStream();
+        return new Got(status, body == null ? "" : new String(body.readAllBytes(), StandardCharsets.UTF_8).strip());
+    }
+
+    private void serves(FakeServer.Connection connection) throws IOException {
+        while (connection.read() != null) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + ran.incrementAndGet());
+        }
+    }
+
+    @Test
+    void anAckOutlastsARestartAndTheSameEventIsNeverSentAgain() throws Exception {
+        InetSocketAddress node = node(this::serves);
+        start(node);
+        assertEquals(new Got(200, "#1"), submit("quake-7", 3000));
+        assertEquals(new Got(200, "#1"), submit("quake-7", 3000));
+        assertEquals(new Got(200, "#2"), submit("quake-8", 3000));
+        assertEquals(new Got(200, "#3"), submit(null, 3000));
+        assertEquals(new Got(200, "#4"), submit(null, 3000), "one without a name is not recognised");
+        sidecar.drain();
+        start(node);
+        assertTrue(said.toString(StandardCharsets.UTF_8).contains("promises: 2 acked and 0 in doubt from before"), said.toString(StandardCharsets.UTF_8));
+        assertEquals(new Got(200, "#1"), submit("quake-7", 3000));
+        assertEquals(4, ran.get());
+        String folder = dir.resolve("store").toString();
+        assertEquals(1, ivybank.cli.Ivybank.run(new String[] {"store", "verify", folder}), "it is in use");
+        sidecar.drain();
+        sidecar = null;
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"store", "verify", folder}));
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"store", "inspect", folder}));
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"store", "compact", folder}));
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"store", "verify", folder}));
+        Path segment;
+        try (var files = Files.list(dir.resolve("store"))) {
+            segment = files.filter(file -> file.getFileName().toString().startsWith("segment-"))
+                    .max(java.util.Comparator.comparingLong(file -> file.toFile().length())).orElseThrow();
+        }
+        byte[] bytes = Files.readAllBytes(segment);
+        bytes[40] ^= 1;
+        Files.write(segment, bytes);
+        assertEquals(1, ivybank.cli.Ivybank.run(new String[] {"store", "verify", folder}), "a damaged one");
+        assertEquals(2, ivybank.cli.Ivybank.run(new String[] {"store", "verify", folder + "/none"}));
+    }
+
+    @Test
+    void whatMayHaveRunStaysInDoubtOverARestartAndIsNeitherSentNorRefused() throws Exception {
+        InetSocketAddress node = node(connection -> {
+            connection.read();
+            ran.incrementAndGet();
+            connection.socket.close();
+        });
+        start(node);
+        assertEquals(502, submit("quake-7", 3000).status());
+        assertEquals(new Got(409, "it may have run, and is not sent again: in doubt"), submit("quake-7", 3000));
+        sidecar.drain();
+        start(node);
+        assertTrue(said.toString(StandardCharsets.UTF_8).contains("promises: 0 acked and 1 in doubt from before"));
+        assertEquals(409, submit("quake-7", 3000).status());
+        assertEquals(1, ran.get());
+    }
+
+    @Test
+    void whatHasCertainlyNotRunGoesOutAsNew() throws Exception {
+        AtomicInteger turnedAway = new AtomicInteger();
+        InetSocketAddress node = node(connection -> {
+            while (connection.read() != null) {
+                connection.write(turnedAway.getAndIncrement() < 8 ? "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+                        : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + ran.incrementAndGet());
+            }
+        });
+        start(node);
+        Got first = submit("quake-7", 3000);
+        assertEquals(503, first.status());
+        Got next = first;
+        while (next.status() == 503) {
+            next = submit("quake-7", 3000);
+        }
+        assertEquals(new Got(200, "#1"), next);
+    }
+
+    @Test
+    void theSameEventInHandIsJoinedAndRunsOnce() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        InetSocketAddress node = node(connection -> {
+            connection.read();
+            begun.countDown();
+            go.await();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + ran.incrementAndGet());
+            connection.read();
+        });
+        start(node);
+        List<Got> got = new ArrayList<>();
+        Thread first = new Thread(() -> {
+            try {
+                got.add(submit("quake-7", 5000));
+            } catch (IOException e) {
+                got.add(new Got(0, e.toString()));
+            }
+        });
+        first.start();
+        begun.await();
+        assertEquals(504, submit("quake-7", 200).status(), "its own time is up first");
+        go.countDown();
+        assertEquals(new Got(200, "#1"), submit("quake-7", 3000));
+        first.join();
+        assertEquals(List.of(new Got(200, "#1")), got);
+        assertEquals(1, ran.get());
+    }
+
+    @Test
+    void twoSidecarsCantHaveTheSameFolder() throws Exception {
+        start(node(this::serves));
+        Sidecar running = sidecar;
+        IOException e = org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> start(new InetSocketAddress("127.0.0.1", 1)));
+        assertTrue(e.getMessage().contains("is held by another process"), e.getMessage());
+        sidecar = running;
+    }
+}
