--- a/src/main/java/ivybank/cli/StoreCommand.java
+++ b/src/main/java/ivybank/cli/StoreCommand.java
@@ -22,7 +22,8 @@
 @Command(name = "store", mixinStandardHelpOptions = true, description = "Looks at the folder of a store while no daemon holds it.")
 final class StoreCommand implements Runnable {
 
-    private static final Limits STANDARD = new Limits(64L << 20, 1 << 20, 64 << 10, 4 << 20);
+    /** Larger than an operator file need allow: what is there must be readable. */
+    static final Limits STANDARD = new Limits(1L << 40, 1 << 20, 64 << 10, 4 << 20);
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- /dev/null
+++ b/src/main/java/ivybank/promises/PromiseFolder.java
@@ -0,0 +1,58 @@
+package ivybank.promises;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import ivybank.promises.Promises.State;
+import ivybank.store.Disk;
+import ivybank.store.Limits;
+import ivybank.store.Store;
+
+/** The promises in a folder that no daemon holds. */
+public final class PromiseFolder {
+
+    /** One of them: the class and the name of its request (empty: it had none), since when in Unix ms. */
+    public record Kept(String requestClass, String name, State state, double atMs) {
+    }
+
+    private PromiseFolder() {
+    }
+
+    /** All of them, the oldest first; what was sent and not acked is in doubt. */
+    public static List<Kept> list(Disk disk, Limits limits) throws IOException {
+        List<Kept> all = new ArrayList<>();
+        open(disk, limits, all).close();
+        all.sort(Comparator.comparingDouble(Kept::atMs));
+        return all;
+    }
+
+    /** Forgets one, so that the same request is new; false if there is none of this class and name. */
+    public static boolean clear(Disk disk, Limits limits, String requestClass, String name) throws IOException {
+        List<Kept> all = new ArrayList<>();
+        try (Store store = open(disk, limits, all)) {
+            if (all.stream().noneMatch(kept -> kept.requestClass.equals(requestClass) && kept.name.equals(name))) {
+                return false;
+            }
+            CompletableFuture<Store.Outcome> done = new CompletableFuture<>();
+            store.delete((requestClass + "\n" + name).getBytes(StandardCharsets.UTF_8), done::complete);
+            if (done.join() != Store.Outcome.CONFIRMED) {
+                throw new IOException("the disk did not take it: " + done.join());
+            }
+            return true;
+        }
+    }
+
+    private static Store open(Disk disk, Limits limits, List<Kept> all) throws IOException {
+        return Store.open(disk, limits, false, (key, value) -> {
+            Entry entry = Entry.read(value);
+            String identity = new String(key, StandardCharsets.UTF_8);
+            int split = identity.indexOf('\n');
+            all.add(new Kept(identity.substring(0, split), split == 0 ? "" : identity.substring(split + 1),
+                    entry.state() == State.ACKED ? State.ACKED : State.IN_DOUBT, entry.atMs()));
+        }, task -> new Thread(task, "store"));
+    }
+}
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -44,7 +44,7 @@
                         traffic.number("skew", 0.1, 10, 1), traffic.number("swing", 0, 0.9, 0.1)),
                 new Scenario.Clients(clients.integer("retries", 0, 5, 1), clients.range("try_share", 0.05, 1, 1),
                         clients.range("backoff_ms", 0, 60_000, 50, 100), clients.number("honour", 0, 1, 1),
-                        clients.number("rubbish", 0, 0.2, 0)),
+                        clients.number("rubbish", 0, 0.2, 0), clients.flag("named", false), clients.number("ask_again", 0, 1, 0)),
                 new Scenario.Limits(limits.integer("memory_mb", 32, 65_536, 192), limits.integer("sockets", 64, 65_536, 512),
                         limits.integer("attempts", 1, 6, 6)),
                 new Scenario.Rules(rules.number("drain_grace_ms", 1, 60_000, 500), rules.number("margin_ms", 0, 1000, 50)),
--- a/src/main/java/ivybank/store/SegmentLog.java
+++ b/src/main/java/ivybank/store/SegmentLog.java
@@ -143,6 +143,13 @@
         }
     }
 
+    /** Begins another segment where the last one can't be written any more. */
+    void repair() throws IOException {
+        if (broken) {
+            roll();
+        }
+    }
+
     /** Goes on in another segment, so that the last one can be compacted too. */
     void finishSegment() throws IOException {
         if (active.confirmed > Records.HEADER) {
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -168,13 +168,14 @@
         try {
             while (!closing || !queue.isEmpty()) {
                 taken.clear();
-                Object first = queue.poll(log.wantsCompaction() && System.nanoTime() >= quietUntil ? 0 : IDLE_MS, TimeUnit.MILLISECONDS);
+                Object first = queue.poll(pauseMs(), TimeUnit.MILLISECONDS);
                 if (first != null) {
                     taken.add(first);
                     drain(taken);
                     serve(taken);
                 }
                 if (!closing) {
+                    repair();
                     compact();
                 }
                 publish();
@@ -186,6 +187,11 @@
         }
     }
 
+    private long pauseMs() {
+        return state == State.FAILING ? PAUSE_AFTER_FAILURE_MS
+                : log.wantsCompaction() && System.nanoTime() >= quietUntil ? 0 : IDLE_MS;
+    }
+
     /** Takes what waits, as far as one batch may go. */
     private void drain(List<Object> taken) {
         long size = taken.get(0) instanceof Waiting waiting ? waiting.size : 0;
@@ -258,6 +264,18 @@
         }
     }
 
+    /** Tries a disk that has failed again, or nobody would: what must be recorded is refused meanwhile. */
+    private void repair() {
+        if (state == State.FAILING && System.nanoTime() >= quietUntil) {
+            try {
+                log.repair();
+                state = State.GOOD;
+            } catch (IOException e) {
+                quietUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_FAILURE_MS);
+            }
+        }
+    }
+
     private void compact() {
         if (System.nanoTime() < quietUntil) {
             return;
--- a/src/test/java/ivybank/daemon/PromiseKeeperTest.java
+++ b/src/test/java/ivybank/daemon/PromiseKeeperTest.java
@@ -152,6 +152,14 @@
         assertTrue(said.toString(StandardCharsets.UTF_8).contains("promises: 0 acked and 1 in doubt from before"));
         assertEquals(409, submit("quake-7", 3000).status());
         assertEquals(1, ran.get());
+        sidecar.drain();
+        String folder = dir.resolve("store").toString();
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"promises", "list", "--in-doubt", folder}));
+        assertEquals(1, ivybank.cli.Ivybank.run(new String[] {"promises", "clear", folder, "submit", "quake-8"}));
+        assertEquals(0, ivybank.cli.Ivybank.run(new String[] {"promises", "clear", folder, "submit", "quake-7"}));
+        start(node);
+        assertEquals(502, submit("quake-7", 3000).status());
+        assertEquals(2, ran.get(), "it was cleared by hand, and is new");
     }
 
     @Test
