--- a/src/main/java/ivybank/cli/PromisesCommand.java
+++ b/src/main/java/ivybank/cli/PromisesCommand.java
@@ -1,15 +1,12 @@
 package ivybank.cli;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.Locale;
 
 import ivybank.promises.PromiseFolder;
 import ivybank.promises.Promises.State;
-import ivybank.store.Disk;
-import ivybank.store.RealDisk;
 import ivybank.store.StoreException;
 import ivybank.toml.InputException;
 import picocli.CommandLine;
@@ -30,19 +27,12 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "one of list and clear is missing");
     }
 
-    private static Disk take(Path folder) throws IOException, InputException {
-        if (!Files.isDirectory(folder)) {
-            throw new InputException(folder + ": is no folder");
-        }
-        return RealDisk.take(folder);
-    }
-
     @Command(name = "list", mixinStandardHelpOptions = true, description = "A line for each: state, since when, class, name.")
     int list(@Parameters(paramLabel = "DIR") Path folder,
             @Option(names = "--in-doubt", description = "only those that may have run and have no answer") boolean inDoubt)
             throws IOException, InputException {
         try {
-            for (PromiseFolder.Kept kept : PromiseFolder.list(take(folder), StoreCommand.STANDARD)) {
+            for (PromiseFolder.Kept kept : PromiseFolder.list(StoreCommand.take(folder), StoreCommand.STANDARD)) {
                 if (!inDoubt || kept.state() == State.IN_DOUBT) {
                     System.out.printf("%-8s  %s  %s  %s%n", kept.state().name().toLowerCase(Locale.ROOT).replace('_', '-'),
                             Instant.ofEpochMilli((long) kept.atMs()), kept.requestClass().isEmpty() ? "-" : kept.requestClass(),
@@ -60,7 +50,7 @@
     int clear(@Parameters(paramLabel = "DIR") Path folder, @Parameters(paramLabel = "CLASS") String requestClass,
             @Parameters(paramLabel = "NAME") String name) throws IOException, InputException {
         try {
-            if (PromiseFolder.clear(take(folder), StoreCommand.STANDARD, requestClass, name)) {
+            if (PromiseFolder.clear(StoreCommand.take(folder), StoreCommand.STANDARD, requestClass, name)) {
                 System.out.println(requestClass + " " + name + ": forgotten");
                 return 0;
             }
--- a/src/main/java/ivybank/cli/StoreCommand.java
+++ b/src/main/java/ivybank/cli/StoreCommand.java
@@ -33,7 +33,7 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "one of inspect, verify and compact is missing");
     }
 
-    private static Disk take(Path folder) throws IOException, InputException {
+    static Disk take(Path folder) throws IOException, InputException {
         if (!Files.isDirectory(folder)) {
             throw new InputException(folder + ": is no folder");
         }
--- a/src/main/java/ivybank/promises/PromiseKeeper.java
+++ b/src/main/java/ivybank/promises/PromiseKeeper.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +56,16 @@
         Waiter(Consumer<Answer> client) {
             this.client = client;
         }
+
+        void tell(Answer answer) {
+            if (!over) {
+                over = true;
+                if (patience != null) {
+                    patience.cancel(false);
+                }
+                client.accept(answer);
+            }
+        }
     }
 
     /** A request in hand that must not run twice. */
@@ -268,8 +277,7 @@
     private void answered(Promise promise, Answer answer, double deadlineMs) {
         byNumber.remove(promise.number);
         if (answer.isServed()) {
-            Waiter first = promise.waiters.get(0);
-            first.patience = after(deadlineMs - MARGIN_MS - clock.nowMs(), () -> giveUp(first));
+            bound(promise.waiters.get(0), deadlineMs);
             acknowledge(promise, answer);
         } else {
             promise.settled = true;
@@ -320,41 +328,28 @@
     }
 
     private void tell(Promise promise, Answer answer) {
-        for (Waiter waiter : promise.waiters) {
-            if (!waiter.over) {
-                waiter.over = true;
-                if (waiter.patience != null) {
-                    waiter.patience.cancel(false);
-                }
-                waiter.client.accept(answer);
-            }
-        }
+        promise.waiters.forEach(waiter -> waiter.tell(answer));
     }
 
-    private void giveUp(Waiter waiter) {
-        if (!waiter.over) {
-            waiter.over = true;
-            waiter.client.accept(Answer.told(OUT_OF_TIME, "it is in hand, and its answer is not there yet"));
-        }
+    /** Bounds its wait by its client's time. */
+    private void bound(Waiter waiter, double deadlineMs) {
+        waiter.patience = after(deadlineMs - MARGIN_MS - clock.nowMs(),
+                () -> waiter.tell(Answer.told(OUT_OF_TIME, "it is in hand, and its answer is not there yet")));
     }
 
     private void join(Promise promise, ClientRequest request, Consumer<Answer> client) {
         Waiter waiter = new Waiter(client);
         promise.waiters.add(waiter);
-        waiter.patience = after(request.arrivedMs() + request.budgetMs() - MARGIN_MS - clock.nowMs(), () -> giveUp(waiter));
+        bound(waiter, request.arrivedMs() + request.budgetMs());
     }
 
     private void readAnswer(String identity, ClientRequest request, Consumer<Answer> client) {
         Waiter waiter = new Waiter(client);
-        waiter.patience = after(request.arrivedMs() + request.budgetMs() - MARGIN_MS - clock.nowMs(), () -> giveUp(waiter));
-        store.get(key(identity), (value, failure) -> loop.execute(() -> {
-            if (!waiter.over) {
-                waiter.over = true;
-                waiter.patience.cancel(false);
-                client.accept(value == null ? Answer.told(FAILED, "it has run, and its answer can't be read: " + (failure == null
-                        ? "it was just forgotten" : failure.getMessage())) : Entry.read(value).answer());
-            }
-        }));
+        bound(waiter, request.arrivedMs() + request.budgetMs());
+        store.get(key(identity), (value, failure) -> loop.execute(() -> waiter.tell(value == null
+                ? Answer.told(FAILED, "it has run, and its answer can't be read: "
+                        + (failure == null ? "it was just forgotten" : failure.getMessage()))
+                : Entry.read(value).answer())));
     }
 
     private ScheduledFuture<?> after(double delayMs, Runnable task) {
--- a/src/main/java/ivybank/rehearsal/stand/Ceiling.java
+++ b/src/main/java/ivybank/rehearsal/stand/Ceiling.java
@@ -27,7 +27,6 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
-import ivybank.common.Addresses;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.scenario.Scenario;
--- a/src/main/java/ivybank/store/Compaction.java
+++ b/src/main/java/ivybank/store/Compaction.java
@@ -24,7 +24,6 @@
     private Segment output;
     private int source;
     private int at = Records.HEADER;
-    private boolean checkpointed;
 
     /** @param oldest whether there is nothing before the run: then a deletion has nothing more to delete */
     Compaction(Disk disk, Index index, List<Segment> sources, boolean oldest, long number) {
@@ -51,9 +50,8 @@
     /** Goes on by a step; true when all is copied and forced. */
     boolean step() throws IOException {
         if (source == sources.size()) {
-            if (output != null && !checkpointed) {
+            if (output != null) {
                 checkpoint.write(disk, output);
-                checkpointed = true;
             }
             return true;
         }
@@ -116,10 +114,8 @@
         int batch = output.confirmed;
         ByteBuffer bytes = ByteBuffer.allocate(size);
         for (Records.Read read : kept) {
-            byte[] value = new byte[read.value().remaining()];
-            read.value().get(value);
             int place = batch + bytes.position();
-            Records.write(bytes, number, place, batch, read.kind(), read.key(), value);
+            Records.write(bytes, number, place, batch, read.kind(), read.key(), read.valueBytes());
             checkpoint.add(read.kind(), read.key(), place, read.length());
             if (read.kind() == Records.DELETE) {
                 output.deletions += read.length();
--- a/src/main/java/ivybank/store/Manifest.java
+++ b/src/main/java/ivybank/store/Manifest.java
@@ -27,6 +27,11 @@
         quarantined = List.copyOf(quarantined);
     }
 
+    /** Of these segments as they are confirmed now. */
+    static Manifest of(long next, List<Segment> segments, List<Long> quarantined) {
+        return new Manifest(next, segments.stream().map(each -> new Entry(each.number, each.confirmed)).toList(), quarantined);
+    }
+
     /** Puts it in the place of the one before. */
     void write(Disk disk) throws IOException {
         int length = FIXED + 12 * segments.size() + 8 * quarantined.size() + 4;
--- a/src/main/java/ivybank/store/Records.java
+++ b/src/main/java/ivybank/store/Records.java
@@ -28,6 +28,12 @@
         int end() {
             return at + length;
         }
+
+        byte[] valueBytes() {
+            byte[] bytes = new byte[value.remaining()];
+            value.duplicate().get(bytes);
+            return bytes;
+        }
     }
 
     private Records() {
--- a/src/main/java/ivybank/store/Recovery.java
+++ b/src/main/java/ivybank/store/Recovery.java
@@ -108,7 +108,7 @@
                 tail = new Checkpoint.Builder();
             }
             disk.forceNames();
-            manifest().write(disk);
+            Manifest.of(next, segments, quarantined).write(disk);
         }
         sweep();
         return new Recovered(new SegmentLog(disk, limits, segments, index, tail, next, quarantined), report());
@@ -251,10 +251,8 @@
         lastWasSealed = last;
         ByteBuffer all = ByteBuffer.allocate(good.stream().mapToInt(Records.Read::length).sum());
         for (Records.Read read : good) {
-            byte[] value = new byte[read.value().remaining()];
-            read.value().get(value);
             int at = Records.HEADER + all.position();
-            Records.write(all, fresh.number, at, Records.HEADER, read.kind(), read.key(), value);
+            Records.write(all, fresh.number, at, Records.HEADER, read.kind(), read.key(), read.valueBytes());
             apply(fresh, read.kind(), read.key(), at, read.length());
         }
         Disk.writeFully(fresh.file, Records.HEADER, all.flip());
@@ -262,11 +260,6 @@
         fresh.confirmed = Records.HEADER + all.limit();
     }
 
-    private Manifest manifest() {
-        return new Manifest(next, segments.stream().map(each -> new Manifest.Entry(each.number, each.confirmed)).toList(),
-                quarantined);
-    }
-
     /** Removes what no manifest names: what a cut left of a step that was not finished, or had just been. */
     private void sweep() throws IOException {
         Set<String> kept = new HashSet<>(Set.of(Manifest.NAME));
--- a/src/main/java/ivybank/store/SegmentLog.java
+++ b/src/main/java/ivybank/store/SegmentLog.java
@@ -64,10 +64,9 @@
         return used;
     }
 
-    /** Whether so many bytes more are within the limit; deletions may use a part of what is spared for compaction. */
-    boolean hasRoom(int bytes, boolean deletionsAlone) {
-        long spare = (long) limits.segment() * (deletionsAlone ? 1 : Limits.SPARE_SEGMENTS);
-        return used() + bytes + spare <= limits.disk();
+    /** Bytes that are left within the limit; deletions may use a part of what is spared for compaction. */
+    long room(boolean deletionsAlone) {
+        return limits.disk() - used() - (long) limits.segment() * (deletionsAlone ? 1 : Limits.SPARE_SEGMENTS);
     }
 
     /** The value of a key; null if there is none. */
@@ -81,9 +80,7 @@
             throw new StoreException(Segment.name(place.segment().number) + ": the record at byte " + place.at()
                     + " can't be read any more");
         }
-        byte[] value = new byte[read.value().remaining()];
-        read.value().get(value);
-        return value;
+        return read.valueBytes();
     }
 
     /** Shows all keys with their values; a value that can't be read any more ends it. */
@@ -190,8 +187,7 @@
     }
 
     private void writeManifest() throws IOException {
-        new Manifest(next, segments.stream().map(each -> new Manifest.Entry(each.number, each.confirmed)).toList(), quarantined)
-                .write(disk);
+        Manifest.of(next, segments, quarantined).write(disk);
     }
 
     // ---- Compaction.
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -207,23 +207,24 @@
     private void serve(List<Object> taken) {
         List<Waiting> batch = new ArrayList<>();
         int size = 0;
-        int room = 0; // of those that need room beyond what deletions may use
+        boolean full = false;
+        long room = log.room(false);
+        long roomOfDeletions = log.room(true);
         for (Object each : taken) {
             if (each instanceof Waiting waiting) {
                 waitingBytes.addAndGet(-waiting.size);
-                boolean fits = log.hasRoom(size + waiting.size, waiting.op.isDeletion());
-                if (fits) {
+                if (size + waiting.size <= (waiting.op.isDeletion() ? roomOfDeletions : room)) {
                     batch.add(waiting);
                     size += waiting.size;
                 } else {
-                    room++;
+                    full = true;
                     waiting.done.accept(Outcome.FULL);
                 }
             }
         }
-        if (room > 0) {
+        if (full) {
             state = State.FULL;
-        } else if (state == State.FULL && log.hasRoom(limits.segment() / 2, false)) {
+        } else if (state == State.FULL && room >= limits.segment() / 2) {
             state = State.GOOD;
         }
         if (!batch.isEmpty()) {
@@ -281,10 +282,8 @@
             return;
         }
         try {
-            if (log.wantsCompaction() || state == State.FULL) {
-                log.compact(state == State.FULL ? 1 : limits.segment() / 2);
-            }
-            if (state == State.FULL && !log.isCompacting() && log.hasRoom(limits.segment() / 2, false)) {
+            log.compact(state == State.FULL ? 1 : limits.segment() / 2);
+            if (state == State.FULL && !log.isCompacting() && log.room(false) >= limits.segment() / 2) {
                 state = State.GOOD;
             }
         } catch (IOException e) {
--- a/src/test/java/ivybank/store/SegmentLogTest.java
+++ b/src/test/java/ivybank/store/SegmentLogTest.java
@@ -55,7 +55,18 @@
     }
 
     /** What was confirmed after each batch, and the disk at the end: several segments, and a compaction under way. */
-    private record Story(PowerCutDisk disk, List<Map<String, String>> after) {
+    private record Story(PowerCutDisk disk, List<Map<String, String>> after, List<Written> written) {
+
+        /** Whether these are the first changes in their order, at least all that was confirmed when the file had this size. */
+        boolean isPrefix(Map<String, String> found, String file, int size) {
+            int confirmed = written.stream().filter(each -> !each.file.equals(file) || each.size <= size).mapToInt(Written::ops)
+                    .max().orElse(0);
+            return after.subList(confirmed, after.size()).contains(found);
+        }
+    }
+
+    /** A batch: the file that it went to, its size then, and all changes up to its end. */
+    private record Written(String file, int size, int ops) {
     }
 
     private static Story story(int seed) throws IOException {
@@ -63,17 +74,21 @@
         PowerCutDisk disk = new PowerCutDisk();
         SegmentLog log = Recovery.run(disk, LIMITS, false).log();
         Map<String, String> model = new TreeMap<>();
-        List<Map<String, String>> after = new ArrayList<>(List.of(Map.of()));
+        List<Map<String, String>> after = new ArrayList<>(List.of(Map.of())); // after each single change
+        List<Written> written = new ArrayList<>();
         for (int turn = 0; turn < 170 || !log.isCompacting(); turn++) {
             List<Op> batch = batch(random, turn);
             log.append(batch);
-            apply(model, batch);
-            after.add(new TreeMap<>(model));
+            for (Op op : batch) {
+                apply(model, List.of(op));
+                after.add(new TreeMap<>(model));
+            }
+            written.add(new Written(last(disk), disk.bytes(last(disk)).length, after.size() - 1));
             if (log.wantsCompaction()) {
                 log.compact(1024);
             }
         }
-        return new Story(disk, after);
+        return new Story(disk, after, written);
     }
 
     private static String last(PowerCutDisk disk) throws IOException {
@@ -99,16 +114,13 @@
         int refused = 0;
         for (String name : story.disk.names()) {
             byte[] bytes = story.disk.bytes(name);
-            int reached = -1;
             for (int length = 0; length < bytes.length; length++) {
                 PowerCutDisk cut = story.disk.copy();
                 cut.set(name, Arrays.copyOf(bytes, length));
                 try {
                     Map<String, String> found = recover(cut);
                     if (name.equals(active)) {
-                        int state = story.after.lastIndexOf(found);
-                        assertTrue(state >= reached || partOfABatch(story, found), name + " cut at " + length + " goes back");
-                        reached = Math.max(reached, state);
+                        assertTrue(story.isPrefix(found, name, length), name + " cut at " + length + " gives " + found);
                     } else {
                         assertEquals(full, found, name + " cut at " + length);
                     }
@@ -121,20 +133,6 @@
         assertTrue(refused > 0, "a finished segment that is too short is told");
     }
 
-    /** Between two confirmed states: some of the changes of one batch, in their order. */
-    private static boolean partOfABatch(Story story, Map<String, String> found) {
-        return story.after.stream().anyMatch(state -> difference(state, found) <= 3);
-    }
-
-    private static int difference(Map<String, String> one, Map<String, String> other) {
-        Map<String, String> left = new TreeMap<>(one);
-        left.entrySet().removeAll(other.entrySet());
-        Map<String, String> right = new TreeMap<>(other);
-        right.entrySet().removeAll(one.entrySet());
-        right.keySet().removeAll(left.keySet());
-        return left.size() + right.size();
-    }
-
     @Test
     void eachByteThatIsFlippedIsFoundOrDoesNoHarm() throws IOException {
         Story story = story(2);
@@ -154,6 +152,9 @@
                     if (recovered.report().cutBytes() > 0) {
                         torn++;
                         assertEquals(active, name);
+                        Written earlier = story.written.get(story.written.size() - 2);
+                        int before = earlier.file.equals(active) ? earlier.size : Records.HEADER;
+                        assertTrue(story.isPrefix(found, name, before), "no more than the last batch is lost");
                     } else {
                         assertEquals(full, found, name + " flipped at " + at);
                     }
