--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 0
 archive=target/ivybank.jsa
 rm -f "$archive"
-EDGE_CONFIG=deploy/archive.json java -XX:ArchiveClassesAtExit="$archive" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+EDGE_CONTROL=127.0.0.1:0 EDGE_CONFIG=deploy/archive.json java -XX:ArchiveClassesAtExit="$archive" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
     -jar target/ivybank.jar serve > target/archive.log 2>&1 &
 sidecar=$!
 sleep 4
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -154,7 +154,7 @@
         int end = uri.indexOf('?');
         String path = end < 0 ? uri : uri.substring(0, end);
         if (path.equals(READY_PATH)) {
-            return new Arrival(null, driver.ready() ? OK : UNAVAILABLE, keepAlive);
+            return new Arrival(null, server.ready() ? OK : UNAVAILABLE, keepAlive);
         }
         int slash = path.indexOf('/', 1);
         int requestClass = server.classOf(slash < 0 ? path : path.substring(0, slash));
@@ -264,9 +264,9 @@
         }
     }
 
-    /** Closes the connection if no request is at hand. */
-    void closeIfIdle() {
-        if (current == null && waiting.isEmpty()) {
+    /** Closes the connection if no request is at hand, {@code evenPartial}: though half a one may have come. */
+    void closeIfIdle(boolean evenPartial) {
+        if (current == null && waiting.isEmpty() && (evenPartial || !partial)) {
             retire(() -> { });
         }
     }
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -13,6 +13,7 @@
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
+import ivybank.operations.Standby;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
@@ -48,6 +49,10 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
     private Channel listener;
+    private boolean listening = true;
+    /** Whether the listening socket is open in other processes too. */
+    private boolean shared;
+    private double standbySinceMs;
     private boolean ending;
     private boolean draining;
     private boolean refusing;
@@ -74,9 +79,12 @@
         }
     }
 
-    /** Begins to listen; the bootstrap brings the event loop, the kind of channel and its options. */
+    /**
+     * Begins to listen; the bootstrap brings the event loop, the kind of channel and its options. An {@code address} of null
+     * means that the channel listens already.
+     */
     public ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-        ChannelFuture bound = bootstrap.childHandler(new ChannelInitializer<Channel>() {
+        bootstrap.childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder();
@@ -84,7 +92,9 @@
                 channel.pipeline().addLast(decoder, new HttpResponseEncoder(), reader,
                         new ClientConnection(reader, ClientServer.this, driver, clock));
             }
-        }).bind(address);
+        });
+        shared = address == null;
+        ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         listener.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
@@ -130,7 +140,7 @@
 
     /** The last resort: what waits in the backlog is taken all the same, and may be too late afterwards. */
     private void adjustAccepting() {
-        listener.config().setAutoRead(connections.size() < limits.accepted() && !descriptors.full());
+        listener.config().setAutoRead(listening && connections.size() < limits.accepted() && !descriptors.full());
     }
 
     /**
@@ -163,6 +173,10 @@
         // When ending, those that have brought requests are kept: the client gets no others.
         List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs, ending)).forEach(this::evict);
         evict(connections.size());
+        Standby standby = standby();
+        if (standby.compareTo(Standby.CLOSING) >= 0) {
+            closeIdle(standby == Standby.CLOSING_ALL);
+        }
     }
 
     /** Requests refused so far for want of descriptors, or of connections that the client could still open. */
@@ -208,8 +222,23 @@
         return retryAfterMs;
     }
 
+    /** Whether each answer ends its connection. */
     boolean draining() {
-        return draining;
+        return draining || standby().compareTo(Standby.ENDING) >= 0;
+    }
+
+    /** Sends clients away since this time, Unix time in milliseconds; 0 takes them again. */
+    public void standBy(double sinceMs) {
+        standbySinceMs = sinceMs;
+    }
+
+    /** Whether new clients are to come. */
+    boolean ready() {
+        return driver.ready() && standby() == Standby.OFF;
+    }
+
+    private Standby standby() {
+        return Standby.at(standbySinceMs, clock.nowMs());
     }
 
     /** From now on no connection is closed for others' sake: the client gets no new ones. */
@@ -227,11 +256,18 @@
         refusing = true;
     }
 
-    public void closeIdle() {
-        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+    /** Closes the connections on which no request is at hand, {@code partial}: also those on which half a one has come. */
+    public void closeIdle(boolean partial) {
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(partial));
     }
 
+    /** Accepts nothing more; the listening socket is left as it is where it may be another process's as well. */
     public void stopListening() {
-        listener.close();
+        if (shared) {
+            listening = false;
+            adjustAccepting();
+        } else {
+            listener.close();
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/ivybank/control/Operated.java
@@ -0,0 +1,18 @@
+package ivybank.control;
+
+import java.util.concurrent.CompletionStage;
+
+import ivybank.operations.Orders;
+
+/** The sidecar, as the operators' door sees it. Called on the door's thread. */
+public interface Operated {
+
+    /** Whether this process can serve now. */
+    boolean serves();
+
+    /** Whether there is a node of this id. */
+    CompletionStage<Boolean> knows(String node);
+
+    /** Makes these orders hold, all of them; done when they do. */
+    CompletionStage<Void> obey(Orders orders);
+}
--- a/src/main/java/ivybank/daemon/Config.java
+++ b/src/main/java/ivybank/daemon/Config.java
@@ -17,8 +17,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 
-/** All that a sidecar is told by its environment and the configuration file that it names. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+/** All that a sidecar is told by its environment and the configuration file that it names; {@code control} may be null. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress control, long seed, int sockets,
               double connectTimeoutMs, double connectionIdleMs, List<String> zones, List<String> kinds,
               HostUpdate known, Settings settings) {
 
@@ -69,6 +69,7 @@
         return new Config(told("name", "EDGE_NAME", root, environment),
                 Addresses.parse(told("listen", "EDGE_LISTEN", root, environment)),
                 Addresses.parse(told("discovery", "EDGE_DISCOVERY", root, environment)),
+                control(environment.getOrDefault("EDGE_CONTROL", root.path("control").asText(""))),
                 Long.parseUnsignedLong(root.path("seed").asText("0"), HEX),
                 root.path("limits").path("sockets").asInt(SOCKETS_UNKNOWN),
                 limits.path("connectTimeoutMs").asDouble(CONNECT_TIMEOUT_MS_UNKNOWN),
@@ -78,6 +79,10 @@
                 SettingsText.parse(text.toString()));
     }
 
+    private static InetSocketAddress control(String address) {
+        return address.isBlank() ? null : Addresses.parse(address);
+    }
+
     private static String told(String key, String variable, JsonNode root, Map<String, String> environment) {
         String value = environment.getOrDefault(variable, root.path(key).asText(""));
         if (value.isBlank()) {
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -86,7 +86,7 @@
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Counters counters = new Counters();
     private boolean telling;
-    private boolean listed;
+    private volatile boolean listed; // read by the operators' door
     private int lastId;
     private int unanswered;
 
@@ -121,6 +121,18 @@
         tell(() -> balancer.upstreams(clock.nowMs(), kind, entries));
     }
 
+    /** Takes over which nodes operators have taken out, by their ids, with when they did. */
+    void takeOut(Map<String, Double> nodes) {
+        List<Upstream> entries = directory.takeOut(nodes, clock.nowMs());
+        if (!entries.isEmpty()) {
+            tell(() -> balancer.upstreams(clock.nowMs(), ListKind.DELTA, entries));
+        }
+    }
+
+    boolean knows(String node) {
+        return directory.knows(node);
+    }
+
     @Override
     public boolean ready() {
         return listed;
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -11,9 +14,11 @@
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
+import ivybank.control.Operated;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
 import ivybank.discovery.Timing;
+import ivybank.operations.Orders;
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.operator.OperatorFile;
 import ivybank.policy.Balancer.RequestClass;
@@ -38,7 +43,7 @@
 import io.netty.util.NetUtil;
 
 /** A real sidecar: puts the parts together on one event loop, starts them, and ends them in order. */
-public final class Sidecar {
+public final class Sidecar implements Operated {
 
     private static final int BACKLOG = 1024;
     private static final int PAGE_BYTES = 8192;
@@ -109,12 +114,19 @@
     private final PooledByteBufAllocator buffers;
     private final PromiseKeeper promises; // null: none are kept
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final ServerSocketChannel inherited; // null: it listens by itself
+    /** Whether clients' connections are accepted, or would be if there were room. */
+    private volatile boolean listening;
     /** Signals to read the configuration again so far. */
     private int reloads;
 
-    /** @param store where promises are kept; null for none */
+    /**
+     * @param store where promises are kept; null for none
+     * @param inherited the clients' listening socket, which other processes have too; null to listen as configured
+     */
     Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes,
-            Timing timing, StoreSettings store) throws IOException {
+            Timing timing, StoreSettings store, ServerSocketChannel inherited) throws IOException {
+        this.inherited = inherited;
         this.file = file;
         this.config = config;
         this.drainTimes = drainTimes;
@@ -161,7 +173,10 @@
         Clock clock = Clock.system();
         Log log = new Log(System.err, clock);
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
-                DrainTimes.longest(config.settings()), timing, more == null ? null : more.store());
+                DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
+        if (config.control() != null) {
+            OperatorsDoor.open(sidecar, config.control(), environment, clock, log);
+        }
         if (!HangUp.handle(sidecar::reload)) {
             log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                     + " read again only when a connection to discovery has ended");
@@ -189,14 +204,35 @@
             group.shutdownGracefully();
             throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
+        listening = true;
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
+    /** Whether this process can serve. */
+    @Override
+    public boolean serves() {
+        return listening && driver.ready();
+    }
+
+    @Override
+    public CompletionStage<Boolean> knows(String node) {
+        return CompletableFuture.supplyAsync(() -> driver.knows(node), loop);
+    }
+
+    @Override
+    public CompletionStage<Void> obey(Orders orders) {
+        return CompletableFuture.runAsync(() -> {
+            driver.takeOut(orders.out());
+            server.standBy(orders.standbySinceMs());
+        }, loop);
+    }
+
     private ChannelFuture begin() {
         driver.start(config.known());
         discovery.start();
         loop.scheduleAtFixedRate(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
-        return server.listen(new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        return server.listen(new ServerBootstrap().group(group).channelFactory(() -> inherited == null ? new NioServerSocketChannel()
+                : new NioServerSocketChannel(inherited))
                 // One at a time, so that each is counted before the next is accepted: sixteen at once took the last
                 // descriptors, and the event loop ended on an error that it could not even log for want of one.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1))
@@ -204,7 +240,7 @@
                 .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, LONGEST_READ)),
-                config.listen());
+                inherited == null ? config.listen() : null);
     }
 
     /**
@@ -255,17 +291,23 @@
     }
 
     /**
-     * Goes on serving what still comes, then finishes what it has taken, and ends. Blocks until then. The client keeps
-     * using the connections that it has, and gets no new ones after a while: each that was closed early left requests
-     * without one.
+     * Goes on serving what still comes, then finishes what it has taken, and ends. Blocks until then. Where it listens by
+     * itself, the client keeps using the connections that it has, and gets no new ones after a while: each that was closed
+     * early left requests without one. Where another process has the listening socket too, new connections are that one's
+     * from now on, and each answer sends its client there; what stays idle is closed late, so that no request crosses it.
      */
     void drain() {
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
-                    + drainTimes.stopServingMs() + " ms");
-            server.keepConnections();
-            loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
-            loop.schedule(this::stopServing, drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
+                    + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " what comes on open connections"));
+            if (inherited == null) {
+                server.keepConnections();
+                loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
+                loop.schedule(() -> finish(0), drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
+            } else {
+                server.stopListening();
+                finish(drainTimes.stopServingMs());
+            }
             loop.schedule(() -> {
                 server.refuseAll();
                 driver.failOpen();
@@ -288,10 +330,14 @@
         return promises == null ? driver.unanswered() : promises.unanswered();
     }
 
-    private void stopServing() {
+    /** Ends each connection with its next answer, those that get none after {@code idleMs}, and the process with the last. */
+    private void finish(long idleMs) {
         server.drain();
+        double closeIdleMs = clock.nowMs() + idleMs;
         loop.scheduleWithFixedDelay(() -> {
-            server.closeIdle();
+            if (clock.nowMs() >= closeIdleMs) {
+                server.closeIdle(true);
+            }
             if (unanswered() == 0 && server.connections() == 0) {
                 discovery.stop();
                 pool.closeAllIdle();
--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -34,6 +34,8 @@
             return size() > MOST_ENDED;
         }
     };
+    /** The nodes that operators have taken out, with when they did. */
+    private final Map<String, Double> out = new HashMap<>();
     private int nextId;
 
     /** Tells {@code retired} of each node whose connections are of no more use. */
@@ -58,31 +60,97 @@
             Node node = byHost.computeIfAbsent(entry.host(), this::add);
             named.add(node);
             boolean moved = !entry.address().equals(node.address);
-            boolean undrained = update.fromElsewhere() && node.draining && node.bornMs == entry.bornMs()
+            boolean undrained = update.fromElsewhere() && node.status == Status.DRAINING && node.bornMs == entry.bornMs()
                     && entry.status() == Status.READY;
             Status status = undrained ? Status.DRAINING : entry.status();
             node.address = entry.address();
             node.bornMs = entry.bornMs();
-            node.ready = status == Status.READY;
-            node.draining = status == Status.DRAINING;
+            node.status = status;
+            node.listed = entry;
+            entries.add(told(node));
             if (moved || !node.ready) {
                 retired.accept(node);
             }
-            entries.add(new Upstream(node.id, status, entry.bornMs(), number(zones, entry.zone()),
-                    number(kinds, entry.kind()), entry.cell(), entry.weight()));
         }
         for (HostUpdate.Entry entry : update.entries()) {
             if (entry.status() == Status.GONE) {
                 ended.put(entry.host(), entry.bornMs());
-                forget(byHost.get(entry.host()));
+                leave(byHost.get(entry.host()));
             }
         }
         if (update.whole()) {
-            List.copyOf(byId.values()).stream().filter(node -> !named.contains(node)).forEach(this::forget);
+            for (Node node : List.copyOf(byId.values())) {
+                if (!named.contains(node)) {
+                    leave(node);
+                    if (node.outSinceMs > 0) {
+                        entries.add(told(node));
+                    }
+                }
+            }
+        }
+        return entries;
+    }
+
+    /** What the module is to be told of a node: one that is out is draining, whatever the list says. */
+    private Upstream told(Node node) {
+        HostUpdate.Entry entry = node.listed;
+        Status status = out.containsKey(node.host) ? Status.DRAINING : node.status;
+        node.outSinceMs = out.getOrDefault(node.host, 0.0);
+        node.ready = status == Status.READY;
+        return new Upstream(node.id, status, startOf(node), number(zones, entry.zone()), number(kinds, entry.kind()),
+                entry.cell(), entry.weight());
+    }
+
+    /**
+     * When it started. Guards a node that was restarted while it was out against being taken for warm: the list is
+     * seconds late, so that until it has told of the new start that counts as being at the call back.
+     */
+    private double startOf(Node node) {
+        return Math.max(node.listed.bornMs(), node.calledBackMs);
+    }
+
+    /**
+     * Takes over which nodes operators have taken out, by their ids, with when they did; returns the entries that this
+     * changes in the module's form. It holds over all that discovery says until it is taken back.
+     */
+    public List<Upstream> takeOut(Map<String, Double> nodes, double nowMs) {
+        Map<String, Double> before = Map.copyOf(out);
+        out.clear();
+        out.putAll(nodes);
+        List<Upstream> entries = new ArrayList<>();
+        for (Node node : List.copyOf(byId.values())) {
+            Double since = before.get(node.host);
+            boolean isOut = out.containsKey(node.host);
+            if (isOut == (since != null)) {
+                continue;
+            }
+            if (!isOut && node.listed.bornMs() <= since) {
+                node.calledBackMs = nowMs;
+            }
+            entries.add(told(node));
+            if (isOut) {
+                retired.accept(node);
+            } else if (node.status == Status.GONE) {
+                forget(node);
+            }
         }
         return entries;
     }
 
+    /** Whether a node of this id is listed, or was when it was taken out. */
+    public boolean knows(String host) {
+        return byHost.containsKey(host);
+    }
+
+    /** One that is out keeps its number while it is gone: operators restart it. */
+    private void leave(Node node) {
+        if (node != null && node.outSinceMs > 0) {
+            node.status = Status.GONE;
+        } else {
+            forget(node);
+        }
+    }
+
     private void forget(Node node) {
         if (node != null) {
             node.ready = false;
--- a/src/main/java/ivybank/discovery/Node.java
+++ b/src/main/java/ivybank/discovery/Node.java
@@ -2,6 +2,8 @@
 
 import java.net.SocketAddress;
 
+import ivybank.policy.Balancer.Status;
+
 /** One upstream as this sidecar knows it: its number for the module, where to dial it, and whether it may be sent to. */
 public final class Node {
 
@@ -9,9 +11,15 @@
     final String host;
     public SocketAddress address;
     public boolean ready;
-    boolean draining;
+    /** What discovery said last of its state; gone where a whole list left it out. */
+    Status status;
     /** When its process started, as discovery told last, Unix time in milliseconds; 0 for long ago. */
     double bornMs;
+    /** What discovery said last of it. */
+    HostUpdate.Entry listed;
+    /** Since when it has been out by the operators' order, or 0; and when it was called back last. */
+    double outSinceMs;
+    double calledBackMs;
 
     public Node(int id, String host) {
         this.id = id;
--- /dev/null
+++ b/src/main/java/ivybank/operations/Orders.java
@@ -0,0 +1,65 @@
+package ivybank.operations;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What operators have ordered: the nodes that are out, by their ids, with when they were taken out, and since when the
+ * sidecar stands by (0: it does not). Times are Unix time in milliseconds. Immutable; an order that changes nothing gives
+ * the same object back.
+ */
+public record Orders(SortedMap<String, Double> out, double standbySinceMs) {
+
+    public static final Orders NONE = new Orders(Collections.emptySortedMap(), 0);
+    /** More than any fleet has: what comes from outside is bounded. */
+    public static final int MOST_OUT = 4096;
+
+    public Orders {
+        out = Collections.unmodifiableSortedMap(new TreeMap<>(out));
+    }
+
+    /** Takes a node out; one that is out already stays so since then, and one call back is enough for both calls. */
+    public Orders takeOut(String node, double nowMs) {
+        if (out.containsKey(node) || out.size() >= MOST_OUT) {
+            return this;
+        }
+        SortedMap<String, Double> next = new TreeMap<>(out);
+        next.put(node, nowMs);
+        return new Orders(next, standbySinceMs);
+    }
+
+    public Orders callBack(String node) {
+        if (!out.containsKey(node)) {
+            return this;
+        }
+        SortedMap<String, Double> next = new TreeMap<>(out);
+        next.remove(node);
+        return new Orders(next, standbySinceMs);
+    }
+
+    /** Sends clients away; since the first such order, if there was one before. */
+    public Orders standBy(double nowMs) {
+        return standsBy() ? this : new Orders(out, nowMs);
+    }
+
+    public Orders activate() {
+        return standsBy() ? new Orders(out, 0) : this;
+    }
+
+    public boolean standsBy() {
+        return standbySinceMs > 0;
+    }
+
+    public boolean isOut(String node) {
+        return out.containsKey(node);
+    }
+
+    /** The nodes out here that are not out in another. */
+    public Map<String, Double> outBeyond(Orders other) {
+        SortedMap<String, Double> more = new TreeMap<>(out);
+        more.keySet().removeAll(other.out.keySet());
+        return more;
+    }
+}
--- a/src/main/java/ivybank/policy/HostList.java
+++ b/src/main/java/ivybank/policy/HostList.java
@@ -25,12 +25,13 @@
         }
         for (Upstream entry : entries) {
             Host known = byId.get(entry.id());
+            double rank = known == null ? random.nextDouble() : known.rank; // a restart is no reason to draw another
             if (known != null && entry.startedMs() > 0 && known.listed.startedMs() != entry.startedMs()) {
                 markGone(known);
                 known = null;
             }
             if (known == null) {
-                known = new Host(entry, random.nextDouble());
+                known = new Host(entry, rank);
                 hosts.add(known);
                 byId.put(entry.id(), known);
             }
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -30,6 +30,8 @@
                 .layer("upstream").definedBy("ivybank.upstream..")
                 .layer("discovery").definedBy("ivybank.discovery..")
                 .layer("exchange").definedBy("ivybank.exchange..")
+                .layer("control").definedBy("ivybank.control..")
+                .layer("operations").definedBy("ivybank.operations..")
                 .layer("settings").definedBy("ivybank.settings..")
                 .layer("common").definedBy("ivybank.common..")
                 .layer("policy").definedBy("ivybank.policy..")
@@ -47,14 +49,16 @@
                 .whereLayer("upstream").mayOnlyBeAccessedByLayers("daemon")
                 .whereLayer("discovery").mayOnlyBeAccessedByLayers("daemon", "upstream", "operator")
                 .whereLayer("exchange").mayOnlyBeAccessedByLayers("daemon", "client", "upstream", "promises")
+                .whereLayer("control").mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("operations").mayOnlyBeAccessedByLayers("daemon", "client", "control")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("daemon", "simhost")
                 .check(PROGRAM);
     }
 
     @Test
     void whatDecidesDoesNoInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.settings..").should().dependOnClassesThat()
-                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..",
+        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.settings..", "ivybank.operations..").should()
+                .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..",
                         "com.fasterxml..")
                 .check(PROGRAM);
     }
@@ -79,7 +83,7 @@
 
     @Test
     void whatDecidesReadsNoClock() {
-        noClasses().that().resideInAPackage("ivybank.policy..").should().callMethod(System.class, "nanoTime")
+        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(PROGRAM);
     }
 }
--- /dev/null
+++ b/src/test/java/ivybank/daemon/OperationsTest.java
@@ -0,0 +1,324 @@
+package ivybank.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import ivybank.testing.FakeServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as processes of its own, with operators at its door: two of them share the clients' socket. */
+@Timeout(60)
+class OperationsTest {
+
+    /** Opens a listening socket, says its port, and becomes each program that it is told to with the socket as input. */
+    private static final String PLATFORM = "use Socket; $SIG{CHLD} = q(IGNORE); $| = 1; socket(my $s, PF_INET, SOCK_STREAM, 0); bind($s, pack_sockaddr_in(0,"
+            + " INADDR_LOOPBACK)) or die; listen($s, 1024) or die; print((sockaddr_in(getsockname($s)))[0], qq(\\n));"
+            + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
+            + " if (!$pid) { open(STDIN, q(<&), $s) or die; exec q(/bin/sh), q(-c), $line or die; } print qq($pid\\n); }"
+            + " kill q(KILL), $_ for @ARGV;";
+
+    @TempDir
+    Path dir;
+    private final List<AutoCloseable> toClose = new ArrayList<>();
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2)).build();
+    private Process platform;
+    private BufferedReader platformSays;
+    private int port;
+    private int asked;
+
+    /** A discovery that gives a list, then each line that it is handed. */
+    private final class Roster {
+        final BlockingQueue<String> later = new LinkedBlockingQueue<>();
+        final FakeServer server;
+
+        Roster(String... hosts) throws IOException {
+            String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", hosts) + "]}";
+            server = serve(new FakeServer(connection -> {
+                for (String call = connection.read(); call != null; call = connection.read()) {
+                    if (!call.contains("stream=1")) {
+                        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                        continue;
+                    }
+                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    for (String line = ""; ; line = later.poll(500, TimeUnit.MILLISECONDS)) {
+                        String text = line == null || line.isEmpty() ? "\n" : line + "\n";
+                        connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+                    }
+                }
+            }));
+        }
+    }
+
+    private FakeServer serve(FakeServer server) {
+        toClose.add(server);
+        return server;
+    }
+
+    private static String host(String name, FakeServer server, String health, long bornMs) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + server.address().getPort() + "\",\"site\":\"a\",\"class\":\"k\","
+                + "\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs + "}";
+    }
+
+    private void startPlatform() throws IOException {
+        platform = new ProcessBuilder("perl", "-e", PLATFORM).redirectError(dir.resolve("platform.log").toFile()).start();
+        toClose.add(platform::destroyForcibly);
+        platformSays = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.UTF_8));
+        port = Integer.parseInt(platformSays.readLine());
+    }
+
+    /** One process of the sidecar. */
+    private final class Started {
+        final int door;
+        final long pid;
+
+        Started(Roster roster) throws IOException, InterruptedException {
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                door = free.getLocalPort();
+            }
+            Path config = Files.writeString(dir.resolve("config-" + door + ".json"), """
+                    {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"ff0e5a0000000001",
+                     "control":"127.0.0.1:%d","limits":{"sockets":256},
+                     "settings":{"instances":1,"tickMs":5,"tenants":[],
+                      "lanes":[{"name":"read","aimMs":1500,"hardLimitMs":6000,"idempotency":"retryable","worth":1}],
+                      "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
+                                "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":60000},
+                      "report":{"via":"inline","fields":[]},"failureDomains":["a"],"kinds":["k"]}}
+                    """.formatted(port, roster.server.address().getPort(), door));
+            String command = "TMPDIR='" + dir + "' EDGE_INHERITED_FD=0 EDGE_CONFIG='" + config + "' exec '"
+                    + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:TieredStopAtLevel=1 -cp '"
+                    + System.getProperty("java.class.path") + "' ivybank.Main serve > '" + dir.resolve(door + ".log")
+                    + "' 2>&1 9>&-\n";
+            platform.getOutputStream().write(command.getBytes(StandardCharsets.UTF_8));
+            platform.getOutputStream().flush();
+            pid = Long.parseLong(platformSays.readLine());
+            ProcessHandle process = ProcessHandle.of(pid).orElseThrow();
+            toClose.add(process::destroyForcibly);
+            while (!ok("GET", "/status", "")) {
+                assertTrue(process.isAlive(), "the process has ended");
+                Thread.sleep(20);
+            }
+        }
+
+        int call(String method, String path, String body) throws IOException, InterruptedException {
+            return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + path))
+                    .timeout(Duration.ofSeconds(5)).method(method, BodyPublishers.ofString(body)).build(),
+                    BodyHandlers.ofString()).statusCode();
+        }
+
+        boolean ok(String method, String path, String body) throws InterruptedException {
+            try {
+                return call(method, path, body) == 200;
+            } catch (IOException e) {
+                return false; // not up yet
+            }
+        }
+
+        int out(String node) throws IOException, InterruptedException {
+            return call("PUT", "/maintenance/enter", "{\"host\":\"" + node + "\"}");
+        }
+
+        int back(String node) throws IOException, InterruptedException {
+            return call("PUT", "/maintenance/exit", "{\"host\":\"" + node + "\"}");
+        }
+    }
+
+    /** One request on a connection of its own; what it says. */
+    private String ask() throws IOException {
+        try (Socket socket = connect()) {
+            return ask(socket, "read");
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    private String ask(Socket socket, String path) throws IOException {
+        socket.getOutputStream().write(("GET /" + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: c" + ++asked
+                + "\r\nX-Budget-Ms: 5000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                return null;
+            }
+            text.append((char) next);
+        }
+        int at = text.indexOf("content-length: ") + 16;
+        int length = Integer.parseInt(text.substring(at, text.indexOf("\r", at)));
+        return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.US_ASCII);
+    }
+
+    private static FakeServer node(String body) throws IOException {
+        return FakeServer.answering(FakeServer.OK.replace("body", body));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (int i = toClose.size() - 1; i >= 0; i--) {
+            toClose.get(i).close();
+        }
+    }
+
+    @Test
+    void aNodeThatIsOutGetsNothingWhateverTheListSaysAndOverAnUpgradeUntilItIsCalledBack() throws Exception {
+        FakeServer a = serve(node("a..."));
+        FakeServer b = serve(node("b..."));
+        Roster roster = new Roster(host("a", a, "Ready", 0), host("b", b, "Ready", 0));
+        startPlatform();
+        Started first = new Started(roster);
+        assertEquals(404, first.out("nobody"));
+        assertEquals(404, first.back("nobody"));
+        assertEquals(400, first.call("PUT", "/maintenance/enter", "{"));
+        assertEquals(400, first.call("PUT", "/maintenance/enter", "{\"node\":\"a\"}"));
+        assertEquals(405, first.call("GET", "/maintenance/enter", "{\"host\":\"a\"}"));
+        assertEquals(404, first.call("GET", "/other", ""));
+        assertEquals(200, first.out("a"));
+        assertEquals(200, first.out("a"), "one that is out already");
+        roster.later.add("{\"seq\":2,\"whole\":false,\"hosts\":[" + host("a", a, "Gone", 0) + "]}");
+        roster.later.add("{\"seq\":3,\"whole\":false,\"hosts\":[" + host("a", a, "Ready", System.currentTimeMillis()) + "]}");
+        assertAllFrom("b...");
+        Started second = new Started(roster);
+        kill(first.pid, "TERM");
+        ProcessHandle.of(first.pid).ifPresent(process -> process.onExit().join());
+        assertAllFrom("b...");
+        assertEquals(200, second.back("a"));
+        while (!ask().endsWith("a...")) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void assertAllFrom(String body) throws Exception {
+        for (int i = 0; i < 60; i++) {
+            String answer = ask();
+            assertTrue(answer.endsWith(body), answer);
+        }
+    }
+
+    private static void kill(long pid, String signal) throws Exception {
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(pid)).start().waitFor();
+    }
+
+    @Test
+    void anOrderToTheProcessThatTakesOverHoldsInTheOldOne() throws Exception {
+        FakeServer a = serve(node("a..."));
+        FakeServer b = serve(node("b..."));
+        Roster roster = new Roster(host("a", a, "Ready", 0), host("b", b, "Ready", 0));
+        startPlatform();
+        Started first = new Started(roster);
+        try (Socket toFirst = connect()) {
+            assertTrue(ask(toFirst, "read").contains(" 200 "));
+            Started second = new Started(roster);
+            assertEquals(200, second.out("a"));
+            // Within the grace: the processes look each 100 ms.
+            Thread.sleep(500);
+            for (int i = 0; i < 40; i++) {
+                assertTrue(ask(toFirst, "read").endsWith("b..."));
+            }
+        }
+    }
+
+    @Test
+    void noRequestEndsAtTheDoorWhileOneProcessTakesOverFromTheOther() throws Exception {
+        FakeServer a = serve(node("a..."));
+        Roster roster = new Roster(host("a", a, "Ready", 0));
+        startPlatform();
+        Started first = new Started(roster);
+        Socket kept = connect();
+        toClose.add(kept);
+        assertTrue(ask(kept, "read").contains(" 200 "));
+        new Started(roster);
+        kill(first.pid, "TERM");
+        while (ProcessHandle.of(first.pid).isPresent()) {
+            assertTrue(ask().contains(" 200 "));
+            if (kept != null) { // its next answer sends it to the other process
+                String answer = ask(kept, "read");
+                assertTrue(answer.contains(" 200 "), answer);
+                kept = answer.contains("connection: close") ? null : kept;
+            }
+        }
+        assertNull(kept, "the old process ended while it held a connection");
+        assertTrue(ask().contains(" 200 "));
+    }
+
+    @Test
+    void aDrainedSidecarIsNotReadyLetsGoOfItsClientsAndTakesThemAgain() throws Exception {
+        FakeServer a = serve(node("a..."));
+        startPlatform();
+        Started sidecar = new Started(new Roster(host("a", a, "Ready", 0)));
+        Socket idle = connect();
+        toClose.add(idle);
+        assertTrue(ask(idle, "health/ready").contains(" 200 "));
+        assertEquals(200, sidecar.call("PUT", "/standby", ""));
+        long since = System.nanoTime();
+        assertTrue(ask().contains(" 200 "), "it still serves");
+        assertTrue(ask(idle, "health/ready").contains(" 503 "));
+        assertEquals(-1, idle.getInputStream().read(), "an idle connection is closed");
+        assertTrue(System.nanoTime() - since < TimeUnit.SECONDS.toNanos(4));
+        assertTrue(sidecar.ok("GET", "/status", ""), "the process runs on");
+        assertEquals(200, sidecar.call("PUT", "/active", ""));
+        try (Socket again = connect()) {
+            assertTrue(ask(again, "health/ready").contains(" 200 "));
+            String answer = ask(again, "read");
+            assertTrue(answer.contains(" 200 ") && !answer.contains("connection: close"), answer);
+        }
+    }
+
+    @Test
+    void callersThatNeverFinishKeepNobodyWaiting() throws Exception {
+        FakeServer a = serve(node("a..."));
+        startPlatform();
+        Started sidecar = new Started(new Roster(host("a", a, "Ready", 0)));
+        for (int i = 0; i < 40; i++) {
+            Socket mute = new Socket(InetAddress.getLoopbackAddress(), sidecar.door);
+            toClose.add(mute);
+            mute.getOutputStream().write("PUT /maintenance/enter HTTP/1.1\r\nContent-Length: 9\r\n\r\n{".getBytes(StandardCharsets.US_ASCII));
+        }
+        assertEquals(200, sidecar.out("a"));
+        assertEquals(200, sidecar.back("a"));
+    }
+
+    @Test
+    void anInheritedDescriptorThatIsNoListeningSocketEndsTheStartWithOneLine() throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "ivybank.Main", "serve").redirectErrorStream(true);
+        builder.environment().put("EDGE_INHERITED_FD", "0");
+        builder.environment().put("EDGE_CONFIG", "deploy/archive.json");
+        Process process = builder.start();
+        toClose.add(process::destroyForcibly);
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(1, process.waitFor());
+        assertTrue(said.contains("EDGE_INHERITED_FD is 0: it must be 0, and that a listening TCP socket"), said);
+        assertFalse(said.contains("Exception"), said);
+    }
+}
--- a/src/test/java/ivybank/daemon/PromiseKeeperTest.java
+++ b/src/test/java/ivybank/daemon/PromiseKeeperTest.java
@@ -78,7 +78,7 @@
         Map<String, String> environment = Map.of("EDGE_CONFIG", file.toString());
         sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment),
                 new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock), clock, new Sidecar.DrainTimes(10, 20, 200),
-                Timing.standard(false), OperatorFile.read(operator, false).store());
+                Timing.standard(false), OperatorFile.read(operator, false).store(), null);
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -70,7 +70,7 @@
     private void start(InetSocketAddress discovery, String known, int sockets) throws IOException {
         Map<String, String> environment = Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString());
         sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment), new Log(lines, clock), clock, drainTimes,
-                Timing.standard(false), null);
+                Timing.standard(false), null, null);
         address = sidecar.start();
     }
 
