--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -8,25 +8,34 @@
 import ivybank.common.Clock;
 import ivybank.exchange.RequestHandler;
 import ivybank.exchange.Answer;
+import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Effect;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /** One connection from the client: its requests are answered one after another, in the order in which they came. */
-final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read> {
+final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read> implements BodyPipe.Source {
 
     private static final int MAX_WAITING = 8;
     private static final String READY_PATH = "/health/ready";
@@ -40,15 +49,20 @@
     private static final int NOT_FOUND = 404;
     private static final int NOT_ALLOWED = 405;
     private static final int TIMED_OUT = 408;
+    private static final int TOO_LARGE = 413;
     private static final int CONFLICT = 409;
     private static final int UNAVAILABLE = 503;
     /** A client that connects has something to ask: by then it has, or it won't. */
-    private static final double LONGEST_MUTE_MS = 2000;
-    private static final double LONGEST_PARTIAL_MS = 2000;
+    private static final double LONGEST_MUTE_MS = 2500;
+    /** For a head, which a client may take 2 s for; and for a body this many bytes in a ms at least: half of what is slow. */
+    private static final double LONGEST_PARTIAL_MS = 2500;
+    private static final double LEAST_BYTES_IN_MS = 32;
+    /** A client that takes nothing more of a long answer is given up. */
+    private static final double LONGEST_STALL_MS = 15_000;
     private static final double LONGEST_IDLE_MS = 10_000;
     /** Where there are many connections, what is of no use for so long goes. */
     private static final double MUTE_IS_SPARE_MS = 250;
-    private static final double PARTIAL_IS_SPARE_MS = 1000;
+    private static final double PARTIAL_IS_SPARE_MS = 2200;
     private static final double IDLE_IS_SPARE_MS = 250;
 
     private final RequestReader reader;
@@ -72,9 +86,22 @@
     /** Whether half a request has come, and on a connection that has brought others since when. */
     private boolean partial;
     private double partialSinceMs;
+    /** Whether the rest of a long request is wanted now; since when it is not, and for how long it was not before. */
+    private boolean wanted = true;
+    private double unwantedSinceMs;
+    private double unwantedMs;
+    /** The rest of the answer that is being written, or null; and since when the client takes none of it, or NaN. */
+    private BodyPipe writing;
+    private double stalledSinceMs = Double.NaN;
+    /** Whether it is closed once the request has come that was answered before its end. */
+    private boolean closing;
 
     /** A request as it came, or the status of one that is not to be passed on. */
-    private record Arrival(ClientRequest request, int status, boolean keepAlive) {
+    private record Arrival(ClientRequest request, int status, boolean keepAlive, boolean old) {
+
+        Arrival(ClientRequest request, int status, boolean keepAlive) {
+            this(request, status, keepAlive, false);
+        }
     }
 
     ClientConnection(RequestReader reader, ClientServer server, RequestHandler driver, Clock clock) {
@@ -87,6 +114,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
+        reader.source(this);
         freeSinceMs = clock.nowMs();
         server.opened(this);
     }
@@ -94,28 +122,77 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, RequestReader.Read message) {
         mute = false;
+        if (message == RequestReader.Read.LAST) {
+            if (closing) {
+                ctx.close();
+            } else if (current != null && current.request != null && current.request.rest() != null) {
+                driver.arrived(currentId);
+            }
+            return;
+        }
         ended |= message.head() == null;
-        waiting.addLast(read(message));
-        adjustReading();
-        next();
+        if (closing) {
+            ctx.close();
+        } else if (ended && isArriving()) {
+            abort(message.status());
+        } else {
+            waiting.addLast(read(message));
+            adjustReading();
+            next();
+        }
+    }
+
+    /** Whether the last byte of the request at hand is still to come. */
+    private boolean isArriving() {
+        return current != null && current.request != null && current.request.arriving();
+    }
+
+    /** Answers the request at hand, which will never be whole, and so has not run. */
+    private void abort(int status) {
+        Arrival arrival = current;
+        driver.clientLeft(currentId);
+        arrival.request.rest().leave();
+        answer(arrival, Answer.status(status));
+    }
+
+    @Override
+    public void wanted(boolean more) {
+        if (more != wanted) {
+            wanted = more;
+            double nowMs = clock.nowMs();
+            unwantedMs += more ? nowMs - unwantedSinceMs : 0;
+            unwantedSinceMs = nowMs;
+            adjustReading();
+        }
+    }
+
+    @Override
+    public void left() {
+        wanted(true); // it is read to its end all the same
     }
 
     /** Bounds what waits here: requests behind the one at hand, and answers that the client does not read. */
     private void adjustReading() {
         Channel channel = context.channel();
-        channel.config().setAutoRead(!ended && waiting.size() < MAX_WAITING && channel.isWritable());
+        channel.config().setAutoRead(!ended && wanted && waiting.size() < MAX_WAITING && channel.isWritable());
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        boolean writable = ctx.channel().isWritable();
+        stalledSinceMs = writable ? Double.NaN : clock.nowMs();
+        if (writing != null) {
+            writing.wanted(writable);
+        }
         adjustReading();
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reads++;
-        if (!partial && !mute && reader.midRequest()) {
-            partialSinceMs = clock.nowMs();
+        if (!partial && reader.midRequest()) {
+            partialSinceMs = mute ? freeSinceMs : clock.nowMs();
+            unwantedMs = 0;
         }
         partial = reader.midRequest();
         ctx.fireChannelReadComplete();
@@ -148,9 +225,18 @@
         if (message.head() == null) {
             return new Arrival(null, message.status(), false);
         }
+        Arrival arrival = arrival(message);
+        if (message.rest() != null && arrival.request == null) {
+            message.rest().leave();
+            return new Arrival(null, arrival.status, false);
+        }
+        return arrival;
+    }
+
+    private Arrival arrival(RequestReader.Read message) {
         HttpRequest head = message.head();
         boolean keepAlive = HttpUtil.isKeepAlive(head);
-        String uri = head.uri();
+        String uri = RequestFields.originForm(head.uri());
         int end = uri.indexOf('?');
         String path = end < 0 ? uri : uri.substring(0, end);
         if (path.equals(READY_PATH)) {
@@ -177,13 +263,29 @@
         if (server.identityHeader() != null && !fields.isTokenOrAbsent(server.identityHeader())) {
             return new Arrival(null, BAD_REQUEST, keepAlive); // it must not be taken for one without an identity
         }
+        if (message.rest() != null && server.identityHeader() != null) {
+            return new Arrival(null, TOO_LARGE, false); // what is on record is kept whole
+        }
+        long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
         return new Arrival(new ClientRequest(method, uri, id, fields.token(IDEMPOTENCY_KEY), message.body(),
                 requestClass, server.tenantOf(head.headers().get(CALLER)), "1".equals(head.headers().get(AGAIN)),
-                clock.nowMs(), budgetMs, identity, null), 0, keepAlive);
+                clock.nowMs(), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
+                head.protocolVersion().equals(HttpVersion.HTTP_1_0));
     }
 
     private void answer(Arrival arrival, Answer answer) {
         if (current != arrival || !context.channel().isActive()) {
+            if (answer.rest() != null) {
+                answer.rest().leave();
+            }
+            return;
+        }
+        boolean early = arrival.request != null && arrival.request.arriving();
+        if (early) {
+            arrival.request.rest().leave();
+        }
+        if (answer.rest() != null) {
+            pass(arrival, answer, early);
             return;
         }
         current = null;
@@ -200,14 +302,68 @@
             headers.set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf((long) Math.ceil(answer.retryAfterMs()), 3)
                     .stripTrailingZeros().toPlainString());
         }
-        boolean keepAlive = arrival.keepAlive && !(server.draining() && waiting.isEmpty());
+        boolean keepAlive = keepsAlive(arrival) && !early;
         HttpUtil.setKeepAlive(response, keepAlive);
-        if (keepAlive) {
-            context.writeAndFlush(response);
+        end(context.writeAndFlush(response), keepAlive, early);
+    }
+
+    private boolean keepsAlive(Arrival arrival) {
+        return arrival.keepAlive && !(server.draining() && waiting.isEmpty());
+    }
+
+    /** An answer has been written. Guards one that came early: closing on a request half read would spoil it. */
+    private void end(ChannelFuture written, boolean keepAlive, boolean early) {
+        if (early && !ended) {
+            closing = true;
+            adjustReading();
+        } else if (keepAlive) {
             next();
         } else {
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /** Writes a long answer as it comes. One that breaks off ends the connection with a reset, so that the client can tell. */
+    private void pass(Arrival arrival, Answer answer, boolean early) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
+        HttpHeaders headers = response.headers();
+        if (answer.contentType() != null) {
+            headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+        }
+        if (answer.length() >= 0) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+        } else if (!arrival.old) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
+        boolean keepAlive = keepsAlive(arrival) && !early && !(arrival.old && answer.length() < 0);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        context.write(response);
+        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
+        writing = answer.rest();
+        writing.take(new BodyPipe.Sink() {
+            @Override
+            public void part(ByteBuf part) {
+                context.writeAndFlush(new DefaultHttpContent(part));
+                writing.wanted(context.channel().isWritable());
+            }
+
+            @Override
+            public void ended(boolean whole) {
+                writing = null;
+                if (current != arrival) {
+                    return; // the client has left
+                }
+                current = null;
+                currentId = 0;
+                freeSinceMs = clock.nowMs();
+                if (whole) {
+                    end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive, early);
+                } else {
+                    context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                    context.close();
+                }
+            }
+        });
     }
 
     double freeSinceMs() {
@@ -226,11 +382,23 @@
 
     /** Whether it has been free for so long: since it came, since half a request did, or since its last answer. */
     private boolean isLeft(double nowMs, double muteMs, double partialMs, double idleMs) {
-        double sinceMs = partial && !mute ? partialSinceMs : freeSinceMs;
-        double mostMs = partial ? partialMs : mute ? muteMs : idleMs;
+        double sinceMs = partial ? partialSinceMs : freeSinceMs;
+        double mostMs = partial ? partialMs + reader.bodyBytes() / LEAST_BYTES_IN_MS : mute ? muteMs : idleMs;
         return !retiring && current == null && waiting.isEmpty() && nowMs - sinceMs >= mostMs;
     }
 
+    /** Ends what the client no longer goes on with: a long request that comes too slowly, a long answer that it doesn't read. */
+    void endStalled(double nowMs) {
+        boolean slow = partial && wanted && nowMs - partialSinceMs - unwantedMs
+                > LONGEST_PARTIAL_MS + reader.bodyBytes() / LEAST_BYTES_IN_MS;
+        if (slow && closing || writing != null && nowMs - stalledSinceMs > LONGEST_STALL_MS) {
+            context.close();
+        } else if (slow && isArriving() && !ended) {
+            ended = true;
+            abort(TIMED_OUT);
+        }
+    }
+
     /**
      * Closes it between requests, if nothing has come on it by the end of the next pass over the sockets; half a request
      * gets an answer first. Guards against a request that came while the event loop was held up: the connection looks
@@ -275,9 +443,18 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
         if (current != null) {
+            BodyPipe arriving = isArriving() ? current.request.rest() : null;
             current = null;
             driver.clientLeft(currentId);
+            if (writing != null) {
+                writing.leave();
+            }
+            if (arriving != null) {
+                arriving.end(false);
+            }
         }
+        waiting.stream().filter(arrival -> arrival.request != null && arrival.request.rest() != null)
+                .forEach(arrival -> arrival.request.rest().leave());
     }
 
     @Override
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -171,6 +171,7 @@
         adjustAccepting(); // descriptors may have come free on the other side
         double nowMs = clock.nowMs();
         // When ending, those that have brought requests are kept: the client gets no others.
+        List.copyOf(connections).forEach(connection -> connection.endStalled(nowMs));
         List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs, ending)).forEach(this::evict);
         evict(connections.size());
         Standby standby = standby();
--- a/src/main/java/ivybank/client/RequestFields.java
+++ b/src/main/java/ivybank/client/RequestFields.java
@@ -37,6 +37,15 @@
         return digits ? Integer.parseInt(text) : 0;
     }
 
+    /** The target as a path, also where it came with the server's name in front (RFC 9112, 3.2.2). */
+    static String originForm(String target) {
+        if (!target.regionMatches(true, 0, "http://", 0, "http://".length())) {
+            return target;
+        }
+        int path = target.indexOf('/', "http://".length());
+        return path < 0 ? "/" : target.substring(path);
+    }
+
     /** Whether it is written in visible ASCII and not empty. */
     static boolean isPlain(String text) {
         return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127);
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -4,23 +4,37 @@
 import java.io.IOException;
 
 import ivybank.common.Framing;
+import ivybank.exchange.BodyPipe;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Puts whole requests together and passes them on as {@link Read}. The first thing that can't be read is passed on as
- * the status that it is owed, and nothing behind it is looked at. Guards against requests that hide behind what this
- * sidecar and an upstream would read in two ways, and against bodies without end.
+ * Puts requests together and passes them on as {@link Read}: whole ones, and the beginning of those that are too long to be
+ * kept, whose rest follows through a pipe. The first thing that can't be read is passed on as the status that it is owed,
+ * and nothing behind it is looked at. Guards against requests that hide behind what this sidecar and an upstream would read
+ * in two ways, and against bodies without end.
  */
 final class RequestReader extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** A whole request; or, with a {@code status}, the end of all that can be read. */
-    record Read(HttpRequest head, byte[] body, int status) {
+    /**
+     * A whole request; or the beginning of one, with its {@code rest}; or, with a {@code status}, the end of all that can be
+     * read; or {@link #LAST}.
+     */
+    record Read(HttpRequest head, byte[] body, int status, BodyPipe rest) {
+
+        /** The last byte of a long request has come. */
+        static final Read LAST = new Read(null, null, 0, null);
     }
 
     private static final int BAD_REQUEST = 400;
@@ -28,61 +42,109 @@
     private static final int EXPECTATION_FAILED = 417;
 
     private final RequestDecoder decoder;
+    private BodyPipe.Source source;
     private HttpRequest head;
     private ByteArrayOutputStream body;
+    private BodyPipe rest;
+    private long bodyBytes;
     private boolean unreadable;
 
     RequestReader(RequestDecoder decoder) {
         this.decoder = decoder;
     }
 
+    /** Who is told how the rest of a long request is taken. */
+    void source(BodyPipe.Source of) {
+        source = of;
+    }
+
     /** Whether a request has begun that is not whole yet. */
     boolean midRequest() {
         return !unreadable && (head != null || decoder.holdsPart());
     }
 
+    /** What has come of the body of the request that has begun. */
+    long bodyBytes() {
+        return bodyBytes;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
         if (unreadable) {
             return;
         }
-        int status = take(message);
+        int status = take(ctx, message);
         if (status > 0) {
             unreadable = true;
-            head = null;
-            body = null;
-            ctx.fireChannelRead(new Read(null, null, status));
+            BodyPipe broken = rest;
+            reset();
+            ctx.fireChannelRead(new Read(null, null, status, null));
+            if (broken != null) {
+                broken.end(false);
+            }
         } else if (message instanceof LastHttpContent) {
-            Read whole = new Read(head, body.toByteArray(), 0);
-            head = null;
-            body = null;
+            BodyPipe ended = rest;
+            Read whole = ended != null ? Read.LAST : new Read(head, body.toByteArray(), 0, null);
+            reset();
+            if (ended != null) {
+                ended.end(true);
+            }
             ctx.fireChannelRead(whole);
         }
     }
 
+    private void reset() {
+        head = null;
+        body = null;
+        rest = null;
+        bodyBytes = 0;
+    }
+
     /** Takes a part of a request; returns the status that it is owed if it can't be used, else 0. */
-    private int take(HttpObject message) throws IOException {
+    private int take(ChannelHandlerContext ctx, HttpObject message) throws IOException {
         if (message.decoderResult().isFailure()) {
             return BAD_REQUEST;
         }
         if (message instanceof HttpRequest next) {
-            head = next;
-            body = new ByteArrayOutputStream(0);
-            if (!Framing.isClear(next)) {
-                return BAD_REQUEST;
-            }
-            if (Framing.isTooLong(next)) {
-                return TOO_LARGE;
-            }
-            if (next.headers().contains(HttpHeaderNames.EXPECT)) {
-                return EXPECTATION_FAILED; // a client that waits for leave to send its body is told at once
+            int status = begin(ctx, next);
+            if (status > 0) {
+                return status;
             }
         }
         if (message instanceof HttpContent content) {
-            if (body.size() + content.content().readableBytes() > Framing.MAX_BODY) {
+            ByteBuf part = content.content();
+            bodyBytes += part.readableBytes();
+            if (bodyBytes > Framing.MAX_BODY) {
                 return TOO_LARGE;
             }
-            content.content().readBytes(body, content.content().readableBytes());
+            if (rest == null && bodyBytes > Framing.MOST_WHOLE) {
+                rest = new BodyPipe(source);
+                ctx.fireChannelRead(new Read(head, body.toByteArray(), 0, rest));
+                body = null;
+            }
+            if (rest != null) {
+                rest.part(part.retain());
+            } else {
+                part.readBytes(body, part.readableBytes());
+            }
+        }
+        return 0;
+    }
+
+    private int begin(ChannelHandlerContext ctx, HttpRequest next) {
+        head = next;
+        body = new ByteArrayOutputStream(0);
+        if (!Framing.isClear(next)) {
+            return BAD_REQUEST;
+        }
+        if (Framing.isTooLong(next)) {
+            return TOO_LARGE;
+        }
+        if (HttpUtil.is100ContinueExpected(next)) {
+            // A client that waits for leave to send its body is given it at once.
+            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        } else if (next.headers().contains(HttpHeaderNames.EXPECT)) {
+            return EXPECTATION_FAILED;
         }
         return 0;
     }
--- a/src/main/java/ivybank/common/Framing.java
+++ b/src/main/java/ivybank/common/Framing.java
@@ -11,8 +11,10 @@
 /** What a message's head says of its body, beyond what Netty's decoders check. */
 public final class Framing {
 
-    /** The most that a body may hold, by the protocol. */
-    public static final int MAX_BODY = 64 * 1024;
+    /** What is handled whole, and can be sent again; a longer body is passed on in pieces. */
+    public static final int MOST_WHOLE = 64 * 1024;
+    /** The most that a body may hold. */
+    public static final long MAX_BODY = 32L << 20;
 
     private Framing() {
     }
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -50,12 +50,15 @@
     private static final class Exchange {
         final int id;
         final ClientRequest request;
-        final double deadlineMs;
+        /** Far off while its last byte is still to come. */
+        double deadlineMs;
         final Consumer<Answer> client;
         final List<UpstreamAttempt> attempts = new ArrayList<>(2);
         ScheduledFuture<?> backstop;
         int out;
         boolean over;
+        /** The attempt whose long answer is being passed on, or -1. */
+        int passingOn = -1;
 
         Exchange(int id, ClientRequest request, double deadlineMs, Consumer<Answer> client) {
             this.id = id;
@@ -149,19 +152,35 @@
 
     @Override
     public int request(ClientRequest request, Consumer<Answer> client) {
-        double deadlineMs = request.arrivedMs() + request.budgetMs();
+        boolean arriving = request.arriving();
+        double deadlineMs = arriving ? Double.MAX_VALUE : request.arrivedMs() + request.budgetMs();
         Exchange exchange = new Exchange(++lastId, request, deadlineMs, client);
         exchanges.put(exchange.id, exchange);
         openIds.add(request.callId());
         unanswered++;
         counters.taken++;
-        double leftMs = deadlineMs - clock.nowMs();
-        exchange.backstop = schedule(leftMs - BACKSTOP_MS, () -> expire(exchange));
+        double leftMs = arriving ? request.budgetMs() : deadlineMs - clock.nowMs();
+        if (!arriving) {
+            exchange.backstop = schedule(leftMs - BACKSTOP_MS, () -> expire(exchange));
+        }
         tell(() -> balancer.request(clock.nowMs(), new Request(exchange.id, request.requestClass(), request.tenant(),
-                Math.max(0, leftMs - ANSWER_MS), request.repeat())));
+                Math.max(0, leftMs - ANSWER_MS), request.repeat(), arriving)));
         return exchange.id;
     }
 
+    @Override
+    public void arrived(int id) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange != null && !exchange.over && exchange.deadlineMs == Double.MAX_VALUE) {
+            double budgetMs = exchange.request.budgetMs();
+            exchange.deadlineMs = clock.nowMs() + budgetMs;
+            if (exchange.passingOn < 0) {
+                exchange.backstop = schedule(budgetMs - BACKSTOP_MS, () -> expire(exchange));
+            }
+            tell(() -> balancer.arrived(clock.nowMs(), id, Math.max(0, budgetMs - ANSWER_MS)));
+        }
+    }
+
     @Override
     public boolean isOpen(String callId) {
         return openIds.contains(callId);
@@ -190,7 +209,8 @@
 
     /** Fails what is still open when the process is about to end: after that nobody could answer it. */
     void failOpen() {
-        List<Exchange> open = exchanges.values().stream().filter(exchange -> !exchange.over).toList();
+        List<Exchange> open = exchanges.values().stream().filter(exchange -> !exchange.over && exchange.passingOn < 0)
+                .toList();
         if (!open.isEmpty()) {
             log.line("ending: " + open.size() + " requests were still open and are failed");
         }
@@ -211,7 +231,14 @@
                 record.servedLate(Answer.served(ending.contentType(), ending.body()));
             }
         }
-        if (ending.outcome() == Outcome.OK && !exchange.over) {
+        if (exchange.passingOn == number && !exchange.over) {
+            if (ending.outcome() == Outcome.OK) {
+                counters.served++;
+            } else {
+                counters.failed++;
+            }
+            close(exchange);
+        } else if (ending.outcome() == Outcome.OK && !exchange.over && exchange.passingOn < 0) {
             counters.served++;
             answer(exchange, Answer.served(ending.contentType(), ending.body()));
         }
@@ -221,6 +248,24 @@
         forget(exchange);
     }
 
+    /** A long answer has begun: the client gets what comes of it, and nothing else any more. */
+    private void began(Exchange exchange, int number, double sentMs, Answer answer) {
+        if (exchange.over || exchange.passingOn >= 0) {
+            answer.rest().leave();
+            return;
+        }
+        exchange.passingOn = number;
+        stopBackstop(exchange);
+        exchange.client.accept(answer);
+        tell(() -> balancer.streamStarted(clock.nowMs(), exchange.id, number, clock.nowMs() - sentMs));
+    }
+
+    private static void stopBackstop(Exchange exchange) {
+        if (exchange.backstop != null) {
+            exchange.backstop.cancel(false);
+        }
+    }
+
     private void answer(Exchange exchange, Answer answer) {
         close(exchange);
         exchange.client.accept(answer);
@@ -228,7 +273,7 @@
 
     private void close(Exchange exchange) {
         exchange.over = true;
-        exchange.backstop.cancel(false);
+        stopBackstop(exchange);
         unanswered--;
         openIds.remove(exchange.request.callId());
         forget(exchange);
@@ -280,17 +325,35 @@
         double leftMs = exchange.deadlineMs - ANSWER_MS - nowMs;
         double mostMs = timeoutMs == 0 ? leftMs : Math.min(timeoutMs, leftMs);
         int number = exchange.attempts.size();
-        UpstreamAttempt attempt = new UpstreamAttempt(node, exchange.request, mostMs,
-                ending -> ended(exchange, number, nowMs, ending));
+        UpstreamAttempt attempt = new UpstreamAttempt(node, exchange.request, mostMs, new UpstreamAttempt.Listener() {
+            @Override
+            public void began(Answer answer) {
+                Driver.this.began(exchange, number, sinceMs(exchange, nowMs), answer);
+            }
+
+            @Override
+            public void ended(Ending ending) {
+                Driver.this.ended(exchange, number, sinceMs(exchange, nowMs), ending);
+            }
+        });
         exchange.attempts.add(attempt);
         exchange.out++;
-        if (exchange.over || mostMs <= 0 || number >= settings.limits().maxAttempts()) {
+        // What went with an earlier attempt of a long request is gone.
+        boolean spent = exchange.request.rest() != null && exchange.request.rest().taken();
+        if (exchange.over || spent || mostMs <= 0 || number >= settings.limits().maxAttempts()) {
             attempt.end(Ending.of(Outcome.NOT_SENT));
         } else {
             send(exchange, attempt);
         }
     }
 
+    /** Since when an attempt counts: an upstream begins with the last byte. */
+    private double sinceMs(Exchange exchange, double sentMs) {
+        double arrivedMs = exchange.deadlineMs == Double.MAX_VALUE ? clock.nowMs()
+                : exchange.deadlineMs - exchange.request.budgetMs();
+        return exchange.request.rest() == null ? sentMs : Math.max(sentMs, arrivedMs);
+    }
+
     private void send(Exchange exchange, UpstreamAttempt attempt) {
         SendRecord record = exchange.request.record();
         if (record == null) {
@@ -321,7 +384,7 @@
     @Override
     public void refuse(int request, double retryAfterMs) {
         Exchange exchange = exchanges.get(request);
-        if (exchange != null && !exchange.over) {
+        if (exchange != null && !exchange.over && exchange.passingOn < 0) {
             counters.refused++;
             answer(exchange, Answer.refused(retryAfterMs));
         }
@@ -330,7 +393,7 @@
     @Override
     public void fail(int request) {
         Exchange exchange = exchanges.get(request);
-        if (exchange != null && !exchange.over) {
+        if (exchange != null && !exchange.over && exchange.passingOn < 0) {
             counters.failed++;
             answer(exchange, Answer.status(FAILED));
         }
--- /dev/null
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -0,0 +1,127 @@
+package ivybank.exchange;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * What is still to come of a long body, from the side that reads it to the side that writes it. Holds what has come until
+ * somebody takes it; the reader is told to stop meanwhile and whenever the writer can take no more, so that it holds little
+ * more than one read. Ends once: whole, broken by the reader, or left by the writer. Used on one event loop.
+ */
+public final class BodyPipe {
+
+    /** Reads the body. */
+    public interface Source {
+
+        /** Whether more is wanted now. */
+        void wanted(boolean more);
+
+        /** Nobody takes the rest. */
+        void left();
+    }
+
+    /** Writes the body; owns the parts that it is given. */
+    public interface Sink {
+
+        void part(ByteBuf part);
+
+        /** Nothing more comes; {@code whole}: it was all. */
+        void ended(boolean whole);
+    }
+
+    private final Source source;
+    private final Deque<ByteBuf> held = new ArrayDeque<>();
+    private Sink sink;
+    private boolean taken;
+    private boolean ended;
+    private boolean whole;
+    private boolean left;
+
+    public BodyPipe(Source source) {
+        this.source = source;
+    }
+
+    /** Passes a part on, which this owns from now on. */
+    public void part(ByteBuf part) {
+        if (left || ended || !part.isReadable()) {
+            part.release();
+        } else if (sink != null) {
+            sink.part(part);
+        } else {
+            held.addLast(part);
+            source.wanted(false);
+        }
+    }
+
+    /** Ends it; {@code all}: what was passed on is the whole rest. */
+    public void end(boolean all) {
+        if (ended || left) {
+            return;
+        }
+        ended = true;
+        whole = all;
+        if (sink != null) {
+            sink.ended(all);
+        } else if (!all) {
+            release();
+        }
+    }
+
+    /** Whether somebody takes it, or has: what went with that is gone. */
+    public boolean taken() {
+        return taken;
+    }
+
+    /** Whether all has come. */
+    public boolean whole() {
+        return ended && whole;
+    }
+
+    /** Whether it broke off: it will never be whole. */
+    public boolean broken() {
+        return ended && !whole;
+    }
+
+    /** Takes what has come and what comes. */
+    public void take(Sink next) {
+        taken = true;
+        sink = next;
+        while (!held.isEmpty()) {
+            next.part(held.pollFirst());
+        }
+        if (ended) {
+            next.ended(whole);
+        } else {
+            source.wanted(true);
+        }
+    }
+
+    /** Tells whether the sink can take more at once. */
+    public void wanted(boolean more) {
+        if (!ended && !left) {
+            source.wanted(more);
+        }
+    }
+
+    /** Nobody takes the rest. */
+    public void leave() {
+        if (left) {
+            return;
+        }
+        left = true;
+        taken = true;
+        sink = null;
+        release();
+        if (!ended) {
+            source.left();
+        }
+    }
+
+    private void release() {
+        while (!held.isEmpty()) {
+            held.pollFirst().release();
+        }
+    }
+}
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -4,15 +4,28 @@
 
 /**
  * A client's request as it goes on to upstreams; {@code idempotencyKey} is null where it came without one, {@code identity}
- * where it has none or nobody asks for it, {@code record} where nothing need be on record before it is sent.
+ * where it has none or nobody asks for it, {@code record} where nothing need be on record before it is sent. Of a long one {@code body} is the beginning and
+ * {@code rest} what is still to come, {@code length} that of all or -1 where only its end will tell; its time counts from its
+ * last byte, which comes after {@code arrivedMs}.
  */
 public record ClientRequest(HttpMethod method, String uri, String callId, String idempotencyKey, byte[] body,
                      int requestClass, int tenant, boolean repeat, double arrivedMs, double budgetMs, String identity,
-                     SendRecord record) {
+                     SendRecord record, BodyPipe rest, long length) {
+
+    public ClientRequest(HttpMethod method, String uri, String callId, String idempotencyKey, byte[] body, int requestClass,
+            int tenant, boolean repeat, double arrivedMs, double budgetMs, String identity, SendRecord record) {
+        this(method, uri, callId, idempotencyKey, body, requestClass, tenant, repeat, arrivedMs, budgetMs, identity, record,
+                null, body.length);
+    }
+
+    /** Whether its last byte has not come yet. */
+    public boolean arriving() {
+        return rest != null && !rest.whole();
+    }
 
     /** The same, to be on record before it is sent. */
     public ClientRequest with(SendRecord kept) {
         return new ClientRequest(method, uri, callId, idempotencyKey, body, requestClass, tenant, repeat, arrivedMs, budgetMs,
-                identity, kept);
+                identity, kept, rest, length);
     }
 }
--- a/src/main/java/ivybank/exchange/RequestHandler.java
+++ b/src/main/java/ivybank/exchange/RequestHandler.java
@@ -17,6 +17,9 @@
     /** Takes a request, which {@code client} is told the one final answer of, perhaps at once; returns its number. */
     int request(ClientRequest request, Consumer<Answer> client);
 
+    /** The last byte of a long request has come: its time counts from now on. */
+    void arrived(int number);
+
     /** The client of a request no longer waits; nothing is owed to it. */
     void clientLeft(int number);
 }
--- a/src/main/java/ivybank/policy/Attempt.java
+++ b/src/main/java/ivybank/policy/Attempt.java
@@ -8,8 +8,9 @@
     final Host host;
     /** The list entry at the time: it names the group that drops repeats. */
     final Balancer.Upstream sentTo;
-    final double sentMs;
+    double sentMs;
     final double timeoutMs;
+    private boolean loads;
     /** Null while it is out. */
     Balancer.Outcome outcome;
     /** Whether it has been counted as late or timely. */
@@ -28,6 +29,15 @@
     void begin() {
         call.attempts.add(this);
         call.out++;
+        if (!call.arriving) {
+            load(sentMs);
+        }
+    }
+
+    /** From now on it is its server's load: one whose request is still arriving waits for nothing there. */
+    void load(double nowMs) {
+        sentMs = nowMs;
+        loads = true;
         host.attempts.addLast(this);
         host.out++;
         host.held++;
@@ -37,7 +47,7 @@
         outcome = ended;
         call.out--;
         host.attempts.remove(this);
-        host.out--;
+        host.out -= loads ? 1 : 0;
     }
 
     double age(double nowMs) {
--- a/src/main/java/ivybank/policy/Balancer.java
+++ b/src/main/java/ivybank/policy/Balancer.java
@@ -24,6 +24,9 @@
     /** A client's request has come in and is owed exactly one final answer. */
     void request(double nowMs, Request request);
 
+    /** The last byte of a request that was arriving has come: its time counts from now. */
+    void arrived(double nowMs, int request, double timeoutMs);
+
     /** The answer of a streamed request has begun; this attempt now belongs to the client. */
     void streamStarted(double nowMs, int request, int attempt, double elapsedMs);
 
@@ -145,8 +148,11 @@
         }
     }
 
-    /** One request; {@code tenant} is meaningless where {@link Settings#tenants} is empty. */
-    record Request(int id, int requestClass, int tenant, double timeoutMs, boolean repeat) {
+    /**
+     * One request; {@code tenant} is meaningless where {@link Settings#tenants} is empty. Of one that is {@code arriving}
+     * the last byte is still to come, and no upstream begins it before that.
+     */
+    record Request(int id, int requestClass, int tenant, double timeoutMs, boolean repeat, boolean arriving) {
         public Request {
             require(!Double.isNaN(timeoutMs), "time-out of a request must be a number");
         }
--- a/src/main/java/ivybank/policy/Call.java
+++ b/src/main/java/ivybank/policy/Call.java
@@ -12,7 +12,9 @@
     final int queue;
     /** Whether the client has tried before. */
     final boolean repeat;
-    final double usefulUntilMs;
+    double usefulUntilMs;
+    /** Whether its last byte is still to come. */
+    boolean arriving;
     final List<Attempt> attempts = new ArrayList<>(2);
     /** The servers asked what they hold, in the order in which they were drawn, and when. */
     final List<Host> asked = new ArrayList<>(0);
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -112,6 +112,7 @@
                 || !settings.repeatsMarked() && request.timeoutMs() < view.longestTryMs - settings.tickMs();
         int queue = waiting.queue(request.requestClass(), repeat);
         Call call = new Call(request.id(), view, queue, repeat, usefulUntilMs);
+        call.arriving = request.arriving();
         view.offered++;
         offered[queue]++;
         calls.put(call.id, call);
@@ -127,6 +128,16 @@
         }
     }
 
+    @Override
+    public void arrived(double nowMs, int request, double timeoutMs) {
+        Call call = calls.get(request);
+        if (call != null && call.arriving) {
+            call.arriving = false;
+            call.usefulUntilMs = nowMs + timeoutMs;
+            call.attempts.stream().filter(attempt -> attempt.outcome == null).forEach(attempt -> attempt.load(nowMs));
+        }
+    }
+
     private void place(double nowMs, Call call) {
         if (call.usefulUntilMs - nowMs <= call.view.typicalMs / 2) {
             giveUp(call, Cause.TIME); // to earn, and perhaps to be answered in time after an attempt
--- a/src/main/java/ivybank/promises/PromiseKeeper.java
+++ b/src/main/java/ivybank/promises/PromiseKeeper.java
@@ -356,6 +356,11 @@
         return loop.schedule(task, Math.max(0, (long) (delayMs * MICROS_IN_MS)), TimeUnit.MICROSECONDS);
     }
 
+    @Override
+    public void arrived(int number) {
+        driver.arrived(number); // long ones are not on record and keep their numbers
+    }
+
     @Override
     public void clientLeft(int number) {
         Promise promise = byNumber.get(number);
--- a/src/main/java/ivybank/simhost/SimHost.java
+++ b/src/main/java/ivybank/simhost/SimHost.java
@@ -131,7 +131,7 @@
                 int tenant = batch.u32();
                 batch.f64();
                 tell(instance, balancer, () -> balancer.request(now,
-                        new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0)));
+                        new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, false)));
             }
             case 4 -> {
                 int id = batch.u32();
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -1,15 +1,29 @@
 package ivybank.upstream;
 
 import java.util.concurrent.ScheduledFuture;
-import java.util.function.Consumer;
+import java.util.concurrent.TimeUnit;
 
 import ivybank.discovery.Node;
+import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
+import io.netty.channel.EventLoop;
 
 /** One attempt at one upstream. It ends exactly once, whatever else is still to come for it. */
 public final class UpstreamAttempt {
 
+    /** Told what becomes of an attempt. */
+    public interface Listener {
+
+        /** A long answer has begun; it belongs to the client now, and the attempt ends with it. */
+        default void began(Answer answer) {
+            answer.rest().leave();
+        }
+
+        /** It has ended, once. */
+        void ended(Ending ending);
+    }
+
     /** How an attempt ended; type and body are those of a 200 answer and null with any other outcome. */
     public record Ending(Outcome outcome, double[] report, String contentType, byte[] body) {
 
@@ -20,16 +34,18 @@
         }
     }
 
+    private static final double MICROS_IN_MS = 1000;
+
     public final Node node;
     final ClientRequest request;
     final double timeoutMs;
-    private final Consumer<Ending> listener;
+    private final Listener listener;
     private ScheduledFuture<?> timer;
     private UpstreamConnection connection;
     private boolean ended;
     private boolean wentOut;
 
-    public UpstreamAttempt(Node node, ClientRequest request, double timeoutMs, Consumer<Ending> listener) {
+    public UpstreamAttempt(Node node, ClientRequest request, double timeoutMs, Listener listener) {
         this.node = node;
         this.request = request;
         this.timeoutMs = timeoutMs;
@@ -49,8 +65,22 @@
         return wentOut;
     }
 
-    void timer(ScheduledFuture<?> running) {
-        timer = running;
+    /** From now on it has its time; before that it has as much as its request takes to come. */
+    void startTimer(EventLoop loop) {
+        stopTimer();
+        timer = loop.schedule(() -> stop(Outcome.TIMEOUT), (long) (timeoutMs * MICROS_IN_MS), TimeUnit.MICROSECONDS);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    /** Passes on an answer that is too long to be kept whole. */
+    void begin(Answer answer) {
+        stopTimer();
+        listener.began(answer);
     }
 
     /** The connection that it has been handed to; the request may have left on it. */
@@ -78,9 +108,7 @@
         }
         ended = true;
         connection = null;
-        if (timer != null) {
-            timer.cancel(false);
-        }
-        listener.accept(ending);
+        stopTimer();
+        listener.ended(ending);
     }
 }
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -3,9 +3,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 import ivybank.common.Framing;
 import ivybank.discovery.Node;
+import ivybank.exchange.Answer;
+import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.upstream.UpstreamAttempt.Ending;
@@ -15,10 +19,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -36,6 +43,7 @@
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+    private static final long LONGEST_STALL_MS = 5000;
     private static final int MOST_INTERIM_ANSWERS = 16;
     private static final int SERVED = 200;
     private static final int UNAVAILABLE = 503;
@@ -60,6 +68,13 @@
     private boolean written;
     private HttpResponse head;
     private ByteArrayOutputStream body;
+    /** The rest of a long answer that is being passed on, else null; and how much of it has come. */
+    private BodyPipe rest;
+    private long passed;
+    /** The rest of a long request that is being passed on, else null. */
+    private BodyPipe upload;
+    private ScheduledFuture<?> stalled;
+    private boolean broken;
     private int interimAnswers;
     /** What the answer that has come whole makes of the attempt, until the read has ended; else null. */
     private Ending whole;
@@ -106,18 +121,86 @@
             headers.set(IDEMPOTENCY_KEY, request.idempotencyKey());
         }
         if (request.method().equals(HttpMethod.POST)) {
-            headers.setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+            if (request.length() >= 0) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, request.length());
+            } else {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+        }
+        if (request.rest() != null) {
+            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
+            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(request.body())));
+            upload = request.rest();
+            upload.take(new Upload(next));
+            return;
         }
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                 request.uri(), Unpooled.wrappedBuffer(request.body()), headers, EmptyHttpHeaders.INSTANCE);
-        channel.writeAndFlush(message).addListener(write -> {
-            if (attempt == next) {
-                written = write.isSuccess();
-                if (!written) {
-                    finish(Ending.of(Outcome.CONNECT_FAILED), false);
-                }
+        channel.writeAndFlush(message).addListener(write -> written(next, write.isSuccess()));
+    }
+
+    private void written(UpstreamAttempt sent, boolean whole) {
+        if (attempt == sent) {
+            written = whole;
+            if (!whole) {
+                finish(Ending.of(Outcome.CONNECT_FAILED), false);
+            } else if (sent.request.rest() != null) {
+                sent.startTimer(channel.eventLoop());
             }
-        });
+        }
+    }
+
+    /** The rest of a long request, as it comes. One that breaks off goes no further, and so has not run. */
+    private final class Upload implements BodyPipe.Sink {
+        private final UpstreamAttempt sent;
+
+        Upload(UpstreamAttempt sent) {
+            this.sent = sent;
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            if (attempt != sent) {
+                part.release();
+                return;
+            }
+            channel.writeAndFlush(new DefaultHttpContent(part));
+            writable(channel.isWritable());
+        }
+
+        @Override
+        public void ended(boolean whole) {
+            if (attempt != sent) {
+                return;
+            }
+            if (whole) {
+                upload = null;
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(write -> written(sent, write.isSuccess()));
+            } else {
+                finish(Ending.of(Outcome.CONNECT_FAILED), false);
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (upload != null) {
+            writable(ctx.channel().isWritable());
+        }
+    }
+
+    /** Guards a request's client against a node that reads no further: such an attempt has not run, and ends. */
+    private void writable(boolean more) {
+        upload.wanted(more);
+        if (stalled != null) {
+            stalled.cancel(false);
+        }
+        UpstreamAttempt sent = attempt;
+        stalled = more ? null : channel.eventLoop().schedule(() -> {
+            if (attempt == sent && upload != null) {
+                finish(Ending.of(Outcome.CONNECT_FAILED), false);
+            }
+        }, LONGEST_STALL_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -140,8 +223,10 @@
     /** Takes the head of an answer, unless it alone tells that no answer worth reading follows. */
     private void begin(HttpResponse response) {
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        // Without a length its end can't be told from a break, and a part of an answer must not be served.
-        boolean bounded = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        // Without a length its end is that of the connection, which must have been announced: else it can't be told from
+        // a break, and a part of an answer must not be served.
+        boolean bounded = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+                || !HttpUtil.isKeepAlive(response);
         if (!Framing.isClear(response) || !interim && !bounded) {
             spoilt("doesn't tell where it ends");
         } else if (Framing.isTooLong(response)) {
@@ -156,8 +241,17 @@
     }
 
     private void add(ByteBuf part) {
-        if (body.size() + part.readableBytes() > Framing.MAX_BODY) {
-            spoilt("is too long");
+        if (rest != null) {
+            passed += part.readableBytes();
+            if (passed > Framing.MAX_BODY) {
+                spoilt("is too long");
+            } else {
+                rest.part(part.retain());
+            }
+            return;
+        }
+        if (body.size() + part.readableBytes() > Framing.MOST_WHOLE) {
+            passOn(part);
             return;
         }
         try {
@@ -167,17 +261,49 @@
         }
     }
 
+    /** Begins to pass on an answer that is too long to be kept. */
+    private void passOn(ByteBuf part) {
+        if (outcome() != Outcome.OK) {
+            finish(Ending.of(outcome()), false); // what it says is of no interest
+        } else if (attempt.request.record() != null) {
+            spoilt("is too long to be put on record");
+        } else {
+            passed = body.size() + part.readableBytes();
+            rest = new BodyPipe(new BodyPipe.Source() {
+                @Override
+                public void wanted(boolean more) {
+                    channel.config().setAutoRead(more);
+                }
+
+                @Override
+                public void left() {
+                    close();
+                }
+            });
+            rest.part(part.retain());
+            attempt.begin(Answer.begun(head.headers().get(HttpHeaderNames.CONTENT_TYPE), body.toByteArray(), rest,
+                    HttpUtil.getContentLength(head, -1L)));
+        }
+    }
+
     private void answered() {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             head = null; // the answer itself is still to come
             return;
         }
+        if (broken) {
+            return; // the decoder takes any end for that of an answer without a length
+        }
         Outcome outcome = outcome();
         boolean served = outcome == Outcome.OK;
         whole = new Ending(outcome, reports.read(head.headers().getAll(LOAD_REPORT)),
                 served ? head.headers().get(HttpHeaderNames.CONTENT_TYPE) : null,
                 served ? body.toByteArray() : null);
         reusable = written && HttpUtil.isKeepAlive(head);
+        if (rest != null) {
+            rest.end(true);
+            channel.config().setAutoRead(true);
+        }
         head = null;
         body = null;
     }
@@ -213,6 +339,14 @@
     private void finish(Ending ending, boolean useAgain) {
         UpstreamAttempt ended = attempt;
         attempt = null;
+        if (rest != null) {
+            rest.end(false); // unless it has ended whole
+            rest = null;
+        }
+        if (upload != null) {
+            upload.leave();
+            upload = null;
+        }
         head = null;
         body = null;
         whole = null;
@@ -235,6 +369,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken = true;
         ctx.close(); // what it means for the attempt is told when the channel is inactive
     }
 }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -83,8 +83,9 @@
 
     /** Sends an attempt; it may end before this returns. */
     public void send(UpstreamAttempt attempt) {
-        long micros = (long) (attempt.timeoutMs * 1000);
-        attempt.timer(loop.schedule(() -> attempt.stop(Outcome.TIMEOUT), micros, TimeUnit.MICROSECONDS));
+        if (!attempt.request.arriving()) {
+            attempt.startTimer(loop);
+        }
         UpstreamConnection connection = takeIdle(attempt.node);
         if (!attempt.node.ready) {
             attempt.end(Ending.of(Outcome.NOT_SENT));
--- a/src/test/java/ivybank/policy/IdleBalancer.java
+++ b/src/test/java/ivybank/policy/IdleBalancer.java
@@ -17,6 +17,10 @@
     public void request(double nowMs, Request request) {
     }
 
+    @Override
+    public void arrived(double nowMs, int request, double timeoutMs) {
+    }
+
     @Override
     public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {
     }
--- a/src/test/java/ivybank/promises/OnRecordTest.java
+++ b/src/test/java/ivybank/promises/OnRecordTest.java
@@ -158,6 +158,10 @@
             return requests.size();
         }
 
+        @Override
+        public void arrived(int number) {
+        }
+
         @Override
         public void clientLeft(int number) {
             // The test says itself what becomes of it.
