In a crowd, half requests that stand and connections that ask once make way early

Half requests were judged by age, so that raising the time for slow writers to 2.2 s let those that stand hold a place as long. Ruled out: memory (55 of 88 MB), CPU. Change: half a request is spare when nothing of it has come for 0.6 s; where connections are not used again, as counted, they are closed with their first answer from half the comfortable number on.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -61,9 +61,12 @@
     private static final double LONGEST_STALL_MS = 15_000;
     private static final double LONGEST_IDLE_MS = 10_000;
     /** Where there are many connections, what is of no use for so long goes. */
-    private static final double MUTE_IS_SPARE_MS = 250;
-    private static final double PARTIAL_IS_SPARE_MS = 2200;
+    private static final double MUTE_IS_SPARE_MS = 600;
+    /** Since the last bytes of half a request: one that is written slowly goes on, one that is never finished stands. */
+    private static final double PARTIAL_IS_SPARE_MS = 600;
     private static final double IDLE_IS_SPARE_MS = 250;
+    /** Where the client is seen not to use its connections again. */
+    private static final double ASKED_ONCE_IS_SPARE_MS = 50;
 
     private final RequestReader reader;
     private final ClientServer server;
@@ -86,6 +89,9 @@
     /** Whether half a request has come, and on a connection that has brought others since when. */
     private boolean partial;
     private double partialSinceMs;
+    private double lastReadMs;
+    /** Requests that have come whole, or begun to be served. */
+    private int requests;
     /** Whether the rest of a long request is wanted now; since when it is not, and for how long it was not before. */
     private boolean wanted = true;
     private double unwantedSinceMs;
@@ -131,6 +137,9 @@
             return;
         }
         ended |= message.head() == null;
+        if (++requests == 2) {
+            server.reused();
+        }
         if (closing) {
             ctx.close();
         } else if (ended && isArriving()) {
@@ -190,6 +199,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reads++;
+        lastReadMs = clock.nowMs();
         if (!partial && reader.midRequest()) {
             partialSinceMs = mute ? freeSinceMs : clock.nowMs();
             unwantedMs = 0;
@@ -308,7 +318,7 @@
     }
 
     private boolean keepsAlive(Arrival arrival) {
-        return arrival.keepAlive && !(server.draining() && waiting.isEmpty());
+        return arrival.keepAlive && !(waiting.isEmpty() && (server.draining() || requests == 1 && server.closesAtOnce()));
     }
 
     /** An answer has been written. Guards one that came early: closing on a request half read would spoil it. */
@@ -372,7 +382,23 @@
 
     /** Whether it may be closed where there are many. */
     boolean isSpare(double nowMs) {
-        return isLeft(nowMs, MUTE_IS_SPARE_MS, PARTIAL_IS_SPARE_MS, IDLE_IS_SPARE_MS);
+        boolean stands = partial ? nowMs - lastReadMs >= PARTIAL_IS_SPARE_MS
+                : nowMs - freeSinceMs >= (mute ? MUTE_IS_SPARE_MS : IDLE_IS_SPARE_MS);
+        return stands && isFree();
+    }
+
+    /** Whether it is one of many on which nothing more than this is to be expected. */
+    boolean isJunk(double nowMs) {
+        return requests == 0 ? isSpare(nowMs) : askedOnce() && nowMs - freeSinceMs >= ASKED_ONCE_IS_SPARE_MS && isFree();
+    }
+
+    boolean askedOnce() {
+        return requests == 1 && !partial;
+    }
+
+    /** Whether no request is at hand. */
+    private boolean isFree() {
+        return !retiring && current == null && waiting.isEmpty();
     }
 
     /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
@@ -384,7 +410,7 @@
     private boolean isLeft(double nowMs, double muteMs, double partialMs, double idleMs) {
         double sinceMs = partial ? partialSinceMs : freeSinceMs;
         double mostMs = partial ? partialMs + reader.bodyBytes() / LEAST_BYTES_IN_MS : mute ? muteMs : idleMs;
-        return !retiring && current == null && waiting.isEmpty() && nowMs - sinceMs >= mostMs;
+        return isFree() && nowMs - sinceMs >= mostMs;
     }
 
     /** Ends what the client no longer goes on with: a long request that comes too slowly, a long answer that it doesn't read. */
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
@@ -34,6 +35,10 @@
     }
 
     private static final long SWEEP_MS = 100;
+    /** What one connection that is used again, or is closed unused after its first request, says of them all. */
+    private static final double REUSE_STEP = 0.05;
+    private static final double MOST_REUSE = 0.5;
+    private static final int LEFT_OPEN = 8;
     /** Of the client's connections: so many requests may come at once before the first of them is refused. */
     private static final double SPARE_PART = 0.1;
 
@@ -58,6 +63,9 @@
     private boolean refusing;
     private boolean crowded;
     private long evicted;
+    /** The part of the connections that are used again, as seen lately. */
+    private double reuse = 1;
+    private int closeable;
     private long turnedAway;
 
     /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
@@ -149,17 +157,45 @@
      * client has only so many connections for requests, and most requests found none while these were kept.
      */
     private void evict(int most) {
+        double nowMs = clock.nowMs();
         int tooMany = ending ? 0 : descriptors.full() ? most : Math.min(most, connections.size() - limits.comfortable());
-        if (tooMany > 0) {
-            double nowMs = clock.nowMs();
-            connections.stream().filter(connection -> connection.isSpare(nowMs))
-                    .sorted(Comparator.comparingDouble(ClientConnection::freeSinceMs)).limit(tooMany).toList()
-                    .forEach(this::evict);
+        evict(tooMany, connection -> connection.isSpare(nowMs));
+        if (!ending && !reuses()) {
+            evict(Math.min(most, connections.size() - limits.comfortable() / 2), connection -> connection.isJunk(nowMs));
+        }
+    }
+
+    private void evict(int most, Predicate<ClientConnection> of) {
+        if (most > 0) {
+            connections.stream().filter(of).sorted(Comparator.comparingDouble(ClientConnection::freeSinceMs)).limit(most)
+                    .toList().forEach(this::evict);
         }
     }
 
     private void evict(ClientConnection connection) {
-        connection.retire(() -> evicted++);
+        boolean once = connection.askedOnce();
+        connection.retire(() -> {
+            evicted++;
+            reuse -= once ? reuse * REUSE_STEP : 0;
+        });
+    }
+
+    /** A second request has come on a connection. */
+    void reused() {
+        reuse += (1 - reuse) * REUSE_STEP;
+    }
+
+    private boolean reuses() {
+        return reuse >= MOST_REUSE;
+    }
+
+    /**
+     * Whether a connection is to be closed with the answer to its first request. Guards the client's few connections
+     * where each request comes on a new one and the old ones are kept: they were all taken, and most requests found none.
+     * Some are left open, to see whether that still holds.
+     */
+    boolean closesAtOnce() {
+        return !ending && !reuses() && connections.size() > limits.comfortable() / 2 && ++closeable % LEFT_OPEN != 0;
     }
 
     /** Notes a connection that was about to be closed when something came on it. */
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -880,6 +880,41 @@
         assertEquals(200, sixth.status(read(3000)));
     }
 
+    @Test
+    void whereEachRequestComesOnANewConnectionTheOldOnesAreClosedWithTheirAnswers() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 24 + 40);
+        String answer = "";
+        for (int i = 0; !answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"); i++) {
+            assertTrue(i < 300, "connections that ask once hold all that there are");
+            answer = client().ask(read(3000)); // and keeps it
+            Thread.sleep(10);
+        }
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+    }
+
+    @Test
+    void inACrowdHalfARequestThatStandsGivesWayAndOneThatIsWrittenSlowlyIsServed() throws Exception {
+        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"), 24 + 9);
+        Client slow = client();
+        List<Client> standing = new ArrayList<>();
+        String request = read(3000);
+        for (int at = 0; at < request.length(); at += 10) { // for nearly 2 s
+            slow.write(request.substring(at, Math.min(request.length(), at + 10)));
+            if (standing.size() < 4) {
+                Client half = client();
+                half.write("GET /read HTT");
+                standing.add(half);
+            }
+            Thread.sleep(200);
+        }
+        assertTrue(slow.read().startsWith("HTTP/1.1 200"));
+        for (Client half : standing) {
+            assertTrue(half.read().startsWith("HTTP/1.1 408"));
+        }
+    }
+
     @Test
     void aConnectionOnWhichNothingComesIsClosed() throws Exception {
         start(FakeServer.nobody(), host("s-1", FakeServer.nobody(), "Ready"));
