Keep some of the client's connections free, most of them while taking over

A client has a third of the descriptors; at SIGTERM the old process still has about 100 of these 128 in hand, and the new one took more. Ruled out: evictions and the end of the old process (no connection closed unserved; it ends with none open). Change: a request that takes one of the last tenth is refused at once, always and not only when ending; a process that finds another one's mark in $TMPDIR leaves 80% of them at first, falling to the tenth in 0.8 s, as what the old one has in hand is answered.

--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -29,9 +29,9 @@
 
     /**
      * Up to how many client connections none is closed early, up to how many requests are served, and how many are
-     * accepted to be told otherwise.
+     * accepted to be told otherwise; and how many the client has for requests in hand, all processes of the sidecar together.
      */
-    public record Limits(int comfortable, int served, int accepted) {
+    public record Limits(int comfortable, int served, int accepted, int forRequests) {
     }
 
     private static final long SWEEP_MS = 100;
@@ -41,6 +41,12 @@
     private static final int LEFT_OPEN = 8;
     /** Of the client's connections: so many requests may come at once before the first of them is refused. */
     private static final double SPARE_PART = 0.1;
+    /**
+     * Of the client's connections, what is left at first to those requests that the process before this one has in hand, and
+     * how soon these are answered: half of them within 0.3 s.
+     */
+    private static final double LEFT_TO_OTHER = 0.7;
+    private static final double TAKE_OVER_MS = 800;
 
     private final RequestHandler driver;
     private final Clock clock;
@@ -66,6 +72,7 @@
     /** The part of the connections that are used again, as seen lately. */
     private double reuse = 1;
     private int closeable;
+    private double tookOverMs = Double.NEGATIVE_INFINITY;
     private long turnedAway;
 
     /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
@@ -242,15 +249,23 @@
         return overfull;
     }
 
+    /** Another process of the sidecar has requests of the client in hand, for a while. */
+    public void takeOver() {
+        tookOverMs = clock.nowMs();
+    }
+
     /**
-     * Whether a request takes one of the last free connections that the client has and can't replace. Guards against a
-     * client that finds none free after the signal to end: it was seen to send nothing more then, on any of them, until
-     * the next process was there. Such a request is refused at once, and its connection is free again. It does harm
+     * Whether a request takes one of the last free connections that the client has and can't replace: of all that it has
+     * for requests, or, when ending, of those here. Guards against a client that finds none: what it sends next,
+     * whatever that is worth, never gets here, and after the signal to end it was seen to send nothing more, on any of them,
+     * until the next process was there. Such a request is refused at once, and its connection is free again. It does harm
      * where a client would have waited for the next free connection instead.
      */
     boolean takesTheLast() {
-        int spare = (int) Math.ceil(connections.size() * SPARE_PART);
-        boolean last = ending && driver.unanswered() >= connections.size() - spare;
+        int all = ending ? connections.size() : limits.forRequests();
+        double spare = SPARE_PART + (ending ? 0
+                : LEFT_TO_OTHER * Math.max(0, 1 - (clock.nowMs() - tookOverMs) / TAKE_OVER_MS));
+        boolean last = driver.unanswered() >= all - (int) Math.ceil(all * spare);
         turnedAway += last ? 1 : 0;
         return last;
     }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -59,6 +59,7 @@
     private static final double CLIENT_PART = 0.7;
     /** Of all descriptors: the client may have a third for requests, and must not run out of them. */
     private static final double COMFORTABLE_PART = 0.31;
+    private static final int FOR_REQUESTS = 3;
     private static final double REFUSED_PART = 0.06; // of the client's: connections that are only told to come back
     /** A node with many connections open is slower; an idle one costs as much as a new one within a few seconds. */
     private static final double LONGEST_IDLE_MS = 3000;
@@ -153,7 +154,7 @@
         int served = clients - refused;
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
         server = new ClientServer(config.settings(), promises == null ? driver : promises, clock,
-                new ClientServer.Limits(comfortable, served, clients), descriptors,
+                new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)), descriptors,
                 store == null ? null : store.promises().header(), log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
                 timing, driver::updated, clock, log);
@@ -182,10 +183,19 @@
                     + " read again only when a connection to discovery has ended");
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
+        if (Inherited.takesOver(environment)) {
+            log.line("another process serves, or did: taking over from it");
+            sidecar.takeOver();
+        }
         sidecar.start();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
     }
 
+    /** Another process of this sidecar has requests in hand. */
+    void takeOver() {
+        loop.execute(server::takeOver);
+    }
+
     private PromiseKeeper promises(StoreSettings store) throws IOException {
         try {
             PromiseKeeper keeper = KeptPromises.open(store, config.settings(), loop, clock, log);
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -99,7 +99,7 @@
                 new Directory(List.of(), List.of(), pool::closeIdle), pool, silent);
         driver.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
         LocalAddress listen = new LocalAddress("warm-up sidecar");
-        new ClientServer(settings, driver, clock, new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS), descriptors,
+        new ClientServer(settings, driver, clock, new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS, CONNECTIONS), descriptors,
                 null, silent)
                 .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
         new Bootstrap().group(loop).channel(LocalChannel.class).handler(initializer(() ->
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -48,7 +48,10 @@
     private Sidecar sidecar;
     /** How far the sidecar's clock is ahead of this machine's. */
     private final AtomicLong aheadNanos = new AtomicLong();
-    private final Clock clock = new Clock(System.currentTimeMillis(), () -> System.nanoTime() + aheadNanos.get());
+    /** Where it stands still, if it does. */
+    private final AtomicLong frozenNanos = new AtomicLong();
+    private final Clock clock = new Clock(System.currentTimeMillis(),
+            () -> frozenNanos.get() != 0 ? frozenNanos.get() : System.nanoTime() + aheadNanos.get());
     private PrintStream lines = new PrintStream(OutputStream.nullOutputStream());
     private Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0, 10_000);
     private InetSocketAddress address;
@@ -880,6 +883,47 @@
         assertEquals(200, sixth.status(read(3000)));
     }
 
+    @Test
+    void theClientAlwaysHasAConnectionLeftAndMostOfThemWhileAnotherProcessHasItsRequests() throws Exception {
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            connection.read();
+            Thread.sleep(20_000);
+        }));
+        List<String> hosts = IntStream.range(0, 4).mapToObj(i -> host("s-" + i, upstream.address(), "Ready")).toList();
+        // A third of 60 are the client's for requests: 2 of these 20 are kept free, and 16 at first after taking over.
+        start(FakeServer.nobody(), String.join(",", hosts), 60);
+        frozenNanos.set(System.nanoTime());
+        sidecar.takeOver();
+        assertRefused(2, 4 + 2);
+        frozenNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(400));
+        assertRefused(3, 7 + 3);
+        frozenNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(400));
+        assertRefused(1, 7 + 1);
+    }
+
+    /** Sends so many requests, of which so many are refused at once; the others stay in hand. */
+    private void assertRefused(int refused, int requests) throws Exception {
+        List<Client> sent = new ArrayList<>();
+        for (int i = 0; i < requests; i++) {
+            sent.add(client());
+            sent.get(i).write(read(5000).replace("Id: c", "Id: c" + toClose.size()));
+        }
+        for (int i = 0; i < refused; i++) {
+            Client next = null;
+            while (next == null) {
+                for (Client each : sent) {
+                    next = each.socket.getInputStream().available() > 0 ? each : next;
+                }
+            }
+            assertTrue(next.read().startsWith("HTTP/1.1 503"));
+            sent.remove(next);
+        }
+        Thread.sleep(100);
+        for (Client each : sent) {
+            assertEquals(0, each.socket.getInputStream().available(), "more are refused");
+        }
+    }
+
     @Test
     void whereEachRequestComesOnANewConnectionTheOldOnesAreClosedWithTheirAnswers() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
