Keep some of the client's connections free only where another process may take over

Change: room is kept where the listening socket is inherited, since an upgrade may come there at any time; which processes are here is told by a locked file of each in $TMPDIR, so that one that was killed counts no longer.

--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -72,7 +72,8 @@
     /** The part of the connections that are used again, as seen lately. */
     private double reuse = 1;
     private int closeable;
-    private double tookOverMs = Double.NEGATIVE_INFINITY;
+    private boolean company;
+    private double listeningSinceMs;
     private long turnedAway;
 
     /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
@@ -109,6 +110,7 @@
             }
         });
         shared = address == null;
+        listeningSinceMs = clock.nowMs();
         ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         listener.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -249,22 +251,26 @@
         return overfull;
     }
 
-    /** Another process of the sidecar has requests of the client in hand, for a while. */
-    public void takeOver() {
-        tookOverMs = clock.nowMs();
+    /** Whether another process of the sidecar is here, which may have requests of the client in hand. */
+    public void company(boolean another) {
+        company = another;
     }
 
     /**
-     * Whether a request takes one of the last free connections that the client has and can't replace: of all that it has
-     * for requests, or, when ending, of those here. Guards against a client that finds none: what it sends next,
+     * Whether a request takes one of the last free connections that the client has: of those here when ending, for it can't
+     * replace them then; of all that it has for requests where another process may take over at any time, for it is too
+     * late to make room once that one is here. Guards against a client that finds none: what it sends next,
      * whatever that is worth, never gets here, and after the signal to end it was seen to send nothing more, on any of them,
      * until the next process was there. Such a request is refused at once, and its connection is free again. It does harm
      * where a client would have waited for the next free connection instead.
      */
     boolean takesTheLast() {
+        if (!ending && !shared) {
+            return false;
+        }
         int all = ending ? connections.size() : limits.forRequests();
-        double spare = SPARE_PART + (ending ? 0
-                : LEFT_TO_OTHER * Math.max(0, 1 - (clock.nowMs() - tookOverMs) / TAKE_OVER_MS));
+        double begun = Math.min(1, (clock.nowMs() - listeningSinceMs) / TAKE_OVER_MS);
+        double spare = SPARE_PART + (company && !ending ? LEFT_TO_OTHER * (1 - begun) : 0);
         boolean last = driver.unanswered() >= all - (int) Math.ceil(all * spare);
         turnedAway += last ? 1 : 0;
         return last;
--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/ControlDoor.java
@@ -57,7 +57,10 @@
     private final Operated sidecar;
     private final Clock clock;
     private final Log log;
-    private OrdersFile file; // null where nothing lasts
+    private final Path folder; // null where nothing lasts
+    private OrdersFile file;
+    private Company company;
+    private boolean inCompany;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Deque<Channel> callers = new ArrayDeque<>();
     private Orders orders = Orders.NONE;
@@ -68,11 +71,13 @@
         this.sidecar = sidecar;
         this.clock = clock;
         this.log = log;
+        this.folder = folder;
         this.file = folder == null ? null : new OrdersFile(folder);
     }
 
     /** Obeys what is on file and opens; returns the address that it has. */
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
+        company = folder == null ? null : Company.join(folder);
         group.next().submit(this::look).syncUninterruptibly();
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -110,6 +115,11 @@
             return;
         }
         try {
+            if (company.others() != inCompany) {
+                inCompany = !inCompany;
+                log.line(inCompany ? "another process of this sidecar is here" : "no other process of this sidecar is here any more");
+                sidecar.company(inCompany);
+            }
             hold(file.read());
             unreadable = false;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/ivybank/control/Operated.java
+++ b/src/main/java/ivybank/control/Operated.java
@@ -13,6 +13,9 @@
     /** Whether there is a node of this id. */
     CompletionStage<Boolean> knows(String node);
 
+    /** Tells whether another process of this sidecar is here. */
+    void company(boolean another);
+
     /** Makes these orders hold, all of them; done when they do. */
     CompletionStage<Void> obey(Orders orders);
 }
--- a/src/main/java/ivybank/daemon/Inherited.java
+++ b/src/main/java/ivybank/daemon/Inherited.java
@@ -3,9 +3,6 @@
 import java.io.IOException;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.file.FileAlreadyExistsException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Map;
 
 /** The clients' listening socket where the platform keeps it, so that no connection is refused between two processes. */
@@ -14,25 +11,9 @@
     /** Names the descriptor, which Java can take over only where it is that of standard input. */
     static final String VARIABLE = "EDGE_INHERITED_FD";
 
-    private static final String MARK = "ivybank-serving";
-
     private Inherited() {
     }
 
-    /** Whether a process of this sidecar was here before: the first one leaves a mark in the folder that they share. */
-    static boolean takesOver(Map<String, String> environment) throws IOException {
-        String folder = environment.getOrDefault("TMPDIR", "");
-        if (folder.isBlank() || environment.getOrDefault(VARIABLE, "").isBlank()) {
-            return false;
-        }
-        try {
-            Files.createFile(Path.of(folder, MARK));
-            return false;
-        } catch (FileAlreadyExistsException e) {
-            return true;
-        }
-    }
-
     /**
      * The socket, or null where none is handed over. It must not be closed while the log is needed: with it Java closes
      * the standard streams.
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -183,17 +183,13 @@
                     + " read again only when a connection to discovery has ended");
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
-        if (Inherited.takesOver(environment)) {
-            log.line("another process serves, or did: taking over from it");
-            sidecar.takeOver();
-        }
         sidecar.start();
         Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
     }
 
-    /** Another process of this sidecar has requests in hand. */
-    void takeOver() {
-        loop.execute(server::takeOver);
+    @Override
+    public void company(boolean another) {
+        loop.execute(() -> server.company(another));
     }
 
     private PromiseKeeper promises(StoreSettings store) throws IOException {
