A process that has handed over ends at once, and leaves the shared socket alone

Change: where the listening socket is inherited, the process halts once nothing is in hand, instead of closing its event loop and with it the shared socket, at which Java also replaces the standard streams. Which step of the end used the CPU was not found out.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -79,6 +79,7 @@
     private static final double LONGEST_RELOAD_MS = 5000;
     private static final long LONGEST_WARM_UP_MS = 3000;
     private static final long LONGEST_DRAIN_S = 15;
+    private static final int ENDED_BY_SIGTERM = 143;
 
     /**
      * When, after the signal to end, the listener closes, when the connections of the client do, and when what is still
@@ -184,7 +185,12 @@
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
         sidecar.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(sidecar::drain, "drain"));
+        // The socket that others have too is never closed here: the process just ends, and nothing else is left to do.
+        Runnable end = sidecar.inherited == null ? sidecar::drain : () -> {
+            sidecar.finishAll();
+            Runtime.getRuntime().halt(ENDED_BY_SIGTERM);
+        };
+        Runtime.getRuntime().addShutdownHook(new Thread(end, "drain"));
     }
 
     @Override
@@ -303,6 +309,11 @@
      * from now on, and each answer sends its client there; what stays idle is closed late, so that no request crosses it.
      */
     void drain() {
+        finishAll();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(1, TimeUnit.SECONDS);
+    }
+
+    private void finishAll() {
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
                     + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " what comes on open connections"));
@@ -329,7 +340,6 @@
         if (promises != null) {
             promises.close();
         }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(1, TimeUnit.SECONDS);
     }
 
     private int unanswered() {
