Reading the change again: unused methods out, one place for what was written twice

Dead: Orders.outBeyond, BodyPipe.broken, ControlDoor.close, an import. Derived now: whether a connection is mute, from its count of requests. Written twice: the type of an answer, the end of a request at hand, and how long half a request may take, in ClientConnection; its isLeft had one caller left and is part of it. Leaving the rest of a long request was done by abort and again by the answer that it gives. No change of behaviour is meant; the tests are as they were and pass (SidecarTest, LongBodiesTest, OperationsTest, LayoutTest).

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -79,7 +79,6 @@
     private int currentId;
     /** Since when no request has been at hand, by the module's clock. */
     private double freeSinceMs;
-    private boolean mute = true;
     /** Whether something has come that can't be read: nothing behind it is. */
     private boolean ended;
     /** Whether it is about to be closed as of no use. */
@@ -127,7 +126,6 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, RequestReader.Read message) {
-        mute = false;
         if (message == RequestReader.Read.LAST) {
             if (closing) {
                 ctx.close();
@@ -160,7 +158,6 @@
     private void abort(int status) {
         Arrival arrival = current;
         driver.clientLeft(currentId);
-        arrival.request.rest().leave();
         answer(arrival, Answer.status(status));
     }
 
@@ -199,9 +196,10 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         reads++;
-        lastReadMs = clock.nowMs();
+        double nowMs = clock.nowMs();
+        lastReadMs = nowMs;
         if (!partial && reader.midRequest()) {
-            partialSinceMs = mute ? freeSinceMs : clock.nowMs();
+            partialSinceMs = isMute() ? freeSinceMs : nowMs;
             unwantedMs = 0;
         }
         partial = reader.midRequest();
@@ -298,16 +296,12 @@
             pass(arrival, answer, early);
             return;
         }
-        current = null;
-        currentId = 0;
-        freeSinceMs = clock.nowMs();
+        free();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(answer.body()));
         HttpHeaders headers = response.headers();
         headers.setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
-        if (answer.contentType() != null) {
-            headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
-        }
+        setType(headers, answer);
         if (answer.retryAfterMs() > 0) {
             headers.set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf((long) Math.ceil(answer.retryAfterMs()), 3)
                     .stripTrailingZeros().toPlainString());
@@ -317,6 +311,19 @@
         end(context.writeAndFlush(response), keepAlive, early);
     }
 
+    private static void setType(HttpHeaders headers, Answer answer) {
+        if (answer.contentType() != null) {
+            headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+        }
+    }
+
+    /** The request at hand has been answered. */
+    private void free() {
+        current = null;
+        currentId = 0;
+        freeSinceMs = clock.nowMs();
+    }
+
     private boolean keepsAlive(Arrival arrival) {
         return arrival.keepAlive && !(waiting.isEmpty() && (server.draining() || requests == 1 && server.closesAtOnce()));
     }
@@ -337,9 +344,7 @@
     private void pass(Arrival arrival, Answer answer, boolean early) {
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
         HttpHeaders headers = response.headers();
-        if (answer.contentType() != null) {
-            headers.set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
-        }
+        setType(headers, answer);
         if (answer.length() >= 0) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
         } else if (!arrival.old) {
@@ -363,9 +368,7 @@
                 if (current != arrival) {
                     return; // the client has left
                 }
-                current = null;
-                currentId = 0;
-                freeSinceMs = clock.nowMs();
+                free();
                 if (whole) {
                     end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive, early);
                 } else {
@@ -383,13 +386,18 @@
     /** Whether it may be closed where there are many. */
     boolean isSpare(double nowMs) {
         boolean stands = partial ? nowMs - lastReadMs >= PARTIAL_IS_SPARE_MS
-                : nowMs - freeSinceMs >= (mute ? MUTE_IS_SPARE_MS : IDLE_IS_SPARE_MS);
+                : nowMs - freeSinceMs >= (isMute() ? MUTE_IS_SPARE_MS : IDLE_IS_SPARE_MS);
         return stands && isFree();
     }
 
     /** Whether it is one of many on which nothing more than this is to be expected. */
     boolean isJunk(double nowMs) {
-        return requests == 0 ? isSpare(nowMs) : askedOnce() && nowMs - freeSinceMs >= ASKED_ONCE_IS_SPARE_MS && isFree();
+        return isMute() ? isSpare(nowMs) : askedOnce() && nowMs - freeSinceMs >= ASKED_ONCE_IS_SPARE_MS && isFree();
+    }
+
+    /** Whether no request has come yet, nor anything that can't be read. */
+    private boolean isMute() {
+        return requests == 0;
     }
 
     boolean askedOnce() {
@@ -403,20 +411,19 @@
 
     /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
     boolean isUseless(double nowMs, boolean keepIdle) {
-        return isLeft(nowMs, LONGEST_MUTE_MS, LONGEST_PARTIAL_MS, keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS);
-    }
-
-    /** Whether it has been free for so long: since it came, since half a request did, or since its last answer. */
-    private boolean isLeft(double nowMs, double muteMs, double partialMs, double idleMs) {
         double sinceMs = partial ? partialSinceMs : freeSinceMs;
-        double mostMs = partial ? partialMs + reader.bodyBytes() / LEAST_BYTES_IN_MS : mute ? muteMs : idleMs;
+        double mostMs = partial ? longestPartialMs() : isMute() ? LONGEST_MUTE_MS : keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS;
         return isFree() && nowMs - sinceMs >= mostMs;
     }
 
+    /** How long what has come of a request may have taken. */
+    private double longestPartialMs() {
+        return LONGEST_PARTIAL_MS + reader.bodyBytes() / LEAST_BYTES_IN_MS;
+    }
+
     /** Ends what the client no longer goes on with: a long request that comes too slowly, a long answer that it doesn't read. */
     void endStalled(double nowMs) {
-        boolean slow = partial && wanted && nowMs - partialSinceMs - unwantedMs
-                > LONGEST_PARTIAL_MS + reader.bodyBytes() / LEAST_BYTES_IN_MS;
+        boolean slow = partial && wanted && nowMs - partialSinceMs - unwantedMs > longestPartialMs();
         if (slow && closing || writing != null && nowMs - stalledSinceMs > LONGEST_STALL_MS) {
             context.close();
         } else if (slow && isArriving() && !ended) {
--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/ControlDoor.java
@@ -96,10 +96,6 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
-
     private void admit(Channel caller) {
         if (callers.size() >= MOST_CALLERS) {
             callers.pollFirst().close();
--- a/src/main/java/ivybank/exchange/BodyPipe.java
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -79,11 +79,6 @@
         return ended && whole;
     }
 
-    /** Whether it broke off: it will never be whole. */
-    public boolean broken() {
-        return ended && !whole;
-    }
-
     /** Takes what has come and what comes. */
     public void take(Sink next) {
         taken = true;
--- a/src/main/java/ivybank/operations/Orders.java
+++ b/src/main/java/ivybank/operations/Orders.java
@@ -1,7 +1,6 @@
 package ivybank.operations;
 
 import java.util.Collections;
-import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -55,11 +54,4 @@
     public boolean isOut(String node) {
         return out.containsKey(node);
     }
-
-    /** The nodes out here that are not out in another. */
-    public Map<String, Double> outBeyond(Orders other) {
-        SortedMap<String, Double> more = new TreeMap<>(out);
-        more.keySet().removeAll(other.out.keySet());
-        return more;
-    }
 }
--- a/src/test/java/ivybank/daemon/OperationsTest.java
+++ b/src/test/java/ivybank/daemon/OperationsTest.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
