Cold nodes take what warm ones have no room for, at the rate the contract leaves

What no warm member has room for now goes to a cold one, within an allowance: the part of the contract that the draw has, of the most that a warm node of its kind was seen to carry (ivybank.warming, pure). What the draw sends counts against it. A second cause in the same trace: a node that answers 500 at once had its window free again at once and drew up to 110 sends a second, more than all others; it now has no more room than one that answers in the typical time.

--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 
+import ivybank.warming.Allowance;
+
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
 final class Host {
 
@@ -26,6 +28,8 @@
     double held;
     /** Attempts still out, oldest first, but for started streams. */
     final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
+    /** What it may be sent beside its part of the draw while it is cold. */
+    final Allowance allowance = new Allowance();
     double heardMs;
     int failures;
     /** Why it is set aside; null while it is not. */
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import ivybank.warming.Carried;
+
 /** Load shifting by latency-equalising shares, behind {@code Balancer.java}: first the ordinary path. */
 public final class LoadShiftingBalancer implements Balancer {
 
@@ -66,6 +68,7 @@
     private boolean subscribeArmed;
     private int subscribeFailures;
     private double nextShareTickMs;
+    private final Carried carried = new Carried();
     private final double[] offered;
     private final double[] refusedPart; // of each queue, at once
     private double admit = 1;
@@ -163,23 +166,28 @@
     private Host pick(double nowMs, Call call) {
         Host host = coldHost(nowMs, call);
         if (host == null) {
-            weigh(nowMs, call);
+            weigh(nowMs, call, false);
             host = call.asked.isEmpty() ? list.at(random.nextDouble())
                     : call.asked.stream().filter(asked -> asked.weight > 0 && members.contains(asked))
                             .filter(asked -> asked.held * call.view.quietMs() < call.usefulUntilMs - nowMs)
                             .min(Comparator.comparingDouble(asked -> asked.held)).orElse(null);
         }
         foundFull |= host == null;
+        if (host == null && call.asked.isEmpty()) { // what the warm ones have no room for
+            weigh(nowMs, call, true);
+            host = list.at(random.nextDouble());
+        }
         return host;
     }
 
-    private void weigh(double nowMs, Call call) {
+    private void weigh(double nowMs, Call call, boolean cold) {
         boolean allTried = members.stream().allMatch(call::tried);
         // Never most of the subset: that many are not all at fault.
         boolean avoid = 2 * members.stream().filter(host -> host.setAside != null).count() <= members.size();
         for (Host host : members) {
             boolean out = avoid && host.setAside != null || !allTried && call.tried(host)
-                    || host.isCold(nowMs, settings.contract()) || !call.mayGoTo(host, nowMs)
+                    || (cold ? !bears(nowMs, host, call) : host.isCold(nowMs, settings.contract()))
+                    || !call.mayGoTo(host, nowMs)
                     || nowMs < host.nextSendMs || host.out >= Math.max(1, host.window);
             host.weight = out ? 0 : host.share;
         }
@@ -190,7 +198,7 @@
     // to the one that holds least, the first drawn of equals. It waits for a control tick at most.
 
     private boolean ask(double nowMs, Call call) {
-        weigh(nowMs, call);
+        weigh(nowMs, call, false);
         for (int i = 0; i < probes; i++) {
             Host host = list.at(random.nextDouble());
             if (host != null) {
@@ -233,6 +241,7 @@
     private void send(double nowMs, Call call, Host host, double timeoutMs) {
         new Attempt(call, host, nowMs, timeoutMs).begin();
         call.asked.clear();
+        host.allowance.take();
         actions.send(call.id, host.id, timeoutMs);
     }
 
@@ -333,6 +342,9 @@
         count(attempt, elapsedMs, outcome == Outcome.REJECTED || outcome == Outcome.TIMEOUT);
         if (outcome == Outcome.OK) {
             note(nowMs, host, true);
+            if (!host.isCold(nowMs, settings.contract())) {
+                carried.answered(nowMs, host.id, host.listed.kind());
+            }
             view.served++;
             view.answers++;
             view.moveTypical(latencyMs, MEDIAN_STEP);
@@ -351,6 +363,11 @@
         }
         host.sample(latencyMs / view.typicalMs);
         adjustWindow(nowMs, host, view, latencyMs);
+        if (outcome != Outcome.OK) { // one that fails at once must not have more room than one that answers
+            double earlyMs = Math.max(0, view.typicalMs - elapsedMs) / Math.max(1, host.window);
+            double nextMs = Math.min(Math.max(nowMs, host.nextSendMs) + earlyMs, nowMs + view.typicalMs);
+            host.nextSendMs = Math.max(host.nextSendMs, nextMs);
+        }
     }
 
     private boolean mayResend(double nowMs, Call call) {
@@ -426,6 +443,14 @@
         return warmth < 1 && inTime && host.setAside == null && random.nextDouble() < part ? host : null;
     }
 
+    /** Whether a cold member bears one more beside its part of the draw: at the rate that is warm of what others carry. */
+    private boolean bears(double nowMs, Host host, Call call) {
+        double warmth = host.warmth(nowMs, settings.contract());
+        double part = warmth * COLD_PART * settings.contract().overloadFactor();
+        return warmth < 1 && host.setAside == null && call.view.quietMs() < warmth * (call.usefulUntilMs - nowMs)
+                && host.allowance.has(nowMs, carried.mayBeSent(host.listed.kind(), part));
+    }
+
     // ---- Room. Guards against queues, and against servers that jam. Acts when a member's window is full.
 
     private void adjustWindow(double nowMs, Host host, ClassView view, double latencyMs) {
@@ -434,7 +459,7 @@
             // Below one attempt the window sets a pace: many sidecars with one attempt each jam a server too.
             change = Math.max(-SHRINK, change) * Math.min(1, host.window);
             host.window = Math.max(leastWindow(), host.window + change);
-            host.nextSendMs = nowMs + view.typicalMs * Math.max(0, 1 / host.window - 1);
+            host.nextSendMs = Math.max(host.nextSendMs, nowMs + view.typicalMs * Math.max(0, 1 / host.window - 1));
         } else if (host.out + 1 >= host.window / 2) {
             host.window = Math.max(1, host.window + change);
         }
--- /dev/null
+++ b/src/main/java/ivybank/warming/Allowance.java
@@ -0,0 +1,23 @@
+package ivybank.warming;
+
+/** What one node may still be sent at its rate: fills with time, and what is taken beyond it is paid back first. */
+public final class Allowance {
+
+    private static final double MOST = 1; // nothing is saved up: a burst is what pushes a cold node over
+    private static final double LEAST = -4;
+
+    private double left;
+    private double filledMs = Double.NaN;
+
+    /** Fills up to now at {@code perMs} attempts a millisecond and tells whether one more may go. */
+    public boolean has(double nowMs, double perMs) {
+        left = Double.isNaN(filledMs) ? 0 : Math.min(MOST, left + perMs * Math.max(0, nowMs - filledMs));
+        filledMs = nowMs;
+        return left >= MOST;
+    }
+
+    /** Notes one that went, whether it was asked for here or not. */
+    public void take() {
+        left = Math.max(LEAST, left - 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/warming/Carried.java
@@ -0,0 +1,52 @@
+package ivybank.warming;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What warm nodes of each kind carry of this sidecar's requests: the guide to what one of them can bear that has just
+ * started, for its own capacity is not told. All sidecars together send a node no more than the part that is warm of what
+ * they send together to a warm one of its size. Times are in milliseconds.
+ */
+public final class Carried {
+
+    private static final double SPAN_MS = 1000;
+    /** Of the most that was seen, what is kept of it after a span with less: machines and their neighbours change. */
+    private static final double KEPT = 0.998; // each node of a kind takes its part of it off
+    private static final double FORGOTTEN_MS = 10_000;
+
+    private static final class Count {
+        double sinceMs;
+        int answers;
+    }
+
+    private final Map<Integer, Count> counts = new HashMap<>();
+    private final Map<Integer, Double> mostPerMs = new HashMap<>();
+
+    /** Notes an answer of a warm node, whose kind that is. */
+    public void answered(double nowMs, int node, int kind) {
+        Count count = counts.get(node);
+        if (count == null) {
+            counts.values().removeIf(old -> nowMs - old.sinceMs > FORGOTTEN_MS); // nodes come and go
+            count = new Count();
+            count.sinceMs = nowMs;
+            counts.put(node, count);
+        }
+        count.answers++;
+        if (nowMs - count.sinceMs >= SPAN_MS) {
+            double perMs = count.answers / (nowMs - count.sinceMs);
+            mostPerMs.merge(kind, perMs, (most, now) -> Math.max(most * KEPT, now));
+            count.sinceMs = nowMs;
+            count.answers = 0;
+        }
+    }
+
+    /**
+     * Attempts a millisecond that a node of this kind may be sent, whose part {@code warmth} is warm for certain; that of
+     * the weakest kind seen where none of its own was. 0 while nothing is known.
+     */
+    public double mayBeSent(int kind, double warmth) {
+        double weakest = mostPerMs.values().stream().mapToDouble(perMs -> perMs).min().orElse(0);
+        return warmth * mostPerMs.getOrDefault(kind, weakest);
+    }
+}
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -35,6 +35,8 @@
                 .layer("settings").definedBy("ivybank.settings..")
                 .layer("common").definedBy("ivybank.common..")
                 .layer("policy").definedBy("ivybank.policy..")
+                .layer("warming").definedBy("ivybank.warming..")
+                .whereLayer("warming").mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("main").mayNotBeAccessedByAnyLayer()
                 .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
                 .whereLayer("rehearsal").mayOnlyBeAccessedByLayers("cli")
@@ -57,7 +59,8 @@
 
     @Test
     void whatDecidesDoesNoInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.settings..", "ivybank.operations..").should()
+        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.settings..", "ivybank.operations..",
+                "ivybank.warming..").should()
                 .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..",
                         "com.fasterxml..")
                 .check(PROGRAM);
@@ -83,7 +86,7 @@
 
     @Test
     void whatDecidesReadsNoClock() {
-        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..").should().callMethod(System.class, "nanoTime")
+        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..", "ivybank.warming..").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(PROGRAM);
     }
 }
--- a/src/test/java/ivybank/policy/DeparturesTest.java
+++ b/src/test/java/ivybank/policy/DeparturesTest.java
@@ -389,6 +389,68 @@
         assertTrue(part > 0 && part < 2 * coldFrom, "of its share: " + part);
     }
 
+    /** Plays so many requests in each tick, more than there is room for. */
+    private static void flood(Sidecar sidecar, double ms, int inTick, boolean repeats, Fleet fleet) {
+        for (double until = sidecar.now + ms; sidecar.now < until;) {
+            for (int i = 0; i < inTick; i++) {
+                sidecar.request(0, 0, 4000, repeats);
+            }
+            sidecar.pass(Samples.TICK_MS);
+            for (Sidecar.Sent attempt : sidecar.out()) {
+                Outcome outcome = fleet.answer(attempt, sidecar.now - attempt.atMs);
+                if (outcome != null) {
+                    sidecar.end(attempt, outcome);
+                }
+            }
+        }
+    }
+
+    /** Answers in 50 ms; where more than four are out at one server, in so much more. */
+    private static Fleet fourAtOnce(Sidecar sidecar) {
+        return (attempt, ageMs) -> {
+            long out = sidecar.out().stream().filter(other -> other.upstream == attempt.upstream).count();
+            return ageMs >= 50 * Math.max(1, out / 4.0) ? Outcome.OK : null;
+        };
+    }
+
+    @Test
+    void whatWarmServersHaveNoRoomForGoesToColdOnesAtTheRateThatIsWarmForCertain() {
+        // After a release most of a fleet is young: repeats were refused by the hundred while its machines stood idle.
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(8);
+        play(sidecar, 20_000, 5, fourAtOnce(sidecar));
+        double from = sidecar.now;
+        double warmPerS = sentTo(sidecar, 1, from - 5000) / 5.0;
+        for (int id = 1; id <= 6; id++) {
+            sidecar.list(ListKind.DELTA, Sidecar.upstream(id, Status.READY, from));
+        }
+        Fleet fleet = fourAtOnce(sidecar);
+        flood(sidecar, 4000, 1, true, fleet);
+        Balancer.Contract contract = sidecar.settings.contract();
+        double meanWarmth = contract.coldFrom() + (1 - contract.coldFrom()) * 2000 / contract.coldMs();
+        for (int id = 1; id <= 6; id++) {
+            double part = sentTo(sidecar, id, from) / 4.0 / warmPerS;
+            assertTrue(part > 0.5 * meanWarmth, "upstream " + id + " was left idle: " + part);
+            assertTrue(part < contract.overloadFactor() * meanWarmth, "upstream " + id + " is pushed over: " + part);
+        }
+    }
+
+    @Test
+    void aServerThatFailsAtOnceHasNoMoreRoomThanOneThatAnswers() {
+        // Its window was free again at once: where the others were full it drew what they had no room for, and failed it.
+        Sidecar sidecar = new Sidecar(Samples.safe(), 5);
+        sidecar.ready(4);
+        play(sidecar, 10_000, 5, fourAtOnce(sidecar));
+        double from = sidecar.now;
+        int[] answers = {0};
+        Fleet sound = fourAtOnce(sidecar);
+        Fleet fleet = (attempt, ageMs) -> attempt.upstream != 1 ? sound.answer(attempt, ageMs)
+                : ageMs < 1 ? null : ++answers[0] % 3 == 0 ? Outcome.OK : Outcome.ERROR; // never three in a row
+        flood(sidecar, 3000, 4, false, fleet);
+        assertTrue(sentTo(sidecar, 1, from) < 1.5 * sentTo(sidecar, 2, from), sentTo(sidecar, 1, from) + " to the one that"
+                + " fails, " + sentTo(sidecar, 2, from) + " to one that answers");
+    }
+
     @Test
     void anEmptyListHoldsThenRefusesAndServesWhenServersCome() {
         Sidecar sidecar = new Sidecar(Samples.safe(), 5);
