What a process has learned, and what it has in hand, is handed over at an upgrade

ivybank.handover (pure but for MemoryFiles): what the module has learned of nodes and classes, what is out and in hand, as a checksummed, versioned file of each process in $TMPDIR, replaced whole, 20 times a second while two are here; believed less with age, and not at all where it is of the future. ivybank.room: windows and latencies, moved out of the module, which both processes fill together. A node that was called back just before stays cold for the next process too.

The file by which processes know of each other could be removed between its making and its lock, and its channel was held by nothing; it is locked first and moved into place, and the channel is kept.

--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -40,13 +40,12 @@
     private static final double MOST_REUSE = 0.5;
     private static final int LEFT_OPEN = 8;
     /** Of the client's connections: so many requests may come at once before the first of them is refused. */
-    private static final double SPARE_PART = 0.1;
+    private static final double SPARE_PART = 0.15;
     /**
-     * Of the client's connections, what is left at first to those requests that the process before this one has in hand, and
-     * how soon these are answered: half of them within 0.3 s.
+     * While two processes are here: each has less of the core and is held up for longer, so that more comes before it looks,
+     * and a request that finds no connection costs far more then than one that is told to come back.
      */
-    private static final double LEFT_TO_OTHER = 0.7;
-    private static final double TAKE_OVER_MS = 800;
+    private static final double SPARE_IN_COMPANY = 0.35;
 
     private final RequestHandler driver;
     private final Clock clock;
@@ -72,8 +71,9 @@
     /** The part of the connections that are used again, as seen lately. */
     private double reuse = 1;
     private int closeable;
+    /** Requests of the client that another process of the sidecar has in hand. */
+    private int elsewhere;
     private boolean company;
-    private double listeningSinceMs;
     private long turnedAway;
 
     /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
@@ -110,7 +110,6 @@
             }
         });
         shared = address == null;
-        listeningSinceMs = clock.nowMs();
         ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(address);
         listener = bound.channel();
         listener.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -251,9 +250,15 @@
         return overfull;
     }
 
-    /** Whether another process of the sidecar is here, which may have requests of the client in hand. */
+    /** Tells whether another process of the sidecar is here. */
     public void company(boolean another) {
         company = another;
+        elsewhere = another ? elsewhere : 0;
+    }
+
+    /** Tells how many requests of the client that one has in hand. */
+    public void elsewhere(int requests) {
+        elsewhere = company ? requests : 0;
     }
 
     /**
@@ -269,9 +274,8 @@
             return false;
         }
         int all = ending ? connections.size() : limits.forRequests();
-        double begun = Math.min(1, (clock.nowMs() - listeningSinceMs) / TAKE_OVER_MS);
-        double spare = SPARE_PART + (company && !ending ? LEFT_TO_OTHER * (1 - begun) : 0);
-        boolean last = driver.unanswered() >= all - (int) Math.ceil(all * spare);
+        int inHand = driver.unanswered() + (ending ? 0 : elsewhere);
+        boolean last = inHand >= all - (int) Math.ceil(all * (company && !ending ? SPARE_IN_COMPANY : SPARE_PART));
         turnedAway += last ? 1 : 0;
         return last;
     }
--- a/src/main/java/ivybank/control/Company.java
+++ b/src/main/java/ivybank/control/Company.java
@@ -6,35 +6,46 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
 /**
  * The processes of one sidecar that are there at the same time, by a file of each in the folder that they share. A process
  * holds the lock of its own, which ends with it however it ends. Used by one thread of a process.
  */
-final class Company {
+public final class Company {
 
     private static final String FORM = "ivybank-*.process";
 
     private final Path folder;
     private final Path own;
+    /** Kept, for a channel that nothing refers to is closed, and the lock with it. */
+    private final FileChannel held;
 
     /** Leaves word in the folder that this process is here, for as long as it is. */
-    static Company join(Path folder) throws IOException {
-        Path own = Files.createTempFile(folder, "ivybank-", ".process");
+    public static Company join(Path folder) throws IOException {
+        Path making = Files.createTempFile(folder, "ivybank-", ".joining");
+        FileChannel held = FileChannel.open(making, StandardOpenOption.WRITE);
+        held.lock(); // never released
+        // Only now, for the others remove a file that nobody holds.
+        Path own = making.resolveSibling(making.getFileName().toString().replace(".joining", ".process"));
+        Files.move(making, own, StandardCopyOption.ATOMIC_MOVE);
         own.toFile().deleteOnExit();
-        FileChannel.open(own, StandardOpenOption.WRITE).lock(); // never released
-        return new Company(folder, own);
+        return new Company(folder, own, held);
     }
 
-    private Company(Path folder, Path own) {
+    private Company(Path folder, Path own, FileChannel held) {
         this.folder = folder;
         this.own = own;
+        this.held = held;
     }
 
     /** Whether another process is here; the files of those that have ended are removed. */
     boolean others() throws IOException {
         boolean others = false;
+        if (!held.isOpen()) {
+            throw new IOException(own + " is no longer held by this process");
+        }
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, FORM)) {
             for (Path file : files) {
                 // Its own must not even be opened: to close it again would end its lock.
--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/ControlDoor.java
@@ -51,7 +51,7 @@
     private static final int LONGEST_CALL = 4096;
     private static final int MOST_CALLERS = 12;
     private static final long LONGEST_CALL_MS = 5000;
-    private static final long LOOK_MS = 100;
+    private static final long LOOK_MS = 50;
     private static final int LONGEST_ID = 256;
 
     private final Operated sidecar;
@@ -59,15 +59,19 @@
     private final Log log;
     private final Path folder; // null where nothing lasts
     private OrdersFile file;
-    private Company company;
+    private Company company; // null until it has been joined
     private boolean inCompany;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Deque<Channel> callers = new ArrayDeque<>();
     private Orders orders = Orders.NONE;
     private boolean unreadable;
 
-    /** @param folder where the processes of this sidecar leave word for each other; null where there is no such place */
-    public ControlDoor(Operated sidecar, Path folder, Clock clock, Log log) {
+    /**
+     * @param folder where the processes of this sidecar leave word for each other; null where there is no such place
+     * @param company where this process has joined the others already; null to do so
+     */
+    public ControlDoor(Operated sidecar, Path folder, Company company, Clock clock, Log log) {
+        this.company = company;
         this.sidecar = sidecar;
         this.clock = clock;
         this.log = log;
@@ -77,7 +81,7 @@
 
     /** Obeys what is on file and opens; returns the address that it has. */
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
-        company = folder == null ? null : Company.join(folder);
+        company = folder == null || company != null ? company : Company.join(folder);
         group.next().submit(this::look).syncUninterruptibly();
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -22,6 +22,8 @@
 import ivybank.exchange.ClientRequest;
 import ivybank.exchange.RequestHandler;
 import ivybank.exchange.SendRecord;
+import ivybank.handover.Learned;
+import ivybank.handover.Memory;
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.ListKind;
 import ivybank.policy.Balancer.Outcome;
@@ -88,6 +90,10 @@
     private final Set<String> openIds = new HashSet<>();
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Counters counters = new Counters();
+    /** What is taken over from another process until discovery has told its whole list; null for none. */
+    private Learned<String> toRecall;
+    private double trust;
+    private final Set<Integer> recalled = new HashSet<>();
     private boolean telling;
     private volatile boolean listed; // read by the operators' door
     private int lastId;
@@ -122,6 +128,53 @@
         List<Upstream> entries = directory.apply(update);
         listed = true;
         tell(() -> balancer.upstreams(clock.nowMs(), kind, entries));
+        if (toRecall != null) {
+            recall();
+            toRecall = kind == ListKind.FULL ? null : toRecall;
+        }
+    }
+
+    /**
+     * Takes over what another process of this sidecar has learned, as far as it is believed: of the nodes that are listed
+     * now, and of those that discovery names with its first whole list.
+     */
+    void recall(Learned<String> learned, double trust) {
+        recalled.clear();
+        toRecall = learned;
+        this.trust = trust;
+        recall();
+    }
+
+    private void recall() {
+        List<Upstream> changed = new ArrayList<>();
+        toRecall.nodes().forEach((host, node) -> changed.addAll(directory.recallStart(host, node.startedMs())));
+        if (!changed.isEmpty()) {
+            tell(() -> balancer.upstreams(clock.nowMs(), ListKind.DELTA, changed));
+        }
+        Learned<String> all = toRecall;
+        Learned<Integer> here = (recalled.isEmpty() ? all : all.ofNodes()).named(host -> {
+            Integer number = directory.number(host);
+            return number != null && recalled.add(number) ? number : null;
+        });
+        tell(() -> balancer.recall(here, trust));
+    }
+
+    /** What this process leaves for others of its sidecar. */
+    Memory memory() {
+        return new Memory(clock.nowMs(), unanswered, balancer.learned().named(directory::host));
+    }
+
+    /** Tells what another process has out by node, and how many requests it has in hand. */
+    void elsewhere(Map<String, Integer> out, int inHand) {
+        Map<Integer, Integer> numbered = new HashMap<>();
+        out.forEach((host, attempts) -> {
+            Integer number = directory.number(host);
+            if (number != null) {
+                numbered.put(number, attempts);
+            }
+        });
+        double part = inHand == 0 ? 1 : (unanswered + 1.0) / (unanswered + 1.0 + inHand);
+        tell(() -> balancer.elsewhere(numbered, part));
     }
 
     /** Takes over which nodes operators have taken out, by their ids, with when they did. */
--- /dev/null
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -0,0 +1,130 @@
+package ivybank.daemon;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import ivybank.client.ClientServer;
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.handover.Memory;
+import ivybank.handover.MemoryFiles;
+import io.netty.channel.EventLoop;
+
+/**
+ * Leaves word of what this process knows for the others of its sidecar, and passes on what they left: all of it to a process
+ * that begins, and what they have in hand while they are here. Files are read and written on a thread of its own.
+ */
+final class Handover {
+
+    /** How often word is left while another process reads it, and while none does. */
+    private static final long TOGETHER_MS = 50;
+    private static final int ALONE_TIMES = 20;
+
+    private final EventLoop loop;
+    private final Driver driver;
+    private final ClientServer server;
+    private final Clock clock;
+    private final Log log;
+    private final MemoryFiles files;
+    private final ScheduledExecutorService thread;
+    private volatile boolean company;
+    // Used by the thread alone.
+    private int rounds;
+    private boolean toldElsewhere;
+    private String failure;
+
+    Handover(Path folder, EventLoop loop, Driver driver, ClientServer server, Clock clock, Log log) {
+        this.loop = loop;
+        this.driver = driver;
+        this.server = server;
+        this.clock = clock;
+        this.log = log;
+        files = new MemoryFiles(folder, ProcessHandle.current().pid(), log::line);
+        thread = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread its = new Thread(task, "handover");
+            its.setDaemon(true);
+            return its;
+        });
+    }
+
+    /** Takes over what the process before this one has left, if there is any; before this one serves. */
+    void takeOver() {
+        double nowMs = clock.nowMs();
+        Optional<Memory> newest = others().stream().max(Comparator.comparingDouble(Memory::writtenMs));
+        newest.ifPresent(memory -> {
+            log.line("taking over what another process has learned of " + memory.learned().nodes().size() + " nodes, "
+                    + Math.round(nowMs - memory.writtenMs()) + " ms ago, believed to " + Math.round(100 * memory.trust(nowMs)) + "%");
+            loop.execute(() -> driver.recall(memory.learned(), memory.trust(nowMs)));
+        });
+    }
+
+    void start() {
+        thread.scheduleWithFixedDelay(this::round, 0, TOGETHER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells whether another process of this sidecar is here. */
+    void company(boolean another) {
+        company = another;
+    }
+
+    private void round() {
+        if (company || toldElsewhere) {
+            tellElsewhere();
+        }
+        if (company || rounds++ % ALONE_TIMES == 0) {
+            leave();
+        }
+    }
+
+    private List<Memory> others() {
+        try {
+            return files.others(clock.nowMs());
+        } catch (IOException e) {
+            fails("what other processes have left can't be read: " + e);
+            return List.of();
+        }
+    }
+
+    private void tellElsewhere() {
+        double nowMs = clock.nowMs();
+        Map<String, Integer> out = new HashMap<>();
+        int inHand = 0;
+        for (Memory memory : company ? others() : List.<Memory>of()) {
+            if (memory.isFresh(nowMs)) {
+                inHand += memory.inHand();
+                memory.learned().nodes().forEach((host, node) -> out.merge(host, node.out(), Integer::sum));
+            }
+        }
+        int requests = inHand;
+        toldElsewhere = company;
+        loop.execute(() -> {
+            driver.elsewhere(out, requests);
+            server.elsewhere(requests);
+        });
+    }
+
+    private void leave() {
+        try {
+            files.write(CompletableFuture.supplyAsync(driver::memory, loop).join());
+            failure = null;
+        } catch (IOException | RuntimeException e) {
+            fails("what this process has learned is not on file: " + e);
+        }
+    }
+
+    private void fails(String how) {
+        if (!how.equals(failure)) {
+            log.line("handover: " + how);
+        }
+        failure = how;
+    }
+}
--- a/src/main/java/ivybank/daemon/OperatorsDoor.java
+++ b/src/main/java/ivybank/daemon/OperatorsDoor.java
@@ -7,6 +7,7 @@
 
 import ivybank.common.Clock;
 import ivybank.common.Log;
+import ivybank.control.Company;
 import ivybank.control.ControlDoor;
 import ivybank.control.Operated;
 
@@ -16,9 +17,23 @@
     private OperatorsDoor() {
     }
 
-    static void open(Operated sidecar, InetSocketAddress address, Map<String, String> environment, Clock clock, Log log)
-            throws IOException {
+    /**
+     * Lets the process that this one takes over from know of it, before anything else: to start takes half of the core that
+     * both have, and that one must have made room by then. Null where there is no such process.
+     */
+    static Company join(Map<String, String> environment) throws IOException {
+        Path folder = folder(environment);
+        return folder == null || environment.getOrDefault(Inherited.VARIABLE, "").isBlank() ? null : Company.join(folder);
+    }
+
+    /** Where the processes of a sidecar leave word for each other; null where there is no such place. */
+    static Path folder(Map<String, String> environment) {
         String folder = environment.getOrDefault("TMPDIR", "");
-        new ControlDoor(sidecar, folder.isBlank() ? null : Path.of(folder), clock, log).open(address);
+        return folder.isBlank() ? null : Path.of(folder);
+    }
+
+    static void open(Operated sidecar, InetSocketAddress address, Map<String, String> environment, Company company, Clock clock,
+            Log log) throws IOException {
+        new ControlDoor(sidecar, folder(environment), company, clock, log).open(address);
     }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -14,6 +14,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
+import ivybank.control.Company;
 import ivybank.control.Operated;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
@@ -117,6 +118,8 @@
     private final PromiseKeeper promises; // null: none are kept
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ServerSocketChannel inherited; // null: it listens by itself
+    private volatile Handover handover; // null: no other process takes over
+    private volatile boolean company;
     /** Whether clients' connections are accepted, or would be if there were room. */
     private volatile boolean listening;
     /** Signals to read the configuration again so far. */
@@ -167,6 +170,7 @@
      * @param operator the operator file, or null for none
      */
     public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
+        Company company = environment.containsKey(Inherited.VARIABLE) ? OperatorsDoor.join(environment) : null;
         Config config = Config.load(environment);
         boolean asked = config.settings().askForList();
         // Without the file nothing of it is loaded.
@@ -177,13 +181,16 @@
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
                 DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
         if (config.control() != null) {
-            OperatorsDoor.open(sidecar, config.control(), environment, clock, log);
+            OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
         }
         if (!HangUp.handle(sidecar::reload)) {
             log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                     + " read again only when a connection to discovery has ended");
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
+        if (sidecar.inherited != null && OperatorsDoor.folder(environment) != null) {
+            sidecar.handOver(OperatorsDoor.folder(environment));
+        }
         sidecar.start();
         // The socket that others have too is never closed here: the process just ends, and nothing else is left to do.
         Runnable end = sidecar.inherited == null ? sidecar::drain : () -> {
@@ -195,7 +202,21 @@
 
     @Override
     public void company(boolean another) {
+        company = another;
         loop.execute(() -> server.company(another));
+        Handover its = handover;
+        if (its != null) {
+            its.company(another);
+        }
+    }
+
+    /** Takes over what another process has left in this folder, and leaves what this one learns there. */
+    void handOver(Path folder) {
+        Handover next = new Handover(folder, loop, driver, server, clock, log);
+        next.takeOver();
+        handover = next;
+        next.company(company);
+        next.start();
     }
 
     private PromiseKeeper promises(StoreSettings store) throws IOException {
--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -137,6 +137,31 @@
         return entries;
     }
 
+    /** The number of the node of this id, or null. */
+    public Integer number(String host) {
+        Node node = byHost.get(host);
+        return node == null ? null : node.id;
+    }
+
+    /** The id of the node of this number, or null. */
+    public String host(int id) {
+        Node node = byId.get(id);
+        return node == null ? null : node.host;
+    }
+
+    /**
+     * Takes over from another process when a node last started as far as that one knew: from discovery, or from being called
+     * back before discovery had told of it. Returns the entries that this changes in the module's form.
+     */
+    public List<Upstream> recallStart(String host, double startedMs) {
+        Node node = byHost.get(host);
+        if (node == null || startedMs <= startOf(node)) {
+            return List.of();
+        }
+        node.calledBackMs = startedMs;
+        return List.of(told(node));
+    }
+
     /** Whether a node of this id is listed, or was when it was taken out. */
     public boolean knows(String host) {
         return byHost.containsKey(host);
--- a/src/main/java/ivybank/policy/Attempt.java
+++ b/src/main/java/ivybank/policy/Attempt.java
@@ -39,7 +39,7 @@
         sentMs = nowMs;
         loads = true;
         host.attempts.addLast(this);
-        host.out++;
+        host.window.sent();
         host.held++;
     }
 
@@ -47,7 +47,9 @@
         outcome = ended;
         call.out--;
         host.attempts.remove(this);
-        host.out -= loads ? 1 : 0;
+        if (loads) {
+            host.window.ended();
+        }
     }
 
     double age(double nowMs) {
--- a/src/main/java/ivybank/policy/Balancer.java
+++ b/src/main/java/ivybank/policy/Balancer.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 
-import ivybank.discovery.Discovery;
+import ivybank.handover.Heir;
 
 /**
  * The decisions of one sidecar: what happens is told by the methods below, in the order in which it happened; what is
@@ -13,7 +13,7 @@
  * <p>Identifiers of requests and upstreams are opaque. The attempts of a request are numbered 0, 1, 2 and so on, in
  * the order in which they were sent.
  */
-public interface Balancer {
+public interface Balancer extends Heir {
 
     /** The sidecar begins. Called once, before anything else. */
     void start(double nowMs);
--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayDeque;
 
+import ivybank.handover.Learned;
+import ivybank.handover.Trust;
+import ivybank.room.Window;
 import ivybank.warming.Allowance;
 
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
@@ -9,7 +12,7 @@
 
     final int id;
     /** Drawn at random when it was first listed. */
-    final double rank;
+    double rank;
     /** What discovery said last. */
     Balancer.Upstream listed;
     /** Its part of the draw. */
@@ -19,10 +22,8 @@
     /** Latencies of this tick, each over the typical one of its class. */
     double latencySum;
     int samples;
-    /** Attempts that may be out at once; below one it sets a pace. */
-    double window;
-    double nextSendMs;
-    int out;
+    /** What may be out there at once, and what is. */
+    final Window window = new Window();
     /** Whether a probe is out, and how many requests it was last known to hold, with those sent since. */
     boolean probing;
     double held;
@@ -76,6 +77,19 @@
         return warmth(nowMs, contract) < 1;
     }
 
+    Learned.OfNode learned(boolean member) {
+        return new Learned.OfNode(listed.startedMs(), rank, member ? share : 0, window.size(), window.out(), setAside != null);
+    }
+
+    /** Keeps its place in the random order also over a restart, the rest only within one life. */
+    void recall(Learned.OfNode other, double trust) {
+        rank = other == null ? rank : other.rank();
+        if (other != null && other.share() > 0 && Trust.sameLife(other, listed.startedMs())) {
+            share = Trust.blend(share, other.share(), trust);
+            window.reset(Trust.blend(window.size(), other.window(), trust));
+        }
+    }
+
     @Override
     public String toString() {
         return "upstream " + Integer.toUnsignedString(id);
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import ivybank.handover.Learned;
+import ivybank.handover.Trust;
 import ivybank.warming.Carried;
 
 /** Load shifting by latency-equalising shares, behind {@code Balancer.java}: first the ordinary path. */
@@ -27,9 +29,6 @@
     private static final int STREAK = 3; // failures or slow answers in a row that are hardly chance
     private static final double SILENCE = 6; // typical latencies that tell; half that where several are out
     private static final double LONGEST_GAP_MS = 4000; // between trials: a fault lasts for seconds
-    private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded server takes
-    private static final double GROW = 0.25; // attempts that a quick answer adds to a window, at most
-    private static final double SHRINK = 0.5; // attempts that a slow answer takes off it, at most
     private static final double LEAST_OUT = 8; // attempts of all sidecars together that a server has room for
     private static final double COLD_PART = 0.6; // of the contract's overload factor: bursts fill the rest
     private static final double EXTRA = 0.25; // further attempts and second copies for each request
@@ -142,7 +141,7 @@
     }
 
     private void place(double nowMs, Call call) {
-        if (call.usefulUntilMs - nowMs <= call.view.typicalMs / 2) {
+        if (call.usefulUntilMs - nowMs <= call.view.typicalMs() / 2) {
             giveUp(call, Cause.TIME); // to earn, and perhaps to be answered in time after an attempt
         } else if (probes > 0 && call.asked.isEmpty() && ask(nowMs, call)) {
             asking.add(call);
@@ -158,7 +157,7 @@
         if (host == null) {
             return false;
         }
-        double mostMs = trial == null ? Double.MAX_VALUE : SILENCE * call.view.typicalMs;
+        double mostMs = trial == null ? Double.MAX_VALUE : SILENCE * call.view.typicalMs();
         send(nowMs, call, host, Math.min(mostMs, call.usefulUntilMs - nowMs));
         return true;
     }
@@ -186,9 +185,10 @@
         boolean avoid = 2 * members.stream().filter(host -> host.setAside != null).count() <= members.size();
         for (Host host : members) {
             boolean out = avoid && host.setAside != null || !allTried && call.tried(host)
-                    || (cold ? !bears(nowMs, host, call) : host.isCold(nowMs, settings.contract()))
+                    || (cold ? !host.allowance.has(nowMs, carried.mayBeSent(host.listed.kind(), coldPart(nowMs, host, call)))
+                            : host.isCold(nowMs, settings.contract()))
                     || !call.mayGoTo(host, nowMs)
-                    || nowMs < host.nextSendMs || host.out >= Math.max(1, host.window);
+                    || host.window.isFull(nowMs);
             host.weight = out ? 0 : host.share;
         }
     }
@@ -249,7 +249,7 @@
     private void shiftShares(double nowMs) {
         for (Host host : members) {
             // A hung server answers nothing: what is out for longer than usual counts by its age.
-            host.attempts.stream().mapToDouble(attempt -> attempt.age(nowMs) / attempt.call.view.typicalMs)
+            host.attempts.stream().mapToDouble(attempt -> attempt.age(nowMs) / attempt.call.view.typicalMs())
                     .filter(ratio -> ratio > 1).forEach(host::sample);
         }
         dense = list.sampled().mapToDouble(host -> host.samples).sum() >= STREAK * members.size();
@@ -277,7 +277,7 @@
         double meanShare = members.isEmpty() ? 1 : 1.0 / members.size();
         for (Host host : chosen) {
             if (!members.contains(host)) {
-                host.window = Math.max(1, leastWindow());
+                host.window.reset(Math.max(1, leastWindow()));
                 // As the paper starts: in proportion to the listed size.
                 host.share = meanShare * (meanWeight > 0 ? host.listed.weight() / meanWeight : 1);
                 members.add(host);
@@ -301,7 +301,7 @@
     /** Explains the gaps of a tick: why so many requests were given up, and how much room the members had. */
     private void tellGivenUp(double nowMs) {
         if (!givenUp.isEmpty()) {
-            long full = members.stream().filter(host -> host.out >= Math.max(1, host.window)).count();
+            long full = members.stream().filter(host -> host.window.isFull(nowMs)).count();
             long cold = members.stream().filter(host -> host.isCold(nowMs, settings.contract())).count();
             long aside = members.stream().filter(host -> host.setAside != null).count();
             actions.log("given up within " + Math.round(TICK_MS) + " ms: " + givenUp + "; admitting "
@@ -311,6 +311,36 @@
         givenUp.clear();
     }
 
+    // ---- Another process of this sidecar, before this one or beside it: what it has learned, and what it has out.
+
+    @Override
+    public Learned<Integer> learned() {
+        Map<Integer, Learned.OfNode> nodes = new HashMap<>();
+        list.hosts.forEach(host -> nodes.put(host.id, host.learned(members.contains(host))));
+        return new Learned<>(admit, extra, classes.stream().map(ClassView::learned).toList(), nodes, carried.most());
+    }
+
+    @Override
+    public void recall(Learned<Integer> other, double trust) {
+        if (other.classes().size() == classes.size()) {
+            admit = Trust.blend(admit, other.admitted(), trust);
+            extra = Trust.blend(extra, Math.min(EXTRA_SAVED, other.extra()), trust);
+            classes.forEach(view -> view.recall(other.classes().get(classes.indexOf(view)), trust));
+            carried.recall(other.carried(), trust);
+        }
+        list.hosts.forEach(host -> host.recall(other.nodes().get(host.id), 0)); // the order first: it says who is drawn from
+        subsetSize = Math.max(subsetSize, (int) other.nodes().values().stream().filter(node -> node.share() > 0).count());
+        fillSubset();
+        members.forEach(host -> host.recall(other.nodes().get(host.id), trust));
+        list.normalise();
+    }
+
+    @Override
+    public void elsewhere(Map<Integer, Integer> out, double part) {
+        list.hosts.forEach(host -> host.window.elsewhere(out.getOrDefault(host.id, 0)));
+        carried.own(part);
+    }
+
     // ---- Outcomes: what was learnt, and whether the request gets another attempt.
 
     @Override
@@ -346,10 +376,9 @@
                 carried.answered(nowMs, host.id, host.listed.kind());
             }
             view.served++;
-            view.answers++;
-            view.moveTypical(latencyMs, MEDIAN_STEP);
+            view.answered(latencyMs, MEDIAN_STEP);
         } else if (outcome == Outcome.NOT_SENT
-                || outcome == Outcome.CANCELLED && elapsedMs < view.typicalMs) {
+                || outcome == Outcome.CANCELLED && elapsedMs < view.typicalMs()) {
             return;
         } else if (outcome != Outcome.CANCELLED) {
             // A failure counts at its time-out: else an upstream that fails at once would draw load.
@@ -361,18 +390,17 @@
             }
             note(nowMs, host, false);
         }
-        host.sample(latencyMs / view.typicalMs);
-        adjustWindow(nowMs, host, view, latencyMs);
-        if (outcome != Outcome.OK) { // one that fails at once must not have more room than one that answers
-            double earlyMs = Math.max(0, view.typicalMs - elapsedMs) / Math.max(1, host.window);
-            double nextMs = Math.min(Math.max(nowMs, host.nextSendMs) + earlyMs, nowMs + view.typicalMs);
-            host.nextSendMs = Math.max(host.nextSendMs, nextMs);
+        host.sample(latencyMs / view.typicalMs());
+        // Room: guards against queues, and against servers that jam. Acts when a member's window is full.
+        host.window.answered(nowMs, latencyMs, view.quietMs(), view.typicalMs(), leastWindow());
+        if (outcome != Outcome.OK) {
+            host.window.failed(nowMs, elapsedMs, view.typicalMs());
         }
     }
 
     private boolean mayResend(double nowMs, Call call) {
         return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
-                && call.usefulUntilMs - nowMs >= call.view.typicalMs
+                && call.usefulUntilMs - nowMs >= call.view.typicalMs()
                 && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
 
@@ -436,33 +464,15 @@
         }
         members.forEach(host -> host.weight = host.share);
         Host host = list.at(random.nextDouble());
-        double warmth = host.warmth(nowMs, settings.contract());
-        double part = warmth * COLD_PART * settings.contract().overloadFactor();
-        // A request that takes the inverse of the warm part longer must still make its aim.
-        boolean inTime = call.view.quietMs() < warmth * (call.usefulUntilMs - nowMs);
-        return warmth < 1 && inTime && host.setAside == null && random.nextDouble() < part ? host : null;
+        return random.nextDouble() < coldPart(nowMs, host, call) ? host : null;
     }
 
-    /** Whether a cold member bears one more beside its part of the draw: at the rate that is warm of what others carry. */
-    private boolean bears(double nowMs, Host host, Call call) {
+    /** The part of what a warm server takes that a cold one may be sent; 0 where it is warm, or this would be late there. */
+    private double coldPart(double nowMs, Host host, Call call) {
         double warmth = host.warmth(nowMs, settings.contract());
-        double part = warmth * COLD_PART * settings.contract().overloadFactor();
-        return warmth < 1 && host.setAside == null && call.view.quietMs() < warmth * (call.usefulUntilMs - nowMs)
-                && host.allowance.has(nowMs, carried.mayBeSent(host.listed.kind(), part));
-    }
-
-    // ---- Room. Guards against queues, and against servers that jam. Acts when a member's window is full.
-
-    private void adjustWindow(double nowMs, Host host, ClassView view, double latencyMs) {
-        double change = Math.min(GROW, CROWDED * view.quietMs() / latencyMs - 1);
-        if (change < 0) {
-            // Below one attempt the window sets a pace: many sidecars with one attempt each jam a server too.
-            change = Math.max(-SHRINK, change) * Math.min(1, host.window);
-            host.window = Math.max(leastWindow(), host.window + change);
-            host.nextSendMs = Math.max(host.nextSendMs, nowMs + view.typicalMs * Math.max(0, 1 / host.window - 1));
-        } else if (host.out + 1 >= host.window / 2) {
-            host.window = Math.max(1, host.window + change);
-        }
+        // A request that takes the inverse of the warm part longer must still make its aim.
+        boolean inTime = call.view.quietMs() < warmth * (call.usefulUntilMs - nowMs);
+        return warmth < 1 && inTime && host.setAside == null ? warmth * COLD_PART * settings.contract().overloadFactor() : 0;
     }
 
     /** This sidecar's part of what all may have out at one server, as if they were alike. */
@@ -475,8 +485,8 @@
     // are late, a growing part of the least worthy is refused at once.
 
     private boolean shed(double nowMs, Call call) {
-        boolean hopeless = call.usefulUntilMs - nowMs <= Math.max(controlMs, call.view.typicalMs)
-                || !members.isEmpty() && nowMs - call.waitingSinceMs > LONGEST_WAIT * call.view.typicalMs;
+        boolean hopeless = call.usefulUntilMs - nowMs <= Math.max(controlMs, call.view.typicalMs())
+                || !members.isEmpty() && nowMs - call.waitingSinceMs > LONGEST_WAIT * call.view.typicalMs();
         if (hopeless) {
             giveUp(call, Cause.ROOM);
         }
@@ -576,9 +586,9 @@
             host.attempts.forEach(attempt -> count(attempt, attempt.age(nowMs), false));
             Attempt oldest = host.attempts.peekFirst();
             double silentMs = oldest == null ? 0 : nowMs - Math.max(host.heardMs, oldest.sentMs);
-            double typicalMs = oldest == null ? 0 : oldest.call.view.typicalMs;
-            double telling = (host.out > 1 ? SILENCE / 2 : SILENCE) * typicalMs;
-            if (silentMs > 1.5 * typicalMs && silentMs * host.out > telling) {
+            double typicalMs = oldest == null ? 0 : oldest.call.view.typicalMs();
+            double telling = (host.window.out() > 1 ? SILENCE / 2 : SILENCE) * typicalMs;
+            if (silentMs > 1.5 * typicalMs && silentMs * host.window.out() > telling) {
                 setAside(nowMs, host, "silent for " + Math.round(silentMs) + " ms");
             }
             if (host.setAside != null && dense && admit == 1 && waiting.isEmpty()) {
@@ -591,7 +601,7 @@
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
         boolean may = !call.done && call.out == 1 && settings.limits().secondCopies()
-                && stuck.age(nowMs) > call.view.typicalMs && mayResend(nowMs, call);
+                && stuck.age(nowMs) > call.view.typicalMs() && mayResend(nowMs, call);
         Host other = may ? pick(nowMs, call) : null;
         if (other != null && other != stuck.host) {
             extra -= 1;
--- a/src/main/java/ivybank/warming/Allowance.java
+++ b/src/main/java/ivybank/warming/Allowance.java
@@ -9,11 +9,11 @@
     private double left;
     private double filledMs = Double.NaN;
 
-    /** Fills up to now at {@code perMs} attempts a millisecond and tells whether one more may go. */
+    /** Fills up to now at {@code perMs} attempts a millisecond and tells whether one more may go; none where that is 0. */
     public boolean has(double nowMs, double perMs) {
         left = Double.isNaN(filledMs) ? 0 : Math.min(MOST, left + perMs * Math.max(0, nowMs - filledMs));
         filledMs = nowMs;
-        return left >= MOST;
+        return perMs > 0 && left >= MOST;
     }
 
     /** Notes one that went, whether it was asked for here or not. */
--- a/src/main/java/ivybank/warming/Carried.java
+++ b/src/main/java/ivybank/warming/Carried.java
@@ -22,6 +22,7 @@
 
     private final Map<Integer, Count> counts = new HashMap<>();
     private final Map<Integer, Double> mostPerMs = new HashMap<>();
+    private double own = 1;
 
     /** Notes an answer of a warm node, whose kind that is. */
     public void answered(double nowMs, int node, int kind) {
@@ -47,6 +48,21 @@
      */
     public double mayBeSent(int kind, double warmth) {
         double weakest = mostPerMs.values().stream().mapToDouble(perMs -> perMs).min().orElse(0);
-        return warmth * mostPerMs.getOrDefault(kind, weakest);
+        return own * warmth * mostPerMs.getOrDefault(kind, weakest);
+    }
+
+    /** Tells this process's part of what it and another one of the sidecar have in hand together. */
+    public void own(double part) {
+        own = part;
+    }
+
+    /** By kind, the most that a warm node was seen to carry, in attempts a millisecond. */
+    public Map<Integer, Double> most() {
+        return Map.copyOf(mostPerMs);
+    }
+
+    /** Takes over what another process of the sidecar has seen, as far as it is believed. */
+    public void recall(Map<Integer, Double> other, double trust) {
+        other.forEach((kind, perMs) -> mostPerMs.merge(kind, perMs * trust, Math::max));
     }
 }
--- /dev/null
+++ b/src/test/java/ivybank/handover/MemoryTest.java
@@ -0,0 +1,121 @@
+package ivybank.handover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MemoryTest {
+
+    private static final double NOW_MS = 1.7e12;
+
+    private static Memory memory(double writtenMs) {
+        return new Memory(writtenMs, 7, new Learned<>(0.5, 3, List.of(new Learned.OfClass(300, 250, 90)),
+                Map.of("s-1", new Learned.OfNode(0, 0.25, 0.4, 17.5, 3, false),
+                        "s-2", new Learned.OfNode(NOW_MS - 5000, 0.75, 0.6, 2, 0, true)), Map.of(0, 0.05, 2, 0.01)));
+    }
+
+    @Test
+    void whatIsWrittenIsRead() throws Exception {
+        assertEquals(memory(NOW_MS), MemoryCodec.read(MemoryCodec.write(memory(NOW_MS))));
+    }
+
+    @Test
+    void whatIsCutAtAnyByteOrHasAnyByteFlippedIsNotBelieved() {
+        byte[] whole = MemoryCodec.write(memory(NOW_MS));
+        for (int i = 0; i < whole.length; i++) {
+            byte[] cut = Arrays.copyOf(whole, i);
+            assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(cut), "cut at " + i);
+            for (int bit = 0; bit < 8; bit++) {
+                byte[] flipped = whole.clone();
+                flipped[i] ^= (byte) (1 << bit);
+                assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(flipped), "flipped at " + i);
+            }
+        }
+        byte[] longer = Arrays.copyOf(whole, whole.length + 1);
+        assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(longer));
+    }
+
+    @Test
+    void figuresThatMakeNoSenseAreNotBelievedThoughTheSumIsRight() throws Exception {
+        byte[] whole = MemoryCodec.write(memory(NOW_MS));
+        int length = whole.length - 4;
+        for (int i = 10; i < length; i++) {
+            byte[] odd = whole.clone();
+            odd[i] = (byte) 0xff;
+            CRC32C sum = new CRC32C();
+            sum.update(odd, 0, length);
+            ByteBuffer.wrap(odd).putInt(length, (int) sum.getValue());
+            try {
+                Memory read = MemoryCodec.read(odd);
+                assertTrue(read.learned().admitted() > 0 && read.learned().admitted() <= 1);
+            } catch (MemoryCodec.Unreadable e) {
+                assertEquals("its figures make no sense", e.getMessage());
+            }
+        }
+    }
+
+    @Test
+    void anotherVersionIsToldFromDamage() {
+        byte[] other = MemoryCodec.write(memory(NOW_MS));
+        other[5]++;
+        assertTrue(assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(other)).getMessage().contains("version 2"));
+    }
+
+    @Test
+    void trustFallsWithAgeAndWhatIsOfTheFutureHasNone() {
+        assertEquals(1, memory(NOW_MS).trust(NOW_MS));
+        assertEquals(0.5, memory(NOW_MS).trust(NOW_MS + 30_000), 1e-6);
+        assertEquals(0, memory(NOW_MS).trust(NOW_MS + 90_000));
+        assertEquals(0, memory(NOW_MS).trust(NOW_MS - 3_600_000), "the clock was set back an hour");
+        assertTrue(memory(NOW_MS).isFresh(NOW_MS + 100));
+        assertFalse(memory(NOW_MS).isFresh(NOW_MS + 10_000), "its process has ended or stands still");
+        assertFalse(memory(NOW_MS).isFresh(NOW_MS - 3_600_000));
+    }
+
+    @Test
+    void aProcessReadsWhatOthersLeftAndNotItsOwn(@TempDir Path folder) throws Exception {
+        List<String> said = new ArrayList<>();
+        MemoryFiles first = new MemoryFiles(folder, 1, said::add);
+        MemoryFiles second = new MemoryFiles(folder, 2, said::add);
+        assertEquals(List.of(), second.others(NOW_MS));
+        first.write(memory(NOW_MS));
+        first.write(memory(NOW_MS + 1));
+        second.write(memory(NOW_MS + 2));
+        assertEquals(List.of(memory(NOW_MS + 1)), second.others(NOW_MS + 3));
+        assertEquals(List.of(memory(NOW_MS + 2)), first.others(NOW_MS + 3));
+        assertEquals(List.of(), said);
+    }
+
+    @Test
+    void whatIsOfNoUseIsToldOnceAndRemoved(@TempDir Path folder) throws Exception {
+        List<String> said = new ArrayList<>();
+        MemoryFiles files = new MemoryFiles(folder, 1, said::add);
+        byte[] whole = MemoryCodec.write(memory(NOW_MS));
+        Files.write(folder.resolve("ivybank-2.memory"), new byte[0]);
+        Files.write(folder.resolve("ivybank-3.memory"), Arrays.copyOf(whole, 40));
+        Files.write(folder.resolve("ivybank-4.memory"), "something else altogether".getBytes());
+        Files.write(folder.resolve("ivybank-5.memory"), new byte[MemoryCodec.MOST_BYTES + 1]);
+        Files.write(folder.resolve("ivybank-6.memory"), MemoryCodec.write(memory(NOW_MS - 3_600_000)));
+        Files.write(folder.resolve("ivybank-7.memory.next"), whole); // killed in the middle of writing
+        assertEquals(List.of(), files.others(NOW_MS));
+        assertEquals(List.of(), files.others(NOW_MS));
+        assertEquals(4, said.size(), said.toString());
+        try (Stream<Path> left = Files.list(folder)) {
+            assertEquals(List.of("ivybank-7.memory.next"), left.map(file -> file.getFileName().toString()).toList());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ivybank/policy/HandoverTest.java
@@ -0,0 +1,128 @@
+package ivybank.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+
+import ivybank.handover.Learned;
+import ivybank.policy.Balancer.ListKind;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.policy.Balancer.Status;
+import org.junit.jupiter.api.Test;
+
+/** What a module that takes over begins with. */
+class HandoverTest {
+
+    /** Serves at this pace for a while, upstream 1 four times as slowly as the others. */
+    private static void play(Sidecar sidecar, double ms) {
+        for (double until = sidecar.now + ms; sidecar.now < until;) {
+            for (int i = 0; i < 6; i++) {
+                sidecar.request(0);
+            }
+            sidecar.pass(Samples.TICK_MS);
+            for (Sidecar.Sent attempt : sidecar.out()) {
+                if (sidecar.now - attempt.atMs >= (attempt.upstream == 1 ? 200 : 50)) {
+                    sidecar.end(attempt, Outcome.OK);
+                }
+            }
+        }
+    }
+
+    private static Sidecar old() {
+        Sidecar old = new Sidecar(Samples.safe(), 5);
+        old.ready(14);
+        play(old, 6000);
+        return old;
+    }
+
+    private static double share(Sidecar sidecar, int upstream) {
+        return sidecar.balancer.learned().nodes().get(upstream).share();
+    }
+
+    @Test
+    void theNextProcessBeginsWithTheSharesTheWindowsAndTheSubsetOfTheOneBefore() {
+        Sidecar old = old();
+        Learned<Integer> learned = old.balancer.learned();
+        Sidecar next = new Sidecar(Samples.safe(), 77);
+        next.now = old.now;
+        next.ready(14);
+        next.balancer.recall(learned, 1);
+        Learned<Integer> taken = next.balancer.learned();
+        learned.nodes().forEach((id, node) -> {
+            assertEquals(node.share(), taken.nodes().get(id).share(), 1e-9, "upstream " + id);
+            assertEquals(node.window(), node.share() > 0 ? taken.nodes().get(id).window() : node.window(), 1e-9, "upstream " + id);
+        });
+        assertEquals(learned.classes(), taken.classes());
+        assertEquals(learned.carried(), taken.carried());
+    }
+
+    @Test
+    void whatIsOldIsBelievedInPartAndSharesStillAddUp() {
+        Sidecar old = old();
+        Sidecar next = new Sidecar(Samples.safe(), 77);
+        next.ready(14);
+        next.balancer.recall(old.balancer.learned(), 0.5);
+        double sum = 0;
+        for (int id = 1; id <= 14; id++) {
+            sum += share(next, id);
+            boolean drawn = share(old, id) > 0;
+            assertEquals(drawn, share(next, id) > 0, "the same are drawn from");
+        }
+        assertEquals(1, sum, 1e-9);
+    }
+
+    @Test
+    void aServerThatHasRestartedIsNotTakenForWhatItWas() {
+        Sidecar old = old();
+        Sidecar next = new Sidecar(Samples.safe(), 77);
+        next.now = old.now;
+        next.ready(14);
+        double fresh = 8 * 14 / 10.0;
+        int restarted = old.balancer.learned().nodes().entrySet().stream().filter(node -> node.getValue().window() > fresh + 2)
+                .mapToInt(Map.Entry::getKey).findFirst().orElseThrow();
+        next.list(ListKind.DELTA, Sidecar.upstream(restarted, Status.READY, next.now));
+        next.balancer.recall(old.balancer.learned(), 1);
+        assertEquals(fresh, next.balancer.learned().nodes().get(restarted).window(), "a fresh one");
+    }
+
+    @Test
+    void whatIsRememberedOfServersThatAreNotListedAndOfOtherClassesIsLeftOut() {
+        Sidecar old = old();
+        Sidecar next = new Sidecar(Samples.safe(), 77);
+        next.ready(3);
+        Learned<Integer> learned = old.balancer.learned();
+        next.balancer.recall(new Learned<>(0.05, 0, List.of(), learned.nodes(), Map.of()), 1);
+        assertEquals(3, next.balancer.learned().nodes().size());
+        assertEquals(1, next.balancer.learned().admitted(), "of other classes");
+        play(next, 1000);
+        assertEquals(List.of(), next.breaches);
+    }
+
+    @Test
+    void whatAnotherProcessHasOutAtAServerTakesItsRoom() {
+        Sidecar old = old();
+        Sidecar next = new Sidecar(Samples.safe(), 77);
+        next.now = old.now;
+        next.ready(14);
+        next.balancer.recall(old.balancer.learned(), 1);
+        double windows = 0;
+        for (Learned.OfNode node : old.balancer.learned().nodes().values()) {
+            windows += node.share() > 0 ? Math.max(1, node.window()) : 0;
+        }
+        Map<Integer, Integer> all = new java.util.HashMap<>();
+        old.balancer.learned().nodes().forEach((id, node) -> all.put(id, (int) Math.ceil(node.window())));
+        next.balancer.elsewhere(all, 0.1);
+        for (int i = 0; i < windows; i++) {
+            next.request(0);
+        }
+        assertTrue(next.sent.isEmpty(), "sent " + next.sent.size() + " beyond the room that the other one fills");
+        next.balancer.elsewhere(Map.of(), 1);
+        next.pass(500);
+        for (int i = 0; i < windows; i++) {
+            next.request(0);
+        }
+        assertTrue(next.sent.size() > 0.5 * windows, "sent " + next.sent.size());
+    }
+}
