Both processes of an upgrade count against one limit of descriptors, and one warms up last

The file of each now names what it holds, the other counts it and 40 more against the limit, and the old one keeps no free connection to a node after SIGTERM.

Between the start of a process and its first word 50 to 100 ms stalls of the old one cost its client all free connections (a watch of the event loop; the collector was ruled out, 3 to 39 ms). Where another process is here the warm-up runs at the lowest priority.

Tried and left: to stay idle until SIGKILL after SIGTERM, for the core that the platform grants two processes. It changed nothing.

Tests: the mutant that floods a cold node finds its lines again, and with that the restart of a server is judged over ten sidecars, for one second of one was chance; the test of what the other process has in hand has descriptors enough.

--- a/src/main/java/ivybank/common/Descriptors.java
+++ b/src/main/java/ivybank/common/Descriptors.java
@@ -2,19 +2,29 @@
 
 /**
  * The file descriptors that both sides share. Each side has a bound of its own; together they would be too many, so
- * that what one side does not use the other may.
+ * that what one side does not use the other may. Another process of the sidecar counts against the same limit.
  */
 public final class Descriptors {
 
     private final int most;
     private int used;
+    private int elsewhere;
 
     public Descriptors(int most) {
         this.most = most;
     }
 
     public boolean full() {
-        return used >= most;
+        return used + elsewhere >= most;
+    }
+
+    public int used() {
+        return used;
+    }
+
+    /** Tells how many another process holds, or may hold before it is heard of again. */
+    public void elsewhere(int held) {
+        elsewhere = held;
     }
 
     public void take() {
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -160,8 +160,8 @@
     }
 
     /** What this process leaves for others of its sidecar. */
-    Memory memory() {
-        return new Memory(clock.nowMs(), unanswered, balancer.learned().named(directory::host));
+    Memory memory(int descriptors) {
+        return new Memory(clock.nowMs(), unanswered, descriptors, balancer.learned().named(directory::host));
     }
 
     /** Tells what another process has out by node, and how many requests it has in hand. */
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -14,6 +14,7 @@
 
 import ivybank.client.ClientServer;
 import ivybank.common.Clock;
+import ivybank.common.Descriptors;
 import ivybank.common.Log;
 import ivybank.handover.Memory;
 import ivybank.handover.MemoryFiles;
@@ -28,10 +29,13 @@
     /** How often word is left while another process reads it, and while none does. */
     private static final long TOGETHER_MS = 50;
     private static final int ALONE_TIMES = 20;
+    /** What another process holds beside its connections, and may have opened since it was heard of. */
+    private static final int HELD_BESIDE = 40;
 
     private final EventLoop loop;
     private final Driver driver;
     private final ClientServer server;
+    private final Descriptors descriptors;
     private final Clock clock;
     private final Log log;
     private final MemoryFiles files;
@@ -42,10 +46,12 @@
     private boolean toldElsewhere;
     private String failure;
 
-    Handover(Path folder, EventLoop loop, Driver driver, ClientServer server, Clock clock, Log log) {
+    Handover(Path folder, EventLoop loop, Driver driver, ClientServer server, Descriptors descriptors, Clock clock,
+            Log log) {
         this.loop = loop;
         this.driver = driver;
         this.server = server;
+        this.descriptors = descriptors;
         this.clock = clock;
         this.log = log;
         files = new MemoryFiles(folder, ProcessHandle.current().pid(), log::line);
@@ -68,7 +74,8 @@
     }
 
     void start() {
-        thread.scheduleWithFixedDelay(this::round, 0, TOGETHER_MS, TimeUnit.MILLISECONDS);
+        round(); // before the first connection is accepted
+        thread.scheduleWithFixedDelay(this::round, TOGETHER_MS, TOGETHER_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Tells whether another process of this sidecar is here. */
@@ -98,23 +105,27 @@
         double nowMs = clock.nowMs();
         Map<String, Integer> out = new HashMap<>();
         int inHand = 0;
+        int held = company ? HELD_BESIDE : 0;
         for (Memory memory : company ? others() : List.<Memory>of()) {
             if (memory.isFresh(nowMs)) {
                 inHand += memory.inHand();
+                held += memory.descriptors();
                 memory.learned().nodes().forEach((host, node) -> out.merge(host, node.out(), Integer::sum));
             }
         }
         int requests = inHand;
+        int heldElsewhere = held;
         toldElsewhere = company;
         loop.execute(() -> {
             driver.elsewhere(out, requests);
             server.elsewhere(requests);
+            descriptors.elsewhere(heldElsewhere);
         });
     }
 
     private void leave() {
         try {
-            files.write(CompletableFuture.supplyAsync(driver::memory, loop).join());
+            files.write(CompletableFuture.supplyAsync(() -> driver.memory(descriptors.used()), loop).join());
             failure = null;
         } catch (IOException | RuntimeException e) {
             fails("what this process has learned is not on file: " + e);
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -105,6 +105,7 @@
 
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final Descriptors descriptors;
     private final UpstreamPool pool;
     private final Driver driver;
     private final ClientServer server;
@@ -140,7 +141,7 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
-        Descriptors descriptors = new Descriptors(sockets);
+        descriptors = new Descriptors(sockets);
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
         int clients = Math.max(1, (int) (sockets * CLIENT_PART));
         int refused = Math.max(1, (int) (clients * REFUSED_PART));
@@ -187,6 +188,11 @@
             log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                     + " read again only when a connection to discovery has ended");
         }
+        if (company != null) {
+            // Another process has clients to serve on the core that both have: to get ready may wait for it. The threads that
+            // serve were started before, and keep their part. Only where the JVM is told to heed priorities.
+            Thread.currentThread().setPriority(Thread.MIN_PRIORITY);
+        }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
         if (sidecar.inherited != null && OperatorsDoor.folder(environment) != null) {
             sidecar.handOver(OperatorsDoor.folder(environment));
@@ -212,7 +218,7 @@
 
     /** Takes over what another process has left in this folder, and leaves what this one learns there. */
     void handOver(Path folder) {
-        Handover next = new Handover(folder, loop, driver, server, clock, log);
+        Handover next = new Handover(folder, loop, driver, server, descriptors, clock, log);
         next.takeOver();
         handover = next;
         next.company(company);
@@ -344,6 +350,7 @@
                 loop.schedule(() -> finish(0), drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
             } else {
                 server.stopListening();
+                pool.keepNoneIdle();
                 finish(drainTimes.stopServingMs());
             }
             loop.schedule(() -> {
--- a/src/main/java/ivybank/handover/Memory.java
+++ b/src/main/java/ivybank/handover/Memory.java
@@ -5,9 +5,10 @@
  *
  * @param writtenMs Unix time in milliseconds
  * @param inHand requests of clients that it has not answered yet
+ * @param descriptors that it holds for connections
  * @param learned by the ids that discovery gives
  */
-public record Memory(double writtenMs, int inHand, Learned<String> learned) {
+public record Memory(double writtenMs, int inHand, int descriptors, Learned<String> learned) {
 
     /** Word of a process that lives is at most this old. */
     private static final double FRESH_MS = 2000;
@@ -17,7 +18,7 @@
     private static final double LEAST_AGE_MS = -1000;
 
     public Memory {
-        if (!(writtenMs > 0) || inHand < 0) {
+        if (!(writtenMs > 0) || inHand < 0 || descriptors < 0) {
             throw new IllegalArgumentException("not what a process leaves");
         }
     }
--- a/src/main/java/ivybank/handover/MemoryCodec.java
+++ b/src/main/java/ivybank/handover/MemoryCodec.java
@@ -50,7 +50,8 @@
         ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + SUM_BYTES + 64 + bytes + 20 * learned.classes().size()
                 + 12 * learned.carried().size());
         out.putInt(MARK).putShort(VERSION).putInt(0);
-        out.putDouble(memory.writtenMs()).putInt(memory.inHand()).putDouble(learned.admitted()).putDouble(learned.extra());
+        out.putDouble(memory.writtenMs()).putInt(memory.inHand()).putInt(memory.descriptors());
+        out.putDouble(learned.admitted()).putDouble(learned.extra());
         out.putInt(learned.classes().size());
         learned.classes().forEach(its -> out.putDouble(its.typicalMs()).putDouble(its.quietMs()).putInt(its.answers()));
         out.putInt(learned.carried().size());
@@ -95,6 +96,7 @@
     private static Memory body(ByteBuffer in) {
         double writtenMs = in.getDouble();
         int inHand = in.getInt();
+        int descriptors = in.getInt();
         double admitted = in.getDouble();
         double extra = in.getDouble();
         List<Learned.OfClass> classes = new ArrayList<>();
@@ -112,7 +114,7 @@
             nodes.put(new String(id, StandardCharsets.UTF_8), new Learned.OfNode(in.getDouble(), in.getDouble(),
                     in.getDouble(), in.getFloat(), in.getInt(), in.get() != 0));
         }
-        return new Memory(writtenMs, inHand, new Learned<>(admitted, extra, classes, nodes, carried));
+        return new Memory(writtenMs, inHand, descriptors, new Learned<>(admitted, extra, classes, nodes, carried));
     }
 
     private static long sum(byte[] bytes, int length) {
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -38,6 +38,7 @@
     private final Bootstrap bootstrap;
     private final Map<Node, Deque<UpstreamConnection>> idle = new HashMap<>();
     private int open;
+    private boolean keepsNoneIdle;
     private long opened;
     private long spoilt;
 
@@ -147,7 +148,7 @@
     void handBack(UpstreamConnection connection) {
         // A node that has moved is another machine: what leads to the old one is of no more use.
         boolean moved = !connection.address.equals(connection.node.address);
-        if (!connection.node.ready || moved || !connection.active()) {
+        if (keepsNoneIdle || !connection.node.ready || moved || !connection.active()) {
             connection.close();
             return;
         }
@@ -169,6 +170,12 @@
         }
     }
 
+    /** From now on a connection is closed when it is free: another process needs the descriptors. */
+    public void keepNoneIdle() {
+        keepsNoneIdle = true;
+        closeAllIdle();
+    }
+
     private void closeLongIdle() {
         double oldestMs = clock.nowMs() - limits.idleMs();
         for (Deque<UpstreamConnection> connections : idle.values()) {
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -897,25 +897,25 @@
             Thread.sleep(20_000);
         }));
         List<String> hosts = IntStream.range(0, 6).mapToObj(i -> host("s-" + i, upstream.address(), "Ready")).toList();
-        // A third of 90 are the client's for requests: of these 30, 11 are kept free while another process is here, else 5.
+        // A third of 300 are the client's for requests: of these 100, 35 are kept free while another process is here, else 15.
         inherited = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        start(FakeServer.nobody(), String.join(",", hosts), 90);
+        start(FakeServer.nobody(), String.join(",", hosts), 300);
         sidecar.handOver(folder);
         MemoryFiles other = new MemoryFiles(folder, 1, said -> { });
         sidecar.company(true);
-        leave(other, 9);
+        leave(other, 55);
         assertRefused(2, 10 + 2);
-        leave(other, 4);
+        leave(other, 50);
         assertRefused(1, 5 + 1);
         sidecar.company(false);
         Thread.sleep(200); // the files are looked at each 50 ms
-        assertRefused(1, 10 + 1);
+        assertRefused(0, 5);
     }
 
     /** What another process leaves while it has so many requests in hand; until it has been read. */
     private void leave(MemoryFiles other, int inHand) throws Exception {
         for (int i = 0; i < 5; i++) {
-            other.write(new Memory(System.currentTimeMillis(), inHand, new Learned<>(1, 0, List.of(), Map.of(), Map.of())));
+            other.write(new Memory(System.currentTimeMillis(), inHand, 10, new Learned<>(1, 0, List.of(), Map.of(), Map.of())));
             Thread.sleep(60);
         }
     }
--- a/src/test/java/ivybank/handover/MemoryTest.java
+++ b/src/test/java/ivybank/handover/MemoryTest.java
@@ -23,7 +23,7 @@
     private static final double NOW_MS = 1.7e12;
 
     private static Memory memory(double writtenMs) {
-        return new Memory(writtenMs, 7, new Learned<>(0.5, 3, List.of(new Learned.OfClass(300, 250, 90)),
+        return new Memory(writtenMs, 7, 90, new Learned<>(0.5, 3, List.of(new Learned.OfClass(300, 250, 90)),
                 Map.of("s-1", new Learned.OfNode(0, 0.25, 0.4, 17.5, 3, false),
                         "s-2", new Learned.OfNode(NOW_MS - 5000, 0.75, 0.6, 2, 0, true)), Map.of(0, 0.05, 2, 0.01)));
     }
--- a/src/test/java/ivybank/policy/DeparturesTest.java
+++ b/src/test/java/ivybank/policy/DeparturesTest.java
@@ -530,11 +530,19 @@
 
     @Test
     void aRestartedServerBeginsAnew() {
-        Sidecar sidecar = sidecar(3);
-        sidecar.list(ListKind.DELTA, Sidecar.upstream(1, Status.READY, sidecar.now));
-        double from = sidecar.now;
-        play(sidecar, 1000, 10, SOUND);
-        assertTrue(sentTo(sidecar, 1, from) < 0.7 * sentTo(sidecar, 2, from), "cold again");
+        long again = 0;
+        long other = 0;
+        for (int seed = 0; seed < 10; seed++) { // one second of one sidecar alone may be chance
+            Sidecar sidecar = new Sidecar(Samples.safe(), seed);
+            sidecar.ready(3);
+            play(sidecar, 5000, 10, SOUND);
+            sidecar.list(ListKind.DELTA, Sidecar.upstream(1, Status.READY, sidecar.now));
+            double from = sidecar.now;
+            play(sidecar, 1000, 10, SOUND);
+            again += sentTo(sidecar, 1, from);
+            other += sentTo(sidecar, 2, from);
+        }
+        assertTrue(again < 0.7 * other, "cold again: " + again + " of " + other);
     }
 
     @Test
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -102,9 +102,10 @@
                                             + "    private void answer(Exchange exchange, Answer answer) {"))),
             new Mutant("floods a cold node", Night.DEPLOY, List.of("rule cold"),
                     List.of(new Edit("policy/LoadShiftingBalancer.java", "        Host host = list.at(random.nextDouble());\n"
-                            + "        double warmth", "        Host host = members.stream().filter(each -> each.isCold(nowMs,"
-                            + " settings.contract())).findFirst().orElseThrow();\n        double warmth"),
-                            new Edit("policy/LoadShiftingBalancer.java", "random.nextDouble() < part ? host", "part > 0 ? host"))),
+                            + "        return random.nextDouble() < coldPart(nowMs, host, call) ? host : null;",
+                            "        Host host = members.stream().filter(each -> each.isCold(nowMs,"
+                            + " settings.contract())).findFirst().orElseThrow();\n"
+                                    + "        return coldPart(nowMs, host, call) > 0 ? host : null;"))),
             new Mutant("refuses what may have run", Night.SPOILT, List.of("rule refusal"),
                     List.of(new Edit("daemon/Driver.java", "            counters.failed++;\n            answer(exchange,"
                             + " Answer.status(FAILED));\n        }\n    }\n\n    @Override\n    public void cancel",
