--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -11,6 +11,7 @@
 
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
+import ivybank.roster.SubsetSize;
 import ivybank.warming.Carried;
 
 /** Load shifting by latency-equalising shares, behind {@code Balancer.java}: first the ordinary path. */
@@ -21,7 +22,6 @@
     private static final double MOST_DEVIATION = 2; // in means: a factor is never under 1 - 0.2 x 2
     private static final double HALF_TRUST = 4; // samples at which the mean of a tick counts half
     private static final double LEAST_SHARE = 0.1; // of the mean share, so that each member is still seen
-    private static final int SUBSET = 10; // members, where nothing is crowded: the design's "about ten"
     private static final double MEDIAN_STEP = 0.02; // what one answer moves a running median
     private static final double FIRST_TYPICAL = 4; // of them in an aim, before any answer is known
     private static final double SMOOTHING = 32; // answers over which a server's latency is smoothed
@@ -61,8 +61,7 @@
     private final List<Call> asking = new ArrayList<>();
     private final int heldField;
     private final int probes; // for each attempt
-    private int subsetSize = SUBSET;
-    private boolean foundFull;
+    private final SubsetSize subset = new SubsetSize();
     private boolean controlArmed;
     private boolean subscribeArmed;
     private int subscribeFailures;
@@ -88,7 +87,7 @@
         refusedPart = new double[offered.length];
         heldField = settings.reportFields().indexOf("active");
         probes = !settings.limits().probes() || heldField < 0 ? 0
-                : (int) Math.min(SUBSET / 2, PROBES_WORTH / settings.goal().probePrice());
+                : (int) Math.min(SubsetSize.USUAL / 2, PROBES_WORTH / settings.goal().probePrice());
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
 
@@ -171,7 +170,7 @@
                             .filter(asked -> asked.held * call.view.quietMs() < call.usefulUntilMs - nowMs)
                             .min(Comparator.comparingDouble(asked -> asked.held)).orElse(null);
         }
-        foundFull |= host == null;
+        subset.offered(host != null);
         if (host == null && call.asked.isEmpty()) { // what the warm ones have no room for
             weigh(nowMs, call, true);
             host = list.at(random.nextDouble());
@@ -271,7 +270,7 @@
     private void fillSubset() {
         List<Host> ready = list.ready();
         ready.sort(Comparator.comparingDouble(host -> host.rank));
-        List<Host> chosen = ready.subList(0, Math.min(subsetSize, ready.size()));
+        List<Host> chosen = ready.subList(0, Math.min(subset.size(), ready.size()));
         members.removeIf(host -> !chosen.contains(host));
         double meanWeight = chosen.stream().mapToDouble(host -> host.listed.weight()).average().orElse(0);
         double meanShare = members.isEmpty() ? 1 : 1.0 / members.size();
@@ -290,12 +289,10 @@
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         classes.forEach(view -> view.tick(1 - FADE, SMOOTHING, FORGET));
-        if (foundFull && subsetSize < list.hosts.size() && members.size() == subsetSize) {
-            subsetSize++; // the design's small subset leaves servers idle while its own members are full
+        if (subset.tick(members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0)) {
             fillSubset();
         }
         tellGivenUp(nowMs);
-        foundFull = false;
     }
 
     /** Explains the gaps of a tick: why so many requests were given up, and how much room the members had. */
@@ -329,7 +326,7 @@
             carried.recall(other.carried(), trust);
         }
         list.hosts.forEach(host -> host.recall(other.nodes().get(host.id), 0)); // the order first: it says who is drawn from
-        subsetSize = Math.max(subsetSize, (int) other.nodes().values().stream().filter(node -> node.share() > 0).count());
+        subset.recall((int) other.nodes().values().stream().filter(node -> node.share() > 0).count());
         fillSubset();
         members.forEach(host -> host.recall(other.nodes().get(host.id), trust));
         list.normalise();
@@ -477,7 +474,7 @@
 
     /** This sidecar's part of what all may have out at one server, as if they were alike. */
     private double leastWindow() {
-        return LEAST_OUT * Math.max(1, list.hosts.size() / (double) subsetSize) / settings.sidecars();
+        return LEAST_OUT * Math.max(1, list.hosts.size() / (double) subset.size()) / settings.sidecars();
     }
 
     // ---- Waiting and shedding. Guards against overload. Requests wait while all members are full: worthiest
@@ -617,6 +614,9 @@
         } else if (token == CONTROL_TIMER) {
             watchSilence(nowMs);
             placeAsked(nowMs);
+            if (subset.step(members.size(), list.hosts.size())) {
+                fillSubset(); // the design's small subset leaves servers idle while its own members are full
+            }
             rankQueues();
             waiting.offer(held -> dispatch(nowMs, held));
             waiting.drop(call -> shed(nowMs, call));
--- a/src/main/java/ivybank/room/Window.java
+++ b/src/main/java/ivybank/room/Window.java
@@ -30,6 +30,11 @@
         return out;
     }
 
+    /** Half of its size less what is out: under 0 where more than half of it is taken. */
+    public double spare() {
+        return size / 2 - out;
+    }
+
     public void sent() {
         out++;
     }
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -36,8 +36,10 @@
                 .layer("common").definedBy("ivybank.common..")
                 .layer("policy").definedBy("ivybank.policy..")
                 .layer("warming").definedBy("ivybank.warming..")
+                .layer("roster").definedBy("ivybank.roster..")
                 .layer("room").definedBy("ivybank.room..")
                 .layer("handover").definedBy("ivybank.handover..")
+                .whereLayer("roster").mayOnlyBeAccessedByLayers("policy", "discovery")
                 .whereLayer("room").mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("handover").mayOnlyBeAccessedByLayers("policy", "room", "daemon")
                 .whereLayer("warming").mayOnlyBeAccessedByLayers("policy")
@@ -72,7 +74,7 @@
 
     @Test
     void roomAndWhatIsHandedOverAreDecidedWithoutInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.handover..").and()
+        noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..").and()
                 .doNotHaveFullyQualifiedName("ivybank.handover.MemoryFiles").should().dependOnClassesThat()
                 .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.file..", "java.util.concurrent..",
                         "ivybank.policy..", "ivybank.daemon..").check(PROGRAM);
@@ -99,7 +101,7 @@
     @Test
     void whatDecidesReadsNoClock() {
         noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..", "ivybank.warming..", "ivybank.room..",
-                "ivybank.handover..").should().callMethod(System.class, "nanoTime")
+                "ivybank.roster..", "ivybank.handover..").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(PROGRAM);
     }
 }
