--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -162,7 +162,7 @@
                 new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)), descriptors,
                 store == null ? null : store.promises().header(), log);
         discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
-                timing, driver::updated, clock, log);
+                config.known().resumeFrom(config.settings().askForList()), timing, driver::updated, clock, log);
     }
 
     /**
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -32,7 +32,8 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 
 /**
- * Follows discovery: the whole list first, then a watch from its version on. What breaks is begun again after a pause
+ * Follows discovery: the whole list first, then a watch from its version on; or at once a watch from the version of a list that
+ * is known from before the start, which is one call and few lines instead of two calls and all lines. What breaks is begun again after a pause
  * that grows; what is silent for longer than the watch's empty lines are apart counts as broken. Discovery may move: then all is
  * begun anew at its new address, for the versions of one say nothing to another; the old one is heard until the new one
  * has answered. Whenever a call has ended, {@code where} is asked for the address that holds now: a move that nobody has
@@ -54,7 +55,9 @@
     private final Clock clock;
     private final Log log;
     /** The version that all is known up to, or -1 where the whole list is needed. */
-    private long seq = -1;
+    private long seq;
+    /** Whether {@code seq} is from before the start, and nothing has been heard since that confirms it. */
+    private boolean remembered;
     private double pauseMs = FIRST_PAUSE_MS;
     private boolean reachable = true;
     private boolean stopped;
@@ -67,9 +70,14 @@
     private Channel previous;
     private ScheduledFuture<?> nextStart;
 
-    /** {@code where} may return null: then the address stays. */
-    public Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, Timing timing,
+    /**
+     * @param where may return null: then the address stays
+     * @param from the version to go on from, of a list that is known, or -1 to begin with the whole list
+     */
+    public Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, long from, Timing timing,
             Consumer<HostUpdate> listener, Clock clock, Log log) {
+        this.seq = from;
+        this.remembered = from >= 0;
         this.loop = loop;
         this.where = where;
         this.timing = timing;
@@ -111,6 +119,7 @@
         address = next;
         movedMs = clock.nowMs();
         seq = -1;
+        remembered = false;
         pauseMs = FIRST_PAUSE_MS;
         if (nextStart != null) {
             nextStart.cancel(false);
@@ -262,7 +271,14 @@
             take(channel, update);
         }
 
-        private void take(Channel channel, HostUpdate update) {
+        private void take(Channel channel, HostUpdate update) throws IOException {
+            if (channel == current && remembered) {
+                remembered = false;
+                if (!update.whole() && update.seq() < version) {
+                    seq = -1;
+                    throw new IOException("it is at version " + update.seq() + " and knows nothing of the list of version " + version);
+                }
+            }
             boolean moved = channel == current && !Double.isNaN(movedMs);
             if (channel == current) {
                 heard(update.seq(), update.entries().size());
--- a/src/main/java/ivybank/discovery/HostUpdate.java
+++ b/src/main/java/ivybank/discovery/HostUpdate.java
@@ -24,6 +24,16 @@
         return new HostUpdate(seq, whole, true, entries);
     }
 
+    /**
+     * The version from which a watch can go on from this list, as it was last known, or -1 where it is better to ask for the
+     * whole list: where nothing is known, or where a call costs nobody anything.
+     *
+     * @param asked whether calls wait in turn at one service for all sidecars
+     */
+    public long resumeFrom(boolean asked) {
+        return asked && whole && !entries.isEmpty() && seq >= 0 ? seq : -1;
+    }
+
     /** One upstream; {@code bornMs} 0 means long ago. */
     public record Entry(String host, SocketAddress address, Status status, double bornMs, String zone, String kind,
                  int cell, double weight) {
