--- a/src/main/java/ivybank/policy/HostList.java
+++ b/src/main/java/ivybank/policy/HostList.java
@@ -82,13 +82,8 @@
 
     /** Scales the members' shares to a sum of 1. */
     void normalise() {
-        double total = 0;
-        for (Host host : members) {
-            total += host.share;
-        }
-        for (Host host : members) {
-            host.share /= total;
-        }
+        double total = members.stream().mapToDouble(host -> host.share).sum();
+        members.forEach(host -> host.share /= total);
     }
 
     private static void markGone(Host host) {
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -60,6 +60,7 @@
     private final WaitingRoom waiting;
     private final List<Call> asking = new ArrayList<>();
     private final int heldField;
+    private final int busyField;
     private final int probes; // for each attempt
     private final SubsetSize subset = new SubsetSize();
     private boolean controlArmed;
@@ -86,6 +87,7 @@
         offered = new double[waiting.order().length];
         refusedPart = new double[offered.length];
         heldField = settings.reportFields().indexOf("active");
+        busyField = settings.reportFields().indexOf("cpu");
         probes = !settings.limits().probes() || heldField < 0 ? 0
                 : (int) Math.min(SubsetSize.USUAL / 2, PROBES_WORTH / settings.goal().probePrice());
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
@@ -277,6 +279,7 @@
         for (Host host : chosen) {
             if (!members.contains(host)) {
                 host.window.reset(Math.max(1, leastWindow()));
+                subset.added(host.id);
                 // As the paper starts: in proportion to the listed size.
                 host.share = meanShare * (meanWeight > 0 ? host.listed.weight() / meanWeight : 1);
                 members.add(host);
@@ -289,7 +292,7 @@
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         classes.forEach(view -> view.tick(1 - FADE, SMOOTHING, FORGET));
-        if (subset.tick(members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0)) {
+        if (subset.tick(members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0, list.hosts.size())) {
             fillSubset();
         }
         tellGivenUp(nowMs);
@@ -348,6 +351,7 @@
             return;
         }
         attempt.end(end.outcome());
+        subset.reported(end.upstream(), !attempt.host.isCold(nowMs, settings.contract()), end.report(), busyField);
         if (!call.streaming) {
             learn(nowMs, attempt, end.outcome(), end.elapsedMs());
         }
--- a/src/main/java/ivybank/roster/SubsetSize.java
+++ b/src/main/java/ivybank/roster/SubsetSize.java
@@ -1,24 +1,49 @@
 package ivybank.roster;
 
+import java.util.HashSet;
+import java.util.Set;
+
 /**
  * How many nodes a sidecar draws from: the design's small number, more for as long as those have no room for what its client
  * sends, and fewer again once they have had room to spare for a while. Guards against a busy sidecar among quiet ones: with
  * a third of the fleet's traffic on a sixth of its nodes it refused most of it while the other nodes were idle, for a member
  * more each second came too late. One whose members have room never grows, however many nodes there are.
  *
- * <p>Nothing is known of what the other sidecars do. If all of them find their members full at once, each adds a tenth in a
- * step, so that a node gets at most a tenth more new neighbours in a step, whatever the number of sidecars.
+ * <p>Nothing is known of what the other sidecars do but what nodes report of their load. New members are the sample: they are
+ * met with the load of the others alone. It grows fast only while those are found idle, and waits for their first reports
+ * before it grows again. Guards against all sidecars that find their members full in an overloaded fleet: each went to all
+ * nodes, and the handshakes and the one attempt that each may have at a node in any case overdrove them.
  */
 public final class SubsetSize {
 
     /** The design's "about ten". */
     public static final int USUAL = 10;
-    /** Of the size, that a step without room adds: new members must show what they take before more are added. */
-    private static final double GROWTH = 0.1;
+    /** Of the size, that a step without room adds where nodes report their load, and where they don't. */
+    private static final double GROWTH = 0.5;
+    private static final double BLIND_GROWTH = 0.1;
+    /** Steps without a report after which it goes on: the aim of a request. */
+    private static final int LONGEST_WAIT = 16;
+    /** Steps between members that are added one by one, while those added last were found busy: a second. */
+    private static final int SLOW = 11;
+    /** Of its cores, that a node has in use that has no room to offer. */
+    private static final double BUSY = 0.75;
+    /** The same, of nodes that have more than they can do. */
+    private static final double OVERLOADED = 0.95;
+    private static final double SAMPLE_WEIGHT = 0.2;
+    private static final double REPORT_WEIGHT = 0.02;
+    /** Of the size, that goes in a tick of an overloaded fleet. */
+    private static final double RETREAT = 0.05;
     /** Share ticks with room to spare after which one goes. */
     private static final int CALM_TICKS = 10;
 
+    private final Set<Integer> awaited = new HashSet<>();
+    private boolean reports;
+    /** The load of new members as they were found, and of all members; the latest count most. */
+    private double found;
+    private double load;
     private int size = USUAL;
+    private int lastAdded;
+    private int steps;
     private boolean foundFull;
     private int calmTicks;
 
@@ -28,9 +53,33 @@
     }
 
     /** Notes whether a request found a member with room. */
-    public void offered(boolean found) {
-        foundFull |= !found;
-        calmTicks = found ? calmTicks : 0;
+    public void offered(boolean room) {
+        foundFull |= !room;
+        calmTicks = room ? calmTicks : 0;
+    }
+
+    /** Notes a new member. */
+    public void added(int node) {
+        awaited.add(node);
+    }
+
+    /**
+     * Notes what a member reports.
+     *
+     * @param warm whether it is: one that has just started has little in use, and no room all the same
+     * @param fields of the report, empty for none
+     * @param busy which of them is the part of its cores that is in use; under 0 where that is not reported
+     */
+    public void reported(int node, boolean warm, double[] fields, int busy) {
+        if (!warm || busy < 0 || fields.length <= busy) {
+            return;
+        }
+        double used = Math.min(1, fields[busy]);
+        load += REPORT_WEIGHT * (used - load);
+        if (awaited.remove(node)) {
+            found += SAMPLE_WEIGHT * (used - found);
+            reports = true;
+        }
     }
 
     /** Takes over the size of another process of the sidecar, if it needed more. */
@@ -46,9 +95,17 @@
      * @return whether the size has changed
      */
     public boolean step(int members, int listed) {
-        boolean grows = foundFull && members >= size && size < listed;
+        steps++;
+        boolean due = !reports || (found < BUSY ? 2 * awaited.size() <= lastAdded || steps > LONGEST_WAIT : steps > SLOW);
+        boolean grows = foundFull && due && members >= size && size < listed;
         foundFull = false;
-        size = grows ? Math.min(listed, size + (int) Math.ceil(GROWTH * size)) : size;
+        if (grows) {
+            double more = !reports ? BLIND_GROWTH * size : found < BUSY ? GROWTH * size : 1;
+            lastAdded = Math.min(listed - size, (int) Math.ceil(more));
+            size += lastAdded;
+            steps = 0;
+            awaited.clear(); // those to come are the next sample
+        }
         return grows;
     }
 
@@ -56,12 +113,16 @@
      * Ends a tick of the shares.
      *
      * @param spare whether at least half of the members' room is free
+     * @param listed nodes that are known
      * @return whether the size has changed
      */
-    public boolean tick(boolean spare) {
+    public boolean tick(boolean spare, int listed) {
         calmTicks = spare ? calmTicks + 1 : 0;
-        boolean shrinks = calmTicks > CALM_TICKS && size > USUAL;
-        size = shrinks ? size - 1 : size;
-        return shrinks;
+        // Where all are drawn from, or those met last were busy, no idle node is left to be found.
+        boolean overloaded = load >= OVERLOADED && (size >= listed || found >= BUSY);
+        int fewer = overloaded ? (int) Math.ceil(RETREAT * size) : calmTicks > CALM_TICKS ? 1 : 0;
+        int before = size;
+        size = Math.min(size, Math.max(USUAL, size - fewer));
+        return size < before;
     }
 }
--- a/src/test/java/ivybank/roster/SubsetSizeTest.java
+++ b/src/test/java/ivybank/roster/SubsetSizeTest.java
@@ -53,20 +53,105 @@
     void comesBackDownOnceThereWasRoomToSpareForAWhile() {
         subset.recall(20);
         for (int tick = 0; tick < 10; tick++) {
-            assertFalse(subset.tick(true));
+            assertFalse(subset.tick(true, NODES));
         }
-        assertTrue(subset.tick(true));
+        assertTrue(subset.tick(true, NODES));
         assertEquals(19, subset.size());
         subset.offered(false);
-        assertFalse(subset.tick(true), "the calm counts anew after a request without room");
-        assertFalse(subset.tick(false), "and no member goes that is needed");
+        assertFalse(subset.tick(true, NODES), "the calm counts anew after a request without room");
+        assertFalse(subset.tick(false, NODES), "and no member goes that is needed");
     }
 
     @Test
     void neverUnderTheUsualNumber() {
         for (int tick = 0; tick < 100; tick++) {
-            subset.tick(true);
+            subset.tick(true, NODES);
         }
         assertEquals(SubsetSize.USUAL, subset.size());
     }
+
+    /** One that sends to new members, which report {@code busy} a few steps later; returns the steps until all nodes are drawn from. */
+    private int stepsToAll(double busy, int longest) {
+        for (int step = 0; step < longest; step++) {
+            if (subset.size() == NODES) {
+                return step;
+            }
+            subset.offered(false);
+            int before = subset.size();
+            if (subset.step(before, NODES)) {
+                for (int node = before; node < subset.size(); node++) {
+                    subset.added(node);
+                }
+            } else if (step % 5 == 4) {
+                report(0, before, busy);
+            }
+        }
+        return longest;
+    }
+
+    private void report(int from, int to, double busy) {
+        for (int node = from; node < to; node++) {
+            subset.reported(node, true, new double[] {busy}, 0);
+        }
+    }
+
+    private void meetTheFirst(double busy) {
+        for (int node = 0; node < SubsetSize.USUAL; node++) {
+            subset.added(node);
+        }
+        report(0, SubsetSize.USUAL, busy);
+    }
+
+    @Test
+    void growsByHalfOnceThoseAddedLastWereFoundIdle() {
+        meetTheFirst(1);
+        report(0, 1, 1);
+        for (int sample = 0; sample < 3; sample++) { // its own members are busy by its own doing: what counts is who is met anew
+            subset.added(100 + sample);
+            subset.reported(100 + sample, true, new double[] {0.1}, 0);
+        }
+        assertTrue(stepsToAll(0.1, 60) <= 30, "idle nodes are found within three seconds");
+    }
+
+    @Test
+    void growsOneByOneWhereThoseAddedLastWereFoundBusy() {
+        meetTheFirst(1);
+        meetTheFirst(1);
+        stepsToAll(1, 110);
+        assertTrue(subset.size() <= SubsetSize.USUAL + 10, "ten seconds added " + subset.size());
+    }
+
+    @Test
+    void allSidecarsOfAnOverloadedFleetAddFewNeighboursWhateverTheirNumber() {
+        for (int sidecars : new int[] {3, 14, 56, 224}) {
+            int pairs = 0;
+            for (int sidecar = 0; sidecar < sidecars; sidecar++) {
+                SubsetSizeTest one = new SubsetSizeTest();
+                one.meetTheFirst(1);
+                one.meetTheFirst(1);
+                one.stepsToAll(1, 110);
+                pairs += one.subset.size();
+            }
+            assertTrue(pairs <= 2 * SubsetSize.USUAL * sidecars, sidecars + " sidecars have " + pairs + " pairs after 10 s");
+        }
+    }
+
+    @Test
+    void comesBackDownWhereAllNodesAreDrawnFromAndOverloaded() {
+        subset.recall(NODES);
+        for (int answer = 0; answer < 500; answer++) {
+            subset.reported(answer % NODES, true, new double[] {1.1}, 0);
+        }
+        assertTrue(subset.tick(false, NODES));
+        assertEquals(57, subset.size());
+    }
+
+    @Test
+    void whatColdNodesReportTellsNothing() {
+        subset.recall(NODES);
+        for (int answer = 0; answer < 500; answer++) {
+            subset.reported(answer % NODES, false, new double[] {1.1}, 0);
+        }
+        assertFalse(subset.tick(false, NODES));
+    }
 }
