New members without a report are bounded, and the layout tells what roster does

Found on reading the change again: SubsetSize kept the number of each member that left before it had reported, for as long as the sidecar ran; now at most 4,096, with a test that fails without it. Nothing else of the behaviour changes.

--- a/src/main/java/ivybank/roster/SubsetSize.java
+++ b/src/main/java/ivybank/roster/SubsetSize.java
@@ -36,6 +36,9 @@
     /** Share ticks with room to spare after which one goes. */
     private static final int CALM_TICKS = 10;
 
+    /** New members without a report: far more than are ever drawn from. */
+    static final int MOST_AWAITED = 4096;
+
     private final Set<Integer> awaited = new HashSet<>();
     private boolean reports;
     /** The load of new members as they were found, and of all members; the latest count most. */
@@ -58,8 +61,11 @@
         calmTicks = room ? calmTicks : 0;
     }
 
-    /** Notes a new member. */
+    /** Notes a new member. Those that left without a report are forgotten together: nodes come and go for as long as it runs. */
     public void added(int node) {
+        if (awaited.size() >= MOST_AWAITED) {
+            awaited.clear();
+        }
         awaited.add(node);
     }
 
@@ -82,6 +88,11 @@
         }
     }
 
+    /** New members whose first report is still to come, or never will. */
+    int awaited() {
+        return awaited.size();
+    }
+
     /** Takes over the size of another process of the sidecar, if it needed more. */
     public void recall(int other) {
         size = Math.max(size, other);
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -39,7 +39,7 @@
                 .layer("roster").definedBy("ivybank.roster..")
                 .layer("room").definedBy("ivybank.room..")
                 .layer("handover").definedBy("ivybank.handover..")
-                .whereLayer("roster").mayOnlyBeAccessedByLayers("policy", "discovery")
+                .whereLayer("roster").mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("room").mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("handover").mayOnlyBeAccessedByLayers("policy", "room", "daemon")
                 .whereLayer("warming").mayOnlyBeAccessedByLayers("policy")
--- a/src/test/java/ivybank/roster/SubsetSizeTest.java
+++ b/src/test/java/ivybank/roster/SubsetSizeTest.java
@@ -154,4 +154,12 @@
         }
         assertFalse(subset.tick(false, NODES));
     }
+
+    @Test
+    void nodesThatComeAndGoWithoutAReportAreNotKeptForEver() {
+        for (int node = 0; node < 3 * SubsetSize.MOST_AWAITED; node++) {
+            subset.added(node);
+        }
+        assertTrue(subset.awaited() <= SubsetSize.MOST_AWAITED, subset.awaited() + " are kept");
+    }
 }
