A view of the fleet as a pure core, and whole fleets of views on a simulated clock

Need: no sidecar knows of any other; coming back together, work taken over and words about nodes all need one view that the sidecars keep themselves, also when some crash, stand still or are cut off.

ivybank.fleet, no I/O, clock and draws handed in: members by seat, life, turn and standing; probes, repeated and then by way of three others; doubts whose time falls with independent accusers; own lateness taken for own fault first; rumours told a bounded number of times; views compared by sums; those given up are sought, told, and come back with a higher life alone.

--- /dev/null
+++ b/src/main/java/ivybank/fleet/FleetTiming.java
@@ -0,0 +1,20 @@
+package ivybank.fleet;
+
+/**
+ * The bounds of a view, in ms; docs/design/fleet-view.md says where they come from.
+ *
+ * @param tickMs how often {@link FleetView#tick} is to be called
+ * @param periodMs between probes
+ * @param answerMs after which a probe without an answer is repeated, and as long after that goes on by way of others; all of it
+ *        ends with the period
+ * @param leastDoubtMs from a suspicion to giving up where several accuse independently; no shorter pause costs a life
+ * @param mostDoubtMs the same with one accuser alone
+ * @param seekMs between looks at a seat that nobody is known to have
+ * @param syncMs between requests for what differs
+ * @param forgetMs after which who is gone is no longer listed
+ */
+public record FleetTiming(double tickMs, double periodMs, double answerMs, double leastDoubtMs, double mostDoubtMs,
+                          double seekMs, double syncMs, double forgetMs) {
+
+    public static final FleetTiming STANDARD = new FleetTiming(50, 600, 150, 1200, 4000, 1500, 400, 600_000);
+}
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -41,7 +41,9 @@
                 .layer("handover").definedBy("ivybank.handover..")
                 .layer("tally").definedBy("ivybank.tally..")
                 .layer("emulator").definedBy("ivybank.emulator..")
+                .layer("fleet").definedBy("ivybank.fleet..")
                 .whereLayer("tally").mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("emulator")
                 .whereLayer("emulator").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("policy").mayOnlyBeAccessedByLayers("daemon", "simhost", "client", "upstream", "discovery", "exchange",
                         "settings", "promises", "emulator")
@@ -80,7 +82,7 @@
 
     @Test
     void roomAndWhatIsHandedOverAreDecidedWithoutInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..").and()
+        noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..", "ivybank.fleet..").and()
                 .doNotHaveFullyQualifiedName("ivybank.handover.MemoryFiles").should().dependOnClassesThat()
                 .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.file..", "java.util.concurrent..",
                         "ivybank.policy..", "ivybank.daemon..").check(PROGRAM);
@@ -107,7 +109,7 @@
     @Test
     void whatDecidesReadsNoClock() {
         noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..", "ivybank.warming..", "ivybank.room..",
-                "ivybank.roster..", "ivybank.handover..", "ivybank.tally..", "ivybank.emulator..").should().callMethod(System.class, "nanoTime")
+                "ivybank.roster..", "ivybank.handover..", "ivybank.tally..", "ivybank.emulator..", "ivybank.fleet..").should().callMethod(System.class, "nanoTime")
                 .orShould().callMethod(System.class, "currentTimeMillis").check(PROGRAM);
     }
 }
