--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/ControlDoor.java
@@ -181,7 +181,7 @@
             return no(HttpResponseStatus.BAD_REQUEST, "can't be read");
         }
         String path = call.uri().split("\\?", 2)[0];
-        HttpMethod method = path.equals("/status") ? HttpMethod.GET : HttpMethod.PUT;
+        HttpMethod method = path.equals("/status") || path.equals("/fleet") ? HttpMethod.GET : HttpMethod.PUT;
         CompletionStage<Reply> wrongMethod = call.method().equals(method) ? null
                 : no(HttpResponseStatus.METHOD_NOT_ALLOWED, "ask with " + method);
         double nowMs = clock.nowMs();
@@ -189,6 +189,7 @@
             case "/status" -> wrongMethod != null ? wrongMethod
                     : sidecar.serves() ? CompletableFuture.completedFuture(Reply.YES)
                     : no(HttpResponseStatus.SERVICE_UNAVAILABLE, "not yet");
+            case "/fleet" -> wrongMethod != null ? wrongMethod : fleet();
             case "/maintenance/enter", "/maintenance/exit" -> wrongMethod != null ? wrongMethod
                     : maintenance(call, path.endsWith("enter"));
             case "/standby" -> wrongMethod != null ? wrongMethod : order(now -> now.standBy(nowMs));
@@ -197,6 +198,12 @@
         };
     }
 
+    private CompletionStage<Reply> fleet() {
+        CompletionStage<String> view = sidecar.fleet();
+        return view == null ? no(HttpResponseStatus.NOT_FOUND, "this sidecar has no [peers] in its operator file")
+                : view.thenApply(json -> new Reply(HttpResponseStatus.OK, json));
+    }
+
     private static CompletionStage<Reply> no(HttpResponseStatus status, String why) {
         return CompletableFuture.completedFuture(new Reply(status, why));
     }
--- a/src/main/java/ivybank/control/Operated.java
+++ b/src/main/java/ivybank/control/Operated.java
@@ -13,6 +13,9 @@
     /** Whether there is a node of this id. */
     CompletionStage<Boolean> knows(String node);
 
+    /** The view of the other sidecars as JSON; null where there is none. */
+    CompletionStage<String> fleet();
+
     /** Tells whether another process of this sidecar is here. */
     void company(boolean another);
 
--- a/src/main/java/ivybank/daemon/Config.java
+++ b/src/main/java/ivybank/daemon/Config.java
@@ -60,6 +60,20 @@
         }
     }
 
+    /** Where this sidecar listens for the others, and the addresses of all; empty texts and lists where the file has none. */
+    record PeerAddresses(String listen, List<String> all) {
+    }
+
+    /** Reads the part of the configuration that only a sidecar with peers needs. */
+    static PeerAddresses peersIn(String file) throws ConfigException {
+        try {
+            JsonNode root = Json.MAPPER.readTree(Files.readAllBytes(Path.of(file)));
+            return new PeerAddresses(root.path("peer_listen").asText(""), words(root.path("peers")));
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("cannot read the configuration " + file + ": " + e.getMessage());
+        }
+    }
+
     private static Config read(JsonNode root, Map<String, String> environment) {
         if (!root.path("settings").isObject()) {
             throw new IllegalArgumentException("settings are missing");
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -22,6 +22,7 @@
 import ivybank.operations.Orders;
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.operator.OperatorFile;
+import ivybank.peers.PeerFleet;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
@@ -126,6 +127,8 @@
     private final ServerSocketChannel inherited; // null: it listens by itself
     private volatile Handover handover; // null: no other process takes over
     private volatile boolean company;
+    private volatile PeerFleet peers; // null: it knows of no other sidecar
+    private volatile boolean successor;
     /** Whether clients' connections are accepted, or would be if there were room. */
     private volatile boolean listening;
     /** Signals to read the configuration again so far. */
@@ -186,6 +189,9 @@
         Log log = new Log(System.err, clock);
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
                 DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
+        if (more != null && more.peers() != null) {
+            sidecar.among(Peers.of(more.peers(), config, environment, sidecar.loop, clock, log, sidecar::sidecars), company != null);
+        }
         if (config.control() != null) {
             OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
         }
@@ -211,10 +217,30 @@
         Runtime.getRuntime().addShutdownHook(new Thread(end, "drain"));
     }
 
+    /** Puts it among its peers; {@code successor}: another process of this sidecar was here first. */
+    private void among(PeerFleet fleet, boolean successor) throws IOException {
+        this.successor = successor;
+        fleet.open(successor);
+        peers = fleet;
+    }
+
+    /** So many sidecars live, by the fleet's own view; 0: by what was configured. */
+    private void sidecars(int live) {
+        log.line(live == 0 ? "no peer is heard" : live + " sidecars live");
+    }
+
+    @Override
+    public CompletionStage<String> fleet() {
+        return peers == null ? null : peers.asked();
+    }
+
     @Override
     public void company(boolean another) {
         company = another;
         loop.execute(() -> server.company(another));
+        if (peers != null && !successor) {
+            loop.execute(() -> peers.hush(another));
+        }
         Handover its = handover;
         if (its != null) {
             its.company(another);
@@ -249,6 +275,9 @@
             throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
         listening = true;
+        if (peers != null) {
+            peers.ready();
+        }
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
@@ -300,6 +329,9 @@
      */
     void reload() {
         double toldMs = clock.nowMs();
+        if (peers != null) {
+            peers.reload();
+        }
         if (!loop.isShuttingDown()) {
             loop.execute(() -> reload(++reloads, toldMs));
         }
@@ -350,6 +382,9 @@
         if (counts != null && promises != null) {
             log.line(promises.report());
         }
+        if (peers != null) {
+            log.line(peers.line());
+        }
     }
 
     /**
@@ -367,6 +402,9 @@
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
                     + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " what comes on open connections"));
+            if (peers != null) {
+                peers.draining();
+            }
             if (inherited == null) {
                 server.keepConnections();
                 loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
@@ -408,6 +446,9 @@
             if (unanswered() == 0 && server.connections() == 0) {
                 discovery.stop();
                 pool.closeAllIdle();
+                if (peers != null) {
+                    peers.leave();
+                }
                 report();
                 drained.countDown();
             }
--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -353,7 +353,7 @@
         rumours.tell(member.statement());
         if (newLife) {
             returns += known && !lived ? 1 : 0;
-            tell(member, !known ? "is here" : lived ? "has started anew" : "is back");
+            tell(member, !known ? "is here" : lived ? "has a new life" : "is back");
         } else if (before != member.standing) {
             tell(member, "is " + member.standing.name().toLowerCase(java.util.Locale.ROOT));
         }
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -6,6 +6,7 @@
 import java.util.List;
 
 import ivybank.discovery.Timing;
+import ivybank.peers.PeerSettings;
 import ivybank.promises.PromiseSettings;
 import ivybank.store.Limits;
 import ivybank.toml.InputException;
@@ -15,7 +16,7 @@
  * What operators set beside the platform's configuration, in TOML: all that is new goes here, and without the file all of it
  * is off or standard. Read once, at the start.
  */
-public record OperatorFile(Timing discovery, StoreSettings store) {
+public record OperatorFile(Timing discovery, StoreSettings store, PeerSettings peers) {
 
     /** Where promises are kept, how large that may get, and how; null in its place: they are not. */
     public record StoreSettings(Path folder, Limits limits, boolean degrade, PromiseSettings promises) {
@@ -24,6 +25,7 @@
     private static final int LEAST_MS = 50;
     private static final int MOST_MS = 600_000;
     private static final int LEAST_SEGMENTS = 8;
+    private static final int LONGEST_ZONE = 12; // as datagrams have room for
 
     /**
      * Reads a file.
@@ -44,12 +46,31 @@
         OperatorFile read = new OperatorFile(new Timing(
                 discovery.integer("silence_ms", LEAST_MS, MOST_MS, standard.silenceMs()),
                 discovery.integer("first_answer_ms", LEAST_MS, MOST_MS, standard.firstAnswerMs()),
-                discovery.number("longest_pause_ms", LEAST_MS, MOST_MS, standard.longestPauseMs())), store(root));
+                discovery.number("longest_pause_ms", LEAST_MS, MOST_MS, standard.longestPauseMs())), store(root),
+                peers(root));
         discovery.end();
         root.end();
         return read;
     }
 
+    /** Null: this sidecar knows of no other. */
+    private static PeerSettings peers(StrictTable root) throws InputException {
+        if (!root.has("peers")) {
+            return null;
+        }
+        StrictTable peers = root.table("peers");
+        String zone = peers.text("zone", "-");
+        if (zone.length() > LONGEST_ZONE || !zone.chars().allMatch(sign -> sign > ' ' && sign <= '~')) {
+            throw peers.error("zone", "is \"" + zone + "\": up to " + LONGEST_ZONE + " letters, figures and signs without blanks are allowed");
+        }
+        String lives = peers.text("life_file", "-");
+        PeerSettings read = new PeerSettings(Path.of(peers.text("key_file", null)), peers.text("fleet", "ivybank"),
+                zone.equals("-") ? "" : zone, peers.has("listen") ? peers.text("listen", null) : "", peers.texts("addresses"),
+                lives.equals("-") ? null : Path.of(lives));
+        peers.end();
+        return read;
+    }
+
     private static StoreSettings store(StrictTable root) throws InputException {
         if (!root.has("store")) {
             if (root.has("promises")) {
--- /dev/null
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -0,0 +1,186 @@
+package ivybank.peers;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import ivybank.common.Clock;
+import ivybank.common.Json;
+import ivybank.common.Log;
+import ivybank.fleet.Change;
+import ivybank.fleet.FleetTiming;
+import ivybank.fleet.FleetView;
+import ivybank.fleet.Message;
+import ivybank.fleet.MessageCodec;
+import ivybank.fleet.Standing;
+import ivybank.fleet.ViewSnapshot;
+
+/** A sidecar among the others: its view on its event loop, its socket, and what it tells of both. */
+public final class PeerFleet {
+
+    private final PeerSettings settings;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Log log;
+    private final PeerSocket socket;
+    private final FleetView view;
+    private final InetSocketAddress listen;
+    private final IntConsumer sidecars;
+    private int told = -1;
+
+    /**
+     * @param addresses of all sidecars, with this one's own
+     * @param sidecars told on the event loop how many sidecars live, whenever that changes; 0 where no other is heard
+     * @throws IOException in one line
+     */
+    public PeerFleet(PeerSettings settings, String name, InetSocketAddress listen, List<InetSocketAddress> addresses, long seed,
+            EventLoop loop, Clock clock, Log log, IntConsumer sidecars) throws IOException {
+        this.settings = settings;
+        this.loop = loop;
+        this.clock = clock;
+        this.log = log;
+        this.listen = listen;
+        this.sidecars = sidecars;
+        int seat = addresses.indexOf(listen);
+        if (seat < 0) {
+            throw new IOException("peers: " + listen + " is not among the " + addresses.size() + " addresses of sidecars; each list names its own sidecar too");
+        }
+        if (name.length() > MessageCodec.LONGEST_NAME || !name.chars().allMatch(sign -> sign > ' ' && sign <= '~')) {
+            throw new IOException("peers: the name \"" + name + "\" can't be told to others: up to " + MessageCodec.LONGEST_NAME
+                    + " letters, figures and signs without blanks are allowed");
+        }
+        long life = LifeFile.next(settings.lives(), (long) clock.nowMs(), log::line);
+        socket = new PeerSocket(loop, addresses, MessageCodec.fleet(settings.fleet()), PeerKeys.read(settings.keys(),
+                MessageCodec.SIGNATURE), clock, log);
+        view = new FleetView(seat, name, settings.zone(), life, addresses.size(), FleetTiming.STANDARD, new Random(seed),
+                new FleetView.Out() {
+                    @Override
+                    public void send(int to, Message message) {
+                        socket.send(to, message);
+                    }
+
+                    @Override
+                    public void changed(Change change) {
+                        PeerFleet.this.changed(change);
+                    }
+                });
+        log.line("peers: seat " + seat + " of " + addresses.size() + " in fleet " + settings.fleet() + ", life " + life);
+    }
+
+    /** Listens, and begins to look for others. Not called on the event loop. */
+    public void open(boolean shared) throws IOException {
+        socket.open(listen, shared, (seat, message) -> {
+            view.heard(clock.nowMs(), seat, message);
+            count();
+        });
+        loop.execute(() -> view.start(clock.nowMs()));
+        long tickMs = (long) FleetTiming.STANDARD.tickMs();
+        loop.scheduleWithFixedDelay(() -> {
+            view.tick(clock.nowMs());
+            count();
+        }, tickMs, tickMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void count() {
+        int now = view.peers() == 0 ? 0 : view.peers() + 1;
+        if (now != told) {
+            told = now;
+            sidecars.accept(now);
+        }
+    }
+
+    private void changed(Change change) {
+        // Doubts come and go; the door has them.
+        if (!change.what().startsWith("is doubted")) {
+            log.line("peers: " + (change.name().isEmpty() ? "" : change.name() + ", ") + "seat " + change.seat() + ", life " + change.life()
+                    + " " + change.what());
+        }
+    }
+
+    /** This sidecar serves now. */
+    public void ready() {
+        loop.execute(() -> view.stand(clock.nowMs(), Standing.READY));
+    }
+
+    /** This sidecar was told to end. On the event loop. */
+    public void draining() {
+        view.stand(clock.nowMs(), Standing.DRAINING);
+    }
+
+    /** This sidecar ends now: the others are told. On the event loop. */
+    public void leave() {
+        view.leave(clock.nowMs());
+    }
+
+    /** Another process of this sidecar speaks for it from now on, or no longer does. On the event loop. */
+    public void hush(boolean hushed) {
+        log.line(hushed ? "peers: another process of this sidecar speaks for it" : "peers: this process speaks for the sidecar again");
+        view.hush(clock.nowMs(), hushed);
+    }
+
+    /** Reads the keys again. Not called on the event loop. */
+    public void reload() {
+        try {
+            PeerKeys keys = PeerKeys.read(settings.keys(), MessageCodec.SIGNATURE);
+            loop.execute(() -> {
+                socket.keys(keys);
+                log.line("peers: keys read again, " + keys.count());
+            });
+        } catch (IOException e) {
+            log.line("peers: going on with the keys of before: " + e.getMessage());
+        }
+    }
+
+    /** The view, for operators. */
+    public CompletionStage<String> asked() {
+        return CompletableFuture.supplyAsync(this::json, loop);
+    }
+
+    private String json() {
+        ViewSnapshot now = view.snapshot(clock.nowMs());
+        ObjectNode root = Json.MAPPER.createObjectNode().put("seat", now.seat()).put("life", now.life())
+                .put("digest", String.format(Locale.ROOT, "%016x", now.digest())).put("settled_ms", Math.round(now.settledForMs()))
+                .put("peers", now.peers()).put("seats", now.seats()).put("health", now.health());
+        ArrayNode members = root.putArray("members");
+        for (ViewSnapshot.Seen seen : now.members()) {
+            ObjectNode each = members.addObject().put("seat", seen.seat()).put("name", seen.name()).put("life", seen.life())
+                    .put("standing", seen.standing().name().toLowerCase(Locale.ROOT));
+            if (!seen.zone().isEmpty()) {
+                each.put("zone", seen.zone());
+            }
+            if (!seen.accusers().isEmpty()) {
+                seen.accusers().forEach(each.putArray("doubted_by")::add);
+            }
+            if (!seen.heeded()) {
+                each.put("heeded", false);
+            }
+        }
+        ObjectNode counts = root.putObject("counts").put("sent", now.counts().sent()).put("sent_bytes", socket.sentBytes())
+                .put("received", now.counts().received()).put("replayed", now.counts().replayed())
+                .put("stale", now.counts().stale()).put("unknown", now.counts().unknown()).put("forged", now.counts().forged())
+                .put("given_up", now.counts().givenUp()).put("returns", now.counts().returns()).put("dropped", socket.dropped());
+        for (Map.Entry<PeerSocket.Refusal, Long> each : socket.refused().entrySet()) {
+            counts.put(each.getKey().name().toLowerCase(Locale.ROOT), each.getValue());
+        }
+        return root.toString();
+    }
+
+    /** Counts for a line of the log, from the event loop. */
+    public String line() {
+        ViewSnapshot now = view.snapshot(clock.nowMs());
+        return "peers: " + now.peers() + " live, " + view.starting() + " starting, health " + now.health() + ", view "
+                + String.format(Locale.ROOT, "%016x", now.digest()) + " settled for " + Math.round(now.settledForMs()) + " ms; "
+                + now.counts().sent() + " sent, " + now.counts().received() + " received, " + now.counts().givenUp() + " given up, "
+                + now.counts().returns() + " returns so far";
+    }
+}
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -53,6 +53,13 @@
                 day.usage().stream().mapToDouble(Day.Usage::descriptors).max().orElse(0));
         out.printf(Locale.ROOT, "cold nodes: %.0f%% of what pushes one over, at most; the kit itself was up to %.0f ms late%n",
                 100 * day.mostPushed(), day.latenessMs());
+        if (day.views() != null) {
+            out.println("views: seconds until all were true after each change (no finer than 0.1)");
+            day.views().epochs().forEach(each -> out.printf(Locale.ROOT, "%7.2f s  %5.1f of %5.1f  %s%n", each.atMs() / 1000,
+                    each.settledMs() / 1000, each.lastedMs() / 1000, each.what()));
+            out.printf(Locale.ROOT, "views: %d looks, %d false accusations; %d datagrams and %d bytes carried, %d not%n", day.views().looks(),
+                    day.views().falseAccusations(), day.betweenSidecars()[0], day.betweenSidecars()[1], day.betweenSidecars()[2]);
+        }
         day.referee().examples().forEach(breach -> out.printf(Locale.ROOT, "RULE %s at %.2f s: %s%n",
                 Verdict.word(breach.rule()), breach.atMs() / 1000, breach.what()));
         verdict.reasons().forEach(reason -> out.println("- " + reason));
@@ -106,6 +113,17 @@
         ArrayNode usage = root.putArray("usage");
         day.usage().forEach(each -> usage.addObject().put("at_ms", each.atMs()).put("sidecar", each.sidecar())
                 .put("memory_mb", each.memoryMb()).put("descriptors", each.descriptors()).put("cpu_s", each.cpuS()));
+        if (day.views() != null) {
+            ObjectNode views = root.putObject("views").put("looks", day.views().looks()).put("false_accusations", day.views().falseAccusations())
+                    .put("datagrams", day.betweenSidecars()[0]).put("bytes", day.betweenSidecars()[1]).put("lost", day.betweenSidecars()[2]);
+            ArrayNode epochs = views.putArray("epochs");
+            day.views().epochs().forEach(each -> {
+                ObjectNode epoch = epochs.addObject().put("at_ms", each.atMs()).put("what", each.what()).put("lasted_ms", each.lastedMs());
+                if (each.settledMs() < Double.POSITIVE_INFINITY) {
+                    epoch.put("settled_ms", each.settledMs());
+                }
+            });
+        }
         root.put("connections", day.connections()).put("attempts", day.attempts()).put("given_up", day.givenUp());
         root.put("cold_pushed", day.mostPushed()).put("kit_late_ms", day.latenessMs());
         return root;
--- a/src/main/java/ivybank/rehearsal/Verdict.java
+++ b/src/main/java/ivybank/rehearsal/Verdict.java
@@ -34,6 +34,9 @@
                     + " was up to %.0f ms late, %.0f are allowed", day.latenessMs(), MOST_LATE_MS)));
         }
         day.referee().counts().forEach((rule, count) -> reasons.add("rule " + word(rule) + " broken " + count + " times"));
+        if (day.views() != null) {
+            reasons.addAll(day.views().reasons());
+        }
         double floor = day.plan().scenario().floor().service();
         if (day.service().figure() < floor) {
             reasons.add(String.format(Locale.ROOT, "service %.3f is under the floor of %.3f", day.service().figure(), floor));
--- a/src/main/java/ivybank/rehearsal/scenario/Plan.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Plan.java
@@ -36,7 +36,8 @@
         SplittableRandom root = new SplittableRandom(seed);
         List<NodeSpec> nodes = nodes(scenario, root.split());
         List<Arrival> arrivals = arrivals(scenario, root.split());
-        return new Plan(scenario, seed, nodes, arrivals, targets(scenario, nodes.size(), root.split()));
+        SplittableRandom faults = root.split();
+        return new Plan(scenario, seed, nodes, arrivals, targets(Storm.spelledOut(scenario, seed), nodes.size(), faults));
     }
 
     private static List<NodeSpec> nodes(Scenario scenario, SplittableRandom random) {
@@ -97,10 +98,7 @@
         List<Target> targets = new ArrayList<>();
         List<List<Integer>> orders = new ArrayList<>();
         for (Fault fault : scenario.faults()) {
-            int all = switch (fault.kind()) {
-                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_OLD, ROSTER_MOVE -> scenario.traffic().sidecars();
-                default -> nodes;
-            };
+            int all = fault.kind().ofSidecars() ? scenario.traffic().sidecars() : nodes;
             List<Integer> order = new ArrayList<>();
             for (int i = 0; i < all; i++) {
                 order.add(i);
@@ -113,6 +111,10 @@
             }
             boolean alike = fault.like() > 0 && orders.get(fault.like() - 1).size() == all;
             orders.add(alike ? orders.get(fault.like() - 1) : order);
+            if (!fault.members().isEmpty()) {
+                targets.add(new Target(fault, fault.members()));
+                continue;
+            }
             int count = (int) Math.round(fault.part() * all);
             targets.add(new Target(fault, List.copyOf(orders.get(orders.size() - 1)
                     .subList(0, Math.max(fault.part() > 0 ? 1 : 0, count)))));
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -8,7 +8,7 @@
  */
 public record Scenario(String name, String title, double lengthS, long seed, Fleet fleet, List<Kind> kinds, Cold cold,
                        Choke choke, List<RequestClass> classes, Traffic traffic, Clients clients, Limits limits, Rules rules,
-                       Roster roster, List<Fault> faults, Floor floor) {
+                       Roster roster, Peers peers, List<Fault> faults, Floor floor) {
 
     /** What a second run of a request would do, by the protocol. */
     public enum Effect { SAFE, KEYED, UNSAFE }
@@ -42,7 +42,30 @@
         /** Discovery moves to an address that is behind for a while. */
         ROSTER_OLD,
         /** Discovery moves: the configuration is replaced and the sidecars are signalled. */
-        ROSTER_MOVE
+        ROSTER_MOVE,
+        /** Sidecars are cut off from the others, both ways; some may hear both sides. */
+        PARTITION,
+        /** What some sidecars send to some others is cut, lost, late, doubled, overtaken or throttled. */
+        LINK,
+        /** Sidecars' processes are stopped (SIGSTOP) and let go on. */
+        FREEZE,
+        /** Sidecars are started only then. */
+        JOIN,
+        /** Sidecars are killed and stay away. */
+        LOSE,
+        /** Sidecars are started a second time, with the same configuration, while they run. */
+        TWICE,
+        /** Faults between and of sidecars, drawn at random over a time. */
+        STORM;
+
+        /** Whether it meets sidecars; nodes otherwise. */
+        public boolean ofSidecars() {
+            return switch (this) {
+                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_OLD, ROSTER_MOVE, PARTITION, LINK, FREEZE, JOIN, LOSE, TWICE,
+                     STORM -> true;
+                default -> false;
+            };
+        }
     }
 
     public record Fleet(int nodes, int sites) {
@@ -95,12 +118,69 @@
     public record Roster(double[] noticeMs, double toldMs) {
     }
 
+    /**
+     * What sidecars know of one another. With {@code on}, each has a list of addresses, with {@code never} more that nobody ever
+     * has, a key, and a door that the kit asks what it sees. An end is to be known after {@code knowS}, and all views to be true
+     * {@code settleS} after each other change.
+     */
+    public record Peers(boolean on, int never, double knowS, double settleS) {
+    }
+
+    /**
+     * What happens to datagrams and bytes on some ways between sidecars.
+     *
+     * @param cut nothing comes
+     * @param loss part of the datagrams that never comes
+     * @param delayMs drawn for each
+     * @param doubled part that comes twice
+     * @param reordered part that is held back by so much more that others overtake it
+     * @param kbPerS what comes through at most; infinite for all
+     */
+    public record Quality(boolean cut, double loss, double[] delayMs, double doubled, double reordered, double kbPerS) {
+
+        /** Nothing is wrong. */
+        public static final Quality GOOD = new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY);
+        /** Nothing comes. */
+        public static final Quality CUT = new Quality(true, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY);
+
+        /** Both at once. */
+        public Quality and(Quality other) {
+            return new Quality(cut || other.cut, 1 - (1 - loss) * (1 - other.loss),
+                    new double[] {delayMs[0] + other.delayMs[0], delayMs[1] + other.delayMs[1]}, 1 - (1 - doubled) * (1 - other.doubled),
+                    1 - (1 - reordered) * (1 - other.reordered), Math.min(kbPerS, other.kbPerS));
+        }
+    }
+
+    /**
+     * Which ways a fault between sidecars meets, by their numbers: from one side to the other and, unless {@code oneWay}, back.
+     * {@code bridge} are on neither side.
+     */
+    public record Ways(List<Integer> from, List<Integer> to, List<Integer> bridge, boolean oneWay, Quality quality) {
+
+        public Ways {
+            from = List.copyOf(from);
+            to = List.copyOf(to);
+            bridge = List.copyOf(bridge);
+        }
+
+        /** Whether it meets what one sidecar sends to another. */
+        public boolean meets(int sender, int receiver) {
+            return from.contains(sender) && to.contains(receiver) || !oneWay && from.contains(receiver) && to.contains(sender);
+        }
+    }
+
     /**
      * One fault: when, for how long, on what part of the nodes or sidecars; {@code size} and {@code extra} as the kind
      * needs them. With {@code like} it meets those that the fault of this number meets, counted from 1; 0 for a draw of its
-     * own.
+     * own. {@code members} are those that it meets where they are named; empty for a draw. {@code ways} is null but between
+     * sidecars.
      */
-    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra, int like) {
+    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra, int like,
+                        List<Integer> members, Ways ways) {
+
+        public Fault {
+            members = List.copyOf(members);
+        }
     }
 
     /** What service must be reached at least, 0 to 1. */
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -32,6 +32,7 @@
         StrictTable rules = root.table("rules");
         StrictTable roster = root.table("roster");
         StrictTable floor = root.table("floor");
+        StrictTable peers = root.table("peers");
         Scenario scenario = new Scenario(root.text("name", null), root.text("title", ""),
                 root.number("length_s", 1, 3600, MUST), (long) root.number("seed", 0, 1e15, 1),
                 new Scenario.Fleet(fleet.integer("nodes", 1, 200, 12), fleet.integer("sites", 1, 8, 4)), kinds(root),
@@ -50,13 +51,53 @@
                 new Scenario.Rules(rules.number("drain_grace_ms", 1, 60_000, 500), rules.number("margin_ms", 0, 1000, 50)),
                 new Scenario.Roster(roster.range("notice_ms", 0, 60_000, 200, 800),
                         roster.number("told_ms", 100, 60_000, 6000)),
+                new Scenario.Peers(peers.flag("on", false), peers.integer("never", 0, 200, 0), peers.number("know_s", 0.1, 600, 6),
+                        peers.number("settle_s", 0.1, 600, 5)),
                 faults(root), new Scenario.Floor(floor.number("service", 0, 1, 0)));
-        for (StrictTable table : List.of(fleet, cold, choke, traffic, clients, limits, rules, roster, floor, root)) {
+        for (StrictTable table : List.of(fleet, cold, choke, traffic, clients, limits, rules, roster, peers, floor, root)) {
             table.end();
         }
+        check(root, scenario);
         return scenario;
     }
 
+    /** What only all of it together shows to be wrong. */
+    private static void check(StrictTable root, Scenario scenario) throws InputException {
+        unique(root, "class", scenario.classes().stream().map(RequestClass::name).toList());
+        unique(root, "kind", scenario.kinds().stream().map(Kind::name).toList());
+        for (Fault fault : scenario.faults()) {
+            boolean between = switch (fault.kind()) {
+                case PARTITION, LINK, STORM -> true;
+                default -> false;
+            };
+            if (between && !scenario.peers().on()) {
+                throw root.error("fault", "of kind \"" + word(fault.kind()) + "\" needs peers.on = true: sidecars that send one another nothing"
+                        + " can't be cut off");
+            }
+            int all = fault.kind().ofSidecars() ? scenario.traffic().sidecars() : scenario.fleet().nodes();
+            List<Integer> named = new ArrayList<>(fault.members());
+            if (fault.ways() != null) {
+                named.addAll(fault.ways().from());
+                named.addAll(fault.ways().to());
+                named.addAll(fault.ways().bridge());
+            }
+            for (int member : named) {
+                if (member >= all) {
+                    throw root.error("fault", "of kind \"" + word(fault.kind()) + "\" names " + member + ": 0 to " + (all - 1) + " are there");
+                }
+            }
+        }
+    }
+
+    /** Guards against figures that are silently those of one of two of a name. */
+    private static void unique(StrictTable root, String key, List<String> names) throws InputException {
+        for (String name : names) {
+            if (names.indexOf(name) != names.lastIndexOf(name)) {
+                throw root.error(key, "has two of the name \"" + name + "\": each needs a name of its own");
+            }
+        }
+    }
+
     private static List<Kind> kinds(StrictTable root) throws InputException {
         List<Kind> kinds = new ArrayList<>();
         for (StrictTable table : root.tables("kind")) {
@@ -101,16 +142,36 @@
                 case REPLACE -> table.number("away_s", 0, 60, 0.3); // before the next one listens
                 case ROSTER_OLD -> table.number("behind_s", 0.1, 600, 5);
                 case KILL, TERM -> table.number("away_s", 0, 60, 0.5); // before the next process is started
+                case STORM -> table.number("every_s", 0.1, 60, 3); // from one fault to the next, in the mean
                 default -> 0;
             };
             double extra = kind == FaultKind.DEPLOY ? table.number("drain_s", 0.1, 60, 3) : 0;
             faults.add(new Fault(kind, table.number("at_s", 0, 3600, MUST), table.number("for_s", 0, 3600, 10),
-                    table.number("part", 0, 1, 1), size, extra, table.integer("like", 0, faults.size(), 0)));
+                    table.number("part", 0, 1, 1), size, extra, table.integer("like", 0, faults.size(), 0),
+                    table.integers("members", 0, 199), ways(kind, table)));
             table.end();
         }
         return faults;
     }
 
+    /** Null for kinds that are not between sidecars. Empty sides are drawn, or are all the others. */
+    private static Scenario.Ways ways(FaultKind kind, StrictTable table) throws InputException {
+        if (kind == FaultKind.PARTITION) {
+            return new Scenario.Ways(List.of(), List.of(), table.integers("bridge", 0, 199), false, Scenario.Quality.CUT);
+        }
+        if (kind != FaultKind.LINK) {
+            return null;
+        }
+        double kb = table.number("kb_s", 0, 1e6, 0);
+        return new Scenario.Ways(table.integers("from", 0, 199), table.integers("to", 0, 199), List.of(), table.flag("one_way", false),
+                new Scenario.Quality(table.flag("cut", false), table.number("loss", 0, 1, 0), table.range("delay_ms", 0, 10_000, 0, 0),
+                        table.number("doubled", 0, 1, 0), table.number("reordered", 0, 1, 0), kb == 0 ? Double.POSITIVE_INFINITY : kb));
+    }
+
+    static String word(FaultKind kind) {
+        return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
     private static List<String> words(Enum<?>[] values) {
         return Arrays.stream(values).map(value -> value.name().toLowerCase(Locale.ROOT).replace('_', '-')).toList();
     }
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,16 +19,19 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import ivybank.common.Addresses;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.referee.Service;
+import ivybank.rehearsal.referee.Views;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.Plan.Arrival;
 import ivybank.rehearsal.scenario.Plan.NodeSpec;
 import ivybank.rehearsal.scenario.Plan.Target;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.scenario.Scenario.Fault;
+import ivybank.rehearsal.scenario.Scenario.Ways;
 import ivybank.rehearsal.stand.RosterServer.Entry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -51,10 +55,13 @@
     public record Usage(double atMs, int sidecar, double memoryMb, double descriptors, double cpuS) {
     }
 
-    /** What a day came to; connections, attempts and attempts given up are those that nodes saw. */
+    /**
+     * What a day came to; connections, attempts and attempts given up are those that nodes saw. {@code views} is null where
+     * sidecars know of no others; {@code betweenSidecars}: datagrams that came, their bytes, and those that did not.
+     */
     public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<NodeState> states, List<Usage> usage,
                          double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, Map<String, Long> attemptsOf,
-                         long givenUp) {
+                         long givenUp, Views views, long[] betweenSidecars) {
 
         /** Attempts at all nodes. */
         public long attempts() {
@@ -69,6 +76,7 @@
     private static final double REJECT_AFTER_MS = 2500; // a drained node finishes what it has, then wants nothing new
     private static final double USAGE_EVERY_MS = 500;
     private static final double SETTLE_MS = 500;
+    private static final long LOOK_EVERY_MS = 100;
 
     private final Plan plan;
     private final Scenario scenario;
@@ -96,6 +104,10 @@
     private final List<Usage> usage = new ArrayList<>();
     private final List<Double> readyAfterMs = new ArrayList<>();
     private final AtomicBoolean closed = new AtomicBoolean();
+    private final Set<Integer> late = new HashSet<>(); // sidecars that are started in the course of the day
+    private final Views views; // null: sidecars know of no others
+    private PeerRelay relay;
+    private final List<Process> twins = new ArrayList<>();
     private int nodesMade;
     private double mostPushed;
 
@@ -112,6 +124,13 @@
         this.progress = progress;
         referee = new Referee(scenario.traffic().sidecars(), scenario.rules().drainGraceMs(), scenario.rules().marginMs());
         service = new Service(scenario.classes(), scenario.lengthS());
+        Scenario.Peers peers = scenario.peers();
+        views = peers.on() ? new Views(scenario.traffic().sidecars(), peers.knowS() * 1000, peers.settleS() * 1000) : null;
+        for (Target target : plan.targets()) {
+            if (target.fault().kind() == Scenario.FaultKind.JOIN) {
+                late.addAll(target.members());
+            }
+        }
         world = new World(scenario, acceptor, loop, Clock.system(), referee, 20 + NETS.getAndIncrement() % 200);
     }
 
@@ -121,10 +140,18 @@
         for (int i = 0; i < scenario.traffic().sidecars(); i++) {
             makeSidecar(i);
         }
-        for (SidecarProcess sidecar : sidecars) {
-            sidecar.start();
+        if (views != null) {
+            placeAmongPeers();
+        }
+        for (int i = 0; i < sidecars.size(); i++) {
+            if (!late.contains(i)) {
+                sidecars.get(i).start();
+            }
         }
         for (SidecarProcess sidecar : sidecars) {
+            if (late.contains(sidecars.indexOf(sidecar))) {
+                continue;
+            }
             long from = System.nanoTime();
             if (!sidecar.awaitReady(READY_MS)) {
                 throw new IOException(sidecar + " was not ready within " + READY_MS / 1000 + " s: see " + state);
@@ -140,8 +167,12 @@
         }
         awaitRest();
         onLoop(() -> nodes.values().forEach(node -> mostPushed = Math.max(mostPushed, node.pushed())));
+        if (views != null) {
+            onLoop(() -> views.end(world.nowMs()));
+        }
         return new Result(plan, service, referee, List.copyOf(events), List.copyOf(states), List.copyOf(usage),
-                world.latenessMs(), mostPushed, List.copyOf(readyAfterMs), world.connections(), world.attempts(), world.givenUp());
+                world.latenessMs(), mostPushed, List.copyOf(readyAfterMs), world.connections(), world.attempts(), world.givenUp(),
+                views, relay == null ? new long[3] : relay.counts());
     }
 
     private void onLoop(Runnable task) throws InterruptedException {
@@ -194,11 +225,83 @@
         sidecars.add(sidecar);
         downSinceMs.add(Double.NaN);
         sidecar.configure(roster.address(), roster.known());
+        if (late.contains(number)) {
+            downSinceMs.set(number, Double.NEGATIVE_INFINITY);
+        }
         ClientApp client = new ClientApp(world, number, sidecar.listen(), scenario.limits().sockets() / 3, service,
                 atMs -> downSinceMs.get(number) <= atMs);
         clients.add(client);
     }
 
+    /** Addresses for each of the others, all by way of the relay, and some that nobody ever has. */
+    private void placeAmongPeers() throws IOException, InterruptedException {
+        Path keys = Files.writeString(state.resolve("fleet.key"), "6b6579206f66207468652072656865617273616c20666c656574\n").toAbsolutePath();
+        List<InetSocketAddress> real = new ArrayList<>();
+        for (int i = 0; i < sidecars.size(); i++) {
+            real.add(Loopback.forPeers(world.net, i));
+        }
+        relay = new PeerRelay(world, real, plan.seed());
+        for (int i = 0; i < sidecars.size(); i++) {
+            List<String> addresses = new ArrayList<>();
+            for (int other = 0; other < sidecars.size(); other++) {
+                addresses.add(relay.address(other, i));
+            }
+            for (int never = 0; never < scenario.peers().never(); never++) {
+                addresses.add("127." + world.net + ".219." + (1 + never) + ":7946");
+            }
+            sidecars.get(i).among(new SidecarProcess.PeerPlace(addresses.get(i), addresses, Loopback.forDoor(world.net, i), keys));
+            RosterServer roster = rosters.get(i);
+            sidecars.get(i).configure(roster.address(), roster.known());
+        }
+    }
+
+    /** Looks at each view again and again, each sidecar by a thread of its own, for as long as the day lasts. */
+    private void watchViews() {
+        for (int i = 0; i < sidecars.size(); i++) {
+            int number = i;
+            hands.execute(() -> {
+                while (!closed.get()) {
+                    JsonNode view = sidecars.get(number).view();
+                    if (view != null) {
+                        loop.execute(() -> views.looked(look(number, view)));
+                    }
+                    try {
+                        Thread.sleep(LOOK_EVERY_MS);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                }
+            });
+        }
+    }
+
+    private Views.Look look(int by, JsonNode view) {
+        Map<Integer, Long> living = new HashMap<>();
+        Map<Integer, Long> ended = new HashMap<>();
+        for (JsonNode member : view.path("members")) {
+            String standing = member.path("standing").asText();
+            (standing.equals("gone") || standing.equals("left") ? ended : living).put(member.path("seat").asInt(), member.path("life").asLong());
+        }
+        return new Views.Look(world.nowMs(), by, view.path("digest").asText(), living, ended);
+    }
+
+    private void process(int sidecar, Views.Process now, String what) {
+        if (views != null) {
+            views.process(sidecar, now, world.nowMs(), what);
+        }
+    }
+
+    private void fault(Ways ways, boolean on, String what) {
+        relay.fault(ways, on);
+        boolean[][] open = new boolean[sidecars.size()][sidecars.size()];
+        for (int a = 0; a < open.length; a++) {
+            for (int b = 0; b < open.length; b++) {
+                open[a][b] = a == b || relay.open(a, b);
+            }
+        }
+        views.ways(open, world.nowMs(), what);
+    }
+
     private Entry entry(String host, String health) {
         NodeServer node = nodes.get(host);
         NodeSpec spec = specs.get(host);
@@ -207,6 +310,14 @@
 
     private void begin() {
         world.begin();
+        if (views != null) {
+            for (int i = 0; i < sidecars.size(); i++) {
+                if (!late.contains(i)) {
+                    views.process(i, Views.Process.ON, 0, "start");
+                }
+            }
+            watchViews();
+        }
         for (Arrival arrival : plan.arrivals()) {
             world.at(arrival.atMs(), () -> clients.get(arrival.sidecar()).arrive(arrival));
         }
@@ -227,11 +338,11 @@
     private void watchProcesses() {
         for (int i = 0; i < sidecars.size(); i++) {
             SidecarProcess sidecar = sidecars.get(i);
-            if (sidecar.crashed() && Double.isNaN(downSinceMs.get(i))) {
+            if (sidecar.started() && sidecar.crashed() && Double.isNaN(downSinceMs.get(i))) {
                 downSinceMs.set(i, world.nowMs());
                 referee.crashed(i, sidecar.exitCode(), world.nowMs());
             }
-            double[] now = sidecar.alive() ? sidecar.usage() : null;
+            double[] now = sidecar.started() && sidecar.alive() ? sidecar.usage() : null;
             if (now != null) {
                 usage.add(new Usage(world.nowMs(), i, now[0], now[1], now[2]));
                 if (now[0] > scenario.limits().memoryMb()) {
@@ -257,7 +368,7 @@
     private void strike(Target target) {
         Fault fault = target.fault();
         List<NodeServer> hit = new ArrayList<>();
-        if (target.members().stream().allMatch(member -> member < members.size())) {
+        if (!fault.kind().ofSidecars()) {
             target.members().forEach(member -> hit.add(nodes.get(members.get(member))));
         }
         switch (fault.kind()) {
@@ -317,6 +428,97 @@
                 event("the roster moves for " + target.members().size() + " sidecars");
                 target.members().forEach(this::moveRoster);
             }
+            case PARTITION, LINK -> between(fault, target.members());
+            case FREEZE -> freeze(fault, target.members());
+            case JOIN -> target.members().forEach(member -> hands.execute(() -> startNow(member)));
+            case LOSE -> {
+                event("sidecars " + target.members() + " are killed and stay away");
+                target.members().forEach(member -> {
+                    sidecars.get(member).expectEnd();
+                    downSinceMs.set(member, world.nowMs());
+                    process(member, Views.Process.OFF, "end of sidecar " + member);
+                    hands.execute(sidecars.get(member)::kill);
+                });
+            }
+            case TWICE -> twice(fault, target.members());
+            case STORM -> {
+                // What it is made of is struck by itself.
+            }
+        }
+    }
+
+    /** Ways between sidecars: named ones, or those that were drawn against all others. */
+    private void between(Fault fault, List<Integer> drawn) {
+        Ways ways = fault.ways();
+        boolean partition = fault.kind() == Scenario.FaultKind.PARTITION;
+        List<Integer> from = ways.from().isEmpty() ? drawn.stream().filter(each -> !ways.bridge().contains(each)).toList() : ways.from();
+        List<Integer> to = new ArrayList<>(ways.to());
+        for (int i = 0; i < sidecars.size() && ways.to().isEmpty(); i++) {
+            if (!from.contains(i) && !ways.bridge().contains(i)) {
+                to.add(i);
+            }
+        }
+        Ways met = new Ways(from, to, ways.bridge(), ways.oneWay(), ways.quality());
+        String what = partition ? "cut of sidecars " + from + " from " + to + (ways.bridge().isEmpty() ? "" : ", bridged by " + ways.bridge())
+                : (ways.quality().cut() ? "cut of" : "fault on") + " the ways from " + from + " to " + to + (ways.oneWay() ? ", one way" : "");
+        event(what);
+        fault(met, true, what);
+        world.after(fault.forS() * 1000, () -> {
+            event("over: " + what);
+            fault(met, false, "healed: " + what);
+        });
+    }
+
+    /** What a stopped process did not do nobody blames on it, until its requests of that time are over. */
+    private void freeze(Fault fault, List<Integer> hit) {
+        event("sidecars " + hit + " are stopped");
+        double deadlineMs = scenario.classes().stream().mapToDouble(Scenario.RequestClass::deadlineMs).max().orElse(0);
+        for (int member : hit) {
+            SidecarProcess sidecar = sidecars.get(member);
+            downSinceMs.set(member, world.nowMs());
+            process(member, Views.Process.BETWEEN, "stop of sidecar " + member);
+            signal(sidecar, "STOP");
+            world.after(fault.forS() * 1000, () -> {
+                event("sidecar " + member + " goes on");
+                signal(sidecar, "CONT");
+                process(member, Views.Process.ON, "sidecar " + member + " goes on");
+                double sinceMs = downSinceMs.get(member);
+                world.after(deadlineMs, () -> {
+                    if (downSinceMs.get(member) == sinceMs) {
+                        downSinceMs.set(member, Double.NaN);
+                    }
+                });
+            });
+        }
+    }
+
+    private void signal(SidecarProcess sidecar, String name) {
+        try {
+            sidecar.signal(name);
+        } catch (IOException e) {
+            event(sidecar + " could not be sent " + name + ": " + e.getMessage());
+        }
+    }
+
+    private void twice(Fault fault, List<Integer> hit) {
+        for (int member : hit) {
+            hands.execute(() -> {
+                try {
+                    Process twin = sidecars.get(member).startTwin();
+                    loop.execute(() -> {
+                        twins.add(twin);
+                        event("sidecar " + member + " is started a second time");
+                    });
+                    boolean ended = twin.waitFor((long) (fault.forS() * 1000), TimeUnit.MILLISECONDS);
+                    loop.execute(() -> event("the second sidecar " + member + (ended ? " has ended with exit code " + twin.exitValue()
+                            : " runs: it is killed")));
+                    twin.destroyForcibly();
+                } catch (IOException e) {
+                    loop.execute(() -> event("sidecar " + member + " could not be started twice: " + e.getMessage()));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
         }
     }
 
@@ -430,7 +632,9 @@
                 sidecar.expectEnd();
                 if (killed) {
                     downSinceMs.set(member, world.nowMs());
+                    process(member, Views.Process.OFF, "end of sidecar " + member);
                 } else {
+                    process(member, Views.Process.BETWEEN, "sidecar " + member + " is told to end");
                     // What is lost before its time is up is lost for no reason.
                     world.after(endMs, () -> downSinceMs.set(member, world.nowMs()));
                 }
@@ -447,12 +651,27 @@
                 Thread.sleep((long) endMs);
             }
             sidecar.kill();
+            onLoop(() -> process(member, Views.Process.OFF, "end of sidecar " + member));
             Thread.sleep((long) (fault.size() * 1000));
+            startNow(member);
+        } catch (IOException e) {
+            loop.execute(() -> event("sidecar " + member + " could not be ended: " + e.getMessage()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void startNow(int member) {
+        SidecarProcess sidecar = sidecars.get(member);
+        try {
             RosterServer roster = rosters.get(member);
             String address = loop.submit(roster::address).sync().getNow();
             var known = loop.submit(roster::known).sync().getNow();
             sidecar.configure(address, known);
-            onLoop(() -> referee.startedAnew(member));
+            onLoop(() -> {
+                referee.startedAnew(member);
+                process(member, Views.Process.BETWEEN, "start of sidecar " + member);
+            });
             long from = System.nanoTime();
             sidecar.start();
             boolean ready = sidecar.awaitReady(READY_MS);
@@ -460,6 +679,7 @@
             onLoop(() -> {
                 readyAfterMs.add(tookMs);
                 downSinceMs.set(member, Double.NaN);
+                process(member, Views.Process.ON, "sidecar " + member + " is ready");
                 event("sidecar " + member + (ready ? " is ready again after " : " is not ready after ")
                         + Math.round(tookMs) + " ms");
             });
@@ -483,6 +703,10 @@
             Thread.currentThread().interrupt();
         }
         sidecars.forEach(SidecarProcess::kill);
+        loop.execute(() -> twins.forEach(Process::destroyForcibly));
+        if (relay != null) {
+            relay.close();
+        }
         loop.execute(() -> nodes.values().forEach(NodeServer::end));
         acceptor.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/src/main/java/ivybank/rehearsal/stand/Loopback.java
+++ b/src/main/java/ivybank/rehearsal/stand/Loopback.java
@@ -1,6 +1,7 @@
 package ivybank.rehearsal.stand;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -46,6 +47,20 @@
         }
     }
 
+    /** A port of a sidecar's for datagrams that is free now. */
+    static InetSocketAddress forPeers(int net, int number) throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127." + net + ".211." + (1 + number)))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    /** A port of a sidecar's door that is free now. */
+    static InetSocketAddress forDoor(int net, int number) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127." + net + ".212." + (1 + number)))) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
     static String text(Channel listener) {
         InetSocketAddress address = (InetSocketAddress) listener.localAddress();
         return address.getAddress().getHostAddress() + ":" + address.getPort();
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
@@ -0,0 +1,169 @@
+package ivybank.rehearsal.stand;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import ivybank.rehearsal.scenario.Scenario.Quality;
+import ivybank.rehearsal.scenario.Scenario.Ways;
+
+/**
+ * Carries datagrams between sidecars, and does to them what faults say. Each sidecar has a list of addresses of its own for the
+ * others; what one sends to another comes from the sender's address in the receiver's list. Datagrams of more than 256 bytes
+ * are dropped, as on the platform. Lives on the kit's event loop; what is on its way is bounded for each pair.
+ */
+final class PeerRelay {
+
+    private static final int LONGEST = 256;
+    private static final int MOST_UNDER_WAY = 512;
+    private static final double OVERTAKEN_MS = 100;
+
+    /** The way from one sidecar to another. */
+    private final class Way {
+        private final int from;
+        private final int to;
+        private Quality quality = Quality.GOOD;
+        private int underWay;
+        private double freeAtMs; // when what was sent before is through, where it is throttled
+
+        private Way(int from, int to) {
+            this.from = from;
+            this.to = to;
+        }
+
+        private void carry(byte[] bytes) {
+            if (quality.cut() || random.nextDouble() < quality.loss()) {
+                lost++;
+                return;
+            }
+            for (int copies = random.nextDouble() < quality.doubled() ? 2 : 1; copies > 0; copies--) {
+                double delayMs = quality.delayMs()[0] + random.nextDouble() * (quality.delayMs()[1] - quality.delayMs()[0])
+                        + (random.nextDouble() < quality.reordered() ? OVERTAKEN_MS * random.nextDouble() : 0);
+                if (quality.kbPerS() < Double.POSITIVE_INFINITY) {
+                    freeAtMs = Math.max(freeAtMs, world.nowMs()) + bytes.length / quality.kbPerS();
+                    delayMs += freeAtMs - world.nowMs();
+                }
+                if (delayMs <= 0) {
+                    deliver(bytes);
+                } else if (underWay < MOST_UNDER_WAY) {
+                    underWay++;
+                    world.after(delayMs, () -> {
+                        underWay--;
+                        deliver(bytes);
+                    });
+                } else {
+                    lost++;
+                }
+            }
+        }
+
+        private void deliver(byte[] bytes) {
+            carried++;
+            octets += bytes.length;
+            // From the address by which the receiver knows the sender.
+            sockets[to][from].writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), real.get(to)));
+        }
+    }
+
+    private final World world;
+    private final SplittableRandom random;
+    private final List<InetSocketAddress> real; // where each sidecar listens
+    private final Channel[][] sockets; // [a][b]: the address by which a knows b
+    private final Way[][] ways;
+    private final List<Ways> faults = new ArrayList<>();
+    private long carried;
+    private long octets;
+    private long lost;
+
+    /** Opens a socket for each ordered pair. Not called on the event loop. */
+    PeerRelay(World world, List<InetSocketAddress> real, long seed) {
+        this.world = world;
+        this.real = List.copyOf(real);
+        this.random = new SplittableRandom(seed);
+        int count = real.size();
+        sockets = new Channel[count][count];
+        ways = new Way[count][count];
+        for (int a = 0; a < count; a++) {
+            for (int b = 0; b < count; b++) {
+                ways[a][b] = new Way(a, b);
+                if (a != b) {
+                    Way way = ways[a][b];
+                    sockets[a][b] = new Bootstrap().group(world.loop).channel(NioDatagramChannel.class)
+                            .option(ChannelOption.SO_RCVBUF, 1 << 18)
+                            .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                                @Override
+                                protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                                    come(way, packet);
+                                }
+
+                                @Override
+                                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                    // Nobody listens there now: the datagram is lost, as on a network.
+                                }
+                            }).bind(new InetSocketAddress("127." + world.net + ".220." + (1 + a), 0)).syncUninterruptibly().channel();
+                }
+            }
+        }
+    }
+
+    private void come(Way way, DatagramPacket packet) {
+        ByteBuf content = packet.content();
+        if (!packet.sender().equals(real.get(way.from)) || content.readableBytes() > LONGEST) {
+            lost++;
+            return;
+        }
+        way.carry(ByteBufUtil.getBytes(content));
+    }
+
+    /** The address by which one sidecar knows another. */
+    String address(int of, int by) {
+        InetSocketAddress address = of == by ? real.get(of) : (InetSocketAddress) sockets[by][of].localAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** From now on a fault does what it does, or no longer. */
+    void fault(Ways fault, boolean on) {
+        if (on) {
+            faults.add(fault);
+        } else {
+            faults.remove(fault);
+        }
+        for (Way[] row : ways) {
+            for (Way way : row) {
+                way.quality = faults.stream().filter(each -> each.meets(way.from, way.to)).map(Ways::quality)
+                        .reduce(Quality.GOOD, Quality::and);
+            }
+        }
+    }
+
+    /** Whether what one sends to the other can come at all. */
+    boolean open(int from, int to) {
+        return !ways[from][to].quality.cut();
+    }
+
+    /** Datagrams that were delivered so far, and their bytes, and those that were not. */
+    long[] counts() {
+        return new long[] {carried, octets, lost};
+    }
+
+    void close() {
+        for (Channel[] row : sockets) {
+            for (Channel socket : row) {
+                if (socket != null) {
+                    socket.close();
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -1,6 +1,7 @@
 package ivybank.rehearsal.stand;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -8,9 +9,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import ivybank.common.Json;
@@ -25,6 +28,7 @@
 
     private static final int POLL_MS = 20;
     private static final int HTTP_OK = 200;
+    private static final int DOOR_MS = 400;
 
     private final Scenario scenario;
     private final int number;
@@ -33,8 +37,9 @@
     private final Path state; // configuration and log
     private final InetSocketAddress listen;
     private final SplittableRandom seeds;
-    private Process process;
+    private volatile Process process;
     private Process guard;
+    private PeerPlace place; // null: it knows of no other
     private volatile boolean expected; // to end
 
     SidecarProcess(Scenario scenario, int number, String command, Path folder, Path state, InetSocketAddress listen,
@@ -52,6 +57,34 @@
         return listen;
     }
 
+    /** What it knows of the others: where it listens for them, their addresses, and the door where it can be asked. */
+    record PeerPlace(String listen, List<String> addresses, InetSocketAddress door, Path keys) {
+    }
+
+    /** Puts it among others, from the next configuration on. */
+    void among(PeerPlace peers) throws IOException {
+        place = peers;
+        Files.writeString(state.resolve("operator.toml"), "[peers]\nkey_file = \"" + peers.keys() + "\"\nfleet = \"rehearsal\"\n");
+    }
+
+    /** The view of its fleet, as its door tells it; null where it does not. */
+    JsonNode view() {
+        try {
+            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + text(place.door()) + "/fleet").toURL().openConnection();
+            call.setConnectTimeout(DOOR_MS);
+            call.setReadTimeout(DOOR_MS);
+            try (InputStream in = call.getInputStream()) {
+                return Json.MAPPER.readTree(in.readAllBytes());
+            }
+        } catch (IOException e) {
+            return null; // it is not there, or stands still
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /** Replaces the configuration as one step. */
     void configure(String discovery, ObjectNode known) throws IOException {
         ObjectNode root = Json.MAPPER.createObjectNode().put("name", "n" + number)
@@ -59,6 +92,11 @@
                 .put("seed", Long.toHexString(seeds.nextLong()));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", scenario.limits().memoryMb())
                 .put("sockets", scenario.limits().sockets());
+        if (place != null) {
+            root.put("peer_listen", place.listen()).put("control", text(place.door()));
+            ArrayNode peers = root.putArray("peers");
+            place.addresses().forEach(peers::add);
+        }
         root.set("known", known);
         root.set("settings", settings());
         Path file = state.resolve("config.json.new");
@@ -102,11 +140,27 @@
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(state.resolve("sidecar.log").toFile()));
         builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
+        if (place != null) {
+            builder.environment().put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
+        }
         process = builder.start();
         process.getOutputStream().close();
         guard = new ProcessBuilder("/bin/sh", "-c", "read line; kill -9 " + process.pid()).start();
     }
 
+    /** Starts a second one with the same configuration beside it; the caller ends it. */
+    Process startTwin() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile()).redirectErrorStream(true)
+                .redirectOutput(state.resolve("twin.log").toFile());
+        builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
+        if (place != null) {
+            builder.environment().put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
+        }
+        Process twin = builder.start();
+        twin.getOutputStream().close();
+        return twin;
+    }
+
     /** Waits until it answers that it is ready; false if it has ended or is not within the time. */
     boolean awaitReady(long longestMs) throws IOException, InterruptedException {
         long until = System.nanoTime() + longestMs * 1_000_000;
@@ -159,6 +213,10 @@
         process.destroyForcibly();
     }
 
+    boolean started() {
+        return process != null;
+    }
+
     boolean alive() {
         return process.isAlive();
     }
--- a/src/main/java/ivybank/toml/StrictTable.java
+++ b/src/main/java/ivybank/toml/StrictTable.java
@@ -152,6 +152,22 @@
         return numbers;
     }
 
+    /** A list of texts; empty if there is none. */
+    public List<String> texts(String key) throws InputException {
+        JsonNode value = value(key);
+        List<String> texts = new ArrayList<>();
+        if (!value.isMissingNode() && !value.isArray()) {
+            throw error(key, "must be a list of texts");
+        }
+        for (JsonNode each : value) {
+            if (!each.isTextual()) {
+                throw error(key, "holds " + each + ": texts are allowed");
+            }
+            texts.add(each.asText());
+        }
+        return texts;
+    }
+
     /** The table of this name; an empty one if there is none. */
     public StrictTable table(String key) throws InputException {
         JsonNode value = value(key);
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -42,8 +42,10 @@
                 .layer("tally").definedBy("ivybank.tally..")
                 .layer("emulator").definedBy("ivybank.emulator..")
                 .layer("fleet").definedBy("ivybank.fleet..")
+                .layer("peers").definedBy("ivybank.peers..")
                 .whereLayer("tally").mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli")
-                .whereLayer("fleet").mayOnlyBeAccessedByLayers("emulator")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("emulator", "peers")
+                .whereLayer("peers").mayOnlyBeAccessedByLayers("daemon", "operator")
                 .whereLayer("emulator").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("policy").mayOnlyBeAccessedByLayers("daemon", "simhost", "client", "upstream", "discovery", "exchange",
                         "settings", "promises", "emulator")
--- a/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
+++ b/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
@@ -49,13 +49,17 @@
         "length_s = 5 | lenght_s = 5 | f.toml: length_s is missing: a number from 1 to 3600 is allowed",
         "rate = 100 | rates = 100 | f.toml: traffic.rates is not known here: allowed are [rate, sidecars, skew, swing]",
         "\"silent\" | \"silence\" | f.toml: fault[0].kind is \"silence\": one of [silent, slow, deploy, die, vanish, spoil, "
-                + "break, replace, kill, term, roster-silent, roster-odd, roster-old, roster-move] is allowed",
+                + "break, replace, kill, term, roster-silent, roster-odd, roster-old, roster-move, partition, link, freeze, join, lose, "
+                + "twice, storm] is allowed",
+        "[traffic] | [[class]];;name = \"c\";;aim_ms = 1;;deadline_ms = 2;;effect = \"safe\";;[traffic] | f.toml: class has two of the name \"c\"",
+        "\"silent\" | \"partition\" | f.toml: fault of kind \"partition\" needs peers.on = true",
+        "part = 0.2 | members = [12] | f.toml: fault of kind \"silent\" names 12: 0 to 11 are there",
         "aim_ms = 100 | aim_ms = 500 | f.toml: class[0].aim_ms is 500: a number from 1 to 400 is allowed",
         "[[kind]] | [kinds] | f.toml: kind is missing: a scenario needs a [[kind]] of node at least",
         "name = \"x\" | name = x | f.toml, line 1",
         "rate = 100 | rate = [3, 1] | f.toml: traffic.rate is [3,1]: a number from 1 to 20000 is allowed"})
     void whatIsWrongIsSaidInOneLineWithThePlaceAndWhatIsAllowed(String from, String to, String message) {
-        InputException e = assertThrows(InputException.class, () -> ScenarioReader.read("f.toml", GOOD.replace(from, to)));
+        InputException e = assertThrows(InputException.class, () -> ScenarioReader.read("f.toml", GOOD.replace(from, to.replace(";;", "\n"))));
         assertTrue(e.getMessage().startsWith(message), e.getMessage());
         assertEquals(1, e.getMessage().lines().count());
     }
--- a/src/test/java/ivybank/testing/LoadedClasses.java
+++ b/src/test/java/ivybank/testing/LoadedClasses.java
@@ -12,7 +12,7 @@
 public final class LoadedClasses {
 
     private static final List<String> OFF = List.of("ivybank.rehearsal", "ivybank.cli.", "ivybank.operator",
-            "ivybank.toml.StrictTable", "ivybank.store", "ivybank.promises", "picocli", "ivybank.control.ControlDoor", "org.HdrHistogram", "dataformat.toml");
+            "ivybank.toml.StrictTable", "ivybank.store", "ivybank.fleet", "ivybank.peers", "ivybank.promises", "picocli", "ivybank.control.ControlDoor", "org.HdrHistogram", "dataformat.toml");
 
     private LoadedClasses() {
     }
