Sidecars reckon with as many others as live; views side by side; a storm printed and cut down

Need: the subset's size and a window's least part go by the number of sidecars that the settings told at the start, also when the fleet has doubled since.

FleetCount decides: more at once, fewer once that has stood for 120 s, never under the configured number.

--- a/src/main/java/ivybank/cli/FleetCommand.java
+++ b/src/main/java/ivybank/cli/FleetCommand.java
@@ -1,12 +1,19 @@
 package ivybank.cli;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.MalformedURLException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import ivybank.common.Json;
 import ivybank.tally.FleetSum;
 import ivybank.tally.LogFolder;
@@ -17,17 +24,18 @@
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank fleet}: what all sidecars together did, from their logs. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, description = "What all sidecars together did, from their logs.")
+@Command(name = "fleet", mixinStandardHelpOptions = true, description = "What all sidecars together did, from their logs, and what they see of one another.")
 final class FleetCommand implements Runnable {
 
     private static final int WORST_NODES = 10;
+    private static final int DOOR_MS = 2000;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "what to do is missing: sum LOGS");
+        throw new CommandLine.ParameterException(spec.commandLine(), "what to do is missing: sum LOGS or view URL...");
     }
 
     @Command(name = "sum", mixinStandardHelpOptions = true,
@@ -64,6 +72,36 @@
         return 0;
     }
 
+    @Command(name = "view", mixinStandardHelpOptions = true,
+            description = "Asks several sidecars' doors what they see of one another, and shows where they differ (marked *). Exit code 1 where they do.")
+    int view(@Parameters(paramLabel = "URL", arity = "1..*", description = "a sidecar's door, such as http://127.0.0.1:7071") List<String> doors)
+            throws InputException {
+        List<ViewTable.Asked> asked = new ArrayList<>();
+        for (String door : doors) {
+            asked.add(new ViewTable.Asked(door, ask(door)));
+        }
+        ViewTable table = new ViewTable(asked);
+        table.lines().forEach(System.out::println);
+        return table.alike() ? 0 : Ivybank.FAILED;
+    }
+
+    /** Null where nobody answers, or has no view to show. */
+    private static JsonNode ask(String door) throws InputException {
+        try {
+            URI uri = URI.create((door.contains("://") ? door : "http://" + door).replaceAll("/+$", "") + "/fleet");
+            HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
+            call.setConnectTimeout(DOOR_MS);
+            call.setReadTimeout(DOOR_MS);
+            try (InputStream in = call.getInputStream()) {
+                return Json.MAPPER.readTree(in.readAllBytes());
+            }
+        } catch (IllegalArgumentException | ClassCastException | MalformedURLException e) {
+            throw new InputException(door + ": is no door's address; allowed is http://HOST:PORT");
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     private static FleetSum read(Path folder) throws IOException, InputException {
         if (!Files.isDirectory(folder)) {
             throw new InputException(folder + ": is no folder; allowed is one with a file NAME.log for each sidecar");
--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -6,12 +6,16 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
 
 import ivybank.rehearsal.Report;
 import ivybank.rehearsal.Scenarios;
+import ivybank.rehearsal.Shrink;
 import ivybank.rehearsal.Verdict;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.ScenarioWriter;
+import ivybank.rehearsal.scenario.Storm;
 import ivybank.rehearsal.stand.Ceiling;
 import ivybank.rehearsal.stand.Day;
 import ivybank.rehearsal.stand.Overhead;
@@ -24,7 +28,7 @@
 
 /** {@code ivybank rehearse}: plays bad nights on stand-ins round real sidecars. */
 @Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = {RehearseCommand.Run.class, RehearseCommand.Cost.class,
-        RehearseCommand.Highest.class},
+        RehearseCommand.Highest.class, RehearseCommand.Smaller.class},
         description = "Plays a bad night on this machine: stand-in nodes, roster and clients round real sidecars.")
 final class RehearseCommand implements Runnable {
 
@@ -33,7 +37,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "one of list, run and check is missing");
+        throw new CommandLine.ParameterException(spec.commandLine(), "one of list, run, check, print and shrink is missing");
     }
 
     @Command(name = "list", mixinStandardHelpOptions = true, description = "The scenarios that ship with this program.")
@@ -56,6 +60,84 @@
         return 0;
     }
 
+    @Command(name = "print", mixinStandardHelpOptions = true,
+            description = "Writes a scenario with what its storms are made of, as a file that can be played again.")
+    int print(@Parameters(paramLabel = "NAME|FILE") String name,
+            @Option(names = "--seed", paramLabel = "N", description = "the draw; the scenario's own otherwise") Long seed) throws InputException {
+        Scenario scenario = Scenarios.find(name);
+        long drawn = seed == null ? scenario.seed() : seed;
+        System.out.print(ScenarioWriter.write(name, Scenarios.text(name), Storm.printable(scenario, drawn).faults()));
+        return 0;
+    }
+
+    /** {@code rehearse shrink}. */
+    @Command(name = "shrink", mixinStandardHelpOptions = true,
+            description = "Plays a scenario that fails again and again, without part of its faults, until only those are left that it needs.")
+    static final class Smaller implements Callable<Integer> {
+
+        @Parameters(paramLabel = "NAME|FILE")
+        private String name;
+
+        @Option(names = "--seed", paramLabel = "N", description = "the draw; the scenario's own otherwise")
+        private Long seed;
+
+        @Option(names = "--most", paramLabel = "N", defaultValue = "40", description = "plays at most (default ${DEFAULT-VALUE})")
+        private int most;
+
+        @Option(names = "--out", paramLabel = "FILE", required = true, description = "where the smaller scenario goes")
+        private Path out;
+
+        @Option(names = "--sidecar", paramLabel = "COMMAND", description = "as with run")
+        private String command;
+
+        @Override
+        public Integer call() throws InputException, IOException, InterruptedException {
+            Scenario read = Scenarios.find(name);
+            long drawn = seed == null ? read.seed() : seed;
+            Scenario scenario = Storm.printable(read, drawn);
+            String wanted = reason(scenario, drawn);
+            if (wanted.isEmpty()) {
+                System.out.println("it passes: there is nothing to look for");
+                return Ivybank.FAILED;
+            }
+            System.out.println("looking for: " + wanted);
+            List<Integer> all = IntStream.range(0, scenario.faults().size()).boxed().toList();
+            Shrink.Check<Integer, IOException> check = part -> {
+                String seen = tried(Storm.without(scenario, index -> !part.contains(index)), drawn);
+                System.out.println(part.size() + " faults: " + (seen.isEmpty() ? "passes" : seen));
+                return seen.equals(wanted);
+            };
+            List<Integer> kept = Shrink.to(all, most, check);
+            Scenario small = Storm.without(scenario, index -> !kept.contains(index));
+            Files.writeString(out, ScenarioWriter.write(name, Scenarios.text(name), small.faults()));
+            System.out.println(kept.size() + " of " + all.size() + " faults are left: " + out);
+            return 0;
+        }
+
+        private String tried(Scenario scenario, long drawn) throws IOException {
+            try {
+                return reason(scenario, drawn);
+            } catch (InputException e) {
+                throw new IOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException(e);
+            }
+        }
+
+        /** What the first reason of a play's verdict is about, without its figures; empty if it passes or can't be judged. */
+        private String reason(Scenario scenario, long drawn) throws InputException, IOException, InterruptedException {
+            Path folder = Files.createTempDirectory("ivybank-shrink");
+            try (Day day = new Day(Plan.draw(scenario, drawn), sidecar(command), Path.of("").toAbsolutePath(), folder, line -> { })) {
+                Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
+                Verdict verdict = Verdict.of(day.play());
+                return verdict.kind() != Verdict.Kind.FAILED ? "" : verdict.reasons().get(0).replaceAll("[0-9.\\[\\], ]+", " ").strip();
+            } finally {
+                remove(folder);
+            }
+        }
+    }
+
     /** {@code rehearse overhead}. */
     @Command(name = "overhead", mixinStandardHelpOptions = true,
             description = "Measures what a sidecar costs: direct against through it, in the same run.")
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -80,6 +80,7 @@
     private static final double MICROS_IN_MS = 1000;
 
     private final Settings settings;
+    private int sidecars; // by the fleet's own view; 0 without one
     private final EventLoop loop;
     private final Clock clock;
     private final Directory directory;
@@ -491,6 +492,19 @@
         schedule(delayMs, () -> tell(() -> balancer.timer(clock.nowMs(), token)));
     }
 
+    @Override
+    public int sidecars(int told) {
+        return sidecars > 0 ? sidecars : told;
+    }
+
+    /** From now on this many are known to be there. */
+    void sidecars(int now, String why) {
+        if (now != sidecars) {
+            sidecars = now;
+            log.line("sidecars: " + now + " are reckoned with, " + why);
+        }
+    }
+
     @Override
     public void closeIdle(int upstream) {
         Node node = directory.node(upstream);
--- a/src/main/java/ivybank/daemon/Peers.java
+++ b/src/main/java/ivybank/daemon/Peers.java
@@ -41,7 +41,7 @@
             if (new HashSet<>(addresses).size() < addresses.size()) {
                 throw new ConfigException("[peers] names an address twice");
             }
-            return new PeerFleet(settings, config.name(), Addresses.parse(listen), addresses, config.seed(), loop, clock, log, sidecars);
+            return new PeerFleet(settings, config.name(), Addresses.parse(listen), addresses, config.seed(), config.settings().sidecars(), loop, clock, log, sidecars);
         } catch (IllegalArgumentException e) {
             throw new ConfigException("[peers]: " + e.getMessage());
         }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -190,7 +190,8 @@
         Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
                 DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
         if (more != null && more.peers() != null) {
-            sidecar.among(Peers.of(more.peers(), config, environment, sidecar.loop, clock, log, sidecar::sidecars), company != null);
+            sidecar.among(Peers.of(more.peers(), config, environment, sidecar.loop, clock, log,
+                    count -> sidecar.driver.sidecars(count, "by the fleet's own view")), company != null);
         }
         if (config.control() != null) {
             OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
@@ -224,11 +225,6 @@
         peers = fleet;
     }
 
-    /** So many sidecars live, by the fleet's own view; 0: by what was configured. */
-    private void sidecars(int live) {
-        log.line(live == 0 ? "no peer is heard" : live + " sidecars live");
-    }
-
     @Override
     public CompletionStage<String> fleet() {
         return peers == null ? null : peers.asked();
--- a/src/main/java/ivybank/emulator/FleetSpec.java
+++ b/src/main/java/ivybank/emulator/FleetSpec.java
@@ -18,12 +18,15 @@
  * @param busy how many times the mean of the others' traffic the first sidecar has
  * @param idleMs after which a sidecar closes a connection that it does not use
  * @param seed of all that is drawn
+ * @param told how many sidecars the settings name
+ * @param viewed whether sidecars know by their own view how many there are
  */
 public record FleetSpec(int sidecars, int nodes, double load, double busy, double lengthMs, double idleMs, Incident incident,
-                        long seed) {
+                        long seed, int told, boolean viewed) {
 
     public FleetSpec {
         require(sidecars >= 1 && nodes >= 1, "a fleet needs a sidecar and a node");
+        require(told >= 1, "settings name a sidecar at least");
         require(load > 0 && load < 10, "load must be above 0 and under 10 times the capacity");
         require(lengthMs > 0 && lengthMs <= 600_000, "a run takes from 1 ms to 10 minutes");
         require(busy > 0 && idleMs >= 0, "times and traffic can't be negative");
@@ -31,7 +34,7 @@
 
     /** A fleet at rest for 30 s. */
     public static FleetSpec atRest(int sidecars, int nodes, double load, long seed) {
-        return new FleetSpec(sidecars, nodes, load, 1, 30_000, 3000, Incident.NONE, seed);
+        return new FleetSpec(sidecars, nodes, load, 1, 30_000, 3000, Incident.NONE, seed, sidecars, false);
     }
 
     /** Half of the nodes are replaced while each sidecar is restarted once. */
@@ -50,22 +53,27 @@
     }
 
     private FleetSpec with(Incident next) {
-        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, next, seed);
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, next, seed, told, viewed);
     }
 
     /** One sidecar has so many times the traffic of each other. */
     public FleetSpec withBusy(double times) {
-        return new FleetSpec(sidecars, nodes, load, times, lengthMs, idleMs, incident, seed);
+        return new FleetSpec(sidecars, nodes, load, times, lengthMs, idleMs, incident, seed, told, viewed);
     }
 
     /** Another length. */
     public FleetSpec lasting(double ms) {
-        return new FleetSpec(sidecars, nodes, load, busy, ms, idleMs, incident, seed);
+        return new FleetSpec(sidecars, nodes, load, busy, ms, idleMs, incident, seed, told, viewed);
     }
 
     /** Another time for idle connections. */
     public FleetSpec holding(double ms) {
-        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, ms, incident, seed);
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, ms, incident, seed, told, viewed);
+    }
+
+    /** The settings name another number of sidecars; {@code view}: they know better by themselves. */
+    public FleetSpec toldOf(int number, boolean view) {
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, incident, seed, number, view);
     }
 
     /** What each sidecar is told: two classes of requests, one of them not to be run twice. */
@@ -73,7 +81,7 @@
         List<RequestClass> classes = new ArrayList<>();
         classes.add(new RequestClass("read", 1500, 6000, 3, 0, Effect.SAFE, Group.ALL, 0, false));
         classes.add(new RequestClass("submit", 1500, 6000, 10, 0, Effect.UNSAFE, Group.ALL, 0, false));
-        return new Settings(classes, List.of(), sidecars, false, false, 5, 0, List.of("rps", "cpu"),
+        return new Settings(classes, List.of(), told, false, false, 5, 0, List.of("rps", "cpu"),
                 new Limits(6, true, true, false, 2000), new Contract(0.2, 15_000, 2.5, 2000, 15_000), new Goal(0.7, 0.3, 0, 0));
     }
 
--- a/src/main/java/ivybank/emulator/SidecarModel.java
+++ b/src/main/java/ivybank/emulator/SidecarModel.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
+import ivybank.fleet.FleetCount;
 import ivybank.policy.Balancer;
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.ListKind;
@@ -320,6 +321,11 @@
         // Lists are pushed here.
     }
 
+    @Override
+    public int sidecars(int told) {
+        return spec.viewed() ? new FleetCount(told, 0).seen(simulation.nowMs(), spec.sidecars()) : told;
+    }
+
     @Override
     public void closeIdle(int upstream) {
         ArrayDeque<Connection> connections = idle.remove(nodes.get(upstream));
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -18,6 +18,7 @@
 import ivybank.common.Json;
 import ivybank.common.Log;
 import ivybank.fleet.Change;
+import ivybank.fleet.FleetCount;
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.FleetView;
 import ivybank.fleet.Message;
@@ -28,6 +29,8 @@
 /** A sidecar among the others: its view on its event loop, its socket, and what it tells of both. */
 public final class PeerFleet {
 
+    private static final double COUNT_EVERY_MS = 500;
+
     private final PeerSettings settings;
     private final EventLoop loop;
     private final Clock clock;
@@ -36,21 +39,24 @@
     private final FleetView view;
     private final InetSocketAddress listen;
     private final IntConsumer sidecars;
-    private int told = -1;
+    private final FleetCount count;
+    private double countDueMs;
 
     /**
      * @param addresses of all sidecars, with this one's own
-     * @param sidecars told on the event loop how many sidecars live, whenever that changes; 0 where no other is heard
+     * @param told how many sidecars there are by the settings
+     * @param sidecars told on the event loop, again and again, how many are to be reckoned with
      * @throws IOException in one line
      */
     public PeerFleet(PeerSettings settings, String name, InetSocketAddress listen, List<InetSocketAddress> addresses, long seed,
-            EventLoop loop, Clock clock, Log log, IntConsumer sidecars) throws IOException {
+            int told, EventLoop loop, Clock clock, Log log, IntConsumer sidecars) throws IOException {
         this.settings = settings;
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.listen = listen;
         this.sidecars = sidecars;
+        this.count = new FleetCount(told, FleetTiming.STANDARD.holdMs());
         int seat = addresses.indexOf(listen);
         if (seat < 0) {
             throw new IOException("peers: " + listen + " is not among the " + addresses.size() + " addresses of sidecars; each list names its own sidecar too");
@@ -79,26 +85,19 @@
 
     /** Listens, and begins to look for others. Not called on the event loop. */
     public void open(boolean shared) throws IOException {
-        socket.open(listen, shared, (seat, message) -> {
-            view.heard(clock.nowMs(), seat, message);
-            count();
-        });
+        socket.open(listen, shared, (seat, message) -> view.heard(clock.nowMs(), seat, message));
         loop.execute(() -> view.start(clock.nowMs()));
         long tickMs = (long) FleetTiming.STANDARD.tickMs();
         loop.scheduleWithFixedDelay(() -> {
-            view.tick(clock.nowMs());
-            count();
+            double nowMs = clock.nowMs();
+            view.tick(nowMs);
+            if (nowMs >= countDueMs) {
+                countDueMs = nowMs + COUNT_EVERY_MS;
+                sidecars.accept(count.seen(nowMs, view.peers() + 1));
+            }
         }, tickMs, tickMs, TimeUnit.MILLISECONDS);
     }
 
-    private void count() {
-        int now = view.peers() == 0 ? 0 : view.peers() + 1;
-        if (now != told) {
-            told = now;
-            sidecars.accept(now);
-        }
-    }
-
     private void changed(Change change) {
         // Doubts come and go; the door has them.
         if (!change.what().startsWith("is doubted")) {
--- a/src/main/java/ivybank/policy/Balancer.java
+++ b/src/main/java/ivybank/policy/Balancer.java
@@ -77,6 +77,11 @@
         /** Closes this sidecar's idle connections to an upstream. */
         void closeIdle(int upstream);
 
+        /** How many sidecars there are, as far as is known, where so many were told. */
+        default int sidecars(int told) {
+            return told;
+        }
+
         /** A line for on-call staff. */
         void log(String line);
     }
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -29,7 +29,6 @@
     private static final int STREAK = 3; // failures or slow answers in a row that are hardly chance
     private static final double SILENCE = 6; // typical latencies that tell; half that where several are out
     private static final double LONGEST_GAP_MS = 4000; // between trials: a fault lasts for seconds
-    private static final double LEAST_OUT = 8; // attempts of all sidecars together that a server has room for
     private static final double COLD_PART = 0.6; // of the contract's overload factor: bursts fill the rest
     private static final double EXTRA = 0.25; // further attempts and second copies for each request
     private static final double EXTRA_SAVED = 20; // of them that may be saved up
@@ -62,7 +61,7 @@
     private final int heldField;
     private final int busyField;
     private final int probes; // for each attempt
-    private final SubsetSize subset = new SubsetSize();
+    private final SubsetSize subset;
     private boolean controlArmed;
     private boolean subscribeArmed;
     private int subscribeFailures;
@@ -81,6 +80,7 @@
     public LoadShiftingBalancer(Settings settings, long seed, Actions actions) {
         this.settings = settings;
         this.actions = actions;
+        subset = new SubsetSize(() -> actions.sidecars(settings.sidecars()));
         this.random = new SplittableRandom(seed);
         settings.classes().forEach(spec -> classes.add(new ClassView(spec, spec.aimMs() / FIRST_TYPICAL)));
         waiting = new WaitingRoom(classes.size());
@@ -273,13 +273,13 @@
     private void fillSubset() {
         List<Host> ready = list.ready();
         ready.sort(Comparator.comparingDouble(host -> host.rank));
-        List<Host> chosen = ready.subList(0, subset.of(ready.size(), settings.sidecars()));
+        List<Host> chosen = ready.subList(0, subset.of(ready.size()));
         members.removeIf(host -> !chosen.contains(host));
         double meanWeight = chosen.stream().mapToDouble(host -> host.listed.weight()).average().orElse(0);
         double meanShare = members.isEmpty() ? 1 : 1.0 / members.size();
         for (Host host : chosen) {
             if (!members.contains(host)) {
-                host.window.reset(Math.max(1, leastWindow()));
+                host.window.reset(Math.max(1, subset.leastWindow(list.hosts.size())));
                 subset.added(host.id);
                 // As the paper starts: in proportion to the listed size.
                 host.share = meanShare * (meanWeight > 0 ? host.listed.weight() / meanWeight : 1);
@@ -394,7 +394,7 @@
         }
         host.sample(latencyMs / view.typicalMs());
         // Room: guards against queues, and against servers that jam. Acts when a member's window is full.
-        host.window.answered(nowMs, latencyMs, view.quietMs(), view.typicalMs(), leastWindow());
+        host.window.answered(nowMs, latencyMs, view.quietMs(), view.typicalMs(), subset.leastWindow(list.hosts.size()));
         if (outcome != Outcome.OK) {
             host.window.failed(nowMs, elapsedMs, view.typicalMs());
         }
@@ -477,11 +477,6 @@
         return warmth < 1 && inTime && host.setAside == null ? warmth * COLD_PART * settings.contract().overloadFactor() : 0;
     }
 
-    /** This sidecar's part of what all may have out at one server, as if they were alike. */
-    private double leastWindow() {
-        return LEAST_OUT * Math.max(1, list.hosts.size() / (double) subset.size()) / settings.sidecars();
-    }
-
     // ---- Waiting and shedding. Guards against overload. Requests wait while all members are full: worthiest
     // (then the newest) go first; what could no longer earn is refused. While more than TOLERATED of attempts
     // are late, a growing part of the least worthy is refused at once.
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -57,8 +57,8 @@
             out.println("views: seconds until all were true after each change (no finer than 0.1)");
             day.views().epochs().forEach(each -> out.printf(Locale.ROOT, "%7.2f s  %5.1f of %5.1f  %s%n", each.atMs() / 1000,
                     each.settledMs() / 1000, each.lastedMs() / 1000, each.what()));
-            out.printf(Locale.ROOT, "views: %d looks, %d false accusations; %d datagrams and %d bytes carried, %d not%n", day.views().looks(),
-                    day.views().falseAccusations(), day.betweenSidecars()[0], day.betweenSidecars()[1], day.betweenSidecars()[2]);
+            out.printf(Locale.ROOT, "views: %d looks, %d false accusations; %d datagrams and %d bytes carried, %d not, %d forged%n", day.views().looks(),
+                    day.views().falseAccusations(), day.betweenSidecars()[0], day.betweenSidecars()[1], day.betweenSidecars()[2], day.betweenSidecars()[3]);
         }
         day.referee().examples().forEach(breach -> out.printf(Locale.ROOT, "RULE %s at %.2f s: %s%n",
                 Verdict.word(breach.rule()), breach.atMs() / 1000, breach.what()));
--- a/src/main/java/ivybank/rehearsal/Scenarios.java
+++ b/src/main/java/ivybank/rehearsal/Scenarios.java
@@ -30,9 +30,14 @@
 
     /** One that ships, or the one in a file if the name ends in .toml. */
     public static Scenario find(String name) throws InputException {
+        return ScenarioReader.read(name.endsWith(END) ? name : name + END, text(name));
+    }
+
+    /** The text of one that ships, or of the one in a file if the name ends in .toml. */
+    public static String text(String name) throws InputException {
         if (name.endsWith(END)) {
             try {
-                return ScenarioReader.read(name, Files.readString(Path.of(name)));
+                return Files.readString(Path.of(name));
             } catch (IOException e) {
                 throw new InputException(name + ": can't be read: " + e.getClass().getSimpleName());
             }
@@ -42,7 +47,7 @@
                     + " or one of " + names() + " is allowed");
         }
         try (InputStream in = Scenarios.class.getResourceAsStream(name + END)) {
-            return ScenarioReader.read(name + END, new String(in.readAllBytes(), StandardCharsets.UTF_8));
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new IllegalStateException("scenario " + name + " is not in the jar", e);
         }
--- a/src/main/java/ivybank/rehearsal/referee/Views.java
+++ b/src/main/java/ivybank/rehearsal/referee/Views.java
@@ -47,6 +47,7 @@
     private final Map<List<Long>, Long> endedLives = new HashMap<>(); // by viewer, its start and seat
     private final Map<List<Long>, Long> lives = new HashMap<>();
     private final int[] starts;
+    private final int[] ownStart;
     private final List<Epoch> epochs = new ArrayList<>();
     private final Set<String> breaches = new TreeSet<>();
     private double epochMs;
@@ -76,6 +77,7 @@
         last = new Look[sidecars];
         ownLife = new long[sidecars];
         starts = new int[sidecars];
+        ownStart = new int[sidecars];
     }
 
     /** A sidecar's process is something else from now on. */
@@ -186,9 +188,12 @@
     private void remember(Look look) {
         long by = look.by();
         long own = look.living().getOrDefault(look.by(), 0L);
-        if (own < ownLife[look.by()]) {
-            breach(String.format(Locale.ROOT, "%.2f s: the life of sidecar %d fell from %d to %d", look.atMs() / 1000, by, ownLife[look.by()], own));
+        boolean another = ownStart[look.by()] != starts[look.by()];
+        if (own < ownLife[look.by()] || another && own == ownLife[look.by()]) {
+            breach(String.format(Locale.ROOT, "%.2f s: the life of sidecar %d did not rise: it was %d, and is %d%s", look.atMs() / 1000, by,
+                    ownLife[look.by()], own, another ? " in a process that was started since" : ""));
         }
+        ownStart[look.by()] = starts[look.by()];
         ownLife[look.by()] = Math.max(ownLife[look.by()], own);
         look.living().forEach((seat, life) -> {
             List<Long> key = List.of(by, (long) starts[look.by()], (long) seat);
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -121,9 +121,9 @@
     /**
      * What sidecars know of one another. With {@code on}, each has a list of addresses, with {@code never} more that nobody ever
      * has, a key, and a door that the kit asks what it sees. An end is to be known after {@code knowS}, and all views to be true
-     * {@code settleS} after each other change.
+     * {@code settleS} after each other change. A process that is stopped for no longer than {@code pauseS} is not to be given up.
      */
-    public record Peers(boolean on, int never, double knowS, double settleS) {
+    public record Peers(boolean on, int never, double knowS, double settleS, double pauseS) {
     }
 
     /**
@@ -135,19 +135,23 @@
      * @param doubled part that comes twice
      * @param reordered part that is held back by so much more that others overtake it
      * @param kbPerS what comes through at most; infinite for all
+     * @param forged part that is followed by a forgery: its sender is said to leave, and nobody has signed that
+     * @param replayed part that comes once more some seconds later
      */
-    public record Quality(boolean cut, double loss, double[] delayMs, double doubled, double reordered, double kbPerS) {
+    public record Quality(boolean cut, double loss, double[] delayMs, double doubled, double reordered, double kbPerS, double forged,
+                          double replayed) {
 
         /** Nothing is wrong. */
-        public static final Quality GOOD = new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY);
+        public static final Quality GOOD = new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
         /** Nothing comes. */
-        public static final Quality CUT = new Quality(true, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY);
+        public static final Quality CUT = new Quality(true, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
 
         /** Both at once. */
         public Quality and(Quality other) {
             return new Quality(cut || other.cut, 1 - (1 - loss) * (1 - other.loss),
                     new double[] {delayMs[0] + other.delayMs[0], delayMs[1] + other.delayMs[1]}, 1 - (1 - doubled) * (1 - other.doubled),
-                    1 - (1 - reordered) * (1 - other.reordered), Math.min(kbPerS, other.kbPerS));
+                    1 - (1 - reordered) * (1 - other.reordered), Math.min(kbPerS, other.kbPerS), Math.max(forged, other.forged),
+                    Math.max(replayed, other.replayed));
         }
     }
 
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -52,7 +52,7 @@
                 new Scenario.Roster(roster.range("notice_ms", 0, 60_000, 200, 800),
                         roster.number("told_ms", 100, 60_000, 6000)),
                 new Scenario.Peers(peers.flag("on", false), peers.integer("never", 0, 200, 0), peers.number("know_s", 0.1, 600, 6),
-                        peers.number("settle_s", 0.1, 600, 5)),
+                        peers.number("settle_s", 0.1, 600, 5), peers.number("pause_s", 0, 600, 1.2)),
                 faults(root), new Scenario.Floor(floor.number("service", 0, 1, 0)));
         for (StrictTable table : List.of(fleet, cold, choke, traffic, clients, limits, rules, roster, peers, floor, root)) {
             table.end();
@@ -165,7 +165,8 @@
         double kb = table.number("kb_s", 0, 1e6, 0);
         return new Scenario.Ways(table.integers("from", 0, 199), table.integers("to", 0, 199), List.of(), table.flag("one_way", false),
                 new Scenario.Quality(table.flag("cut", false), table.number("loss", 0, 1, 0), table.range("delay_ms", 0, 10_000, 0, 0),
-                        table.number("doubled", 0, 1, 0), table.number("reordered", 0, 1, 0), kb == 0 ? Double.POSITIVE_INFINITY : kb));
+                        table.number("doubled", 0, 1, 0), table.number("reordered", 0, 1, 0), kb == 0 ? Double.POSITIVE_INFINITY : kb,
+                        table.number("forged", 0, 1, 0), table.number("replayed", 0, 1, 0)));
     }
 
     static String word(FaultKind kind) {
--- a/src/main/java/ivybank/rehearsal/scenario/Storm.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Storm.java
@@ -92,11 +92,12 @@
     }
 
     private static Quality quality(SplittableRandom random) {
-        return switch (random.nextInt(4)) {
+        return switch (random.nextInt(5)) {
             case 0 -> Quality.CUT;
-            case 1 -> new Quality(false, round(0.1 + 0.4 * random.nextDouble()), new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY);
-            case 2 -> new Quality(false, 0, new double[] {0, Math.round(200 * random.nextDouble())}, 0.2, 0.2, Double.POSITIVE_INFINITY);
-            default -> new Quality(false, 0, new double[] {0, 0}, 0, 0, 1);
+            case 1 -> new Quality(false, round(0.1 + 0.4 * random.nextDouble()), new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
+            case 2 -> new Quality(false, 0, new double[] {0, Math.round(200 * random.nextDouble())}, 0.2, 0.2, Double.POSITIVE_INFINITY, 0, 0);
+            case 3 -> new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0.3, 0.3);
+            default -> new Quality(false, 0, new double[] {0, 0}, 0, 0, 1, 0, 0);
         };
     }
 
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -57,7 +57,7 @@
 
     /**
      * What a day came to; connections, attempts and attempts given up are those that nodes saw. {@code views} is null where
-     * sidecars know of no others; {@code betweenSidecars}: datagrams that came, their bytes, and those that did not.
+     * sidecars know of no others; {@code betweenSidecars}: datagrams that came, their bytes, those that did not, and forgeries.
      */
     public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<NodeState> states, List<Usage> usage,
                          double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, Map<String, Long> attemptsOf,
@@ -172,7 +172,7 @@
         }
         return new Result(plan, service, referee, List.copyOf(events), List.copyOf(states), List.copyOf(usage),
                 world.latenessMs(), mostPushed, List.copyOf(readyAfterMs), world.connections(), world.attempts(), world.givenUp(),
-                views, relay == null ? new long[3] : relay.counts());
+                views, relay == null ? new long[4] : relay.counts());
     }
 
     private void onLoop(Runnable task) throws InterruptedException {
@@ -476,7 +476,9 @@
         for (int member : hit) {
             SidecarProcess sidecar = sidecars.get(member);
             downSinceMs.set(member, world.nowMs());
-            process(member, Views.Process.BETWEEN, "stop of sidecar " + member);
+            if (fault.forS() > scenario.peers().pauseS()) { // a shorter stop is none to the others
+                process(member, Views.Process.BETWEEN, "stop of sidecar " + member);
+            }
             signal(sidecar, "STOP");
             world.after(fault.forS() * 1000, () -> {
                 event("sidecar " + member + " goes on");
--- a/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
+++ b/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
@@ -28,6 +28,12 @@
     private static final int LONGEST = 256;
     private static final int MOST_UNDER_WAY = 512;
     private static final double OVERTAKEN_MS = 100;
+    private static final double REPLAYED_MS = 2000;
+    private static final int HEADER_LENGTH_AT = 3;
+    private static final int COUNTER_AT = 16;
+    private static final int STANDING_AT = 1; // in the sender's word
+    private static final int TURN_AT = 11;
+    private static final byte LEAVES = 3;
 
     /** The way from one sidecar to another. */
     private final class Way {
@@ -47,6 +53,7 @@
                 lost++;
                 return;
             }
+            harm(bytes);
             for (int copies = random.nextDouble() < quality.doubled() ? 2 : 1; copies > 0; copies--) {
                 double delayMs = quality.delayMs()[0] + random.nextDouble() * (quality.delayMs()[1] - quality.delayMs()[0])
                         + (random.nextDouble() < quality.reordered() ? OVERTAKEN_MS * random.nextDouble() : 0);
@@ -68,6 +75,23 @@
             }
         }
 
+        private void harm(byte[] bytes) {
+            if (random.nextDouble() < quality.forged()) {
+                byte[] forgery = forgery(bytes);
+                if (forgery != null) {
+                    forged++;
+                    deliver(forgery);
+                }
+            }
+            if (random.nextDouble() < quality.replayed() && underWay < MOST_UNDER_WAY) {
+                underWay++;
+                world.after(REPLAYED_MS * (1 + random.nextDouble()), () -> {
+                    underWay--;
+                    deliver(bytes);
+                });
+            }
+        }
+
         private void deliver(byte[] bytes) {
             carried++;
             octets += bytes.length;
@@ -85,6 +109,7 @@
     private long carried;
     private long octets;
     private long lost;
+    private long forged;
 
     /** Opens a socket for each ordered pair. Not called on the event loop. */
     PeerRelay(World world, List<InetSocketAddress> real, long seed) {
@@ -117,6 +142,22 @@
         }
     }
 
+    /**
+     * The datagram as one would change it who has no key: the sender's own word, which follows the header, says that it leaves, in a
+     * later turn and under a later counter (docs/design/fleet-view.md has the layout). Null where it isn't of that layout.
+     */
+    private static byte[] forgery(byte[] bytes) {
+        int word = bytes.length > HEADER_LENGTH_AT ? bytes[HEADER_LENGTH_AT] & 0xff : 0;
+        if (word < COUNTER_AT + 4 || word + TURN_AT + 1 >= bytes.length) {
+            return null;
+        }
+        byte[] forgery = bytes.clone();
+        forgery[COUNTER_AT + 2] += 1; // 256 later
+        forgery[word + STANDING_AT] = LEAVES;
+        forgery[word + TURN_AT] += 1;
+        return forgery;
+    }
+
     private void come(Way way, DatagramPacket packet) {
         ByteBuf content = packet.content();
         if (!packet.sender().equals(real.get(way.from)) || content.readableBytes() > LONGEST) {
@@ -152,9 +193,9 @@
         return !ways[from][to].quality.cut();
     }
 
-    /** Datagrams that were delivered so far, and their bytes, and those that were not. */
+    /** Datagrams that were delivered so far, their bytes, those that were not, and forgeries. */
     long[] counts() {
-        return new long[] {carried, octets, lost};
+        return new long[] {carried, octets, lost, forged};
     }
 
     void close() {
--- a/src/main/java/ivybank/roster/SubsetSize.java
+++ b/src/main/java/ivybank/roster/SubsetSize.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 /**
  * How many nodes a sidecar draws from: the design's small number, more for as long as those have no room for what its client
@@ -27,6 +28,7 @@
     /** Sidecars that draw from a node at rest, where that leaves each enough nodes; and what is enough to compare them. */
     private static final double NEIGHBOURS = 8;
     private static final int FEWEST = 6;
+    private static final double LEAST_OUT = 8; // attempts of all sidecars together that a node has room for
     /** Over which the traffic is averaged. */
     private static final double TRAFFIC_MS = 3000;
     private static final double LEAST_SEEN = 0.1; // of that time: a few requests tell nothing
@@ -66,6 +68,8 @@
     private double load;
     /** The part of the attempts that no answer came of; the latest count most. */
     private double lost;
+    private final IntSupplier sidecars;
+    private int counted;
     private int usual = USUAL;
     private int size = USUAL;
     private double inHand;
@@ -76,15 +80,27 @@
     private boolean foundFull;
     private int calmTicks;
 
+    /** {@code sidecars}: how many there are now, as far as is known. */
+    public SubsetSize(IntSupplier sidecars) {
+        this.sidecars = sidecars;
+        this.counted = sidecars.getAsInt();
+    }
+
     /** How many nodes are to be drawn from, where there are so many. */
     public int size() {
         return size;
     }
 
-    /** How many of so many nodes that so many sidecars have are to be drawn from. */
-    public int of(int ready, int sidecars) {
+    /** This sidecar's part of what all may have out at one of so many nodes, as if they were alike. */
+    public double leastWindow(int listed) {
+        return LEAST_OUT * Math.max(1, listed / (double) size) / sidecars.getAsInt();
+    }
+
+    /** How many of so many nodes are to be drawn from. */
+    public int of(int ready) {
         int before = usual;
-        usual = (int) Math.max(FEWEST, Math.min(USUAL, Math.ceil(NEIGHBOURS * ready / sidecars)));
+        counted = sidecars.getAsInt();
+        usual = (int) Math.max(FEWEST, Math.min(USUAL, Math.ceil(NEIGHBOURS * ready / counted)));
         size = size == before ? usual : Math.max(size, usual);
         return Math.min(size, ready);
     }
@@ -182,7 +198,7 @@
      *
      * @param spare whether at least half of the members' room is free
      * @param listed nodes that are known
-     * @return whether the size has changed
+     * @return whether the size may have changed
      */
     public boolean tick(boolean spare, int listed) {
         calmTicks = spare ? calmTicks + 1 : 0;
@@ -193,6 +209,6 @@
                 : overloaded ? (int) Math.ceil(RETREAT * size) : calmTicks > CALM_TICKS ? 1 : 0;
         int before = size;
         size = Math.min(size, Math.max(usual, size - fewer));
-        return size < before;
+        return size < before || sidecars.getAsInt() != counted;
     }
 }
--- a/src/test/java/ivybank/emulator/FleetRunTest.java
+++ b/src/test/java/ivybank/emulator/FleetRunTest.java
@@ -60,6 +60,18 @@
         assertTrue(result.between(16, 20) >= inTimeAfterwards, result.line());
     }
 
+    // What the view's number is for: a fleet that has grown beyond what its settings say.
+    @ParameterizedTest
+    @CsvSource({"12, 6, 12", "60, 30, 60", "100, 10, 60"})
+    void aFleetThatKnowsThatItHasGrownServesMoreAndOverdrivesNoNode(int sidecars, int told, int nodes) {
+        FleetSpec spec = FleetSpec.atRest(sidecars, nodes, 0.6, 2).lasting(15_000);
+        FleetResult blind = FleetRun.play(spec.toldOf(told, false));
+        FleetResult viewed = FleetRun.play(spec.toldOf(told, true));
+        assertTrue(viewed.inTime() >= blind.inTime() + 0.03, blind.line() + "; with the view " + viewed.line());
+        assertTrue(viewed.connections() / (double) viewed.requests() <= 0.8 * blind.connections() / blind.requests(), viewed.line());
+        assertEquals(0, viewed.jammed(), viewed.line());
+    }
+
     @Test
     void aClockThatIsNeverLetOnIsNamedAndEnded() {
         Simulation simulation = new Simulation();
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -41,6 +41,8 @@
     private static final List<String> ONLY = List.of(System.getProperty("mutants.nights", "").split(",", 0));
     private static final Path SOURCES = Path.of("src/main/java/ivybank");
 
+    private static final String VIEWS = "[peers]\non=true\nnever=1\n";
+
     /** The days that mutants are played on, and the true build too. */
     private enum Night {
         CALM("", 5, 150, 1),
@@ -55,12 +57,17 @@
                 + "drain_s=3\n", 8, 150, 1),
         SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1),
         RUDE("[clients]\nrubbish=0.05\n", 4, 150, 1),
-        BROKEN("[[fault]]\nkind='break'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1);
+        BROKEN("[[fault]]\nkind='break'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1),
+        LOSSY(VIEWS + "[[fault]]\nkind='link'\nat_s=1.5\nfor_s=9\nfrom=[0,1,2,3]\nto=[0,1,2,3]\nloss=0.2\nforged=0.2\nreplayed=0.2\n"
+                + "[[fault]]\nkind='freeze'\nat_s=5.2\nfor_s=1.1\nmembers=[2]\n[[fault]]\nkind='freeze'\nat_s=7.2\nfor_s=1.1\nmembers=[2]\n"
+                + "[[fault]]\nkind='freeze'\nat_s=9.2\nfor_s=1.1\nmembers=[2]\n", 11, 40, 1),
+        SPLIT(VIEWS + "[[fault]]\nkind='partition'\nat_s=1.5\nfor_s=5\nmembers=[0,1]\n", 13, 40, 1),
+        JOINT(VIEWS + "[[fault]]\nkind='kill'\nat_s=2\nfor_s=0\naway_s=0.2\n", 8, 40, 1);
 
         private final String toml;
 
         Night(String faults, int lengthS, int rate, double speed) {
-            this(faults, lengthS, rate, speed, 20, "effect='unsafe'\n");
+            this(faults, lengthS, rate, speed, 20, faults.startsWith("[peers]") ? "effect='safe'\n" : "effect='unsafe'\n");
         }
 
         Night(String faults, int lengthS, int rate, double speed, int waitMs, String submit) {
@@ -68,7 +75,7 @@
                     + "speed=" + speed + "\nconnect_ms=1\n[cold]\nfrom=0.12\nwarm_s=10\nfall_multiple=2.5\nfall_s=2\n"
                     + "[[class]]\nname='read'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\ndeadline_ms=4000\n"
                     + "effect='safe'\n[[class]]\nname='submit'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\n"
-                    + "deadline_ms=4000\nworth=5\n" + submit + "[traffic]\nrate=" + rate + "\nsidecars=1\n"
+                    + "deadline_ms=4000\nworth=5\n" + submit + "[traffic]\nrate=" + rate + "\nsidecars=" + (faults.startsWith("[peers]") ? 4 : 1) + "\n"
                     + "[roster]\nnotice_ms=100\ntold_ms=1500\n" + faults;
         }
     }
@@ -81,6 +88,19 @@
     }
 
     private static final List<Mutant> MUTANTS = List.of(
+            new Mutant("takes unsigned datagrams", Night.LOSSY, List.of("gave up sidecar"),
+                    List.of(new Edit("peers/PeerSocket.java", "int key = keys.verify(signed);", "int key = Math.max(0, keys.verify(signed));"))),
+            new Mutant("never takes an accusation back", Night.LOSSY, List.of("gave up sidecar", "views:"),
+                    List.of(new Edit("fleet/FleetView.java", "        member.firstHand.clear();\n        member.suspicion = null;\n"
+                            + "        suspects.remove(member.seat);\n    }\n\n    private boolean heeded",
+                            "    }\n\n    private boolean heeded"))),
+            new Mutant("gives up at the first miss", Night.LOSSY, List.of("gave up sidecar"),
+                    List.of(new Edit("fleet/FleetView.java", "            suspect(nowMs, member, member.turn, self.seat, false, false, word);",
+                            "            end(nowMs, member, Standing.GONE, \"is given up\");"))),
+            new Mutant("doesn't seek those it gave up", Night.SPLIT, List.of("views: healed"),
+                    List.of(new Edit("fleet/FleetView.java", "        if (!from.isEmpty()) {", "        if (!from.isEmpty() && members[from.get(0)].life == 0) {"))),
+            new Mutant("begins its life at 0", Night.JOINT, List.of("the life of sidecar"),
+                    List.of(new Edit("peers/LifeFile.java", "            return clockMs;", "            return 1;"))),
             new Mutant("sends to a draining node", Night.DEPLOY, List.of("rule drain"),
                     List.of(new Edit("discovery/Directory.java", "Status status = undrained ? Status.DRAINING : entry.status();",
                             "Status status = Status.READY;"))),
--- a/src/test/java/ivybank/roster/SubsetSizeTest.java
+++ b/src/test/java/ivybank/roster/SubsetSizeTest.java
@@ -10,7 +10,8 @@
 
     private static final int NODES = 60;
 
-    private final SubsetSize subset = new SubsetSize();
+    private int sidecars = 1;
+    private final SubsetSize subset = new SubsetSize(() -> sidecars);
 
     /** Traffic that all nodes together would not be too many for. */
     SubsetSizeTest() {
@@ -19,12 +20,12 @@
 
     /** One whose clients ask for so much at quiet nodes, all the time, and that never finds room. */
     private static SubsetSize without(double requestsInHand, int nodes, int sidecars) {
-        SubsetSize subset = new SubsetSize();
-        subset.of(nodes, sidecars);
+        SubsetSize subset = new SubsetSize(() -> sidecars);
+        subset.of(nodes);
         for (int ms = 0; ms < 20_000; ms += 100) {
             subset.asked(ms, 100 * requestsInHand);
             subset.offered(false);
-            subset.step(subset.of(nodes, sidecars), nodes);
+            subset.step(subset.of(nodes), nodes);
             if (ms % 1000 == 0) {
                 subset.tick(false, nodes);
             }
@@ -70,15 +71,15 @@
 
     @Test
     void manySidecarsDrawFromFewerNodesEach() {
-        assertEquals(10, new SubsetSize().of(60, 14));
-        assertEquals(8, new SubsetSize().of(60, 60));
-        assertEquals(6, new SubsetSize().of(60, 100));
-        assertEquals(10, new SubsetSize().of(200, 100));
-        assertEquals(6, new SubsetSize().of(60, 10_000), "fewer could not be compared");
-        assertEquals(3, new SubsetSize().of(3, 10_000));
-        SubsetSize one = new SubsetSize();
-        one.of(60, 100);
-        assertEquals(10, one.of(200, 100), "it follows the list while it has no more than usual");
+        assertEquals(10, new SubsetSize(() -> 14).of(60));
+        assertEquals(8, new SubsetSize(() -> 60).of(60));
+        assertEquals(6, new SubsetSize(() -> 100).of(60));
+        assertEquals(10, new SubsetSize(() -> 100).of(200));
+        assertEquals(6, new SubsetSize(() -> 10_000).of(60), "fewer could not be compared");
+        assertEquals(3, new SubsetSize(() -> 10_000).of(3));
+        SubsetSize one = new SubsetSize(() -> 100);
+        one.of(60);
+        assertEquals(10, one.of(200), "it follows the list while it has no more than usual");
     }
 
     @Test
@@ -243,4 +244,15 @@
         }
         assertTrue(subset.awaited() <= SubsetSize.MOST_AWAITED, subset.awaited() + " are kept");
     }
+
+    @Test
+    void whenThereAreMoreSidecarsThanWereToldOneDrawsFromFewerNodes() {
+        sidecars = 14;
+        assertEquals(10, subset.of(NODES));
+        assertFalse(subset.tick(true, NODES));
+        sidecars = 100;
+        assertTrue(subset.tick(true, NODES), "the size is to be asked for anew");
+        assertEquals(6, subset.of(NODES));
+        assertEquals(8 * 10 / 100.0, subset.leastWindow(NODES), 1e-9);
+    }
 }
