--- a/src/main/java/ivybank/control/Company.java
+++ b/src/main/java/ivybank/control/Company.java
@@ -41,7 +41,7 @@
     }
 
     /** Whether another process is here; the files of those that have ended are removed. */
-    boolean others() throws IOException {
+    public boolean others() throws IOException {
         boolean others = false;
         if (!held.isOpen()) {
             throw new IOException(own + " is no longer held by this process");
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -191,7 +191,7 @@
                 DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
         if (more != null && more.peers() != null) {
             sidecar.among(Peers.of(more.peers(), config, environment, sidecar.loop, clock, log,
-                    count -> sidecar.driver.sidecars(count, "by the fleet's own view")), company != null);
+                    count -> sidecar.driver.sidecars(count, "by the fleet's own view")), company != null && company.others());
         }
         if (config.control() != null) {
             OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
@@ -218,10 +218,10 @@
         Runtime.getRuntime().addShutdownHook(new Thread(end, "drain"));
     }
 
-    /** Puts it among its peers; {@code successor}: another process of this sidecar was here first. */
-    private void among(PeerFleet fleet, boolean successor) throws IOException {
-        this.successor = successor;
-        fleet.open(successor);
+    /** Puts it among its peers; {@code later}: another process of this sidecar was here first. */
+    private void among(PeerFleet fleet, boolean later) throws IOException {
+        successor = later;
+        fleet.open(inherited != null); // an upgrade has two processes at one address for a while
         peers = fleet;
     }
 
@@ -234,9 +234,10 @@
     public void company(boolean another) {
         company = another;
         loop.execute(() -> server.company(another));
-        if (peers != null && !successor) {
+        if (peers != null && (!another || !successor)) { // of two, the one that came later speaks
             loop.execute(() -> peers.hush(another));
         }
+        successor &= another;
         Handover its = handover;
         if (its != null) {
             its.company(another);
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -41,6 +41,7 @@
     private final IntConsumer sidecars;
     private final FleetCount count;
     private double countDueMs;
+    private boolean hush;
 
     /**
      * @param addresses of all sidecars, with this one's own
@@ -118,11 +119,17 @@
 
     /** This sidecar ends now: the others are told. On the event loop. */
     public void leave() {
-        view.leave(clock.nowMs());
+        if (!hush) { // or the process that speaks for the sidecar would be taken for ended
+            view.leave(clock.nowMs());
+        }
     }
 
     /** Another process of this sidecar speaks for it from now on, or no longer does. On the event loop. */
     public void hush(boolean hushed) {
+        if (hushed == hush) {
+            return;
+        }
+        hush = hushed;
         log.line(hushed ? "peers: another process of this sidecar speaks for it" : "peers: this process speaks for the sidecar again");
         view.hush(clock.nowMs(), hushed);
     }
