Two of one name at two seats both say it; the line of counts has the view

Need: two processes of one name are an upgrade's (one seat) or a mistake (two seats, or a list in another order), and the second kind was shown in the view and said by nobody.

Each that hears of a new life of its own name at another seat says so in one line; both stay members, since seats tell them apart. The line of counts of each second carries how many live, how many are starting, and the view's digest.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -364,7 +364,7 @@
         Second second = tally.end(nowMs, Math.max(0, nowMs - tallyDueMs));
         tallyDueMs = Math.max(tallyDueMs + TALLY_MS, nowMs);
         if (second != null) {
-            log.line(second.line());
+            log.line(second.line() + (peers == null ? "" : peers.tally()));
         }
     }
 
--- a/src/main/java/ivybank/emulator/ViewWorld.java
+++ b/src/main/java/ivybank/emulator/ViewWorld.java
@@ -33,9 +33,9 @@
         private boolean frozen;
         private final Deque<Runnable> waiting = new ArrayDeque<>();
 
-        private Process(int seat, long life) {
+        private Process(int seat, long life, String name) {
             this.seat = seat;
-            this.view = new FleetView(seat, "n" + seat, "", life, processes.length, timing, new Random(random.nextLong()), this);
+            this.view = new FleetView(seat, name, "", life, processes.length, timing, new Random(random.nextLong()), this);
         }
 
         private void tick() {
@@ -140,7 +140,12 @@
 
     /** Starts a process whose wall clock gives it this life. */
     public void start(int seat, long life) {
-        Process process = new Process(seat, life);
+        start(seat, life, "n" + seat);
+    }
+
+    /** The same with another name than that of its seat. */
+    public void start(int seat, long life, String name) {
+        Process process = new Process(seat, life, name);
         processes[seat] = process;
         double nowMs = simulation.nowMs();
         process.view.start(nowMs);
--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -301,6 +301,9 @@
         put(member, word.life(), word.turn(), word.standing(), word.name(), word.zone(), nowMs);
         member.by = from == member.seat ? member.by : from;
         rumours.tell(member.statement());
+        if (newLife && word.name().equals(self.name)) {
+            tell(member, "has this sidecar's name: two processes of one name, or a list of addresses in another order");
+        }
         if (newLife) {
             returns += known && !lived ? 1 : 0;
             tell(member, !known ? "is here" : lived ? "has a new life" : "is back");
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -181,6 +181,11 @@
         return root.toString();
     }
 
+    /** Its part of the line of counts of each second, from the event loop. */
+    public String tally() {
+        return " peers=" + view.peers() + " starting=" + view.starting() + " view=" + String.format(Locale.ROOT, "%016x", view.digest());
+    }
+
     /** Counts for a line of the log, from the event loop. */
     public String line() {
         ViewSnapshot now = view.snapshot(clock.nowMs());
--- a/src/test/java/ivybank/emulator/ViewWorldTest.java
+++ b/src/test/java/ivybank/emulator/ViewWorldTest.java
@@ -203,6 +203,24 @@
         assertEquals(7, world.view(0).peers());
     }
 
+    @Test
+    void twoOfOneNameAtTwoSeatsBothSayIt() {
+        ViewWorld world = new ViewWorld(4, 1, FleetTiming.STANDARD, ViewNetwork.CALM);
+        List<Integer> said = new ArrayList<>();
+        world.listen((seat, change) -> {
+            if (change.what().startsWith("has this sidecar's name")) {
+                said.add(seat);
+            }
+        });
+        world.start(0);
+        world.start(1);
+        world.start(2, (long) world.nowMs(), "n1");
+        assertTrue(world.untilSettled(5000) <= 5000);
+        said.sort(null);
+        assertEquals(List.of(1, 2), said);
+        assertEquals(2, world.view(0).peers(), "they are two, and all see it");
+    }
+
     private static Message lie(ViewWorld world, int from, int to, int counter, Message.Kind kind, Word... words) {
         Word self = new Word(Word.Kind.STATEMENT, from, world.life(from), 1, Standing.READY, "n" + from, "", -1);
         return new Message(kind, self, to, world.life(to), counter, 0, 0, -1, new int[0], List.of(words));
