Time to full service after each fault, the steps of each start, and what others bore meanwhile

Need: coming back is to be measured before it is changed; the kit's report had no figure for it.

ReturnTime: from a fault until the share served is within 5% of the 5 s before and stays so for 5 s. Not told: windows and shares at rest, which only the sidecar knows.

--- a/src/main/java/ivybank/cli/FleetCommand.java
+++ b/src/main/java/ivybank/cli/FleetCommand.java
@@ -42,6 +42,8 @@
             description = "Adds up the counts by second and node in a folder of logs, one file NAME.log for each sidecar.")
     int sum(@Parameters(paramLabel = "LOGS") Path folder,
             @Option(names = "--against", paramLabel = "LOGS", description = "another folder: which figures grew out of proportion") Path other,
+            @Option(names = "--fault", paramLabel = "UNIX_S", split = ",", description = "instants of faults: how long each time until as much was"
+                    + " served of what was taken as in the 5 s before") List<Double> faults,
             @Option(names = "--json", description = "as JSON") boolean json) throws IOException, InputException {
         FleetSum sum = read(folder);
         FleetSum before = other == null ? null : read(other);
@@ -51,6 +53,11 @@
             sum.figures().forEach(figure -> figures.put(figure.name(), figure.value()));
             all.put("figures", figures);
             all.put("left out", sum.leftOut());
+            if (faults != null) {
+                Map<String, String> full = new LinkedHashMap<>();
+                faults.forEach(fault -> full.put(String.format(Locale.ROOT, "%.0f", fault), String.valueOf(sum.toFullService(fault))));
+                all.put("seconds to full service", full);
+            }
             if (before != null) {
                 all.put("out of proportion", sum.against(before));
             }
@@ -60,6 +67,9 @@
         sum.table().forEach(System.out::println);
         System.out.println();
         sum.figures().forEach(figure -> System.out.println(String.format(Locale.ROOT, "%12.3f  %s", figure.value(), figure.name())));
+        if (faults != null) {
+            faults.forEach(fault -> System.out.println(String.format(Locale.ROOT, "%12.1f  s to full service after %.0f", sum.toFullService(fault), fault)));
+        }
         System.out.println("\nnodes with the most attempts timed out:");
         sum.mostTimedOut(WORST_NODES).forEach(System.out::println);
         if (sum.leftOut() > 0) {
--- a/src/main/java/ivybank/rehearsal/HtmlReport.java
+++ b/src/main/java/ivybank/rehearsal/HtmlReport.java
@@ -69,6 +69,7 @@
                 service.latencies().getValueAtPercentile(99));
         results(service);
         latency(service);
+        borne();
         nodes();
         usage("Memory of the sidecars, MB", Day.Usage::memoryMb);
         usage("Descriptors of the sidecars", Day.Usage::descriptors);
@@ -166,6 +167,26 @@
         key(words.entrySet());
     }
 
+    /** What the nodes and discovery bore, for what comes back at once asks at once. */
+    private void borne() {
+        int seconds = day.service().results().length;
+        double most = 1;
+        for (int s = 0; s < seconds; s++) {
+            most = Math.max(most, Math.max(day.returns().borne(s).begun(), Math.max(day.returns().borne(s).justBack(), day.returns().borne(s).calls())));
+        }
+        begin("What others bore, each second", HEIGHT);
+        scale(most, "/s");
+        line(seconds, most, LINES[0], s -> day.returns().borne(s).begun());
+        line(seconds, most, LINES[1], s -> day.returns().borne(s).justBack());
+        line(seconds, most, LINES[2], s -> day.returns().borne(s).calls());
+        end(HEIGHT);
+        Map<String, String> words = new LinkedHashMap<>();
+        words.put("connections begun at one node", LINES[0]);
+        words.put("attempts at one node just back", LINES[1]);
+        words.put("calls to discovery", LINES[2]);
+        key(words.entrySet());
+    }
+
     private void line(int seconds, double most, String colour, IntToDoubleFunction value) {
         StringBuilder points = new StringBuilder();
         for (int s = 0; s < seconds; s++) {
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -53,6 +53,7 @@
                 day.usage().stream().mapToDouble(Day.Usage::descriptors).max().orElse(0));
         out.printf(Locale.ROOT, "cold nodes: %.0f%% of what pushes one over, at most; the kit itself was up to %.0f ms late%n",
                 100 * day.mostPushed(), day.latenessMs());
+        new ReturnTable(day).lines().forEach(out::println);
         if (day.views() != null) {
             out.println("views: seconds until all were true after each change (no finer than 0.1)");
             day.views().epochs().forEach(each -> out.printf(Locale.ROOT, "%7.2f s  %5.1f of %5.1f  %s%n", each.atMs() / 1000,
@@ -124,6 +125,7 @@
                 }
             });
         }
+        new ReturnTable(day).write(root);
         root.put("connections", day.connections()).put("attempts", day.attempts()).put("given_up", day.givenUp());
         root.put("cold_pushed", day.mostPushed()).put("kit_late_ms", day.latenessMs());
         return root;
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -136,6 +136,7 @@
             }
             world.referee.answered(id, status, body, world.nowMs());
             if (status == OK) {
+                world.returns.served(sidecar, world.nowMs());
                 double afterMs = world.nowMs() - arrival.atMs();
                 end(afterMs <= spec.aimMs() ? Result.IN_TIME : Result.LATE, afterMs, Double.NaN);
             } else {
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -23,6 +23,7 @@
 import ivybank.common.Addresses;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
+import ivybank.rehearsal.referee.Returns;
 import ivybank.rehearsal.referee.Service;
 import ivybank.rehearsal.referee.Views;
 import ivybank.rehearsal.scenario.Plan;
@@ -57,11 +58,12 @@
 
     /**
      * What a day came to; connections, attempts and attempts given up are those that nodes saw. {@code views} is null where
-     * sidecars know of no others; {@code betweenSidecars}: datagrams that came, their bytes, those that did not, and forgeries.
+     * sidecars know of no others; {@code betweenSidecars}: datagrams that came, their bytes, those that did not, and forgeries;
+     * {@code returns}: how processes that were started in the course of the day came back, and what that cost others.
      */
     public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<NodeState> states, List<Usage> usage,
                          double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, Map<String, Long> attemptsOf,
-                         long givenUp, Views views, long[] betweenSidecars) {
+                         long givenUp, Views views, long[] betweenSidecars, Returns returns) {
 
         /** Attempts at all nodes. */
         public long attempts() {
@@ -174,7 +176,7 @@
         }
         return new Result(plan, service, referee, List.copyOf(events), List.copyOf(states), List.copyOf(usage),
                 world.latenessMs(), mostPushed, List.copyOf(readyAfterMs), world.connections(), world.attempts(), world.givenUp(),
-                views, relay == null ? new long[4] : relay.counts());
+                views, relay == null ? new long[4] : relay.counts(), world.returns);
     }
 
     private void onLoop(Runnable task) throws InterruptedException {
@@ -674,6 +676,7 @@
             sidecar.configure(address, known);
             onLoop(() -> {
                 referee.startedAnew(member);
+                world.returns.started(member, world.nowMs());
                 process(member, Views.Process.BETWEEN, "start of sidecar " + member);
             });
             long from = System.nanoTime();
@@ -683,6 +686,9 @@
             onLoop(() -> {
                 readyAfterMs.add(tookMs);
                 downSinceMs.set(member, Double.NaN);
+                if (ready) {
+                    world.returns.ready(member, world.nowMs());
+                }
                 process(member, Views.Process.ON, "sidecar " + member + " is ready");
                 event("sidecar " + member + (ready ? " is ready again after " : " is not ready after ")
                         + Math.round(tookMs) + " ms");
--- a/src/main/java/ivybank/rehearsal/stand/NodeServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/NodeServer.java
@@ -43,6 +43,7 @@
     private final double connectMs;
     private final Channel listener;
     private final String dial;
+    private static final double JUST_BACK_MS = 2000;
     private final double bornUnixMs;
     private final SplittableRandom random;
     private final Set<Connection> connections = new HashSet<>();
@@ -288,7 +289,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
-            world.connected();
+            world.connected(host);
             if (cutOff) {
                 channel.config().setAutoRead(false);
             } else if (ended || model.fallen()) {
@@ -326,7 +327,7 @@
                 channel.close();
                 return;
             }
-            world.attempted(host);
+            world.attempted(host, id, bornUnixMs > 0 && world.unixMs() - bornUnixMs < JUST_BACK_MS);
             Load load = world.load(id);
             Attempt attempt = world.referee.begun(host, site, id, first, nowMs);
             if (load != null && !bears(load.workMs())) {
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -207,6 +207,7 @@
         }
 
         private void answer(ChannelHandlerContext ctx, String uri) {
+            world.returns.called(sidecar, world.nowMs());
             if (silent) {
                 whenBack.add(() -> answer(ctx, uri));
                 return;
--- a/src/main/java/ivybank/rehearsal/stand/World.java
+++ b/src/main/java/ivybank/rehearsal/stand/World.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoopGroup;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
+import ivybank.rehearsal.referee.Returns;
 import ivybank.rehearsal.scenario.Scenario;
 
 /**
@@ -26,6 +27,7 @@
     final Referee referee;
     final int net; // second part of the addresses
     private final Map<String, Load> loads = new HashMap<>();
+    final Returns returns = new Returns();
     private final Clock clock;
     private final SplittableRandom random = new SplittableRandom(1);
     private double beganMs;
@@ -89,13 +91,18 @@
     }
 
     /** Notes a connection to a node. */
-    void connected() {
+    void connected(String host) {
         connections++;
+        returns.connected(host, nowMs());
     }
 
-    /** Notes an attempt at a node. */
-    void attempted(String host) {
+    /** Notes an attempt at a node: of a call whose id begins with the number of its sidecar, where a client has made it. */
+    void attempted(String host, String callId, boolean justBack) {
         attempts.merge(host, 1L, Long::sum);
+        int dash = callId.indexOf('-');
+        if (dash > 0 && loads.containsKey(callId)) {
+            returns.attempted(Integer.parseInt(callId.substring(0, dash)), host, justBack, nowMs());
+        }
     }
 
     /** Notes an attempt whose connection was closed under it: giving one up costs its connection. */
--- a/src/main/java/ivybank/tally/FleetSum.java
+++ b/src/main/java/ivybank/tally/FleetSum.java
@@ -12,6 +12,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import ivybank.common.ReturnTime;
+
 /**
  * The counts of all sidecars, added up by second and by node. Seconds are those of the sidecars' clocks: each second of a
  * sidecar is added to the second in which it ended.
@@ -77,7 +79,7 @@
     public record Figure(String name, double value) {
     }
 
-    private final Map<Long, InSecond> seconds = new TreeMap<>();
+    private final TreeMap<Long, InSecond> seconds = new TreeMap<>();
     /** By version, when each sidecar first knew it. */
     private final Map<Long, List<Double>> known = new TreeMap<>();
     private final Set<String> sidecars = new HashSet<>();
@@ -191,6 +193,19 @@
         return figures;
     }
 
+    /** Seconds from an instant, Unix time in seconds, until as much of what is taken is served as in the 5 s before, and stays so for 5 s. */
+    public double toFullService(double faultS) {
+        if (seconds.isEmpty()) {
+            return Double.NaN;
+        }
+        long first = seconds.keySet().iterator().next();
+        int count = (int) (seconds.lastKey() - first) + 1;
+        return ReturnTime.seconds(second -> {
+            InSecond its = seconds.get(first + second);
+            return its == null || its.served + its.notServed == 0 ? Double.NaN : its.served / (double) (its.served + its.notServed);
+        }, count, faultS - first);
+    }
+
     private double worst(ToIntFunction<Second.OfNode> figure) {
         return seconds.values().stream().mapToInt(second -> second.most(figure)).max().orElse(0);
     }
--- a/src/test/java/ivybank/tally/FleetSumTest.java
+++ b/src/test/java/ivybank/tally/FleetSumTest.java
@@ -49,6 +49,23 @@
         return sum.figures().stream().collect(Collectors.toMap(FleetSum.Figure::name, FleetSum.Figure::value));
     }
 
+    @Test
+    void timeToFullServiceIsToldFromAnInstant() {
+        FleetSum sum = new FleetSum();
+        sum.begin("n0");
+        SecondTally tally = new SecondTally();
+        for (int second = 1; second <= 16; second++) {
+            tally.taken();
+            if (second != 7 && second != 8) {
+                tally.served();
+            }
+            tally.answered();
+            sum.line(tally.end(START_MS + 1000 * second + 100, 0).line());
+        }
+        assertEquals(2, sum.toFullService(START_MS / 1000 + 7));
+        assertEquals(Double.NaN, sum.toFullService(START_MS / 1000), "nothing is known of before");
+    }
+
     @Test
     void whatIsOneInEachLogIsAHundredAtTheNode() throws Exception {
         FleetSum sum = LogFolder.sum(logs("hundred", 100, 1));
