--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -34,13 +34,13 @@
     private static final double RECENT_PERIODS = 2;
     /** Times that a rumour is told, for each doubling of the fleet. */
     private static final int TOLD = 2;
-    private static final double PUSHES_A_SECOND = 12;
-    private static final double PUSHES_AT_ONCE = 16;
+    private static final double PUSHES_A_SECOND = 25;
+    private static final double PUSHES_AT_ONCE = 32;
     private static final double ANSWERS_A_SECOND = 40; // to what proves nothing
     /** Peers in a row whose views are like this one, after which it has nothing to tell. */
     private static final int ENOUGH_MATCHES = 3;
     private static final double QUIET_MS = 2000; // without a change
-    private static final int PAGES = 4; // of an answer to SYNC
+    private static final int PAGES = 12; // of an answer to SYNC
     private static final double LONGEST_SYNC_MS = 8000;
     private static final double FAST_SEEK_MS = 100;
     private static final double FAST_SEEK_FOR_MS = 3000;
