A store that is missing, lost or another sidecar's is no longer made anew in silence

Need: a sidecar whose store was lost made an empty one and sent again what may have run.

StoreIdentity beside the records: the sidecar's name, an id, and a life that rises with each start, on the disk before the store is used. Missing, lost but for its name, another's, unreadable are told apart, each in one line, nothing changed; a first one is made by 'store init' or where first_start = "make" allows it. Stores of earlier versions get a name.

Seen by the test that cuts the power at every step: two cuts while a first store was being made left a name of life 2 without a store, which then counted as lost; the life rises only once there is a manifest.

Not done: a copy of yesterday is not told apart; for that peers are to remember the life.

--- a/src/main/java/ivybank/cli/StoreCommand.java
+++ b/src/main/java/ivybank/cli/StoreCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.UUID;
 
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -12,6 +13,7 @@
 import ivybank.store.RealDisk;
 import ivybank.store.RecoveryReport;
 import ivybank.store.StoreException;
+import ivybank.store.StoreIdentity;
 import ivybank.toml.InputException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -30,7 +32,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "one of inspect, verify and compact is missing");
+        throw new CommandLine.ParameterException(spec.commandLine(), "one of init, inspect, verify and compact is missing");
     }
 
     static Disk take(Path folder) throws IOException, InputException {
@@ -40,6 +42,20 @@
         return RealDisk.take(folder);
     }
 
+    @Command(name = "init", mixinStandardHelpOptions = true,
+            description = "Makes the first store of a sidecar, in a folder that has none. Exit code 1 if it has one.")
+    int init(@Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--name", paramLabel = "NAME", required = true, description = "the sidecar's name") String name) throws IOException {
+        try {
+            StoreIdentity made = Maintenance.make(RealDisk.take(folder), STANDARD, name, () -> UUID.randomUUID().toString());
+            System.out.println(folder + ": the store of " + name + ", id " + made.id());
+            return 0;
+        } catch (StoreException e) {
+            System.err.println("ivybank: " + folder + ": " + e.getMessage());
+            return Ivybank.FAILED;
+        }
+    }
+
     @Command(name = "inspect", mixinStandardHelpOptions = true, description = "What is in a store; changes nothing.")
     int inspect(@Parameters(paramLabel = "DIR") Path folder) throws IOException, InputException {
         RecoveryReport report = read(folder);
@@ -47,6 +63,7 @@
             return Ivybank.FAILED;
         }
         System.out.println(folder + ": " + report.line());
+        System.out.println(whose(folder));
         try (var files = Files.list(folder)) {
             for (Path file : files.sorted().toList()) {
                 System.out.printf("%12d  %s%n", Files.size(file), file.getFileName());
@@ -65,6 +82,16 @@
         return report != null && report.damage().isEmpty() ? 0 : Ivybank.FAILED;
     }
 
+    private static String whose(Path folder) throws IOException, InputException {
+        try (Disk disk = take(folder)) {
+            StoreIdentity identity = StoreIdentity.of(disk);
+            return identity == null ? "it has no name, as those of earlier versions" : "of " + identity.owner() + ", id " + identity.id()
+                    + ", taken up " + identity.life() + " times";
+        } catch (StoreException e) {
+            return e.getMessage();
+        }
+    }
+
     private static RecoveryReport read(Path folder) throws IOException, InputException {
         try {
             return Maintenance.verify(take(folder));
--- a/src/main/java/ivybank/daemon/KeptPromises.java
+++ b/src/main/java/ivybank/daemon/KeptPromises.java
@@ -1,6 +1,7 @@
 package ivybank.daemon;
 
 import java.io.IOException;
+import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 
 import ivybank.common.Clock;
@@ -9,6 +10,7 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.promises.PromiseKeeper;
 import ivybank.store.RealDisk;
+import ivybank.store.StoreIdentity;
 
 /** Opens what promises are kept in. A class of its own, so that a sidecar without it loads nothing of the store. */
 final class KeptPromises {
@@ -16,9 +18,17 @@
     private KeptPromises() {
     }
 
-    static PromiseKeeper open(StoreSettings store, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
+    static PromiseKeeper open(StoreSettings store, String name, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
             throws IOException {
-        return new PromiseKeeper(store.promises(), settings, RealDisk.take(store.folder()), store.limits(), store.degrade(), loop,
-                clock, log);
+        RealDisk disk = RealDisk.take(store.folder());
+        try {
+            StoreIdentity identity = StoreIdentity.take(disk, name, store.firstStart(), () -> UUID.randomUUID().toString(),
+                    line -> log.line("store " + store.folder() + ": " + line));
+            log.line("store " + store.folder() + ": id " + identity.id() + ", taken up for the " + identity.life() + ". time");
+        } catch (IOException | RuntimeException e) {
+            disk.close();
+            throw e;
+        }
+        return new PromiseKeeper(store.promises(), settings, disk, store.limits(), store.degrade(), loop, clock, log);
     }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -255,7 +255,7 @@
 
     private PromiseKeeper promises(StoreSettings store) throws IOException {
         try {
-            PromiseKeeper keeper = KeptPromises.open(store, config.settings(), loop, clock, log);
+            PromiseKeeper keeper = KeptPromises.open(store, config.name(), config.settings(), loop, clock, log);
             keeper.driver(driver);
             return keeper;
         } catch (IOException e) {
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -18,8 +18,11 @@
  */
 public record OperatorFile(Timing discovery, StoreSettings store, PeerSettings peers) {
 
-    /** Where promises are kept, how large that may get, and how; null in its place: they are not. */
-    public record StoreSettings(Path folder, Limits limits, boolean degrade, PromiseSettings promises) {
+    /**
+     * Where promises are kept, how large that may get, and how; null in its place: they are not. {@code firstStart}: a store may be
+     * made where there is none.
+     */
+    public record StoreSettings(Path folder, Limits limits, boolean degrade, boolean firstStart, PromiseSettings promises) {
     }
 
     private static final int LEAST_MS = 50;
@@ -92,6 +95,7 @@
         StoreSettings read = new StoreSettings(Path.of(store.text("folder", null)), new Limits(diskMb * 1024L * 1024, segmentKb * 1024,
                 valueKb * 1024, 1024 * store.integer("waiting_kb", 64, 1 << 18, 4096)),
                 store.choice("damage", List.of("refuse", "go-on"), "refuse").equals("go-on"),
+                store.choice("first_start", List.of("refuse", "make"), "refuse").equals("make"),
                 new PromiseSettings(promises.text("identity", "Idempotency-Key"),
                         1000 * promises.number("keep_s", 1, 1e8, 86_400), promises.integer("most", 100, 10_000_000, 100_000),
                         promises.choice("when_failing", List.of("refuse", "let-through"), "refuse").equals("let-through")));
--- a/src/main/java/ivybank/store/Maintenance.java
+++ b/src/main/java/ivybank/store/Maintenance.java
@@ -1,6 +1,7 @@
 package ivybank.store;
 
 import java.io.IOException;
+import java.util.function.Supplier;
 
 /** What can be done with the folder of a store while no daemon holds it. */
 public final class Maintenance {
@@ -15,6 +16,25 @@
         }
     }
 
+    /**
+     * Makes the first store of a sidecar.
+     *
+     * @throws StoreException if the folder has one, or what is left of one
+     */
+    public static StoreIdentity make(Disk disk, Limits limits, String owner, Supplier<String> ids) throws IOException {
+        try {
+            if (!disk.names().isEmpty()) {
+                throw new StoreException("the folder is not empty: it has " + disk.names().get(0) + ", and nothing is changed");
+            }
+            StoreIdentity made = StoreIdentity.take(disk, owner, true, ids, line -> { });
+            Recovery.run(disk, limits, false).log().close(); // and the disk with it
+            return made;
+        } catch (IOException | RuntimeException e) {
+            disk.close();
+            throw e;
+        }
+    }
+
     /** Drops all that is dead and can be dropped; returns the bytes of records before and after. */
     public static long[] compact(Disk disk, Limits limits) throws IOException {
         SegmentLog log;
