What differs is asked for page by page, each where the last one ended

Need: in a fleet of 1,000 a joint start took 38 s: answers to SYNC began at a seat drawn at random, and most of what came was known.

--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -75,6 +75,8 @@
     private double syncPauseMs;
     private boolean seekKnown;
     private int mismatches;
+    private int syncPeer = -1;
+    private int syncFrom;
     private int matches;
     private double changedMs;
     private double mismatchMs;
@@ -260,10 +262,8 @@
                 }
             }
             case NO_ANSWER -> prober.noAnswer(message.probe());
-            case SYNC -> tellDifferences(from.seat, message.buckets());
-            case WORDS -> {
-                // They have been heard.
-            }
+            case SYNC -> tellDifferences(from.seat, message.buckets(), Math.max(0, message.subject()));
+            case WORDS -> turnPage(from.seat, message);
         }
     }
 
@@ -573,13 +573,23 @@
             for (int i = 0; i < buckets.length; i++) {
                 buckets[i] = fold(sums[i]);
             }
-            send(from, Kind.SYNC, 0, -1, buckets);
+            syncPeer = from;
+            send(from, Kind.SYNC, 0, syncFrom, buckets);
+        }
+    }
+
+    /** What it asks for next begins where the answers to what it has asked for end: in turn, all of a large fleet comes once. */
+    private void turnPage(int from, Message message) {
+        if (from == syncPeer) {
+            for (Word word : message.words()) {
+                syncFrom = word.seat() >= syncFrom ? (word.seat() + 1) % members.length : syncFrom;
+            }
         }
     }
 
-    private void tellDifferences(int to, int[] theirs) {
+    /** {@code start}: the seat to begin with. */
+    private void tellDifferences(int to, int[] theirs, int start) {
         List<Word> words = new ArrayList<>();
-        int start = random.nextInt(members.length);
         for (int i = 0; i < members.length; i++) {
             Member member = members[(start + i) % members.length];
             int bucket = member.seat % sums.length;
