--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -41,7 +41,6 @@
     private static final int ENOUGH_MATCHES = 3;
     private static final double QUIET_MS = 2000; // without a change
     private static final int PAGES = 12; // of an answer to SYNC
-    private static final int SEATS_AN_ANSWER = 100;
     private static final double LONGEST_SYNC_MS = 8000;
     private static final double FAST_SEEK_MS = 100;
     private static final double FAST_SEEK_FOR_MS = 3000;
@@ -76,10 +75,6 @@
     private double syncPauseMs;
     private boolean seekKnown;
     private int mismatches;
-    private int fruitless;
-    private double syncedMs;
-    private int syncNumber;
-    private int syncFrom;
     private int matches;
     private double changedMs;
     private double mismatchMs;
@@ -265,8 +260,10 @@
                 }
             }
             case NO_ANSWER -> prober.noAnswer(message.probe());
-            case SYNC -> tellDifferences(from.seat, message.buckets(), Math.max(0, message.subject()), message.probe());
-            case WORDS -> turnPage(message);
+            case SYNC -> tellDifferences(from.seat, message.buckets());
+            case WORDS -> {
+                // They have been heard.
+            }
         }
     }
 
@@ -570,31 +567,19 @@
         mismatches++;
         if (mismatches >= 2 && nowMs >= nextSyncMs && pushes.take(nowMs)) {
             // What asking again and again does not mend is not worth the datagrams: it pauses for longer and longer.
-            fruitless = changedMs > syncedMs ? 0 : fruitless + 1;
-            syncedMs = nowMs;
-            // A whole turn through the seats must have brought nothing: what is new may be on its last page.
-            syncPauseMs = fruitless <= members.length / SEATS_AN_ANSWER + 1 ? timing.syncMs() : Math.min(LONGEST_SYNC_MS, 2 * syncPauseMs);
+            syncPauseMs = changedMs > nextSyncMs - syncPauseMs ? timing.syncMs() : Math.min(LONGEST_SYNC_MS, 2 * syncPauseMs);
             nextSyncMs = nowMs + syncPauseMs * (0.75 + 0.5 * random.nextDouble());
             int[] buckets = new int[sums.length];
             for (int i = 0; i < buckets.length; i++) {
                 buckets[i] = fold(sums[i]);
             }
-            send(from, Kind.SYNC, ++syncNumber, syncFrom, buckets);
-        }
-    }
-
-    /** What it asks for next begins where the answers to what it has asked for end: in turn, all of a large fleet comes once. */
-    private void turnPage(Message message) {
-        if (message.probe() == syncNumber && syncNumber > 0) { // rumours of the same peer are in no order
-            for (Word word : message.words()) {
-                syncFrom = word.seat() >= syncFrom ? (word.seat() + 1) % members.length : syncFrom;
-            }
+            send(from, Kind.SYNC, 0, -1, buckets);
         }
     }
 
-    /** {@code start}: the seat to begin with; {@code number}: of the question. */
-    private void tellDifferences(int to, int[] theirs, int start, int number) {
+    private void tellDifferences(int to, int[] theirs) {
         List<Word> words = new ArrayList<>();
+        int start = random.nextInt(members.length);
         for (int i = 0; i < members.length; i++) {
             Member member = members[(start + i) % members.length];
             int bucket = member.seat % sums.length;
@@ -615,7 +600,7 @@
                 room -= MessageCodec.size(words.get(next));
                 some.add(words.get(next++));
             }
-            transmit(to, members[to].life, Kind.WORDS, number, -1, new int[0], some);
+            transmit(to, members[to].life, Kind.WORDS, 0, -1, new int[0], some);
         }
     }
 
--- a/src/main/java/ivybank/fleet/Message.java
+++ b/src/main/java/ivybank/fleet/Message.java
@@ -13,7 +13,7 @@
  * @param digest of the sender's view
  * @param probe which probe it belongs to, or 0
  * @param subject the seat that is to be looked at, or was, for {@link Kind#ASK}, {@link Kind#NO_ANSWER} and an
- *        {@link Kind#ACK} by another, and the seat to begin with for {@link Kind#SYNC}; -1 otherwise
+ *        {@link Kind#ACK} by another; -1 otherwise
  * @param buckets sums of the sender's view, for {@link Kind#SYNC}; empty otherwise
  */
 public record Message(Kind kind, Word self, int to, long toLife, int counter, int digest, int probe, int subject,
