--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -188,7 +188,7 @@
     void aKitThatIsKilledLeavesNoSidecarBehind(String signal) throws Exception {
         Path file = Files.writeString(dir.resolve("long.toml"), ShortNight.TOML.replace("length_s = 2", "length_s = 60"));
         String mark = "mark-" + ProcessHandle.current().pid() + "-" + System.nanoTime();
-        Process kit = new ProcessBuilder("setsid", "/bin/sh", "-c", ShortNight.program("") + "rehearse run " + file + " --state "
+        Process kit = new ProcessBuilder("setsid", "env", "--default-signal=HUP", "/bin/sh", "-c", ShortNight.program("") + "rehearse run " + file + " --state "
                 + dir.resolve("killed") + " --sidecar \"" + ShortNight.program("-Dmark=" + mark) + "serve\"").redirectErrorStream(true).start();
         BufferedReader said = new BufferedReader(new InputStreamReader(kit.getInputStream()));
         String line = said.readLine();
