One reader of a fleet's view and of addresses, one start of a kit's process, one end of a doubt

Read again: the door's view was fetched and its standings judged in the command line and in the kit, an address was put into text in five places, a second process was started by a copy of the first one's lines, and a doubt was cleared twice in FleetView. Each has one piece now: FleetDoor, Addresses.text, SidecarProcess.launch, undoubt; what a name or a zone may hold is asked of MessageCodec. Two methods that nobody called are gone. Behaviour is the same; the mutant that never takes an accusation back leaves out the call instead of its lines.

--- a/src/main/java/ivybank/cli/FleetCommand.java
+++ b/src/main/java/ivybank/cli/FleetCommand.java
@@ -1,10 +1,6 @@
 package ivybank.cli;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.HttpURLConnection;
-import java.net.MalformedURLException;
-import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +10,7 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import ivybank.common.FleetDoor;
 import ivybank.common.Json;
 import ivybank.tally.FleetSum;
 import ivybank.tally.LogFolder;
@@ -95,20 +92,11 @@
         return table.alike() ? 0 : Ivybank.FAILED;
     }
 
-    /** Null where nobody answers, or has no view to show. */
     private static JsonNode ask(String door) throws InputException {
         try {
-            URI uri = URI.create((door.contains("://") ? door : "http://" + door).replaceAll("/+$", "") + "/fleet");
-            HttpURLConnection call = (HttpURLConnection) uri.toURL().openConnection();
-            call.setConnectTimeout(DOOR_MS);
-            call.setReadTimeout(DOOR_MS);
-            try (InputStream in = call.getInputStream()) {
-                return Json.MAPPER.readTree(in.readAllBytes());
-            }
-        } catch (IllegalArgumentException | ClassCastException | MalformedURLException e) {
+            return FleetDoor.ask((door.contains("://") ? door : "http://" + door).replaceAll("/+$", ""), DOOR_MS);
+        } catch (IllegalArgumentException e) {
             throw new InputException(door + ": is no door's address; allowed is http://HOST:PORT");
-        } catch (IOException e) {
-            return null;
         }
     }
 
--- a/src/main/java/ivybank/cli/ViewTable.java
+++ b/src/main/java/ivybank/cli/ViewTable.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import ivybank.common.FleetDoor;
 
 /** Several sidecars' views side by side, and where they differ. */
 final class ViewTable {
@@ -61,14 +62,16 @@
     /** What counts for a difference: one that has been forgotten is as gone as one that is known to be. */
     private static String living(Asked by, int seat) {
         JsonNode member = member(by, seat);
-        String standing = member == null ? "gone" : member.path("standing").asText();
-        return standing.equals("gone") || standing.equals("left") ? ABSENT : standing + " " + member.path("life").asText();
+        return member == null || !FleetDoor.lives(member) ? ABSENT : state(member);
+    }
+
+    private static String state(JsonNode member) {
+        return member.path("standing").asText() + " " + member.path("life").asText();
     }
 
     private static String cell(Asked by, int seat) {
         JsonNode member = member(by, seat);
-        return member == null ? ABSENT : member.path("standing").asText() + " " + member.path("life").asText()
-                + (member.has("doubted_by") ? " doubted by " + member.get("doubted_by") : "") + (member.path("heeded").asBoolean(true) ? "" : " not heeded");
+        return member == null ? ABSENT : state(member) + (member.has("doubted_by") ? " doubted by " + member.get("doubted_by") : "") + (member.path("heeded").asBoolean(true) ? "" : " not heeded");
     }
 
     /** The lines of the table, and one that sums it up. */
--- a/src/main/java/ivybank/common/Addresses.java
+++ b/src/main/java/ivybank/common/Addresses.java
@@ -6,7 +6,7 @@
 
 import io.netty.util.NetUtil;
 
-/** Reads addresses in figures. */
+/** Reads and writes addresses in figures. */
 public final class Addresses {
 
     private static final int MAX_PORT = 65_535;
@@ -14,6 +14,11 @@
     private Addresses() {
     }
 
+    /** As {@link #parse} reads it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /**
      * An address in figures with a port; names are not looked up, for there is no name service.
      *
--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -383,13 +383,10 @@
         if (member.suspicion == null) {
             return;
         }
-        rumours.acquit(member.seat, member.suspicion.accusers());
         if (wrongly) {
             member.firstHand.forEach(accuser -> blame(members[accuser], nowMs, "accuses members that live"));
         }
-        member.firstHand.clear();
-        member.suspicion = null;
-        suspects.remove(member.seat);
+        undoubt(member);
     }
 
     private boolean heeded(int accuser, double nowMs) {
@@ -454,19 +451,25 @@
         }
     }
 
-    private void end(double nowMs, Member member, Standing standing, String what) {
+    /** There is no doubt about it any more, for the one reason or the other. */
+    private void undoubt(Member member) {
         if (member.suspicion != null) {
             rumours.acquit(member.seat, member.suspicion.accusers());
         }
         member.suspicion = null;
         member.firstHand.clear();
         suspects.remove(member.seat);
+    }
+
+    private void end(double nowMs, Member member, Standing standing, String what) {
+        undoubt(member);
         member.endedLife = member.life;
         member.endedMs = nowMs;
         put(member, member.life, member.turn, standing, member.name, member.zone, nowMs);
         givenUp += standing == Standing.GONE ? 1 : 0;
-        rumours.tell(Word.gaveUp(member.seat, member.life, member.turn, standing, self.seat));
-        accusedHere.put(member.seat, Word.gaveUp(member.seat, member.life, member.turn, standing, self.seat));
+        Word word = Word.gaveUp(member.seat, member.life, member.turn, standing, self.seat);
+        rumours.tell(word);
+        accusedHere.put(member.seat, word);
         tell(member, what);
     }
 
--- a/src/main/java/ivybank/fleet/MessageCodec.java
+++ b/src/main/java/ivybank/fleet/MessageCodec.java
@@ -47,6 +47,11 @@
         }
     }
 
+    /** Whether a text of so many signs at most can be a name or a zone: signs that are seen, since it goes into logs. */
+    public static boolean carries(String text, int most) {
+        return text.length() <= most && text.chars().allMatch(sign -> sign > ' ' && sign <= '~');
+    }
+
     /** Bytes that a word takes. */
     static int size(Word word) {
         return WORD_FIXED + (word.accuses() ? 2 : 2 + word.name().length() + word.zone().length());
@@ -198,11 +203,10 @@
         }
         byte[] bytes = new byte[length];
         in.get(bytes);
-        for (byte each : bytes) {
-            if (each <= ' ' || each > '~') { // it goes into logs
-                throw new MalformedException("a text with other signs than letters and figures", false);
-            }
+        String text = new String(bytes, StandardCharsets.ISO_8859_1); // a sign for each byte
+        if (!carries(text, most)) {
+            throw new MalformedException("a text with other signs than letters and figures", false);
         }
-        return new String(bytes, StandardCharsets.US_ASCII);
+        return text;
     }
 }
--- a/src/main/java/ivybank/fleet/Rumours.java
+++ b/src/main/java/ivybank/fleet/Rumours.java
@@ -101,8 +101,4 @@
     boolean isEmpty() {
         return byKey.isEmpty();
     }
-
-    int size() {
-        return byKey.size();
-    }
 }
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -28,7 +28,6 @@
     private static final int LEAST_MS = 50;
     private static final int MOST_MS = 600_000;
     private static final int LEAST_SEGMENTS = 8;
-    private static final int LONGEST_ZONE = 12; // as datagrams have room for
 
     /**
      * Reads a file.
@@ -63,8 +62,8 @@
         }
         StrictTable peers = root.table("peers");
         String zone = peers.text("zone", "-");
-        if (zone.length() > LONGEST_ZONE || !zone.chars().allMatch(sign -> sign > ' ' && sign <= '~')) {
-            throw peers.error("zone", "is \"" + zone + "\": up to " + LONGEST_ZONE + " letters, figures and signs without blanks are allowed");
+        if (!PeerSettings.canTell(zone)) {
+            throw peers.error("zone", "is \"" + zone + "\": up to " + PeerSettings.LONGEST_ZONE + " letters, figures and signs without blanks are allowed");
         }
         String lives = peers.text("life_file", "-");
         PeerSettings read = new PeerSettings(Path.of(peers.text("key_file", null)), peers.text("fleet", "ivybank"),
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -62,7 +62,7 @@
         if (seat < 0) {
             throw new IOException("peers: " + listen + " is not among the " + addresses.size() + " addresses of sidecars; each list names its own sidecar too");
         }
-        if (name.length() > MessageCodec.LONGEST_NAME || !name.chars().allMatch(sign -> sign > ' ' && sign <= '~')) {
+        if (!MessageCodec.carries(name, MessageCodec.LONGEST_NAME)) {
             throw new IOException("peers: the name \"" + name + "\" can't be told to others: up to " + MessageCodec.LONGEST_NAME
                     + " letters, figures and signs without blanks are allowed");
         }
@@ -155,7 +155,7 @@
     private String json() {
         ViewSnapshot now = view.snapshot(clock.nowMs());
         ObjectNode root = Json.MAPPER.createObjectNode().put("seat", now.seat()).put("life", now.life())
-                .put("digest", String.format(Locale.ROOT, "%016x", now.digest())).put("settled_ms", Math.round(now.settledForMs()))
+                .put("digest", digest(now.digest())).put("settled_ms", Math.round(now.settledForMs()))
                 .put("peers", now.peers()).put("seats", now.seats()).put("health", now.health());
         ArrayNode members = root.putArray("members");
         for (ViewSnapshot.Seen seen : now.members()) {
@@ -181,16 +181,20 @@
         return root.toString();
     }
 
+    private static String digest(long digest) {
+        return String.format(Locale.ROOT, "%016x", digest);
+    }
+
     /** Its part of the line of counts of each second, from the event loop. */
     public String tally() {
-        return " peers=" + view.peers() + " starting=" + view.starting() + " view=" + String.format(Locale.ROOT, "%016x", view.digest());
+        return " peers=" + view.peers() + " starting=" + view.starting() + " view=" + digest(view.digest());
     }
 
     /** Counts for a line of the log, from the event loop. */
     public String line() {
         ViewSnapshot now = view.snapshot(clock.nowMs());
         return "peers: " + now.peers() + " live, " + view.starting() + " starting, health " + now.health() + ", view "
-                + String.format(Locale.ROOT, "%016x", now.digest()) + " settled for " + Math.round(now.settledForMs()) + " ms; "
+                + digest(now.digest()) + " settled for " + Math.round(now.settledForMs()) + " ms; "
                 + now.counts().sent() + " sent, " + now.counts().received() + " received, " + now.counts().givenUp() + " given up, "
                 + now.counts().returns() + " returns so far";
     }
--- a/src/main/java/ivybank/peers/PeerSettings.java
+++ b/src/main/java/ivybank/peers/PeerSettings.java
@@ -3,6 +3,8 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import ivybank.fleet.MessageCodec;
+
 /**
  * What the operator file says of the other sidecars.
  *
@@ -15,6 +17,14 @@
  */
 public record PeerSettings(Path keys, String fleet, String zone, String listen, List<String> addresses, Path lives) {
 
+    /** The longest zone that can be told to the others. */
+    public static final int LONGEST_ZONE = MessageCodec.LONGEST_ZONE;
+
+    /** Whether a zone can be told to the others. */
+    public static boolean canTell(String zone) {
+        return MessageCodec.carries(zone, LONGEST_ZONE);
+    }
+
     public PeerSettings {
         addresses = List.copyOf(addresses);
     }
--- a/src/main/java/ivybank/peers/PeerSocket.java
+++ b/src/main/java/ivybank/peers/PeerSocket.java
@@ -164,10 +164,6 @@
         return sentBytes;
     }
 
-    void close() {
-        channel.close();
-    }
-
     private final class Incoming extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -22,6 +22,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import ivybank.common.Addresses;
 import ivybank.common.Clock;
+import ivybank.common.FleetDoor;
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.referee.Returns;
 import ivybank.rehearsal.referee.Service;
@@ -154,10 +155,11 @@
                 sidecars.get(i).start();
             }
         }
-        for (SidecarProcess sidecar : sidecars) {
-            if (late.contains(sidecars.indexOf(sidecar))) {
+        for (int i = 0; i < sidecars.size(); i++) {
+            if (late.contains(i)) {
                 continue;
             }
+            SidecarProcess sidecar = sidecars.get(i);
             long from = System.nanoTime();
             if (!sidecar.awaitReady(READY_MS)) {
                 throw new IOException(sidecar + " was not ready within " + READY_MS / 1000 + " s: see " + state);
@@ -285,8 +287,7 @@
         Map<Integer, Long> living = new HashMap<>();
         Map<Integer, Long> ended = new HashMap<>();
         for (JsonNode member : view.path("members")) {
-            String standing = member.path("standing").asText();
-            (standing.equals("gone") || standing.equals("left") ? ended : living).put(member.path("seat").asInt(), member.path("life").asLong());
+            (FleetDoor.lives(member) ? living : ended).put(member.path("seat").asInt(), member.path("life").asLong());
         }
         return new Views.Look(world.nowMs(), by, view.path("digest").asText(), living, ended);
     }
--- a/src/main/java/ivybank/rehearsal/stand/Loopback.java
+++ b/src/main/java/ivybank/rehearsal/stand/Loopback.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import ivybank.common.Addresses;
 
 /** Listeners on addresses of this machine alone, at ports that the system chooses: kits don't meet each other. */
 final class Loopback {
@@ -42,27 +43,28 @@
 
     /** A port of 127.{@code net}.210.x that is free now: a sidecar must know its own before it starts. */
     static InetSocketAddress forSidecar(int net, int number) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127." + net + ".210." + (1 + number)))) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
+        return freePort(net, 210, number);
     }
 
-    /** A port of a sidecar's for datagrams that is free now. */
-    static InetSocketAddress forPeers(int net, int number) throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127." + net + ".211." + (1 + number)))) {
+    /** The same of 127.{@code net}.212.x for a sidecar's door. */
+    static InetSocketAddress forDoor(int net, int number) throws IOException {
+        return freePort(net, 212, number);
+    }
+
+    private static InetSocketAddress freePort(int net, int part, int number) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127." + net + "." + part + "." + (1 + number)))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
-    /** A port of a sidecar's door that is free now. */
-    static InetSocketAddress forDoor(int net, int number) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127." + net + ".212." + (1 + number)))) {
+    /** The same of 127.{@code net}.211.x for a sidecar's datagrams. */
+    static InetSocketAddress forPeers(int net, int number) throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127." + net + ".211." + (1 + number)))) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
         }
     }
 
     static String text(Channel listener) {
-        InetSocketAddress address = (InetSocketAddress) listener.localAddress();
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return Addresses.text((InetSocketAddress) listener.localAddress());
     }
 }
--- a/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
+++ b/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
@@ -14,6 +14,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import ivybank.common.Addresses;
 import ivybank.rehearsal.scenario.Scenario.Quality;
 
 /**
@@ -168,8 +169,7 @@
 
     /** The address by which one sidecar knows another. */
     String address(int of, int by) {
-        InetSocketAddress address = of == by ? real.get(of) : (InetSocketAddress) sockets[by][of].localAddress();
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return Addresses.text(of == by ? real.get(of) : (InetSocketAddress) sockets[by][of].localAddress());
     }
 
     /** Datagrams that were delivered so far, their bytes, those that were not, and forgeries. */
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -1,7 +1,6 @@
 package ivybank.rehearsal.stand;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -18,6 +17,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import ivybank.common.Addresses;
+import ivybank.common.FleetDoor;
 import ivybank.common.Json;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
@@ -75,31 +76,18 @@
 
     /** The view of its fleet, as its door tells it; null where it does not. */
     JsonNode view() {
-        try {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + text(place.door()) + "/fleet").toURL().openConnection();
-            call.setConnectTimeout(DOOR_MS);
-            call.setReadTimeout(DOOR_MS);
-            try (InputStream in = call.getInputStream()) {
-                return Json.MAPPER.readTree(in.readAllBytes());
-            }
-        } catch (IOException e) {
-            return null; // it is not there, or stands still
-        }
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        return FleetDoor.ask("http://" + Addresses.text(place.door()), DOOR_MS);
     }
 
     /** Replaces the configuration as one step. */
     void configure(String discovery, ObjectNode known) throws IOException {
         ObjectNode root = Json.MAPPER.createObjectNode().put("name", "n" + number)
-                .put("listen", listen.getAddress().getHostAddress() + ":" + listen.getPort()).put("discovery", discovery)
+                .put("listen", Addresses.text(listen)).put("discovery", discovery)
                 .put("seed", Long.toHexString(seeds.nextLong()));
         root.putObject("limits").put("cores", 1.0).put("memory_mb", scenario.limits().memoryMb())
                 .put("sockets", scenario.limits().sockets());
         if (place != null) {
-            root.put("peer_listen", place.listen()).put("control", text(place.door()));
+            root.put("peer_listen", place.listen()).put("control", Addresses.text(place.door()));
             ArrayNode peers = root.putArray("peers");
             place.addresses().forEach(peers::add);
         }
@@ -141,30 +129,26 @@
     /** Starts it with the descriptors that it may have and no more; what it prints goes to its log. */
     void start() throws IOException {
         expected = false;
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
-                "ulimit -n " + scenario.limits().sockets() + " && " + command).directory(folder.toFile())
-                .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(state.resolve("sidecar.log").toFile()));
-        builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
-        if (place != null) {
-            builder.environment().put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
-        }
-        process = builder.start();
-        process.getOutputStream().close();
+        process = launch("ulimit -n " + scenario.limits().sockets() + " && " + command,
+                ProcessBuilder.Redirect.appendTo(state.resolve("sidecar.log").toFile()));
         guard = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP INT TERM; read line; kill -9 " + process.pid()).start();
     }
 
     /** Starts a second one with the same configuration beside it; the caller ends it. */
     Process startTwin() throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(folder.toFile()).redirectErrorStream(true)
-                .redirectOutput(state.resolve("twin.log").toFile());
+        return launch(command, ProcessBuilder.Redirect.to(state.resolve("twin.log").toFile()));
+    }
+
+    private Process launch(String line, ProcessBuilder.Redirect log) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line).directory(folder.toFile()).redirectErrorStream(true)
+                .redirectOutput(log);
         builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
         if (place != null) {
             builder.environment().put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
         }
-        Process twin = builder.start();
-        twin.getOutputStream().close();
-        return twin;
+        Process launched = builder.start();
+        launched.getOutputStream().close();
+        return launched;
     }
 
     /** Waits until it answers that it is ready; false if it has ended or is not within the time. */
@@ -181,8 +165,7 @@
 
     private boolean isReady() {
         try {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + listen.getAddress().getHostAddress() + ":"
-                    + listen.getPort() + "/health/ready").toURL().openConnection();
+            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + Addresses.text(listen) + "/health/ready").toURL().openConnection();
             call.setConnectTimeout(1000);
             call.setReadTimeout(1000);
             boolean ready = call.getResponseCode() == HTTP_OK;
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -95,8 +95,7 @@
             new Mutant("takes unsigned datagrams", Night.LOSSY, List.of("gave up sidecar"),
                     List.of(new Edit("peers/PeerSocket.java", "int key = keys.verify(signed);", "int key = Math.max(0, keys.verify(signed));"))),
             new Mutant("never takes an accusation back", Night.LOSSY, List.of("gave up sidecar", "views:"),
-                    List.of(new Edit("fleet/FleetView.java", "        member.firstHand.clear();\n        member.suspicion = null;\n"
-                            + "        suspects.remove(member.seat);\n    }\n\n    private boolean heeded",
+                    List.of(new Edit("fleet/FleetView.java", "        undoubt(member);\n    }\n\n    private boolean heeded",
                             "    }\n\n    private boolean heeded"),
                             // With its own ears first it would go on for as long as it hears the member.
                             new Edit("fleet/FleetView.java", "            if (nowMs - member.heardMs < timing.leastDoubtMs()) {",
