The kit silences open watches; mutants that wait on them, or exit with an answer owed, are caught

A fault 'roster-hush': open watches stay open and say nothing, calls are answered, and what they miss counts as told so long after they fell silent.

--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -39,6 +39,8 @@
         ROSTER_SILENT,
         /** Discovery sends a line that can't be read. */
         ROSTER_ODD,
+        /** Open watches fall silent and stay open; whoever calls anew is answered. */
+        ROSTER_HUSH,
         /** Discovery moves to an address that is behind for a while. */
         ROSTER_OLD,
         /** Discovery moves: the configuration is replaced and the sidecars are signalled. */
@@ -61,7 +63,7 @@
         /** Whether it meets sidecars; nodes otherwise. */
         public boolean ofSidecars() {
             return switch (this) {
-                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_OLD, ROSTER_MOVE, PARTITION, LINK, FREEZE, JOIN, LOSE, TWICE,
+                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_HUSH, ROSTER_OLD, ROSTER_MOVE, PARTITION, LINK, FREEZE, JOIN, LOSE, TWICE,
                      STORM -> true;
                 default -> false;
             };
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -429,6 +429,10 @@
                 event("the roster sends a line that can't be read to " + target.members().size() + " sidecars");
                 target.members().forEach(member -> rosters.get(member).odd());
             }
+            case ROSTER_HUSH -> {
+                event("the watches of " + target.members().size() + " sidecars fall silent");
+                target.members().forEach(member -> rosters.get(member).hush());
+            }
             case ROSTER_OLD -> {
                 event("the roster moves to an address that is " + fault.size() + " s behind");
                 target.members().forEach(member -> rosters.get(member).fallBehind(fault.size() * 1000));
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -59,6 +59,8 @@
     private Channel listener;
     private long seq;
     private boolean silent;
+    /** Since when the open watches say nothing, or NaN. */
+    private double hushedMs = Double.NaN;
 
     RosterServer(World world, int sidecar) {
         this.world = world;
@@ -108,7 +110,9 @@
             toWatches(list(false, Json.MAPPER.createArrayNode().add(entry.json())) + "\n");
             told(entry);
         }
-        world.after(world.scenario.roster().toldMs(), () -> {
+        double toldMs = world.scenario.roster().toldMs();
+        double leftMs = Double.isNaN(hushedMs) ? toldMs : Math.max(0, hushedMs + toldMs - world.nowMs());
+        world.after(leftMs, () -> {
             if (!silent && behind == null) {
                 told(entry);
             }
@@ -122,6 +126,12 @@
         }
     }
 
+    /** Open watches fall silent: what they miss counts as told so long after that, not after the change. */
+    void hush() {
+        watches.clear();
+        hushedMs = world.nowMs();
+    }
+
     /** Sends what can't be read to those that watch. */
     void odd() {
         toWatches("{\"seq\": 7, \"hosts\": [{oops\n");
@@ -217,6 +227,7 @@
                 ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + chunk(unknown ? known() + "\n" : "\n"), StandardCharsets.UTF_8));
                 watches.add(ctx.channel());
+                hushedMs = Double.NaN;
                 tellAll(); // at the latest now
             } else {
                 String body = known().toString();
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -53,6 +53,7 @@
                 "effect='unsafe'\n"),
         OVERLOAD("", 6, 300, 0.12),
         ODD("[[fault]]\nkind='roster-odd'\nat_s=1\n", 4, 150, 1),
+        HUSH("[[fault]]\nkind='roster-hush'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=1.5\nfor_s=0.5\npart=0.34\nbatch=0.4\ndrain_s=7\n", 9, 150, 1),
         MOVE("[[fault]]\nkind='roster-move'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=3\nfor_s=1\npart=0.34\nbatch=0.4\n"
                 + "drain_s=3\n", 8, 150, 1),
         SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1),
@@ -80,7 +81,7 @@
                     + "[[class]]\nname='read'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\ndeadline_ms=4000\n"
                     + "effect='safe'\n[[class]]\nname='submit'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\n"
                     + "deadline_ms=4000\nworth=5\n" + submit + "[traffic]\nrate=" + rate + "\nsidecars=" + (faults.startsWith("[peers]") ? 4 : 1) + "\n"
-                    + "[roster]\nnotice_ms=100\ntold_ms=1500\n" + faults;
+                    + "[roster]\nnotice_ms=100\ntold_ms=" + (faults.contains("hush") ? 4000 : 1500) + "\n" + faults;
         }
     }
 
@@ -118,6 +119,9 @@
             new Mutant("loses requests on restart", Night.TERM, List.of("rule answer"),
                     List.of(new Edit("client/ClientConnection.java", "        if (current == null && nothingWaits() && (evenPartial || !partial)) {\n"
                             + "            retire(() -> { });\n        }", "        context.close();"))),
+            new Mutant("exits with an answer owed", Night.TERM, List.of("rule answer"),
+                    List.of(new Edit("daemon/Sidecar.java", "            if (unanswered() == 0 && server.connections() == 0) {",
+                            "            if (server != null) {"))),
             new Mutant("answers with another request's body", Night.CALM, List.of("rule answer"),
                     List.of(new Edit("daemon/Driver.java", "Answer.served(ending.contentType(), ending.body())",
                             "Answer.served(ending.contentType(), mixed(ending.body()))"),
@@ -154,6 +158,9 @@
             new Mutant("dies on an odd roster line", Night.ODD, List.of("rule crash"),
                     List.of(new Edit("discovery/Discovery.java", "            if (channel == current) {\n                seq = -1;\n            }\n            return",
                             "            Runtime.getRuntime().halt(3);\n            return"))),
+            new Mutant("waits on a silent watch", Night.HUSH, List.of("rule drain"),
+                    List.of(new Edit("discovery/Discovery.java", "            unguard();\n            guard = loop", "            unguard();\n"
+                            + "            guard = mostMs == timing.silenceMs() ? null : loop"))),
             new Mutant("stays at an address that discovery has left", Night.MOVE, List.of("rule drain"),
                     List.of(new Edit("daemon/Sidecar.java", "            discovery.moveTo(next);", ""),
                             new Edit("daemon/ConfigFile.java", "return now;", "return null;"))),
