A long answer that stands still is broken off; the kit's referee sees what is sent for a client that left

Cause: once an answer of over 64 KB has begun to be passed on no timer runs (UpstreamAttempt.begin stops it), and only the client's side was watched (LONGEST_STALL_MS in ClientConnection); a node that fell silent then left the client waiting for ever. Test: UpstreamPoolTest aLongAnswerThatStandsStillWhileItIsPassedOnEndsBroken, made without the watch it times out.

--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -93,7 +93,7 @@
         new ServerBootstrap().group(group).channel(LocalServerChannel.class).childHandler(initializer(() ->
                 new ChannelHandler[] {new Upstream()})).bind(upstream);
         Descriptors descriptors = new Descriptors(2 * CONNECTIONS);
-        UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS, 0), descriptors,
+        UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS, 0, IDLE_MS), descriptors,
                 new LoadReport(settings.reportFields()), new Bootstrap().channel(LocalChannel.class), silent);
         Driver driver = new Driver(settings, 1, LoadShiftingBalancer::new, loop, clock,
                 new Directory(List.of(), List.of(), pool::closeIdle), pool, silent);
--- a/src/main/java/ivybank/rehearsal/referee/Referee.java
+++ b/src/main/java/ivybank/rehearsal/referee/Referee.java
@@ -27,6 +27,8 @@
         DRAIN,
         /** No cold node is pushed over. */
         COLD,
+        /** Nothing is sent on for a client that has left. */
+        DEPARTED,
         /** What is given up is answered at once. */
         HELD_BACK,
         /** A sidecar runs for as long as nobody ends it. */
@@ -65,6 +67,7 @@
         private final List<Attempt> attempts = new ArrayList<>(1);
         private double takenMs = Double.NaN;
         private double lastEndMs = Double.NaN;
+        private double leftMs = Double.NaN;
         private int open;
         private boolean answered;
         private boolean over;
@@ -94,6 +97,8 @@
     /** Waiting for room, and tries to connect, are no holding back: both are bounded well under this. */
     private static final double WAIT_PART = 0.6;
     private static final double CONNECTS_MS = 1500;
+    /** From the client's leaving to the last byte that may reach a node. */
+    private static final double DEPARTED_MS = 300;
 
     private final double drainGraceMs;
     private final double marginMs;
@@ -190,6 +195,12 @@
         breach(Rule.ANSWER, nowMs, "call " + id + " " + how);
     }
 
+    /** The client has left long before its time: nothing is owed, and a moment later nothing is sent on. */
+    public void left(String id, double nowMs) {
+        calls.get(id).over = true;
+        calls.get(id).leftMs = nowMs;
+    }
+
     /** The client no longer waits, or its sidecar was ended: nothing is owed. */
     public void excused(String id) {
         calls.get(id).over = true;
@@ -222,6 +233,10 @@
             breach(Rule.DRAIN, nowMs, "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
                     + Math.round(firstByteMs - toldMs) + " ms after it was told that it drains or is gone");
         }
+        if (nowMs > call.leftMs + DEPARTED_MS + marginMs) {
+            breach(Rule.DEPARTED, nowMs, "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
+                    + Math.round(nowMs - call.leftMs) + " ms after its client had left");
+        }
         if (call.effect == Effect.UNSAFE) {
             call.family.stream().filter(Call::mayHaveRun).findFirst().ifPresent(before -> breach(Rule.REPEAT, nowMs, "call " + id
                     + " must not run twice: begun by " + before.attempts.get(0).host + ", then sent to " + host));
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -104,10 +104,11 @@
     /**
      * Tries are given up after a share of the deadline; retries wait as long as they are told, or {@code backoffMs};
      * {@code rubbish} clients that send what can't be used come with each request. With {@code named} all tries of a request
-     * carry one name, and {@code askAgain} of those that were served are asked for once more, some seconds later.
+     * carry one name, and {@code askAgain} of those that were served are asked for once more, some seconds later. Of all
+     * tries {@code leaves} are left by their clients after {@code leaveMs}, long before their time.
      */
     public record Clients(int retries, double[] tryShare, double[] backoffMs, double honour, double rubbish,
-                          boolean named, double askAgain) {
+                          boolean named, double askAgain, double leaves, double leaveMs) {
     }
 
     public record Limits(int memoryMb, int sockets, int attempts) {
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -24,6 +24,7 @@
 import ivybank.rehearsal.referee.Service;
 import ivybank.rehearsal.referee.Service.Result;
 import ivybank.rehearsal.scenario.Plan.Arrival;
+import ivybank.rehearsal.scenario.Scenario.Clients;
 import ivybank.rehearsal.scenario.Scenario.Effect;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
 
@@ -101,6 +102,10 @@
             world.referee.call(id, sidecar, spec, name);
             world.load(id, new Load(arrival.workMs(), arrival.waitMs()));
             patience = world.after(arrival.patienceMs() + MARGIN_MS, this::giveUp);
+            Clients clients = world.scenario.clients();
+            if (arrival.number() % 100 < 100 * clients.leaves()) {
+                world.after(clients.leaveMs(), this::leave);
+            }
             send();
         }
 
@@ -144,6 +149,17 @@
             }
         }
 
+        private void leave() {
+            if (!over) {
+                world.referee.left(id, world.nowMs());
+                Connection carrier = connection;
+                end(Result.FAILED, 0, Double.NaN);
+                if (carrier != null) {
+                    carrier.channel.close();
+                }
+            }
+        }
+
         private void giveUp() {
             if (over) {
                 return;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -44,6 +44,7 @@
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
     private static final long LONGEST_STALL_MS = 5000;
+    private static final double STALL_LOOKS = 5; // in the time that it may stand still
     private static final int MOST_INTERIM_ANSWERS = 16;
     private static final int SERVED = 200;
     private static final int UNAVAILABLE = 503;
@@ -73,6 +74,8 @@
     /** The rest of a long answer that is being passed on, else null; and how much of it has come. */
     private BodyPipe rest;
     private long passed;
+    /** When its last part came, by the module's clock. */
+    private double partMs;
     /** The rest of a long request that is being passed on, else null. */
     private BodyPipe upload;
     private ScheduledFuture<?> stalled;
@@ -245,6 +248,7 @@
     private void add(ByteBuf part) {
         if (rest != null) {
             passed += part.readableBytes();
+            partMs = pool.nowMs();
             if (passed > Framing.MAX_BODY) {
                 spoilt("is too long");
             } else {
@@ -283,11 +287,30 @@
                 }
             });
             rest.part(part.retain());
+            partMs = pool.nowMs();
+            watchStall(attempt);
             attempt.begin(Answer.begun(head.headers().get(HttpHeaderNames.CONTENT_TYPE), body.toByteArray(), rest,
                     HttpUtil.getContentLength(head, -1L)));
         }
     }
 
+    /** Guards clients against a node that begins a long answer and never ends it: no other time runs any more. */
+    private void watchStall(UpstreamAttempt passing) {
+        channel.eventLoop().schedule(() -> {
+            if (attempt != passing || rest == null || whole != null) {
+                return;
+            }
+            if (!channel.config().isAutoRead()) {
+                partMs = pool.nowMs(); // it is the client that takes no more
+            }
+            if (pool.nowMs() - partMs > pool.stallMs()) {
+                spoilt("stands still after " + passed + " bytes");
+            } else {
+                watchStall(passing);
+            }
+        }, (long) (pool.stallMs() / STALL_LOOKS), TimeUnit.MILLISECONDS);
+    }
+
     private void answered() {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             head = null; // the answer itself is still to come
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -25,13 +25,13 @@
 public final class UpstreamPool {
 
     /**
-     * How many connections in all, how long one may take to come up, how long it may stand idle, and how long it rests after
-     * an answer.
+     * How many connections in all, how long one may take to come up, how long it may stand idle, how long it rests after
+     * an answer, and how long nothing may come of an answer that is being passed on.
      */
-    public record Limits(int connections, int connectTimeoutMs, double idleMs, double restMs) {
+    public record Limits(int connections, int connectTimeoutMs, double idleMs, double restMs, double stallMs) {
 
         public Limits(int connections, int connectTimeoutMs, double idleMs) {
-            this(connections, connectTimeoutMs, idleMs, REST_MS);
+            this(connections, connectTimeoutMs, idleMs, REST_MS, LONGEST_STALL_MS);
         }
     }
 
@@ -42,6 +42,7 @@
      * in use it can't be told from the answer that is awaited.
      */
     private static final double REST_MS = 30;
+    private static final double LONGEST_STALL_MS = 5000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -98,6 +99,10 @@
         return spoilt;
     }
 
+    double stallMs() {
+        return limits.stallMs();
+    }
+
     double nowMs() {
         return clock.nowMs();
     }
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -57,6 +57,7 @@
         MOVE("[[fault]]\nkind='roster-move'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=3\nfor_s=1\npart=0.34\nbatch=0.4\n"
                 + "drain_s=3\n", 8, 150, 1),
         SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1),
+        LEAVING("[clients]\nleaves=0.5\nleave_ms=120\n[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.5\n", 6, 150, 1, 20, "effect='safe'\n"),
         RUDE("[clients]\nrubbish=0.05\n", 4, 150, 1),
         BROKEN("[[fault]]\nkind='break'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1),
         // All is silent for 0.9 s, three times: each member misses an answer then, and what comes of that must be taken back.
@@ -119,6 +120,9 @@
             new Mutant("loses requests on restart", Night.TERM, List.of("rule answer"),
                     List.of(new Edit("client/ClientConnection.java", "        if (current == null && nothingWaits() && (evenPartial || !partial)) {\n"
                             + "            retire(() -> { });\n        }", "        context.close();"))),
+            new Mutant("sends for a client that has left", Night.LEAVING, List.of("rule departed"),
+                    List.of(new Edit("client/ClientConnection.java", "            current = null;\n            driver.clientLeft(currentId);",
+                            "            current = null;"))),
             new Mutant("exits with an answer owed", Night.TERM, List.of("rule answer"),
                     List.of(new Edit("daemon/Sidecar.java", "            if (unanswered() == 0 && server.connections() == 0) {",
                             "            if (server != null) {"))),
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -21,6 +21,8 @@
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
 import ivybank.discovery.Node;
+import ivybank.exchange.Answer;
+import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.testing.FakeServer;
@@ -31,6 +33,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -503,6 +506,45 @@
         }
     }
 
+    /** No other time runs for it any more: without this its client would wait for ever. */
+    @Test
+    void aLongAnswerThatStandsStillWhileItIsPassedOnEndsBroken() throws Exception {
+        pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(10, 250, 10_000, 30, 300), descriptors, new LoadReport(List.of()),
+                new Bootstrap().channel(NioSocketChannel.class), log);
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(200_000));
+            connection.read();
+        })) {
+            Sent sent = new Sent();
+            CompletableFuture<Boolean> rest = new CompletableFuture<>();
+            sent.attempt = new UpstreamAttempt(node(server.address()), request(HttpMethod.GET, new byte[0]), 200, new UpstreamAttempt.Listener() {
+                @Override
+                public void began(Answer answer) {
+                    answer.rest().take(new BodyPipe.Sink() {
+                        @Override
+                        public void part(ByteBuf part) {
+                            part.release();
+                        }
+
+                        @Override
+                        public void ended(boolean whole) {
+                            rest.complete(whole);
+                        }
+                    });
+                }
+
+                @Override
+                public void ended(Ending ending) {
+                    sent.ending.complete(ending);
+                }
+            });
+            loop.execute(() -> pool.send(sent.attempt));
+            assertEquals(Outcome.RESET, sent.outcome());
+            assertFalse(rest.get(1, TimeUnit.SECONDS), "the client can tell that it is not whole");
+        }
+    }
+
     @Test
     void aDrainedNodesIdleConnectionsClose() throws Exception {
         try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
