--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -790,6 +790,17 @@
         assertEquals(times.failRestMs() - 240, times.stopServingMs());
     }
 
+    @Test
+    void withShortDeadlinesTheListenerClosesWhileWhatItTookLastCanStillBeAnswered() throws Exception {
+        config(FakeServer.nobody(), "", 99);
+        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of("EDGE_CONFIG",
+                Files.writeString(dir.resolve("short.json"), Files.readString(dir.resolve("config.json"))
+                        .replace(":6000", ":100").replace(":5000", ":100").replace(":1500", ":80")).toString())).settings());
+        assertEquals(100 + 700 - 200, times.failRestMs());
+        assertTrue(times.stopListeningMs() <= times.failRestMs() - 30 && times.stopListeningMs() >= 450, times.toString());
+        assertTrue(times.stopServingMs() >= times.stopListeningMs());
+    }
+
     @Test
     void afterTheSignalToEndTheClientKeepsAConnectionFree() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -57,7 +57,8 @@
         MOVE("[[fault]]\nkind='roster-move'\nat_s=1\n[[fault]]\nkind='deploy'\nat_s=3\nfor_s=1\npart=0.34\nbatch=0.4\n"
                 + "drain_s=3\n", 8, 150, 1),
         SILENT("[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.34\n", 6, 150, 1),
-        LEAVING("[clients]\nleaves=0.5\nleave_ms=120\n[[fault]]\nkind='silent'\nat_s=1\nfor_s=4\npart=0.5\n", 6, 150, 1, 20, "effect='safe'\n"),
+        // Answers are spoilt long after some clients have left: what is tried again then is tried for nobody.
+        LEAVING("[clients]\nleaves=0.9\nleave_ms=100\n[[fault]]\nkind='spoil'\nat_s=0.5\nfor_s=4\nshare=0.3\n", 6, 100, 1, 600, "effect='safe'\n"),
         RUDE("[clients]\nrubbish=0.05\n", 4, 150, 1),
         BROKEN("[[fault]]\nkind='break'\nat_s=0.5\nfor_s=4\nshare=0.1\n", 5, 150, 1),
         // All is silent for 0.9 s, three times: each member misses an answer then, and what comes of that must be taken back.
@@ -77,12 +78,13 @@
         }
 
         Night(String faults, int lengthS, int rate, double speed, int waitMs, String submit) {
-            toml = "name='" + name() + "'\nlength_s=" + lengthS + "\n[fleet]\nnodes=6\nsites=2\n[[kind]]\nname='k'\ncores=2\n"
+            String text = "name='" + name() + "'\nlength_s=" + lengthS + "\n[fleet]\nnodes=6\nsites=2\n[[kind]]\nname='k'\ncores=2\n"
                     + "speed=" + speed + "\nconnect_ms=1\n[cold]\nfrom=0.12\nwarm_s=10\nfall_multiple=2.5\nfall_s=2\n"
                     + "[[class]]\nname='read'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\ndeadline_ms=4000\n"
                     + "effect='safe'\n[[class]]\nname='submit'\nshare=0.5\nwork_ms=20\nwait_ms=" + waitMs + "\naim_ms=800\n"
                     + "deadline_ms=4000\nworth=5\n" + submit + "[traffic]\nrate=" + rate + "\nsidecars=" + (faults.startsWith("[peers]") ? 4 : 1) + "\n"
                     + "[roster]\nnotice_ms=100\ntold_ms=" + (faults.contains("hush") ? 4000 : 1500) + "\n" + faults;
+            toml = faults.contains("leaves") ? text.replace("aim_ms=800", "aim_ms=3000") : text;
         }
     }
 
