--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -177,8 +177,12 @@
     }
 
     /** Whether it leads to where its node is; one that has moved is another machine. */
+    private static boolean leadsToItsNode(UpstreamConnection connection) {
+        return connection.node.ready && connection.address.equals(connection.node.address);
+    }
+
     private static boolean isOfUse(UpstreamConnection connection) {
-        return connection.node.ready && connection.address.equals(connection.node.address) && connection.active();
+        return leadsToItsNode(connection) && connection.active();
     }
 
     private void connect(UpstreamAttempt attempt) {
@@ -208,7 +212,7 @@
                 attempt.end(Ending.of(Outcome.CONNECT_FAILED));
             } else if (attempt.ended()) {
                 handBack(connection); // its request was called off meanwhile; the next one finds it up
-            } else if (!isOfUse(connection)) { // discovery may have said so while it came up
+            } else if (!leadsToItsNode(connection)) { // discovery may have said so while it came up
                 connection.close();
                 begin(attempt);
             } else {
