--- a/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
+++ b/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
@@ -7,7 +7,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -21,6 +20,7 @@
 
 import ivybank.daemon.SidecarRig.Client;
 import ivybank.testing.FakeServer;
+import ivybank.testing.HaltingLines;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -112,7 +112,7 @@
         FakeServer node = FakeServer.answering(FakeServer.OK);
         CountDownLatch halted = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
-        options.lines = haltingAt("told to end", halted, go);
+        options.lines = HaltingLines.at("told to end", halted, go);
         options.drainTimes = new Sidecar.DrainTimes(1, 2000, 3000);
         try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
             CompletableFuture<Void> ended = CompletableFuture.runAsync(rig::drain);
@@ -182,20 +182,4 @@
             ended.get(10, TimeUnit.SECONDS);
         }
     }
-
-    private static PrintStream haltingAt(String words, CountDownLatch halted, CountDownLatch go) {
-        return new PrintStream(OutputStream.nullOutputStream()) {
-            @Override
-            public void println(String line) {
-                if (line.contains(words)) {
-                    halted.countDown();
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                }
-            }
-        };
-    }
 }
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -36,6 +36,7 @@
 import ivybank.handover.Memory;
 import ivybank.handover.MemoryFiles;
 import ivybank.testing.FakeServer;
+import ivybank.testing.HaltingLines;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -587,23 +588,6 @@
         assertTrue(Files.readString(dir.resolve("out.log")).contains("SIGHUP is ignored"));
     }
 
-    /** Stops the event loop in the midst of a pass over the sockets, at the first line that holds {@code words}. */
-    private static PrintStream haltingAt(String words, CountDownLatch halted, CountDownLatch go) {
-        return new PrintStream(OutputStream.nullOutputStream()) {
-            @Override
-            public void println(String line) {
-                if (line.contains(words)) {
-                    halted.countDown();
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                }
-            }
-        };
-    }
-
     @Test
     void whatCameWhileTheEventLoopWasHeldUpIsServedAndItsConnectionNotClosedAsUnused() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
@@ -619,7 +603,7 @@
         }));
         CountDownLatch halted = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
-        lines = haltingAt("the watch has ended", halted, go);
+        lines = HaltingLines.at("the watch has ended", halted, go);
         start(discovery.address(), host("s-1", upstream.address(), "Ready"));
         Client mute = client();
         Client half = client();
