After a hold-up of the event loop nothing is sent before all sockets are looked at

Need: a request whose client has left while it waited must not go on 0.3 s later, whatever it waits for; it may wait in a socket, with its client's end behind it, while the process is stopped or has no core. The same holds for a drain that was written meanwhile.

And a request found in a socket had its whole time anew: answered after 2,179 of 1,500 ms.

Cause: what has come is found in the order of the sockets, and was acted on at once (UpstreamPool.begin, .rested, .connect); ClientConnection took the moment of reading for that of coming. Checked and ruled out: timers, for Netty looks at the sockets before it runs them.

Change: HeldUp (pure, by a look each fifth of the drains' grace, 100 ms at most) says when the loop was late, and for as long as the backlog that stood meanwhile is accepted; sends wait one pass then. What is read counts as having come at the last look before, with half a second left of its time at least.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import ivybank.common.Clock;
+import ivybank.common.OneMorePass;
 import ivybank.exchange.RequestHandler;
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
@@ -392,7 +393,7 @@
         long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
         return new Arrival(new ClientRequest(method, uri, id, fields.token(IDEMPOTENCY_KEY), message.body(),
                 requestClass, server.tenantOf(head.headers().get(CALLER)), "1".equals(head.headers().get(AGAIN)),
-                clock.nowMs(), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
+                server.cameMs(budgetMs), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
                 head.protocolVersion().equals(HttpVersion.HTTP_1_0));
     }
 
@@ -559,8 +560,7 @@
         if (!retiring) {
             retiring = true;
             long before = reads;
-            // Not execute(): that would run in this same pass, before the sockets are looked at again.
-            context.executor().schedule(() -> endRetirement(before, closing), 1, TimeUnit.MILLISECONDS);
+            OneMorePass.then(context.executor(), () -> endRetirement(before, closing));
         }
     }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -12,6 +12,7 @@
 
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
+import ivybank.common.HeldUp;
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
 import ivybank.operations.Standby;
@@ -53,6 +54,10 @@
      */
     private static final double SPARE_IN_COMPANY = 0.35;
 
+    /** What is left to a request that may have stood in its socket for longer than it had. */
+    private static final double LEAST_LEFT_MS = 500;
+    private static final double LEAST_LEFT_PART = 0.5;
+
     private final RequestHandler driver;
     private final Clock clock;
     private final Limits limits;
@@ -64,6 +69,7 @@
     private final Map<String, Integer> tenantOfName = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
+    private HeldUp heldUp = HeldUp.NEVER;
     private Channel listener;
     private boolean listening = true;
     /** Whether the listening socket is open in other processes too. */
@@ -125,6 +131,21 @@
         return bound;
     }
 
+    /** From now on tells this of each connection that is accepted. */
+    public void mind(HeldUp loops) {
+        heldUp = loops;
+    }
+
+    /**
+     * When a request that is read now counts as having come. Guards clients' time: what stood in a socket while the event loop
+     * was held up had its whole time again from the moment in which it was read, and was answered as much too late. A little is
+     * left of it in any case: it may have come just now.
+     */
+    double cameMs(double budgetMs) {
+        double nowMs = clock.nowMs();
+        return Math.max(heldUp.earliestMs(nowMs), nowMs - budgetMs + Math.min(LEAST_LEFT_MS, LEAST_LEFT_PART * budgetMs));
+    }
+
     String identityHeader() {
         return identityHeader;
     }
@@ -150,6 +171,7 @@
 
     void opened(ClientConnection connection) {
         accepted++;
+        heldUp.accepted(clock.nowMs());
         connections.add(connection);
         descriptors.take();
         evict(1);
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -2,9 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 
 import ivybank.common.Framing;
+import ivybank.common.OneMorePass;
 import ivybank.exchange.BodyPipe;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -93,8 +93,7 @@
             reset();
             if (ended != null) {
                 ending = ended;
-                // Not execute(): that would run in this same pass.
-                ctx.executor().schedule(() -> endRest(ctx), 1, TimeUnit.MILLISECONDS);
+                OneMorePass.then(ctx.executor(), () -> endRest(ctx));
             } else {
                 ctx.fireChannelRead(whole);
             }
--- /dev/null
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -0,0 +1,74 @@
+package ivybank.common;
+
+/**
+ * Whether the event loop has been held up of late: by a process that was stopped, a machine that was moved or had no core to
+ * spare, a long collection of garbage. What came meanwhile still stands in the sockets then, and is found in no order: a node's
+ * answer before the end of the client that it is for, a request before the word that its node drains. What is sent on in such a
+ * moment has to wait until all sockets have been looked at ({@link OneMorePass}). Decides by the clock handed in, in ms; a look
+ * is due each {@link #periodMs()}. Used on the event loop alone.
+ */
+public final class HeldUp {
+
+    /** One that never is. */
+    public static final HeldUp NEVER = new HeldUp(0, Double.POSITIVE_INFINITY);
+
+    /** Of a drain's grace, in which what was told must have been seen: two such times may go by unnoticed. */
+    private static final double PERIOD_PART = 0.2;
+    private static final double LEAST_PERIOD_MS = 10;
+    /** Of the 300 ms in which a client that left must have been seen. */
+    private static final double LONGEST_PERIOD_MS = 100;
+    /** For so long after the loop goes on, and after each connection that is accepted then: one is in a pass over the sockets. */
+    private static final double SETTLES_MS = 50;
+    private static final double LONGEST_MS = 2000;
+
+    private final double periodMs;
+    private double lookedMs;
+    private double sinceMs; // the last look before it was held up
+    private double untilMs = Double.NEGATIVE_INFINITY;
+    private double latestMs = Double.NEGATIVE_INFINITY;
+
+    /** @param graceMs for how long a node may be sent to that was told to drain */
+    public static HeldUp within(double graceMs, double nowMs) {
+        return new HeldUp(Math.max(LEAST_PERIOD_MS, Math.min(PERIOD_PART * graceMs, LONGEST_PERIOD_MS)), nowMs);
+    }
+
+    private HeldUp(double periodMs, double nowMs) {
+        this.periodMs = periodMs;
+        this.lookedMs = nowMs;
+    }
+
+    public double periodMs() {
+        return periodMs;
+    }
+
+    /** The look that is due. */
+    public void look(double nowMs) {
+        if (isLate(nowMs)) {
+            sinceMs = lookedMs;
+            untilMs = nowMs + SETTLES_MS;
+            latestMs = nowMs + LONGEST_MS;
+        }
+        lookedMs = nowMs;
+    }
+
+    /** A connection has been accepted; it may have stood in the backlog, with all that its client had to say. */
+    public void accepted(double nowMs) {
+        if (nowMs < untilMs) {
+            untilMs = Math.min(nowMs + SETTLES_MS, latestMs);
+        }
+    }
+
+    /** Whether something older may stand in the sockets than what is at hand. */
+    public boolean ofLate(double nowMs) {
+        return nowMs < untilMs || isLate(nowMs);
+    }
+
+    /** The earliest at which what is found now may have come. */
+    public double earliestMs(double nowMs) {
+        return isLate(nowMs) ? lookedMs : nowMs < untilMs ? sinceMs : nowMs;
+    }
+
+    private boolean isLate(double nowMs) {
+        return nowMs - lookedMs > 2 * periodMs;
+    }
+}
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -13,6 +13,7 @@
 import ivybank.client.ClientServer;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
+import ivybank.common.HeldUp;
 import ivybank.common.Log;
 import ivybank.control.Company;
 import ivybank.control.Operated;
@@ -328,6 +329,11 @@
         pool.countIn(tally);
         driver.countIn(tally);
         discovery.countIn(tally);
+        HeldUp heldUp = HeldUp.within(config.drainGraceMs(), clock.nowMs());
+        pool.mind(heldUp);
+        server.mind(heldUp);
+        long lookMs = (long) heldUp.periodMs();
+        loop.scheduleWithFixedDelay(() -> heldUp.look(clock.nowMs()), lookMs, lookMs, TimeUnit.MILLISECONDS);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of " + config.known().entries().size()
                 + " nodes; limits: " + config.limits());
         driver.start(config.known());
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -8,7 +8,9 @@
 
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
+import ivybank.common.HeldUp;
 import ivybank.common.Log;
+import ivybank.common.OneMorePass;
 import ivybank.discovery.Node;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Tally;
@@ -54,6 +56,7 @@
     private final Map<Node, Deque<UpstreamConnection>> idle = new HashMap<>();
     private int open;
     private Tally tally = Tally.NONE;
+    private HeldUp heldUp = HeldUp.NEVER;
     private boolean keepsNoneIdle;
     private long opened;
     private long spoilt;
@@ -77,6 +80,11 @@
         tally = counts;
     }
 
+    /** From now on minds whether the event loop was held up. */
+    public void mind(HeldUp loops) {
+        heldUp = loops;
+    }
+
     /** Tells what is idle now. */
     public void countIdle() {
         idle.forEach((node, connections) -> tally.idle(node.host, connections.size()));
@@ -130,7 +138,7 @@
         if (!attempt.node.ready) { // discovery may have said so while it waited
             attempt.end(Ending.of(Outcome.NOT_SENT));
         } else if (connection != null && restMs(connection) <= 0) {
-            connection.send(attempt);
+            send(connection, attempt);
         } else if (connection != null) {
             loop.schedule(() -> rested(connection, attempt), (long) Math.ceil(restMs(connection)), TimeUnit.MILLISECONDS);
         } else if (open < limits.connections() && !descriptors.full() || evictOldest()) {
@@ -148,14 +156,39 @@
 
     /** The connection that an attempt has waited for has rested, or has gone meanwhile. */
     private void rested(UpstreamConnection connection, UpstreamAttempt attempt) {
-        if (attempt.ended()) {
+        if (isStillWanted(connection, attempt)) {
+            send(connection, attempt);
+        }
+    }
+
+    /**
+     * Sends on a connection that is free. Guards nodes against requests whose clients have left, and nodes that have begun to
+     * drain, while the event loop was held up: what says so may still stand unread, and is looked for first.
+     */
+    private void send(UpstreamConnection connection, UpstreamAttempt attempt) {
+        if (heldUp.ofLate(clock.nowMs())) {
+            OneMorePass.then(loop, () -> {
+                if (isStillWanted(connection, attempt)) {
+                    connection.send(attempt);
+                }
+            });
+        } else {
+            connection.send(attempt);
+        }
+    }
+
+    /** Whether an attempt may go on the connection that it has waited for; else that is seen to. */
+    private boolean isStillWanted(UpstreamConnection connection, UpstreamAttempt attempt) {
+        if (attempt.ended()) { // its request was called off meanwhile; the next one finds the connection
             handBack(connection);
-        } else if (!isOfUse(connection)) {
+            return false;
+        }
+        if (!isOfUse(connection)) { // discovery may have said so
             connection.close();
             begin(attempt);
-        } else {
-            connection.send(attempt);
+            return false;
         }
+        return true;
     }
 
     /** The idle connection that was used last of those that have rested; else the one that has rested longest. */
@@ -216,7 +249,7 @@
                 connection.close();
                 begin(attempt);
             } else {
-                connection.send(attempt);
+                send(connection, attempt);
             }
         });
     }
--- /dev/null
+++ b/src/test/java/ivybank/common/HeldUpTest.java
@@ -0,0 +1,76 @@
+package ivybank.common;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HeldUpTest {
+
+    private static final double CLIENT_LEFT_MS = 300;
+    private static final double FOUND_MS = 5000;
+
+    private static HeldUp looking(double graceMs, double untilMs) {
+        HeldUp heldUp = HeldUp.within(graceMs, 0);
+        for (double nowMs = 0; nowMs <= untilMs; nowMs += heldUp.periodMs()) {
+            heldUp.look(nowMs);
+        }
+        return heldUp;
+    }
+
+    /** What goes by unnoticed leaves a good part of a drain's grace, and of the time in which a client that left is seen. */
+    @ParameterizedTest
+    @ValueSource(doubles = {50, 350, 500, 1500, 60_000})
+    void whatIsNotNoticedIsShort(double graceMs) {
+        HeldUp heldUp = looking(graceMs, 1000);
+        double unnoticedMs = 0;
+        while (!heldUp.ofLate(1000 + unnoticedMs)) {
+            unnoticedMs++;
+        }
+        assertTrue(unnoticedMs <= 0.45 * graceMs, unnoticedMs + " of " + graceMs);
+        assertTrue(unnoticedMs <= 0.75 * CLIENT_LEFT_MS, unnoticedMs + " ms");
+        assertTrue(unnoticedMs > heldUp.periodMs(), "a look that is on time is not late");
+    }
+
+    /** Looks come a little late on any machine. */
+    @Test
+    void itIsNotHeldUpWhileLooksComeInTheirTime() {
+        HeldUp heldUp = looking(500, 1000);
+        for (double nowMs = 1180; nowMs < 3000; nowMs += 180) {
+            assertFalse(heldUp.ofLate(nowMs));
+            assertEquals(nowMs, heldUp.earliestMs(nowMs));
+            heldUp.look(nowMs);
+        }
+    }
+
+    /** The look itself may be the first thing that runs when it goes on: what is found behind it is as old. */
+    @Test
+    void itHoldsForAWhileAfterTheLookThatShowsIt() {
+        HeldUp heldUp = looking(500, 1000);
+        assertEquals(1000, heldUp.earliestMs(FOUND_MS));
+        heldUp.look(FOUND_MS);
+        assertTrue(heldUp.ofLate(FOUND_MS + 30));
+        assertEquals(1000, heldUp.earliestMs(FOUND_MS + 30));
+        assertFalse(heldUp.ofLate(FOUND_MS + 60));
+        assertEquals(FOUND_MS + 60, heldUp.earliestMs(FOUND_MS + 60));
+    }
+
+    /** Connections that are accepted one after another stood in the backlog, but not without end. */
+    @Test
+    void itHoldsWhileTheBacklogIsAccepted() {
+        HeldUp heldUp = looking(500, 1000);
+        heldUp.look(FOUND_MS);
+        double nowMs = FOUND_MS;
+        while (heldUp.ofLate(nowMs)) {
+            heldUp.look(nowMs);
+            heldUp.accepted(nowMs);
+            nowMs += 20;
+        }
+        assertTrue(nowMs >= FOUND_MS + 1000 && nowMs <= FOUND_MS + 2000, "until " + nowMs);
+        heldUp.accepted(nowMs + 100);
+        assertFalse(heldUp.ofLate(nowMs + 100), "a connection alone tells nothing");
+    }
+}
