A reset that a write finds is no end of an answer without a length

Seen on real sockets: a node begins an answer without a length while a long request is still being written to it, and resets the connection; the client was answered 200 with the part that had come. Cause: a write that waits is tried before the socket is read, and Netty closes the channel on its failure without an exception on the pipeline; the decoder takes any close for the end of such an answer, and only exceptionCaught marked it as none. Ruled out: a reset that a read finds (exceptionCaught), answers with a length or chunked (the decoder brings no end for those).

Change: each part of a request that can't be written marks the connection as broken. LongBodiesTest.anAnswerThatIsResetWhileItsRequestIsStillWrittenIsNotWhole fails without it (200 with a part).

--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -79,6 +79,7 @@
     /** The rest of a long request that is being passed on, else null. */
     private BodyPipe upload;
     private ScheduledFuture<?> stalled;
+    /** Whether it has ended otherwise than in order. */
     private boolean broken;
     private int interimAnswers;
     /** What the answer that has come whole makes of the attempt, until the read has ended; else null. */
@@ -134,7 +135,7 @@
         }
         if (request.rest() != null) {
             channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
-            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(request.body())));
+            writePart(Unpooled.wrappedBuffer(request.body()));
             upload = request.rest();
             upload.take(new Upload(next));
             return;
@@ -144,6 +145,14 @@
         channel.writeAndFlush(message).addListener(write -> written(next, write.isSuccess()));
     }
 
+    /**
+     * Guards clients against a part of an answer: a reset that a write finds first closes the channel as an end in order would,
+     * and an answer without a length seemed whole.
+     */
+    private void writePart(ByteBuf part) {
+        channel.writeAndFlush(new DefaultHttpContent(part)).addListener(write -> broken |= !write.isSuccess());
+    }
+
     private void written(UpstreamAttempt sent, boolean whole) {
         if (attempt == sent) {
             written = whole;
@@ -169,7 +178,7 @@
                 part.release();
                 return;
             }
-            channel.writeAndFlush(new DefaultHttpContent(part));
+            writePart(part);
             writable(channel.isWritable());
         }
 
--- a/src/test/java/ivybank/daemon/LongBodiesTest.java
+++ b/src/test/java/ivybank/daemon/LongBodiesTest.java
@@ -316,4 +316,32 @@
         assertTrue(head(client).contains(" 200 "));
         assertTrue(node.nextRequest().startsWith("GET /read?obj=1 HTTP/1.1"));
     }
+
+    /**
+     * An answer without a length that begins before its request has ended, and is reset while the sidecar still writes: the end
+     * is found by the write, not by the read, and is none.
+     */
+    @Test
+    void anAnswerThatIsResetWhileItsRequestIsStillWrittenIsNotWhole() throws Exception {
+        start(new FakeServer(connection -> {
+            connection.socket.getInputStream().readNBytes(1000);
+            connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it");
+            Thread.sleep(400); // until the sockets on the way are full and a write waits
+            connection.reset();
+        }));
+        Socket client = connect();
+        Thread writer = new Thread(() -> {
+            try {
+                write(client, submit(5000, "Content-Length: " + LENGTH + "\r\n"));
+                client.getOutputStream().write(LONG);
+            } catch (IOException e) {
+                // It is answered before its end.
+            }
+        });
+        writer.start();
+        String answer = head(client);
+        assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
+        client.close();
+        writer.join();
+    }
 }
