Two silent watches where lists are asked for fit in 6 s with the connection counted

Need: where one service is asked, two watches in a row that are silent took 5.35 s and the time of the connection between them, which could be 1 s: 6.35 s in the worst case, and what they miss counts as told after 6 s. The test left the connection out.

Ruled out: asking for the whole list after the first silent watch, which costs the one service that all sidecars ask a whole list each.

--- a/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
+++ b/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
@@ -84,7 +84,7 @@
             assertEquals(Timing.standard(true, 500), asked);
             // Those that wait have 2 s more from the end of their wait.
             assertTrue(asked.longestPauseMs() < Timing.WAIT_COUNTS_MS, asked.toString());
-            assertTrue(asked.silenceEndsMs() - asked.connectMs() < Timing.SILENCE_COUNTS_MS, asked.toString());
+            assertTrue(asked.silenceEndsMs() < Timing.SILENCE_COUNTS_MS, asked.toString());
         }
     }
 
