The test of refused requests waits until the sidecar has read them

Cause: the test let the node answer right after its write, and the sidecar reads 1 KB at first, so that a place was free again before the 66th request had been read. It awaits 200 passes over the sockets now; the counts are the same.

--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -64,6 +64,14 @@
         }
     }
 
+    /** Until the sidecar has looked at its sockets so often that it has read what was written to it. */
+    private static void awaitPasses(SidecarRig rig) throws IOException {
+        Client other = rig.client();
+        for (int i = 0; i < 200; i++) { // each answer takes a pass at least
+            assertNotNull(other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").read());
+        }
+    }
+
     private static void awaitBound() throws InterruptedException {
         Thread.sleep(BOUND_MS);
     }
@@ -289,6 +297,7 @@
                 many.append(SidecarRig.read("m" + i));
             }
             client.write(many.toString());
+            awaitPasses(rig);
             go.countDown();
             int served = 0;
             boolean refused = false;
@@ -323,10 +332,7 @@
                 many.append(SidecarRig.read("m" + i));
             }
             client.write(many.toString());
-            Client other = rig.client();
-            for (int i = 0; i < 200; i++) { // each takes a pass, in which a part of the flood is read
-                assertNotNull(other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").read());
-            }
+            awaitPasses(rig);
             go.countDown();
             int served = 0;
             int refused = 0;
