A hold-up lasts until a pass over the sockets has accepted nobody

Seen: HeldUpLoopTest.whoAskedAndLeft failed once beside a load of 19: 36 of 42 requests were sent on. Cause: the backlog was given 50 ms after each accepted connection, and a pass may take longer on a busy machine. Now it is followed pass by pass (2 s at most), by no time.

And the module hears of a request's patience as it is read, as before: where repeats are not marked it takes less patience for a repeat. The deadline alone, which the driver keeps, counts from the last look before the hold-up.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -404,7 +404,7 @@
         long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
         return new Arrival(new ClientRequest(method, uri, id, fields.token(IDEMPOTENCY_KEY), message.body(),
                 requestClass, server.tenantOf(head.headers().get(CALLER)), "1".equals(head.headers().get(AGAIN)),
-                server.cameMs(budgetMs), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
+                clock.nowMs(), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
                 head.protocolVersion().equals(HttpVersion.HTTP_1_0));
     }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -54,10 +54,6 @@
      */
     private static final double SPARE_IN_COMPANY = 0.35;
 
-    /** What is left to a request that may have stood in its socket for longer than it had. */
-    private static final double LEAST_LEFT_MS = 500;
-    private static final double LEAST_LEFT_PART = 0.5;
-
     private final RequestHandler driver;
     private final Clock clock;
     private final Limits limits;
@@ -136,16 +132,6 @@
         heldUp = loops;
     }
 
-    /**
-     * When a request that is read now counts as having come. Guards clients' time: what stood in a socket while the event loop
-     * was held up had its whole time again from the moment in which it was read, and was answered as much too late. A little is
-     * left of it in any case: it may have come just now.
-     */
-    double cameMs(double budgetMs) {
-        double nowMs = clock.nowMs();
-        return Math.max(heldUp.earliestMs(nowMs), nowMs - budgetMs + Math.min(LEAST_LEFT_MS, LEAST_LEFT_PART * budgetMs));
-    }
-
     String identityHeader() {
         return identityHeader;
     }
@@ -171,7 +157,7 @@
 
     void opened(ClientConnection connection) {
         accepted++;
-        heldUp.accepted(clock.nowMs());
+        heldUp.accepted();
         connections.add(connection);
         descriptors.take();
         evict(1);
--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -17,15 +17,15 @@
     private static final double LEAST_PERIOD_MS = 10;
     /** Of the 300 ms in which a client that left must have been seen. */
     private static final double LONGEST_PERIOD_MS = 100;
-    /** For so long after the loop goes on, and after each connection that is accepted then: one is in a pass over the sockets. */
-    private static final double SETTLES_MS = 50;
+    /** For so long at most what is accepted counts as having stood in the backlog. */
     private static final double LONGEST_MS = 2000;
 
     private final double periodMs;
     private double lookedMs;
     private double sinceMs; // the last look before it was held up
-    private double untilMs = Double.NEGATIVE_INFINITY;
-    private double latestMs = Double.NEGATIVE_INFINITY;
+    private boolean settling;
+    private boolean accepted;
+    private double latestMs;
 
     /** @param graceMs for how long a node may be sent to that was told to drain */
     public static HeldUp within(double graceMs, double nowMs) {
@@ -41,31 +41,38 @@
         return periodMs;
     }
 
-    /** The look that is due. */
-    public void look(double nowMs) {
-        if (isLate(nowMs)) {
+    /** The look that is due; whether it shows that the loop was held up: then {@link #passed} is due behind each pass. */
+    public boolean look(double nowMs) {
+        boolean shows = isLate(nowMs);
+        if (shows) {
             sinceMs = lookedMs;
-            untilMs = nowMs + SETTLES_MS;
+            settling = true;
             latestMs = nowMs + LONGEST_MS;
         }
         lookedMs = nowMs;
+        return shows;
     }
 
     /** A connection has been accepted; it may have stood in the backlog, with all that its client had to say. */
-    public void accepted(double nowMs) {
-        if (nowMs < untilMs) {
-            untilMs = Math.min(nowMs + SETTLES_MS, latestMs);
-        }
+    public void accepted() {
+        accepted = true;
+    }
+
+    /** All sockets have been looked at once more; whether that has to be done again, for one is accepted in a pass. */
+    public boolean passed(double nowMs) {
+        settling = accepted && nowMs < latestMs;
+        accepted = false;
+        return settling;
     }
 
     /** Whether something older may stand in the sockets than what is at hand. */
     public boolean ofLate(double nowMs) {
-        return nowMs < untilMs || isLate(nowMs);
+        return settling || isLate(nowMs);
     }
 
     /** The earliest at which what is found now may have come. */
     public double earliestMs(double nowMs) {
-        return isLate(nowMs) ? lookedMs : nowMs < untilMs ? sinceMs : nowMs;
+        return isLate(nowMs) ? lookedMs : settling ? sinceMs : nowMs;
     }
 
     private boolean isLate(double nowMs) {
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 
 import ivybank.common.Clock;
+import ivybank.common.HeldUp;
 import ivybank.common.Log;
 import ivybank.discovery.Directory;
 import ivybank.discovery.HostUpdate;
@@ -76,6 +77,9 @@
     private static final double ANSWER_PART = 0.1;
     /** When the backstop acts, of that, before the deadline: later than any attempt's time-out. */
     private static final double BACKSTOP_PART = 0.5;
+    /** What is left to a request that may have stood in its socket for longer than it had: so much, or so much of a short time. */
+    private static final double LEAST_LEFT_MS = 500;
+    private static final double LEAST_LEFT_PART = 0.5;
     private static final int FAILED = 502;
     private static final int OUT_OF_TIME = 504;
     private static final double MICROS_IN_MS = 1000;
@@ -94,6 +98,7 @@
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Counters counters = new Counters();
     private Tally tally = Tally.NONE;
+    private HeldUp heldUp = HeldUp.NEVER;
     /** What is taken over from another process until discovery has told its whole list; null for none. */
     private Learned<String> toRecall;
     private double trust;
@@ -128,6 +133,11 @@
         tally = counts;
     }
 
+    /** From now on minds whether the event loop was held up. */
+    void mind(HeldUp loops) {
+        heldUp = loops;
+    }
+
     void updated(HostUpdate update) {
         upstreams(update.whole() ? ListKind.FULL : ListKind.DELTA, update);
     }
@@ -215,22 +225,35 @@
     @Override
     public int request(ClientRequest request, Consumer<Answer> client) {
         boolean arriving = request.arriving();
-        double deadlineMs = arriving ? Double.MAX_VALUE : request.arrivedMs() + request.budgetMs();
+        double deadlineMs = arriving ? Double.MAX_VALUE : deadlineMs(request);
         Exchange exchange = new Exchange(++lastId, request, deadlineMs, client);
         exchanges.put(exchange.id, exchange);
         openIds.add(request.callId());
         unanswered++;
         counters.taken++;
         tally.taken();
-        double leftMs = arriving ? request.budgetMs() : deadlineMs - clock.nowMs();
+        // The module goes by when it was read: less time than others have is its sign of a repeat.
+        double leftMs = arriving ? request.budgetMs() : request.arrivedMs() + request.budgetMs() - clock.nowMs();
         if (!arriving) {
-            guard(exchange, leftMs);
+            guard(exchange, deadlineMs - clock.nowMs());
         }
         tell(() -> balancer.request(clock.nowMs(), new Request(exchange.id, request.requestClass(), request.tenant(),
                 Math.max(0, leftMs - answerMs(request)), request.repeat(), arriving)));
         return exchange.id;
     }
 
+    /**
+     * When a request has to be answered. Guards clients' time: what stood in a socket while the event loop was held up had its
+     * whole time again from the moment in which it was read, and was answered as much too late. A little is left of it in any
+     * case: it may have come just now.
+     */
+    private double deadlineMs(ClientRequest request) {
+        double nowMs = clock.nowMs();
+        double leastMs = nowMs + Math.min(LEAST_LEFT_MS, LEAST_LEFT_PART * request.budgetMs());
+        double byReadingMs = request.arrivedMs() + request.budgetMs();
+        return Math.min(byReadingMs, Math.max(leastMs, heldUp.earliestMs(nowMs) + request.budgetMs()));
+    }
+
     @Override
     public void arrived(int id) {
         Exchange exchange = exchanges.get(id);
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -15,6 +15,7 @@
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
 import ivybank.common.Log;
+import ivybank.common.OneMorePass;
 import ivybank.control.Company;
 import ivybank.control.Operated;
 import ivybank.discovery.Directory;
@@ -334,8 +335,13 @@
         HeldUp heldUp = HeldUp.within(config.drainGraceMs(), clock.nowMs());
         pool.mind(heldUp);
         server.mind(heldUp);
+        driver.mind(heldUp);
         long lookMs = (long) heldUp.periodMs();
-        loop.scheduleWithFixedDelay(() -> heldUp.look(clock.nowMs()), lookMs, lookMs, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> {
+            if (heldUp.look(clock.nowMs())) {
+                settle(heldUp);
+            }
+        }, lookMs, lookMs, TimeUnit.MILLISECONDS);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of " + config.known().entries().size()
                 + " nodes; limits: " + config.limits());
         driver.start(config.known());
@@ -362,6 +368,14 @@
         loop.scheduleAtFixedRate(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
     }
 
+    private void settle(HeldUp heldUp) {
+        OneMorePass.then(loop, () -> {
+            if (heldUp.passed(clock.nowMs())) {
+                settle(heldUp);
+            }
+        });
+    }
+
     private ChannelFuture listen() {
         return server.listen(new ServerBootstrap().group(group).channelFactory(() -> inherited == null ? new NioServerSocketChannel()
                 : new NioServerSocketChannel(inherited))
