Rehearsal scenarios name no deployment's classes

Need: nothing in the program is fitted to one deployment; the packaged scenarios still had one installation's class names. Ruled out by a search: other names, zones, kinds or limits of a deployment in the program and the deploy file.

--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -114,7 +114,7 @@
             new Mutant("sends to a draining node", Night.DEPLOY, List.of("rule drain"),
                     List.of(new Edit("discovery/Directory.java", "Status status = undrained ? Status.DRAINING : entry.status();",
                             "Status status = Status.READY;"))),
-            new Mutant("repeats event-submit after a reset", Night.SPOILT, List.of("rule repeat"),
+            new Mutant("repeats record-submit after a reset", Night.SPOILT, List.of("rule repeat"),
                     List.of(new Edit("policy/Balancer.java", "RESET(false)", "RESET(true)"))),
             new Mutant("repeats a keyed one at another site", Night.KEYED, List.of("rule repeat"),
                     List.of(new Edit("policy/Call.java", "if (spec.effect() != Balancer.Effect.KEYED) {",
--- a/src/test/java/ivybank/store/StoreBenchmark.java
+++ b/src/test/java/ivybank/store/StoreBenchmark.java
@@ -44,7 +44,7 @@
     private final StringBuilder table = new StringBuilder();
 
     private static byte[] key(long number) {
-        return String.format(Locale.ROOT, "event-submit\nevent-%012d", number).getBytes(StandardCharsets.UTF_8);
+        return String.format(Locale.ROOT, "record-submit\nevent-%012d", number).getBytes(StandardCharsets.UTF_8);
     }
 
     private Path fresh(String name) throws IOException {
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -72,7 +72,7 @@
     }
 
     private static ClientRequest request(HttpMethod method, byte[] body) {
-        return new ClientRequest(method, "/window-read?obj=a%20b&x=1", "c1", null, body, 0, 0, false, 0, 6000, null, null);
+        return new ClientRequest(method, "/report-read?obj=a%20b&x=1", "c1", null, body, 0, 0, false, 0, 6000, null, null);
     }
 
     private Sent send(Node node, double timeoutMs) {
@@ -114,7 +114,7 @@
             assertEquals("text/x", ending.contentType());
             assertArrayEquals(new double[] {7.5, 0.25}, ending.report());
             String request = server.nextRequest();
-            assertTrue(request.startsWith("POST /window-read?obj=a%20b&x=1 HTTP/1.1\r\n"), request);
+            assertTrue(request.startsWith("POST /report-read?obj=a%20b&x=1 HTTP/1.1\r\n"), request);
             assertTrue(request.contains("X-Call-Id: c1\r\n"), request);
             assertTrue(request.contains("X-Budget-Ms: 1234\r\n"), request);
             assertTrue(request.endsWith("\r\n\r\nhello"), request);
