A night that is played again has a store of its own, and a deployed sidecar's heap

Cause: the machine was too busy to judge the first play, and the second found the first one's store, where the same requests were on record. The store is in the night's own folder now, which is moved aside before another play.

The same test had failed by 'memory goes on growing' beside load: its sidecars had no bound on their heap, so that a heap which fills for the first time looked like a leak. They have the deployed 48 MB now, as those of the mutants and of the views had; the limits on growth are unchanged. Run: the three nights of DayTest that this touches, green. Not run: the growth beside a load of 20.

--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -118,7 +118,8 @@
 
     @Test
     void killsUnderLoadDoubleNothingAndLoseNoAnswerWherePromisesAreKept() throws Exception {
-        Path store = dir.resolve("kept");
+        // In the night's own folder, which is another one each time it is played: the same requests find nothing on record.
+        Path store = dir.resolve("promises").resolve("kept");
         Path operator = Files.writeString(dir.resolve("operator.toml"), "[store]\nfolder = \"" + store + "\"\nfirst_start = \"make\"\n");
         StringBuilder kills = new StringBuilder();
         int count = Integer.getInteger("promises.kills", 2);
@@ -139,7 +140,7 @@
 
     @Test
     void memoryAndDescriptorsAreHeldToTheLimits() throws Exception {
-        Day.Result greedy = night("greedy", ShortNight.program("-Xms300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
+        Day.Result greedy = night("greedy", ShortNight.program("-Xms300m -Xmx300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
         assertTrue(greedy.events().stream().anyMatch(event -> event.what().contains("MB of memory, 192 are allowed: it is killed")),
                 greedy.events().toString());
         assertTrue(Verdict.of(greedy).reasons().contains("rule crash broken 1 times"));
@@ -188,7 +189,7 @@
     void aKitThatIsKilledLeavesNoSidecarBehind(String signal) throws Exception {
         Path file = Files.writeString(dir.resolve("long.toml"), ShortNight.TOML.replace("length_s = 2", "length_s = 60"));
         String mark = "mark-" + ProcessHandle.current().pid() + "-" + System.nanoTime();
-        Process kit = new ProcessBuilder("setsid", "env", "--default-signal=HUP", "/bin/sh", "-c", ShortNight.program("") + "rehearse run " + file + " --state "
+        Process kit = new ProcessBuilder("setsid", "env", "--default-signal=HUP", "/bin/sh", "-c", ShortNight.program("-Xmx512m") + "rehearse run " + file + " --state "
                 + dir.resolve("killed") + " --sidecar \"" + ShortNight.program("-Dmark=" + mark) + "serve\"").redirectErrorStream(true).start();
         BufferedReader said = new BufferedReader(new InputStreamReader(kit.getInputStream()));
         String line = said.readLine();
--- a/src/test/java/ivybank/testing/ShortNight.java
+++ b/src/test/java/ivybank/testing/ShortNight.java
@@ -27,9 +27,12 @@
     private ShortNight() {
     }
 
-    /** The program of this class path, with these options of the Java runtime. */
+    /**
+     * The program of this class path, with the heap of a deployed sidecar unless these options of the Java runtime say otherwise:
+     * with the runtime's own bound a heap that only fills for the first time looks like memory that goes on growing.
+     */
     public static String program(String options) {
         return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
-                + " -XX:TieredStopAtLevel=1 " + options + " -cp '" + System.getProperty("java.class.path") + "' ivybank.Main ";
+                + " -XX:TieredStopAtLevel=1 -Xms48m -Xmx48m " + options + " -cp '" + System.getProperty("java.class.path") + "' ivybank.Main ";
     }
 }
