--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -82,6 +82,12 @@
                 .check(PROGRAM);
     }
 
+    @Test
+    void whetherTheLoopWasHeldUpIsDecidedWithoutIt() {
+        noClasses().that().haveFullyQualifiedName("ivybank.common.HeldUp").should().dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..").check(PROGRAM);
+    }
+
     @Test
     void roomAndWhatIsHandedOverAreDecidedWithoutInputAndOutput() {
         noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..", "ivybank.fleet..").and()
