--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -111,7 +111,7 @@
                 at_s = 3
                 away_s = 0.1
                 """);
-        assertEquals(List.of(), Verdict.of(day).reasons());
+        assertEquals(List.of(), Verdict.of(day).reasons(), () -> day.referee().examples() + "\n" + day.events());
         String killed = day.events().stream().map(Day.Event::what).filter(what -> what.contains("is killed with")).findFirst().orElseThrow();
         assertTrue(Integer.parseInt(killed.replaceAll(".* with ([0-9]+) calls open", "$1")) >= 100, killed);
     }
