--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -280,24 +280,35 @@
         }
     }
 
-    @Test
-    void whatIsMoreThanMayWaitIsRefusedInItsTurn() throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(connection -> {
+    /** A node that answers nothing before it may. */
+    private static FakeServer holding(CountDownLatch go) throws IOException {
+        return new FakeServer(connection -> {
             while (connection.read() != null) {
                 go.await();
                 connection.write(FakeServer.OK);
             }
         });
+    }
+
+    /** A client with a request at the node and so many behind it, all of which the sidecar has read. */
+    private static Client flood(SidecarRig rig, FakeServer node, int requests) throws Exception {
+        Client client = rig.client().write(SidecarRig.read("first"));
+        assertNotNull(node.nextRequest());
+        StringBuilder many = new StringBuilder();
+        for (int i = 0; i < requests; i++) {
+            many.append(SidecarRig.read("m" + i));
+        }
+        client.write(many.toString());
+        awaitPasses(rig);
+        return client;
+    }
+
+    @Test
+    void whatIsMoreThanMayWaitIsRefusedInItsTurn() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = holding(go);
         try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
-            Client client = rig.client().write(SidecarRig.read("first"));
-            assertNotNull(node.nextRequest());
-            StringBuilder many = new StringBuilder();
-            for (int i = 0; i < 100; i++) {
-                many.append(SidecarRig.read("m" + i));
-            }
-            client.write(many.toString());
-            awaitPasses(rig);
+            Client client = flood(rig, node, 100);
             go.countDown();
             int served = 0;
             boolean refused = false;
@@ -318,21 +329,9 @@
     @Test
     void whoSendsWithoutEndIsRefusedAThousandTimesAndThenClosed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(connection -> {
-            while (connection.read() != null) {
-                go.await();
-                connection.write(FakeServer.OK);
-            }
-        });
+        FakeServer node = holding(go);
         try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
-            Client client = rig.client().write(SidecarRig.read("first"));
-            assertNotNull(node.nextRequest());
-            StringBuilder many = new StringBuilder();
-            for (int i = 0; i < 3000; i++) {
-                many.append(SidecarRig.read("m" + i));
-            }
-            client.write(many.toString());
-            awaitPasses(rig);
+            Client client = flood(rig, node, 3000);
             go.countDown();
             int served = 0;
             int refused = 0;
