The kit's referee counts holding back from when a stopped sidecar goes on

Change: the referee is told when a sidecar goes on, and holds its limit from then: RefereeTest has a call at the limit and one past it. No limit changes.

--- a/src/main/java/ivybank/rehearsal/referee/Referee.java
+++ b/src/main/java/ivybank/rehearsal/referee/Referee.java
@@ -105,6 +105,7 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, List<Call>> families = new HashMap<>();
     private final List<Map<String, Double>> told = new ArrayList<>();
+    private final Map<Integer, Double> wentOnMs = new HashMap<>(); // sidecars that were stopped
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
     private final List<Breach> examples = new ArrayList<>();
 
@@ -181,7 +182,8 @@
         if (refused && harmful && call.mayHaveRun()) {
             breach(Rule.REFUSAL, nowMs, "call " + id + " was refused, and " + call.attempts.get(0).host + " had begun it");
         }
-        double sinceMs = Double.isNaN(call.lastEndMs) ? call.takenMs : call.lastEndMs;
+        double sinceMs = Math.max(Double.isNaN(call.lastEndMs) ? call.takenMs : call.lastEndMs,
+                wentOnMs.getOrDefault(call.sidecar, Double.NEGATIVE_INFINITY));
         if (call.open == 0 && nowMs - sinceMs > WAIT_PART * call.aimMs + CONNECTS_MS) {
             breach(Rule.HELD_BACK, nowMs, "call " + id + " was answered " + status + " "
                     + Math.round(nowMs - sinceMs) + " ms after anything was still tried");
@@ -277,6 +279,11 @@
         told.get(sidecar).putIfAbsent(host, nowMs);
     }
 
+    /** A sidecar that was stopped goes on: what it gives up is answered at once from now on, and was not while it stood still. */
+    public void wentOn(int sidecar, double nowMs) {
+        wentOnMs.put(sidecar, nowMs);
+    }
+
     /** A sidecar has begun anew: it knows only what its own configuration names. */
     public void startedAnew(int sidecar) {
         told.get(sidecar).clear();
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -496,6 +496,7 @@
             signal(sidecar, "STOP");
             world.after(fault.forS() * 1000, () -> {
                 event("sidecar " + member + " goes on");
+                referee.wentOn(member, world.nowMs());
                 signal(sidecar, "CONT");
                 process(member, Views.Process.ON, "sidecar " + member + " goes on");
                 double sinceMs = downSinceMs.get(member);
--- a/src/test/java/ivybank/rehearsal/referee/RefereeTest.java
+++ b/src/test/java/ivybank/rehearsal/referee/RefereeTest.java
@@ -130,6 +130,13 @@
         begun("n1", "c", 1); // still out: the node is silent
         referee.answered("c", 504, "", 3000);
         assertBroken(Rule.HELD_BACK, 1);
+        taken("d", Effect.SAFE);
+        referee.wentOn(0, 5000); // it was stopped till then
+        referee.answered("d", 503, "", 5000 + 600 + 1500);
+        assertBroken(Rule.HELD_BACK, 1);
+        taken("e", Effect.SAFE);
+        referee.answered("e", 503, "", 5000 + 600 + 1500 + 1);
+        assertBroken(Rule.HELD_BACK, 2);
     }
 
     @Test
