--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -200,8 +200,9 @@
             }
             if (message.head() == null) {
                 statusBehind = message.status();
-            } else if (++surplus > MOST_SURPLUS) {
-                surplus--;
+            } else if (surplus < MOST_SURPLUS) {
+                surplus++;
+            } else {
                 statusBehind = UNAVAILABLE;
                 ended = true;
                 reader.stop();
--- a/src/main/java/ivybank/common/Descriptors.java
+++ b/src/main/java/ivybank/common/Descriptors.java
@@ -15,7 +15,7 @@
     }
 
     public boolean full() {
-        return used + elsewhere >= most;
+        return room() == 0;
     }
 
     /** How many more may be taken. */
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -77,11 +77,11 @@
     private static final double ANSWER_PART = 0.1;
     /** When the backstop acts, of that, before the deadline: later than any attempt's time-out. */
     private static final double BACKSTOP_PART = 0.5;
-    /** How late the answer to such a one may be at most: it only may have come that early, and half a second is allowed. */
-    private static final double LATE_MS = 300;
     /** What is left to a request that may have stood in its socket for longer than it had: so much, or so much of a short time. */
     private static final double LEAST_LEFT_MS = 500;
     private static final double LEAST_LEFT_PART = 0.5;
+    /** How late the answer to one that may have stood there may be: it only may have come that early, and half a second is allowed. */
+    private static final double LATE_MS = 300;
     private static final int FAILED = 502;
     private static final int OUT_OF_TIME = 504;
     private static final double MICROS_IN_MS = 1000;
@@ -246,8 +246,8 @@
 
     /**
      * When a request has to be answered. Guards clients' time: what stood in a socket while the event loop was held up had its
-     * whole time again from the moment in which it was read, and was answered as much too late: now by so much at most, for
-     * with all of it taken off many were given up that had come late and could be served. A little is left of it in any case.
+     * whole time again from the moment in which it was read, and was answered as much too late. Not all of that is taken off, and
+     * a little is left in any case: it may also have come just now, and could be served.
      */
     private double deadlineMs(ClientRequest request) {
         double nowMs = clock.nowMs();
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -347,19 +347,7 @@
         if (timing.asked()) {
             thenListen.run();
         } else {
-            Runnable once = new Runnable() {
-                private boolean done;
-
-                @Override
-                public void run() {
-                    if (!done) {
-                        done = true;
-                        thenListen.run();
-                    }
-                }
-            };
-            discovery.onFirstWord(once);
-            loop.schedule(once, (long) timing.returnMs(), TimeUnit.MILLISECONDS);
+            discovery.onFirstWord(thenListen);
         }
         discovery.start();
         tallyDueMs = clock.nowMs() + TALLY_MS;
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -117,9 +117,13 @@
         tally = counts;
     }
 
-    /** Tells this once, when the first call has brought a list or has ended without one. Before the start. */
+    /**
+     * Tells this once, when the first call has brought a list or has ended without one, at the latest when one that is answered
+     * must have done so. Before the start.
+     */
     public void onFirstWord(Runnable listens) {
         firstWord = listens;
+        loop.schedule(this::firstWord, (long) timing.returnMs(), TimeUnit.MILLISECONDS);
     }
 
     private void firstWord() {
--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -108,12 +108,7 @@
     @ValueSource(booleans = {true, false})
     void withMoreThanIsKeptBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = new FakeServer(connection -> {
-            while (connection.read() != null) {
-                left.await();
-                connection.write(FakeServer.OK);
-            }
-        });
+        FakeServer node = holding(left, FakeServer.OK);
         try (node; SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 3000; i++) {
@@ -169,12 +164,7 @@
     @ValueSource(booleans = {true, false})
     void withSomethingUnreadableBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = new FakeServer(connection -> {
-            while (connection.read() != null) {
-                left.await();
-                connection.write(FakeServer.REJECTED); // a proof that it has not run: it may go to another one
-            }
-        });
+        FakeServer node = holding(left, FakeServer.REJECTED); // a proof that it has not run: it may go to another one
         try (node; SidecarRig rig = rig(host("s-1", node.address()) + "," + host("s-2", node.address()), cancel)) {
             Client client = rig.client().write(SidecarRig.submit("a", 5) + "hello");
             assertNotNull(node.nextRequest());
@@ -280,12 +270,12 @@
         }
     }
 
-    /** A node that answers nothing before it may. */
-    private static FakeServer holding(CountDownLatch go) throws IOException {
+    /** A node that answers nothing before it may, and all in this way then. */
+    private static FakeServer holding(CountDownLatch go, String answer) throws IOException {
         return new FakeServer(connection -> {
             while (connection.read() != null) {
                 go.await();
-                connection.write(FakeServer.OK);
+                connection.write(answer);
             }
         });
     }
@@ -306,7 +296,7 @@
     @Test
     void whatIsMoreThanMayWaitIsRefusedInItsTurn() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = holding(go);
+        FakeServer node = holding(go, FakeServer.OK);
         try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
             Client client = flood(rig, node, 100);
             go.countDown();
@@ -329,7 +319,7 @@
     @Test
     void whoSendsWithoutEndIsRefusedAThousandTimesAndThenClosed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = holding(go);
+        FakeServer node = holding(go, FakeServer.OK);
         try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
             Client client = flood(rig, node, 3000);
             go.countDown();
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -88,6 +89,23 @@
         return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 6000\r\nContent-Length: " + bytes + "\r\n\r\n";
     }
 
+    /** Reads one answer, head and body; null at the end of the connection. */
+    static String readAnswer(InputStream in) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String text = "";
+        while (!text.contains("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            bytes.write(next);
+            text = bytes.toString(StandardCharsets.ISO_8859_1);
+        }
+        int at = text.toLowerCase(Locale.ROOT).indexOf("content-length:");
+        int length = Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
+        return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
     Client client() throws IOException {
         Client client = new Client(address);
         toClose.add(client);
@@ -133,19 +151,7 @@
 
         /** Reads one answer; null at the end of the connection. */
         String read() throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            String text = "";
-            while (!text.contains("\r\n\r\n")) {
-                int next = socket.getInputStream().read();
-                if (next < 0) {
-                    return null;
-                }
-                bytes.write(next);
-                text = bytes.toString(StandardCharsets.ISO_8859_1);
-            }
-            int at = text.toLowerCase(Locale.ROOT).indexOf("content-length:");
-            int length = Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
-            return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+            return readAnswer(socket.getInputStream());
         }
 
         /** Breaks the connection so that the sidecar sees a reset. */
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -8,7 +8,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -134,19 +133,7 @@
 
         /** Reads one answer; null at the end of the connection. */
         String read() throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            String text = "";
-            while (!text.contains("\r\n\r\n")) {
-                int next = socket.getInputStream().read();
-                if (next < 0) {
-                    return null;
-                }
-                bytes.write(next);
-                text = bytes.toString(StandardCharsets.ISO_8859_1);
-            }
-            int at = text.toLowerCase(java.util.Locale.ROOT).indexOf("content-length:");
-            int length = Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
-            return text + new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+            return SidecarRig.readAnswer(socket.getInputStream());
         }
 
         /** As {@link #read}, where the end may be a reset, for what was written has not been read. */
