A look that is late while a hold-up is followed asks for one more whole pass

Seen when reading again: HeldUpLoopTest.whoAskedAndLeft... failed once beside other tests, and in each of some runs beside eight busy loops on two cores: 7 of 42 requests were sent on for clients that had left. Traced by a line for each accept, request, look and pass: where a pass alone takes over 200 ms each look is late, each began to follow the passes anew, and the pass of the one before ended the hold right behind the look of the next (Sidecar.settle, HeldUp.passed).

Change: passes are followed once; a late look meanwhile lets the next pass not count. HeldUpTest.itHoldsForAWholePass... fails without it.

--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -41,16 +41,23 @@
         return periodMs;
     }
 
-    /** The look that is due; whether it shows that the loop was held up: then {@link #passed} is due behind each pass. */
+    /**
+     * The look that is due; whether from now on {@link #passed} is due behind each pass, for it shows that the loop was held up.
+     * Where that is so already, the pass that is about to end began before this and tells nothing.
+     */
     public boolean look(double nowMs) {
         boolean shows = isLate(nowMs);
-        if (shows) {
+        boolean begins = shows && !settling;
+        if (begins) {
             sinceMs = lookedMs;
+        }
+        if (shows) {
+            accepted |= settling;
             settling = true;
             latestMs = nowMs + LONGEST_MS;
         }
         lookedMs = nowMs;
-        return shows;
+        return begins;
     }
 
     /** A connection has been accepted; it may have stood in the backlog, with all that its client had to say. */
--- a/src/test/java/ivybank/common/HeldUpTest.java
+++ b/src/test/java/ivybank/common/HeldUpTest.java
@@ -60,6 +60,19 @@
         assertEquals(FOUND_MS + 140, heldUp.earliestMs(FOUND_MS + 140));
     }
 
+    /** A machine so slow that a pass alone is late: the pass that ends behind such a look has not looked at what came meanwhile. */
+    @Test
+    void itHoldsForAWholePassBehindTheLastLookThatShowsIt() {
+        HeldUp heldUp = looking(500, 1000);
+        assertTrue(heldUp.look(FOUND_MS));
+        assertFalse(heldUp.look(FOUND_MS + 300), "it is followed pass by pass already");
+        assertTrue(heldUp.passed(FOUND_MS + 301));
+        assertTrue(heldUp.ofLate(FOUND_MS + 302));
+        assertEquals(1000, heldUp.earliestMs(FOUND_MS + 302));
+        assertFalse(heldUp.passed(FOUND_MS + 350));
+        assertFalse(heldUp.ofLate(FOUND_MS + 350));
+    }
+
     /** Connections that are accepted one after another stood in the backlog, however long each pass takes, but not without end. */
     @Test
     void itHoldsWhileTheBacklogIsAccepted() {
