--- a/src/main/java/ivybank/Main.java
+++ b/src/main/java/ivybank/Main.java
@@ -1,11 +1,10 @@
 package ivybank;
 
-import java.io.IOException;
-
 import ivybank.cli.Ivybank;
 import ivybank.daemon.Sidecar;
 import ivybank.simhost.SimHost;
 import ivybank.toml.InputException;
+import java.io.IOException;
 
 /**
  * The two hosts of the decision module: {@code serve} is a real sidecar on sockets, {@code simhost} plays the
@@ -13,8 +12,7 @@
  */
 public final class Main {
 
-    private Main() {
-    }
+    private Main() {}
 
     /** The two hosts take a short cut past the command line: a restart has half a core. */
     public static void main(String[] args) {
--- a/src/main/java/ivybank/cli/CheckCommand.java
+++ b/src/main/java/ivybank/cli/CheckCommand.java
@@ -1,9 +1,8 @@
 package ivybank.cli;
 
-import java.nio.file.Path;
-
 import ivybank.operator.OperatorFile;
 import ivybank.toml.InputException;
+import java.nio.file.Path;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -20,11 +19,14 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "what to check is missing: operator FILE");
     }
 
-    @Command(name = "operator", mixinStandardHelpOptions = true, description = "An operator file, as serve --operator takes it.")
+    @Command(
+            name = "operator",
+            mixinStandardHelpOptions = true,
+            description = "An operator file, as serve --operator takes it.")
     int operator(@Parameters(paramLabel = "FILE") Path file) throws InputException {
         OperatorFile read = OperatorFile.read(file);
-        System.out.println(file + ": good; discovery " + read.discovery() + (read.store() == null ? "; nothing is kept on disk"
-                : "; " + read.store()));
+        System.out.println(file + ": good; discovery " + read.discovery()
+                + (read.store() == null ? "; nothing is kept on disk" : "; " + read.store()));
         return 0;
     }
 }
--- a/src/main/java/ivybank/cli/FleetCommand.java
+++ b/src/main/java/ivybank/cli/FleetCommand.java
@@ -1,5 +1,11 @@
 package ivybank.cli;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import ivybank.common.FleetDoor;
+import ivybank.common.Json;
+import ivybank.tally.FleetSum;
+import ivybank.tally.LogFolder;
+import ivybank.toml.InputException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,20 +14,16 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-
-import com.fasterxml.jackson.databind.JsonNode;
-import ivybank.common.FleetDoor;
-import ivybank.common.Json;
-import ivybank.tally.FleetSum;
-import ivybank.tally.LogFolder;
-import ivybank.toml.InputException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank fleet}: what all sidecars together did, from their logs. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, description = "What all sidecars together did, from their logs, and what they see of one another.")
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        description = "What all sidecars together did, from their logs, and what they see of one another.")
 final class FleetCommand implements Runnable {
 
     private static final int WORST_NODES = 10;
@@ -35,13 +37,27 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "what to do is missing: sum LOGS or view URL...");
     }
 
-    @Command(name = "sum", mixinStandardHelpOptions = true,
-            description = "Adds up the counts by second and node in a folder of logs, one file NAME.log for each sidecar.")
-    int sum(@Parameters(paramLabel = "LOGS") Path folder,
-            @Option(names = "--against", paramLabel = "LOGS", description = "another folder: which figures grew out of proportion") Path other,
-            @Option(names = "--fault", paramLabel = "UNIX_S", split = ",", description = "instants of faults: how long each time until as much was"
-                    + " served of what was taken as in the 5 s before") List<Double> faults,
-            @Option(names = "--json", description = "as JSON") boolean json) throws IOException, InputException {
+    @Command(
+            name = "sum",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Adds up the counts by second and node in a folder of logs, one file NAME.log for each sidecar.")
+    int sum(
+            @Parameters(paramLabel = "LOGS") Path folder,
+            @Option(
+                            names = "--against",
+                            paramLabel = "LOGS",
+                            description = "another folder: which figures grew out of proportion")
+                    Path other,
+            @Option(
+                            names = "--fault",
+                            paramLabel = "UNIX_S",
+                            split = ",",
+                            description = "instants of faults: how long each time until as much was"
+                                    + " served of what was taken as in the 5 s before")
+                    List<Double> faults,
+            @Option(names = "--json", description = "as JSON") boolean json)
+            throws IOException, InputException {
         FleetSum sum = read(folder);
         FleetSum before = other == null ? null : read(other);
         if (json) {
@@ -52,7 +68,8 @@
             all.put("left out", sum.leftOut());
             if (faults != null) {
                 Map<String, String> full = new LinkedHashMap<>();
-                faults.forEach(fault -> full.put(String.format(Locale.ROOT, "%.0f", fault), String.valueOf(sum.toFullService(fault))));
+                faults.forEach(fault ->
+                        full.put(String.format(Locale.ROOT, "%.0f", fault), String.valueOf(sum.toFullService(fault))));
                 all.put("seconds to full service", full);
             }
             if (before != null) {
@@ -63,9 +80,12 @@
         }
         sum.table().forEach(System.out::println);
         System.out.println();
-        sum.figures().forEach(figure -> System.out.println(String.format(Locale.ROOT, "%12.3f  %s", figure.value(), figure.name())));
+        sum.figures()
+                .forEach(figure ->
+                        System.out.println(String.format(Locale.ROOT, "%12.3f  %s", figure.value(), figure.name())));
         if (faults != null) {
-            faults.forEach(fault -> System.out.println(String.format(Locale.ROOT, "%12.1f  s to full service after %.0f", sum.toFullService(fault), fault)));
+            faults.forEach(fault -> System.out.println(String.format(
+                    Locale.ROOT, "%12.1f  s to full service after %.0f", sum.toFullService(fault), fault)));
         }
         System.out.println("\nnodes with the most attempts timed out:");
         sum.mostTimedOut(WORST_NODES).forEach(System.out::println);
@@ -79,9 +99,17 @@
         return 0;
     }
 
-    @Command(name = "view", mixinStandardHelpOptions = true,
-            description = "Asks several sidecars' doors what they see of one another, and shows where they differ (marked *). Exit code 1 where they do.")
-    int view(@Parameters(paramLabel = "URL", arity = "1..*", description = "a sidecar's door, such as http://127.0.0.1:7071") List<String> doors)
+    @Command(
+            name = "view",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Asks several sidecars' doors what they see of one another, and shows where they differ (marked *). Exit code 1 where they do.")
+    int view(
+            @Parameters(
+                            paramLabel = "URL",
+                            arity = "1..*",
+                            description = "a sidecar's door, such as http://127.0.0.1:7071")
+                    List<String> doors)
             throws InputException {
         List<ViewTable.Asked> asked = new ArrayList<>();
         for (String door : doors) {
@@ -106,7 +134,8 @@
         }
         FleetSum sum = LogFolder.sum(folder);
         if (sum.sidecars() == 0) {
-            throw new InputException(folder + ": no log in it has a line of counts ('tally at=...'); sidecars write one for each second");
+            throw new InputException(folder
+                    + ": no log in it has a line of counts ('tally at=...'); sidecars write one for each second");
         }
         return sum;
     }
--- a/src/main/java/ivybank/cli/Ivybank.java
+++ b/src/main/java/ivybank/cli/Ivybank.java
@@ -1,19 +1,29 @@
 package ivybank.cli;
 
-import java.io.PrintWriter;
-
 import ivybank.toml.InputException;
+import java.io.PrintWriter;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.HelpCommand;
 
 /** The command line beside the two hosts, which {@code Main} starts without it. */
-@Command(name = "ivybank", mixinStandardHelpOptions = true, versionProvider = Ivybank.Version.class,
+@Command(
+        name = "ivybank",
+        mixinStandardHelpOptions = true,
+        versionProvider = Ivybank.Version.class,
         description = "A sidecar load balancer, and a kit to rehearse its bad nights.",
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:good", "1:the check or the rehearsal failed", "2:wrong use, or an input that can't be used"},
-        subcommands = {RehearseCommand.class, CheckCommand.class, StoreCommand.class,
-        PromisesCommand.class, FleetCommand.class, Ivybank.Serve.class, Ivybank.SimHost.class, HelpCommand.class})
+        subcommands = {
+            RehearseCommand.class,
+            CheckCommand.class,
+            StoreCommand.class,
+            PromisesCommand.class,
+            FleetCommand.class,
+            Ivybank.Serve.class,
+            Ivybank.SimHost.class,
+            HelpCommand.class
+        })
 public final class Ivybank implements Runnable {
 
     static final int FAILED = 1;
@@ -39,8 +49,10 @@
     }
 
     /** Here for the help alone. */
-    @Command(name = "serve", description = "One sidecar, as EDGE_CONFIG says. With --operator FILE, or EDGE_OPERATOR,"
-            + " it takes an operator file too.")
+    @Command(
+            name = "serve",
+            description = "One sidecar, as EDGE_CONFIG says. With --operator FILE, or EDGE_OPERATOR,"
+                    + " it takes an operator file too.")
     static final class Serve implements Runnable {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -1,13 +1,5 @@
 package ivybank.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.Comparator;
-import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.stream.IntStream;
-
 import ivybank.rehearsal.Report;
 import ivybank.rehearsal.Scenarios;
 import ivybank.rehearsal.Shrink;
@@ -21,14 +13,28 @@
 import ivybank.rehearsal.stand.Overhead;
 import ivybank.toml.InputException;
 import ivybank.toml.StrictTable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank rehearse}: plays bad nights on stand-ins round real sidecars. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = {RehearseCommand.Run.class, RehearseCommand.Cost.class,
-        RehearseCommand.Highest.class, RehearseCommand.Smaller.class},
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            RehearseCommand.Run.class,
+            RehearseCommand.Cost.class,
+            RehearseCommand.Highest.class,
+            RehearseCommand.Smaller.class
+        },
         description = "Plays a bad night on this machine: stand-in nodes, roster and clients round real sidecars.")
 final class RehearseCommand implements Runnable {
 
@@ -37,7 +43,8 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "one of list, run, check, print and shrink is missing");
+        throw new CommandLine.ParameterException(
+                spec.commandLine(), "one of list, run, check, print and shrink is missing");
     }
 
     @Command(name = "list", mixinStandardHelpOptions = true, description = "The scenarios that ship with this program.")
@@ -49,30 +56,49 @@
         return 0;
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true, description = "Reads a scenario and says whether it can be used.")
-    int check(@Parameters(paramLabel = "FILE", description = "a scenario's file, or the name of one that ships") String name)
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = "Reads a scenario and says whether it can be used.")
+    int check(
+            @Parameters(paramLabel = "FILE", description = "a scenario's file, or the name of one that ships")
+                    String name)
             throws InputException {
         Scenario scenario = Scenarios.find(name);
         Plan plan = Plan.draw(scenario, scenario.seed());
-        System.out.printf("%s: good; %d nodes, %d sidecars, %d first tries in %.0f s, %d faults%n", scenario.name(),
-                plan.nodes().size(), scenario.traffic().sidecars(), plan.arrivals().size(), scenario.lengthS(),
+        System.out.printf(
+                "%s: good; %d nodes, %d sidecars, %d first tries in %.0f s, %d faults%n",
+                scenario.name(),
+                plan.nodes().size(),
+                scenario.traffic().sidecars(),
+                plan.arrivals().size(),
+                scenario.lengthS(),
                 scenario.faults().size());
         return 0;
     }
 
-    @Command(name = "print", mixinStandardHelpOptions = true,
+    @Command(
+            name = "print",
+            mixinStandardHelpOptions = true,
             description = "Writes a scenario with what its storms are made of, as a file that can be played again.")
-    int print(@Parameters(paramLabel = "NAME|FILE") String name,
-            @Option(names = "--seed", paramLabel = "N", description = "the draw; the scenario's own otherwise") Long seed) throws InputException {
+    int print(
+            @Parameters(paramLabel = "NAME|FILE") String name,
+            @Option(names = "--seed", paramLabel = "N", description = "the draw; the scenario's own otherwise")
+                    Long seed)
+            throws InputException {
         Scenario scenario = Scenarios.find(name);
         long drawn = seed == null ? scenario.seed() : seed;
-        System.out.print(ScenarioWriter.write(name, Scenarios.text(name), Storm.printable(scenario, drawn).faults()));
+        System.out.print(ScenarioWriter.write(
+                name, Scenarios.text(name), Storm.printable(scenario, drawn).faults()));
         return 0;
     }
 
     /** {@code rehearse shrink}. */
-    @Command(name = "shrink", mixinStandardHelpOptions = true,
-            description = "Plays a scenario that fails again and again, without part of its faults, until only those are left that it needs.")
+    @Command(
+            name = "shrink",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Plays a scenario that fails again and again, without part of its faults, until only those are left that it needs.")
     static final class Smaller implements Callable<Integer> {
 
         @Parameters(paramLabel = "NAME|FILE")
@@ -81,7 +107,11 @@
         @Option(names = "--seed", paramLabel = "N", description = "the draw; the scenario's own otherwise")
         private Long seed;
 
-        @Option(names = "--most", paramLabel = "N", defaultValue = "40", description = "plays at most (default ${DEFAULT-VALUE})")
+        @Option(
+                names = "--most",
+                paramLabel = "N",
+                defaultValue = "40",
+                description = "plays at most (default ${DEFAULT-VALUE})")
         private int most;
 
         @Option(names = "--out", paramLabel = "FILE", required = true, description = "where the smaller scenario goes")
@@ -101,7 +131,8 @@
                 return Ivybank.FAILED;
             }
             System.out.println("looking for: " + wanted);
-            List<Integer> all = IntStream.range(0, scenario.faults().size()).boxed().toList();
+            List<Integer> all =
+                    IntStream.range(0, scenario.faults().size()).boxed().toList();
             Shrink.Check<Integer, IOException> check = part -> {
                 String seen = tried(Storm.without(scenario, index -> !part.contains(index)), drawn);
                 System.out.println(part.size() + " faults: " + (seen.isEmpty() ? "passes" : seen));
@@ -128,10 +159,16 @@
         /** What the first reason of a play's verdict is about, without its figures; empty if it passes or can't be judged. */
         private String reason(Scenario scenario, long drawn) throws InputException, IOException, InterruptedException {
             Path folder = Files.createTempDirectory("ivybank-shrink");
-            try (Day day = new Day(Plan.draw(scenario, drawn), sidecar(command), Path.of("").toAbsolutePath(), folder, line -> { })) {
+            try (Day day = new Day(
+                    Plan.draw(scenario, drawn), sidecar(command), Path.of("").toAbsolutePath(), folder, line -> {})) {
                 Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
                 Verdict verdict = Verdict.of(day.play());
-                return verdict.kind() != Verdict.Kind.FAILED ? "" : verdict.reasons().get(0).replaceAll("[0-9.\\[\\], ]+", " ").strip();
+                return verdict.kind() != Verdict.Kind.FAILED
+                        ? ""
+                        : verdict.reasons()
+                                .get(0)
+                                .replaceAll("[0-9.\\[\\], ]+", " ")
+                                .strip();
             } finally {
                 remove(folder);
             }
@@ -139,18 +176,28 @@
     }
 
     /** {@code rehearse overhead}. */
-    @Command(name = "overhead", mixinStandardHelpOptions = true,
+    @Command(
+            name = "overhead",
+            mixinStandardHelpOptions = true,
             description = "Measures what a sidecar costs: direct against through it, in the same run.")
     static final class Cost implements Callable<Integer> {
 
         private static final double HELD = 0.99; // of the requests served in time: the rate is held
 
-        @Option(names = "--rate", paramLabel = "N", defaultValue = "200,1000", split = ",",
+        @Option(
+                names = "--rate",
+                paramLabel = "N",
+                defaultValue = "200,1000",
+                split = ",",
                 description = "requests a second, half of them each way (default ${DEFAULT-VALUE})")
         private List<Double> rates;
 
-        @Option(names = "--most", paramLabel = "N", defaultValue = "0",
-                description = "goes on from the last rate by steps of a quarter, up to this one or the last that is held")
+        @Option(
+                names = "--most",
+                paramLabel = "N",
+                defaultValue = "0",
+                description =
+                        "goes on from the last rate by steps of a quarter, up to this one or the last that is held")
         private double most;
 
         @Option(names = "--seconds", paramLabel = "N", defaultValue = "8", description = "for each rate")
@@ -163,14 +210,16 @@
         public Integer call() throws InputException, IOException, InterruptedException {
             Path folder = Files.createTempDirectory("ivybank-overhead");
             Scenario scenario = Scenarios.find("calm");
-            System.out.println("rate/s  direct p50, p99 ms   through p50, p99 ms  sidecar CPU ms/request  in time   kit late ms");
-            try (Overhead overhead = new Overhead(scenario, sidecar(command), Path.of("").toAbsolutePath(), folder, 231)) {
+            System.out.println(
+                    "rate/s  direct p50, p99 ms   through p50, p99 ms  sidecar CPU ms/request  in time   kit late ms");
+            try (Overhead overhead =
+                    new Overhead(scenario, sidecar(command), Path.of("").toAbsolutePath(), folder, 231)) {
                 overhead.play(rates.get(0), 4); // warm
                 for (double rate : rates) {
                     print(overhead.play(rate, seconds));
                 }
                 double rate = rates.get(rates.size() - 1);
-                for (boolean held = true; held && rate * 1.25 <= most;) {
+                for (boolean held = true; held && rate * 1.25 <= most; ) {
                     rate *= 1.25;
                     held = print(overhead.play(rate, seconds)) >= HELD;
                 }
@@ -180,19 +229,32 @@
         }
 
         private static double print(Overhead.Row row) {
-            System.out.printf("%6.0f  %9.3f %9.3f  %9.3f %9.3f  %22.3f  %6.2f%%  %12.0f%n", row.rate(), row.directMs()[0],
-                    row.directMs()[1], row.throughMs()[0], row.throughMs()[1], row.cpuMs(), 100 * row.servedPart(),
+            System.out.printf(
+                    "%6.0f  %9.3f %9.3f  %9.3f %9.3f  %22.3f  %6.2f%%  %12.0f%n",
+                    row.rate(),
+                    row.directMs()[0],
+                    row.directMs()[1],
+                    row.throughMs()[0],
+                    row.throughMs()[1],
+                    row.cpuMs(),
+                    100 * row.servedPart(),
                     row.latenessMs());
             return row.servedPart();
         }
     }
 
     /** {@code rehearse ceiling}. */
-    @Command(name = "ceiling", mixinStandardHelpOptions = true,
+    @Command(
+            name = "ceiling",
+            mixinStandardHelpOptions = true,
             description = "The highest rate of one sidecar: clients that ask again as soon as they are answered.")
     static final class Highest implements Callable<Integer> {
 
-        @Option(names = "--clients", paramLabel = "N", defaultValue = "1,4,16,64", split = ",",
+        @Option(
+                names = "--clients",
+                paramLabel = "N",
+                defaultValue = "1,4,16,64",
+                split = ",",
                 description = "how many ask at once (default ${DEFAULT-VALUE})")
         private List<Integer> clients;
 
@@ -206,14 +268,20 @@
         public Integer call() throws InputException, IOException, InterruptedException {
             Path folder = Files.createTempDirectory("ivybank-ceiling");
             System.out.println("clients  direct/s  through/s  not served/s  sidecar's cores  its CPU ms/request");
-            try (Ceiling ceiling = new Ceiling(Scenarios.find("calm"), sidecar(command), Path.of("").toAbsolutePath(), folder, 232)) {
+            try (Ceiling ceiling = new Ceiling(
+                    Scenarios.find("calm"), sidecar(command), Path.of("").toAbsolutePath(), folder, 232)) {
                 ceiling.play(16, 4, true); // warm
                 ceiling.play(16, 2, false);
                 for (int count : clients) {
                     Ceiling.Row direct = ceiling.play(count, seconds, false);
                     Ceiling.Row through = ceiling.play(count, seconds, true);
-                    System.out.printf("%7d  %8.0f  %9.0f  %12.0f  %15.2f  %18.3f%n", count, direct.servedRate(),
-                            through.servedRate(), through.otherRate(), through.cores(),
+                    System.out.printf(
+                            "%7d  %8.0f  %9.0f  %12.0f  %15.2f  %18.3f%n",
+                            count,
+                            direct.servedRate(),
+                            through.servedRate(),
+                            through.otherRate(),
+                            through.cores(),
                             1000 * through.cores() / Math.max(1, through.servedRate() + through.otherRate()));
                 }
             }
@@ -229,7 +297,8 @@
             return given;
         }
         if (Files.exists(deployed)) {
-            return StrictTable.parse(deployed.toString(), Files.readString(deployed)).text("run", null);
+            return StrictTable.parse(deployed.toString(), Files.readString(deployed))
+                    .text("run", null);
         }
         return "exec env --default-signal=HUP '" + Path.of(System.getProperty("java.home"), "bin", "java")
                 + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
@@ -256,7 +325,9 @@
         @Option(names = "--seed", paramLabel = "N", description = "the draw to play; the scenario's own otherwise")
         private Long seed;
 
-        @Option(names = "--sidecar", paramLabel = "COMMAND",
+        @Option(
+                names = "--sidecar",
+                paramLabel = "COMMAND",
                 description = "starts one sidecar; otherwise run of deploy/balancer.toml here, or this jar's own serve")
         private String command;
 
@@ -266,7 +337,9 @@
         @Option(names = "--html", paramLabel = "FILE", description = "writes the report as one page with plots too")
         private Path html;
 
-        @Option(names = "--state", paramLabel = "DIR",
+        @Option(
+                names = "--state",
+                paramLabel = "DIR",
                 description = "keeps the sidecars' configurations and logs here; otherwise they go when a run is good")
         private Path state;
 
--- a/src/main/java/ivybank/cli/StoreCommand.java
+++ b/src/main/java/ivybank/cli/StoreCommand.java
@@ -1,10 +1,5 @@
 package ivybank.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.UUID;
-
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.store.Disk;
@@ -15,13 +10,20 @@
 import ivybank.store.StoreException;
 import ivybank.store.StoreIdentity;
 import ivybank.toml.InputException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.UUID;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** {@code ivybank store}: looks at the folder of a store, which no daemon may hold meanwhile. */
-@Command(name = "store", mixinStandardHelpOptions = true, description = "Looks at the folder of a store while no daemon holds it.")
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
+        description = "Looks at the folder of a store while no daemon holds it.")
 final class StoreCommand implements Runnable {
 
     /** Larger than an operator file need allow: what is there must be readable. */
@@ -32,7 +34,8 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "one of init, inspect, verify and compact is missing");
+        throw new CommandLine.ParameterException(
+                spec.commandLine(), "one of init, inspect, verify and compact is missing");
     }
 
     static Disk take(Path folder) throws IOException, InputException {
@@ -42,12 +45,21 @@
         return RealDisk.take(folder);
     }
 
-    @Command(name = "init", mixinStandardHelpOptions = true,
+    @Command(
+            name = "init",
+            mixinStandardHelpOptions = true,
             description = "Makes the first store of a sidecar, in a folder that has none. Exit code 1 if it has one.")
-    int init(@Parameters(paramLabel = "DIR") Path folder,
-            @Option(names = "--name", paramLabel = "NAME", required = true, description = "the sidecar's name") String name) throws IOException {
+    int init(
+            @Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--name", paramLabel = "NAME", required = true, description = "the sidecar's name")
+                    String name)
+            throws IOException {
         try {
-            StoreIdentity made = Maintenance.make(RealDisk.take(folder), STANDARD, name, () -> UUID.randomUUID().toString());
+            StoreIdentity made = Maintenance.make(
+                    RealDisk.take(folder),
+                    STANDARD,
+                    name,
+                    () -> UUID.randomUUID().toString());
             System.out.println(folder + ": the store of " + name + ", id " + made.id());
             return 0;
         } catch (StoreException e) {
@@ -72,7 +84,9 @@
         return 0;
     }
 
-    @Command(name = "verify", mixinStandardHelpOptions = true,
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
             description = "Reads every record; 1 if any that was confirmed can't be read. Changes nothing.")
     int verify(@Parameters(paramLabel = "DIR") Path folder) throws IOException, InputException {
         RecoveryReport report = read(folder);
@@ -85,8 +99,9 @@
     private static String whose(Path folder) throws IOException, InputException {
         try (Disk disk = take(folder)) {
             StoreIdentity identity = StoreIdentity.of(disk);
-            return identity == null ? "it has no name, as those of earlier versions" : "of " + identity.owner() + ", id " + identity.id()
-                    + ", taken up " + identity.life() + " times";
+            return identity == null
+                    ? "it has no name, as those of earlier versions"
+                    : "of " + identity.owner() + ", id " + identity.id() + ", taken up " + identity.life() + " times";
         } catch (StoreException e) {
             return e.getMessage();
         }
@@ -102,10 +117,13 @@
     }
 
     @Command(name = "compact", mixinStandardHelpOptions = true, description = "Drops what is dead.")
-    int compact(@Parameters(paramLabel = "DIR") Path folder,
-            @Option(names = "--operator", paramLabel = "FILE", description = "the operator file, for its sizes") Path operator)
+    int compact(
+            @Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--operator", paramLabel = "FILE", description = "the operator file, for its sizes")
+                    Path operator)
             throws IOException, InputException {
-        StoreSettings settings = operator == null ? null : OperatorFile.read(operator).store();
+        StoreSettings settings =
+                operator == null ? null : OperatorFile.read(operator).store();
         try {
             long[] bytes = Maintenance.compact(take(folder), settings == null ? STANDARD : settings.limits());
             System.out.println(folder + ": " + bytes[0] + " bytes before, " + bytes[1] + " now");
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -1,20 +1,7 @@
 package ivybank.client;
 
-import java.math.BigDecimal;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.TimeUnit;
-
-import ivybank.common.Clock;
-import ivybank.common.OneMorePass;
-import ivybank.exchange.RequestHandler;
-import ivybank.exchange.Answer;
-import ivybank.exchange.BodyPipe;
-import ivybank.exchange.ClientRequest;
-import ivybank.policy.Balancer.Effect;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -34,6 +21,17 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import ivybank.common.Clock;
+import ivybank.common.OneMorePass;
+import ivybank.exchange.Answer;
+import ivybank.exchange.BodyPipe;
+import ivybank.exchange.ClientRequest;
+import ivybank.exchange.RequestHandler;
+import ivybank.policy.Balancer.Effect;
+import java.math.BigDecimal;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 /** One connection from the client: its requests are answered one after another, in the order in which they came. */
 final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read> implements BodyPipe.Source {
@@ -42,11 +40,13 @@
     private static final int MOST_WAITING = 64;
     /** How many are refused in their turn; what comes beyond is not looked at any more. */
     private static final int MOST_SURPLUS = 1024;
+
     private static final int REQUEST_BYTES = 1024;
     /** How much of a body is read on where nobody takes it, so that the client's end behind it is seen. */
     private static final long MOST_HELD = 512 * 1024;
     /** Where a client sends more than is of use: after so many reads, for so long nothing is read. */
     private static final int READS_AT_ONCE = 64;
+
     private static final long PAUSE_MS = 10;
     private static final String READY_PATH = "/health/ready";
     private static final String CALL_ID = "X-Call-Id";
@@ -66,14 +66,17 @@
     private static final double LONGEST_MUTE_MS = 2500;
     /** For a head, which a client may take 2 s for; and for a body this many bytes in a ms at least: half of what is slow. */
     private static final double LONGEST_PARTIAL_MS = 2500;
+
     private static final double LEAST_BYTES_IN_MS = 32;
     /** A client that takes nothing more of a long answer is given up. */
     private static final double LONGEST_STALL_MS = 15_000;
+
     private static final double LONGEST_IDLE_MS = 10_000;
     /** Where there are many connections, what is of no use for so long goes. */
     private static final double MUTE_IS_SPARE_MS = 600;
     /** Since the last bytes of half a request: one that is written slowly goes on, one that is never finished stands. */
     private static final double PARTIAL_IS_SPARE_MS = 600;
+
     private static final double IDLE_IS_SPARE_MS = 250;
     /** Where the client is seen not to use its connections again. */
     private static final double ASKED_ONCE_IS_SPARE_MS = 50;
@@ -87,6 +90,7 @@
     private long waitingBytes;
     /** Behind those: how many are to be refused, and the status that what can't be read behind them is owed, or 0. */
     private int surplus;
+
     private int statusBehind;
     private boolean answering;
     /** Whether the last answer has been written that this connection will bring. */
@@ -95,10 +99,12 @@
     private boolean pausing;
     /** The body that is coming, or null, and what of it nobody has taken yet. */
     private BodyPipe arriving;
+
     private long heldBytes;
     private ChannelHandlerContext context;
     /** The request at hand, or null between requests. */
     private Arrival current;
+
     private int currentId;
     /** Since when no request has been at hand, by the module's clock. */
     private double freeSinceMs;
@@ -110,16 +116,19 @@
     private long reads;
     /** Whether half a request has come, and on a connection that has brought others since when. */
     private boolean partial;
+
     private double partialSinceMs;
     private double lastReadMs;
     /** Requests that have come whole, or begun to be served. */
     private int requests;
     /** Whether the rest of a long request is wanted now; since when it is not, and for how long it was not before. */
     private boolean wanted = true;
+
     private double unwantedSinceMs;
     private double unwantedMs;
     /** The rest of the answer that is being written, or null; and since when the client takes none of it, or NaN. */
     private BodyPipe writing;
+
     private double stalledSinceMs = Double.NaN;
     /** Whether it is closed once the request has come that was answered before its end. */
     private boolean closing;
@@ -284,10 +293,14 @@
     private void pauseReading() {
         pausing = true;
         adjustReading();
-        context.executor().schedule(() -> {
-            pausing = false;
-            adjustReading();
-        }, PAUSE_MS, TimeUnit.MILLISECONDS);
+        context.executor()
+                .schedule(
+                        () -> {
+                            pausing = false;
+                            adjustReading();
+                        },
+                        PAUSE_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -326,7 +339,10 @@
             return;
         }
         answering = true;
-        while (current == null && !done && context.channel().isActive() && context.channel().isWritable()) {
+        while (current == null
+                && !done
+                && context.channel().isActive()
+                && context.channel().isWritable()) {
             Arrival arrival = poll();
             if (arrival == null) {
                 break;
@@ -391,7 +407,10 @@
         String id = fields.token(CALL_ID);
         int budgetMs = fields.milliseconds(BUDGET);
         boolean strayBody = method.equals(HttpMethod.GET) && message.body().length > 0;
-        if (id == null || budgetMs <= 0 || !fields.isTokenOrAbsent(IDEMPOTENCY_KEY) || !RequestFields.isPlain(uri)
+        if (id == null
+                || budgetMs <= 0
+                || !fields.isTokenOrAbsent(IDEMPOTENCY_KEY)
+                || !RequestFields.isPlain(uri)
                 || strayBody) {
             return new Arrival(null, BAD_REQUEST, keepAlive);
         }
@@ -403,9 +422,24 @@
             return new Arrival(null, TOO_LARGE, false); // what is on record is kept whole
         }
         long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
-        return new Arrival(new ClientRequest(method, uri, id, fields.token(IDEMPOTENCY_KEY), message.body(),
-                requestClass, server.tenantOf(head.headers().get(CALLER)), "1".equals(head.headers().get(AGAIN)),
-                clock.nowMs(), budgetMs, identity, null, message.rest(), length), 0, keepAlive,
+        return new Arrival(
+                new ClientRequest(
+                        method,
+                        uri,
+                        id,
+                        fields.token(IDEMPOTENCY_KEY),
+                        message.body(),
+                        requestClass,
+                        server.tenantOf(head.headers().get(CALLER)),
+                        "1".equals(head.headers().get(AGAIN)),
+                        clock.nowMs(),
+                        budgetMs,
+                        identity,
+                        null,
+                        message.rest(),
+                        length),
+                0,
+                keepAlive,
                 head.protocolVersion().equals(HttpVersion.HTTP_1_0));
     }
 
@@ -425,14 +459,19 @@
             return;
         }
         free();
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(answer.status()), Unpooled.wrappedBuffer(answer.body()));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(answer.status()),
+                Unpooled.wrappedBuffer(answer.body()));
         HttpHeaders headers = response.headers();
         headers.setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         setType(headers, answer);
         if (answer.retryAfterMs() > 0) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf((long) Math.ceil(answer.retryAfterMs()), 3)
-                    .stripTrailingZeros().toPlainString());
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    BigDecimal.valueOf((long) Math.ceil(answer.retryAfterMs()), 3)
+                            .stripTrailingZeros()
+                            .toPlainString());
         }
         boolean keepAlive = keepsAlive(arrival) && !early;
         HttpUtil.setKeepAlive(response, keepAlive);
@@ -471,7 +510,8 @@
 
     /** Writes a long answer as it comes. One that breaks off ends the connection with a reset, so that the client can tell. */
     private void pass(Arrival arrival, Answer answer, boolean early) {
-        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
+        HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()));
         HttpHeaders headers = response.headers();
         setType(headers, answer);
         if (answer.length() >= 0) {
@@ -515,7 +555,8 @@
 
     /** Whether it may be closed where there are many. */
     boolean isSpare(double nowMs) {
-        boolean stands = partial ? nowMs - lastReadMs >= PARTIAL_IS_SPARE_MS
+        boolean stands = partial
+                ? nowMs - lastReadMs >= PARTIAL_IS_SPARE_MS
                 : nowMs - freeSinceMs >= (isMute() ? MUTE_IS_SPARE_MS : IDLE_IS_SPARE_MS);
         return stands && isFree();
     }
@@ -542,7 +583,9 @@
     /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
     boolean isUseless(double nowMs, boolean keepIdle) {
         double sinceMs = partial ? partialSinceMs : freeSinceMs;
-        double mostMs = partial ? longestPartialMs() : isMute() ? LONGEST_MUTE_MS : keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS;
+        double mostMs = partial
+                ? longestPartialMs()
+                : isMute() ? LONGEST_MUTE_MS : keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS;
         return isFree() && nowMs - sinceMs >= mostMs;
     }
 
@@ -597,7 +640,7 @@
     /** Closes the connection if no request is at hand, {@code evenPartial}: though half a one may have come. */
     void closeIfIdle(boolean evenPartial) {
         if (current == null && nothingWaits() && (evenPartial || !partial)) {
-            retire(() -> { });
+            retire(() -> {});
         }
     }
 
@@ -619,7 +662,8 @@
         waitingBytes = 0;
         heldBytes = 0;
         arriving = null;
-        waiting.stream().filter(arrival -> arrival.request != null && arrival.request.rest() != null)
+        waiting.stream()
+                .filter(arrival -> arrival.request != null && arrival.request.rest() != null)
                 .forEach(arrival -> arrival.request.rest().leave());
     }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -1,15 +1,13 @@
 package ivybank.client;
 
-import java.net.SocketAddress;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
-
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
@@ -19,14 +17,15 @@
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.SocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** Listens for the client and keeps its connections. */
 public final class ClientServer {
@@ -35,19 +34,20 @@
      * Up to how many client connections none is closed early, up to how many requests are served, and how many are
      * accepted to be told otherwise; and how many the client has for requests in hand, all processes of the sidecar together.
      */
-    public record Limits(int comfortable, int served, int accepted, int forRequests) {
-    }
+    public record Limits(int comfortable, int served, int accepted, int forRequests) {}
 
     private static final long SWEEP_MS = 100;
     /** Of what all clients have sent and nobody has taken up yet. */
     private static final long MOST_HELD = 4L << 20;
     /** What one connection that is used again, or is closed unused after its first request, says of them all. */
     private static final double REUSE_STEP = 0.05;
+
     private static final double MOST_REUSE = 0.5;
     private static final int LEFT_OPEN = 8;
     private static final int MOST_AT_ONCE = 16;
     /** Before the listener closes: so long, up to so often, while somebody comes. */
     private static final long LAST_PASS_MS = 2;
+
     private static final int MOST_LAST_PASSES = 1000;
     /** Of the client's connections: so many requests may come at once before the first of them is refused. */
     private static final double SPARE_PART = 0.15;
@@ -71,10 +71,12 @@
     private HeldUp heldUp = HeldUp.NEVER;
     /** How many connections a pass over the sockets accepts. */
     private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
+
     private Channel listener;
     private boolean listening = true;
     /** Whether the listening socket is open in other processes too. */
     private boolean shared;
+
     private double standbySinceMs;
     private boolean ending;
     private boolean draining;
@@ -83,9 +85,11 @@
     private long evicted;
     /** The part of the connections that are used again, as seen lately. */
     private double reuse = 1;
+
     private int closeable;
     /** Requests of the client that another process of the sidecar has in hand. */
     private int elsewhere;
+
     private boolean company;
     private long turnedAway;
     private long accepted;
@@ -93,8 +97,14 @@
     private long held;
 
     /** @param identityHeader the field that names a request over all its tries; null if nobody asks for it */
-    public ClientServer(Settings settings, RequestHandler driver, Clock clock, Limits limits, Descriptors descriptors,
-            String identityHeader, Log log) {
+    public ClientServer(
+            Settings settings,
+            RequestHandler driver,
+            Clock clock,
+            Limits limits,
+            Descriptors descriptors,
+            String identityHeader,
+            Log log) {
         this.identityHeader = identityHeader;
         this.driver = driver;
         this.clock = clock;
@@ -121,8 +131,12 @@
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder();
                 RequestReader reader = new RequestReader(decoder);
-                channel.pipeline().addLast(decoder, new HttpResponseEncoder(), reader,
-                        new ClientConnection(reader, ClientServer.this, driver, clock));
+                channel.pipeline()
+                        .addLast(
+                                decoder,
+                                new HttpResponseEncoder(),
+                                reader,
+                                new ClientConnection(reader, ClientServer.this, driver, clock));
             }
         });
         bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, batch.maxMessagesPerRead(1));
@@ -199,17 +213,24 @@
      */
     private void evict(int most) {
         double nowMs = clock.nowMs();
-        int tooMany = ending ? 0 : descriptors.full() ? most : Math.min(most, connections.size() - limits.comfortable());
+        int tooMany =
+                ending ? 0 : descriptors.full() ? most : Math.min(most, connections.size() - limits.comfortable());
         evict(tooMany, connection -> connection.isSpare(nowMs));
         if (!ending && !reuses()) {
-            evict(Math.min(most, connections.size() - limits.comfortable() / 2), connection -> connection.isJunk(nowMs));
+            evict(
+                    Math.min(most, connections.size() - limits.comfortable() / 2),
+                    connection -> connection.isJunk(nowMs));
         }
     }
 
     private void evict(int most, Predicate<ClientConnection> of) {
         if (most > 0) {
-            connections.stream().filter(of).sorted(Comparator.comparingDouble(ClientConnection::freeSinceMs)).limit(most)
-                    .toList().forEach(this::evict);
+            connections.stream()
+                    .filter(of)
+                    .sorted(Comparator.comparingDouble(ClientConnection::freeSinceMs))
+                    .limit(most)
+                    .toList()
+                    .forEach(this::evict);
         }
     }
 
@@ -263,7 +284,9 @@
         double nowMs = clock.nowMs();
         // When ending, those that have brought requests are kept: the client gets no others.
         List.copyOf(connections).forEach(connection -> connection.endStalled(nowMs));
-        List.copyOf(connections).stream().filter(connection -> connection.isUseless(nowMs, ending)).forEach(this::evict);
+        List.copyOf(connections).stream()
+                .filter(connection -> connection.isUseless(nowMs, ending))
+                .forEach(this::evict);
         evict(connections.size());
         Standby standby = standby();
         if (standby.compareTo(Standby.CLOSING) >= 0) {
@@ -387,12 +410,16 @@
      * they have sent: the event loop takes one in a pass, and may have been held up until just now.
      */
     private void closeListener(long before, int passes) {
-        listener.eventLoop().schedule(() -> {
-            if (accepted == before || passes == 0) {
-                listener.close();
-            } else {
-                closeListener(accepted, passes - 1);
-            }
-        }, LAST_PASS_MS, TimeUnit.MILLISECONDS);
+        listener.eventLoop()
+                .schedule(
+                        () -> {
+                            if (accepted == before || passes == 0) {
+                                listener.close();
+                            } else {
+                                closeListener(accepted, passes - 1);
+                            }
+                        },
+                        LAST_PASS_MS,
+                        TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/ivybank/client/RequestFields.java
+++ b/src/main/java/ivybank/client/RequestFields.java
@@ -1,8 +1,7 @@
 package ivybank.client;
 
-import java.util.List;
-
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 
 /**
  * Reads the fields of a request strictly. Guards healthy upstreams: they close on what they can't read, whatever else
@@ -33,7 +32,8 @@
     /** Whole milliseconds, in digits alone; 0 if the field is absent, repeated, malformed or out of reason. */
     int milliseconds(String name) {
         String text = token(name);
-        boolean digits = text != null && text.length() <= MOST_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
+        boolean digits =
+                text != null && text.length() <= MOST_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9');
         return digits ? Integer.parseInt(text) : 0;
     }
 
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -1,11 +1,5 @@
 package ivybank.client;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-
-import ivybank.common.Framing;
-import ivybank.common.OneMorePass;
-import ivybank.exchange.BodyPipe;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +13,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import ivybank.common.Framing;
+import ivybank.common.OneMorePass;
+import ivybank.exchange.BodyPipe;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 
 /**
  * Puts requests together and passes them on as {@link Read}: whole ones, and the beginning of those that are too long to be
@@ -51,6 +50,7 @@
     private boolean unreadable;
     /** The body whose last byte has come, until the end of the next pass over the sockets. */
     private BodyPipe ending;
+
     private ByteBuf lastPart;
 
     RequestReader(RequestDecoder decoder) {
@@ -187,7 +187,8 @@
         }
         if (HttpUtil.is100ContinueExpected(next)) {
             // A client that waits for leave to send its body is given it at once.
-            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            ctx.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         } else if (next.headers().contains(HttpHeaderNames.EXPECT)) {
             return EXPECTATION_FAILED;
         }
--- a/src/main/java/ivybank/common/Addresses.java
+++ b/src/main/java/ivybank/common/Addresses.java
@@ -1,18 +1,16 @@
 package ivybank.common;
 
+import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 
-import io.netty.util.NetUtil;
-
 /** Reads and writes addresses in figures. */
 public final class Addresses {
 
     private static final int MAX_PORT = 65_535;
 
-    private Addresses() {
-    }
+    private Addresses() {}
 
     /** As {@link #parse} reads it. */
     public static String text(InetSocketAddress address) {
--- a/src/main/java/ivybank/common/FleetDoor.java
+++ b/src/main/java/ivybank/common/FleetDoor.java
@@ -1,18 +1,16 @@
 package ivybank.common;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.MalformedURLException;
 import java.net.URI;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 /** Asks a sidecar's door what it sees of the others; for those that are no sidecar themselves. */
 public final class FleetDoor {
 
-    private FleetDoor() {
-    }
+    private FleetDoor() {}
 
     /**
      * The view as JSON; null where nobody answers, or has no view to show.
--- a/src/main/java/ivybank/common/Framing.java
+++ b/src/main/java/ivybank/common/Framing.java
@@ -1,12 +1,11 @@
 package ivybank.common;
 
-import java.util.List;
-
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 
 /** What a message's head says of its body, beyond what Netty's decoders check. */
 public final class Framing {
@@ -16,8 +15,7 @@
     /** The most that a body may hold. */
     public static final long MAX_BODY = 32L << 20;
 
-    private Framing() {
-    }
+    private Framing() {}
 
     /** Whether the end of the body is told in one way that all readers take alike. */
     public static boolean isClear(HttpMessage head) {
--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -14,6 +14,7 @@
 
     /** Of a drain's grace, in which what was told must have been seen: two such times may go by unnoticed. */
     private static final double PERIOD_PART = 0.2;
+
     private static final double LEAST_PERIOD_MS = 10;
     /** Of the 300 ms in which a client that left must have been seen. */
     private static final double LONGEST_PERIOD_MS = 100;
--- a/src/main/java/ivybank/common/Json.java
+++ b/src/main/java/ivybank/common/Json.java
@@ -7,6 +7,5 @@
 
     public static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private Json() {
-    }
+    private Json() {}
 }
--- a/src/main/java/ivybank/common/ReturnTime.java
+++ b/src/main/java/ivybank/common/ReturnTime.java
@@ -12,8 +12,7 @@
     private static final int STAYS_S = 5;
     private static final double WITHIN = 0.05;
 
-    private ReturnTime() {
-    }
+    private ReturnTime() {}
 
     /**
      * The time in seconds.
--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/ControlDoor.java
@@ -1,20 +1,5 @@
 package ivybank.control;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
-import java.util.function.UnaryOperator;
-
-import ivybank.common.Clock;
-import ivybank.common.Json;
-import ivybank.common.Log;
-import ivybank.operations.Orders;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -39,6 +24,20 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import ivybank.common.Clock;
+import ivybank.common.Json;
+import ivybank.common.Log;
+import ivybank.operations.Orders;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * Where operators call: HTTP/1.1, one call for each connection, on a thread of its own, so that a busy event loop delays
@@ -83,18 +82,24 @@
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
         company = folder == null || company != null ? company : Company.join(folder);
         group.next().submit(this::look).syncUninterruptibly();
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         admit(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST_CALL), new Call());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST_CALL), new Call());
                     }
-                }).bind(address).awaitUninterruptibly();
+                })
+                .bind(address)
+                .awaitUninterruptibly();
         if (!bound.isSuccess()) {
             group.shutdownGracefully();
-            throw new IOException("cannot listen for operators on " + address + ": " + bound.cause().getMessage());
+            throw new IOException("cannot listen for operators on " + address + ": "
+                    + bound.cause().getMessage());
         }
         group.next().scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) bound.channel().localAddress();
@@ -117,7 +122,10 @@
         try {
             if (company.others() != inCompany) {
                 inCompany = !inCompany;
-                log.line(inCompany ? "another process of this sidecar is here" : "no other process of this sidecar is here any more");
+                log.line(
+                        inCompany
+                                ? "another process of this sidecar is here"
+                                : "no other process of this sidecar is here any more");
                 sidecar.company(inCompany);
             }
             hold(file.read());
@@ -164,16 +172,19 @@
         if (node.isEmpty() || node.length() > LONGEST_ID) {
             return no(HttpResponseStatus.BAD_REQUEST, "the body names no host");
         }
-        return sidecar.knows(node).thenComposeAsync(known -> {
-            if (!known && !orders.isOut(node)) {
-                return no(HttpResponseStatus.NOT_FOUND, "there is no " + node);
-            }
-            if (out && !orders.isOut(node) && orders.out().size() >= Orders.MOST_OUT) {
-                return no(HttpResponseStatus.CONFLICT, "too many are out");
-            }
-            double nowMs = clock.nowMs();
-            return order(out ? now -> now.takeOut(node, nowMs) : now -> now.callBack(node));
-        }, group.next());
+        return sidecar.knows(node)
+                .thenComposeAsync(
+                        known -> {
+                            if (!known && !orders.isOut(node)) {
+                                return no(HttpResponseStatus.NOT_FOUND, "there is no " + node);
+                            }
+                            if (out && !orders.isOut(node) && orders.out().size() >= Orders.MOST_OUT) {
+                                return no(HttpResponseStatus.CONFLICT, "too many are out");
+                            }
+                            double nowMs = clock.nowMs();
+                            return order(out ? now -> now.takeOut(node, nowMs) : now -> now.callBack(node));
+                        },
+                        group.next());
     }
 
     private CompletionStage<Reply> answer(FullHttpRequest call) {
@@ -182,16 +193,19 @@
         }
         String path = call.uri().split("\\?", 2)[0];
         HttpMethod method = path.equals("/status") || path.equals("/fleet") ? HttpMethod.GET : HttpMethod.PUT;
-        CompletionStage<Reply> wrongMethod = call.method().equals(method) ? null
-                : no(HttpResponseStatus.METHOD_NOT_ALLOWED, "ask with " + method);
+        CompletionStage<Reply> wrongMethod =
+                call.method().equals(method) ? null : no(HttpResponseStatus.METHOD_NOT_ALLOWED, "ask with " + method);
         double nowMs = clock.nowMs();
         return switch (path) {
-            case "/status" -> wrongMethod != null ? wrongMethod
-                    : sidecar.serves() ? CompletableFuture.completedFuture(Reply.YES)
-                    : no(HttpResponseStatus.SERVICE_UNAVAILABLE, "not yet");
+            case "/status" ->
+                wrongMethod != null
+                        ? wrongMethod
+                        : sidecar.serves()
+                                ? CompletableFuture.completedFuture(Reply.YES)
+                                : no(HttpResponseStatus.SERVICE_UNAVAILABLE, "not yet");
             case "/fleet" -> wrongMethod != null ? wrongMethod : fleet();
-            case "/maintenance/enter", "/maintenance/exit" -> wrongMethod != null ? wrongMethod
-                    : maintenance(call, path.endsWith("enter"));
+            case "/maintenance/enter", "/maintenance/exit" ->
+                wrongMethod != null ? wrongMethod : maintenance(call, path.endsWith("enter"));
             case "/standby" -> wrongMethod != null ? wrongMethod : order(now -> now.standBy(nowMs));
             case "/active" -> wrongMethod != null ? wrongMethod : order(Orders::activate);
             default -> no(HttpResponseStatus.NOT_FOUND, "no such call");
@@ -200,7 +214,8 @@
 
     private CompletionStage<Reply> fleet() {
         CompletionStage<String> view = sidecar.fleet();
-        return view == null ? no(HttpResponseStatus.NOT_FOUND, "this sidecar has no [peers] in its operator file")
+        return view == null
+                ? no(HttpResponseStatus.NOT_FOUND, "this sidecar has no [peers] in its operator file")
                 : view.thenApply(json -> new Reply(HttpResponseStatus.OK, json));
     }
 
@@ -217,14 +232,21 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
-            answer(call).whenComplete((reply, failure) -> write(ctx, failure == null ? reply
-                    : new Reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, failure.toString())));
+            answer(call)
+                    .whenComplete((reply, failure) -> write(
+                            ctx,
+                            failure == null
+                                    ? reply
+                                    : new Reply(HttpResponseStatus.INTERNAL_SERVER_ERROR, failure.toString())));
         }
 
         private void write(ChannelHandlerContext ctx, Reply reply) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(),
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    reply.status(),
                     Unpooled.copiedBuffer(reply.text() + "\n", StandardCharsets.UTF_8));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/ivybank/control/Operated.java
+++ b/src/main/java/ivybank/control/Operated.java
@@ -1,8 +1,7 @@
 package ivybank.control;
 
-import java.util.concurrent.CompletionStage;
-
 import ivybank.operations.Orders;
+import java.util.concurrent.CompletionStage;
 
 /** The sidecar, as the operators' door sees it. Called on the door's thread. */
 public interface Operated {
--- a/src/main/java/ivybank/control/OrdersFile.java
+++ b/src/main/java/ivybank/control/OrdersFile.java
@@ -1,5 +1,9 @@
 package ivybank.control;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import ivybank.common.Json;
+import ivybank.operations.Orders;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -11,11 +15,6 @@
 import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 
-import ivybank.common.Json;
-import ivybank.operations.Orders;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-
 /**
  * The orders on file, for the processes of one sidecar: the one that serves and the one that takes over. Changed under a
  * lock and replaced whole, so that a reader sees the orders before or after a change. Used by one thread of a process.
@@ -45,7 +44,9 @@
             throw new IOException(file + " holds no orders");
         }
         SortedMap<String, Double> out = new TreeMap<>();
-        root.get("out").properties().forEach(node -> out.put(node.getKey(), node.getValue().asDouble()));
+        root.get("out")
+                .properties()
+                .forEach(node -> out.put(node.getKey(), node.getValue().asDouble()));
         return new Orders(out, root.get("standby_since_ms").asDouble());
     }
 
--- a/src/main/java/ivybank/daemon/Config.java
+++ b/src/main/java/ivybank/daemon/Config.java
@@ -1,5 +1,12 @@
 package ivybank.daemon;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import ivybank.common.Addresses;
+import ivybank.common.Json;
+import ivybank.discovery.HostUpdate;
+import ivybank.discovery.Timing;
+import ivybank.policy.Balancer.Settings;
+import ivybank.settings.SettingsText;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -9,22 +16,25 @@
 import java.util.List;
 import java.util.Map;
 
-import ivybank.common.Addresses;
-import ivybank.common.Json;
-import ivybank.discovery.HostUpdate;
-import ivybank.discovery.Timing;
-import ivybank.policy.Balancer.Settings;
-import ivybank.settings.SettingsText;
-import com.fasterxml.jackson.databind.JsonNode;
-
-
 /**
  * All that a sidecar is told by its environment and the configuration file that it names; {@code control} may be null,
  * and {@code limits} is for the log.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress control, long seed, int sockets,
-              double connectTimeoutMs, double connectionIdleMs, double drainGraceMs, List<String> zones, List<String> kinds,
-              HostUpdate known, Settings settings, String limits) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        InetSocketAddress control,
+        long seed,
+        int sockets,
+        double connectTimeoutMs,
+        double connectionIdleMs,
+        double drainGraceMs,
+        List<String> zones,
+        List<String> kinds,
+        HostUpdate known,
+        Settings settings,
+        String limits) {
 
     /** The variable that names the configuration file. */
     static final String FILE = "EDGE_CONFIG";
@@ -55,15 +65,17 @@
     /** The discovery that the file names, unchecked beyond that; null where it can't be read. */
     static InetSocketAddress discoveryIn(String file) {
         try {
-            return Addresses.parse(Json.MAPPER.readTree(Files.readAllBytes(Path.of(file))).path("discovery").asText(""));
+            return Addresses.parse(Json.MAPPER
+                    .readTree(Files.readAllBytes(Path.of(file)))
+                    .path("discovery")
+                    .asText(""));
         } catch (IOException | IllegalArgumentException e) { // a path that is none among them
             return null;
         }
     }
 
     /** Where this sidecar listens for the others, and the addresses of all; empty texts and lists where the file has none. */
-    record PeerAddresses(String listen, List<String> all) {
-    }
+    record PeerAddresses(String listen, List<String> all) {}
 
     /** Reads the part of the configuration that only a sidecar with peers needs. */
     static PeerAddresses peersIn(String file) throws ConfigException {
@@ -83,18 +95,22 @@
         StringBuilder text = new StringBuilder();
         flatten("", settings, text);
         JsonNode known = root.path("known");
-        return new Config(told("name", "EDGE_NAME", root, environment),
+        return new Config(
+                told("name", "EDGE_NAME", root, environment),
                 Addresses.parse(told("listen", "EDGE_LISTEN", root, environment)),
                 Addresses.parse(told("discovery", "EDGE_DISCOVERY", root, environment)),
-                control(environment.getOrDefault("EDGE_CONTROL", root.path("control").asText(""))),
+                control(environment.getOrDefault(
+                        "EDGE_CONTROL", root.path("control").asText(""))),
                 Long.parseUnsignedLong(root.path("seed").asText("0"), HEX),
                 (int) number(root, "/limits/sockets", SOCKETS_UNKNOWN),
                 number(settings, "/limits/connectTimeoutMs", CONNECT_TIMEOUT_MS_UNKNOWN),
                 number(settings, "/limits/connIdleMs", IDLE_MS_UNKNOWN),
                 number(settings, "/contract/drainGraceMs", Timing.USUAL_GRACE_MS),
-                words(settings.path("failureDomains")), words(settings.path("kinds")),
+                words(settings.path("failureDomains")),
+                words(settings.path("kinds")),
                 known.isObject() ? HostUpdate.read(known) : HostUpdate.NOTHING_KNOWN,
-                SettingsText.parse(text.toString()), limits(root.path("limits")));
+                SettingsText.parse(text.toString()),
+                limits(root.path("limits")));
     }
 
     /** A number above 0; what is there and is none is never taken for what is not there. */
@@ -104,13 +120,15 @@
             return otherwise;
         }
         if (!value.isNumber() || value.asDouble() <= 0 || value.asDouble() > Integer.MAX_VALUE) {
-            throw new IllegalArgumentException(path.substring(1).replace('/', '.') + " is " + value + ": a number above 0 is allowed");
+            throw new IllegalArgumentException(
+                    path.substring(1).replace('/', '.') + " is " + value + ": a number above 0 is allowed");
         }
         return value.asDouble();
     }
 
     private static String limits(JsonNode limits) {
-        return limits.path("cores").asDouble(0) + " cores, " + limits.path("memory_mb").asInt(0) + " MB, "
+        return limits.path("cores").asDouble(0) + " cores, "
+                + limits.path("memory_mb").asInt(0) + " MB, "
                 + limits.path("sockets").asInt(0) + " descriptors";
     }
 
@@ -129,15 +147,18 @@
     /** Writes the settings as the lines of path=value in which the simulator sends them. */
     private static void flatten(String path, JsonNode value, StringBuilder text) {
         if (value.isObject()) {
-            value.properties().forEach(field -> flatten(
-                    path.isEmpty() ? field.getKey() : path + "." + field.getKey(), field.getValue(), text));
+            value.properties()
+                    .forEach(field -> flatten(
+                            path.isEmpty() ? field.getKey() : path + "." + field.getKey(), field.getValue(), text));
         } else if (value.isArray() && !value.isEmpty() && value.get(0).isObject()) {
             text.append(path).append(".count=").append(value.size()).append('\n');
             for (int i = 0; i < value.size(); i++) {
                 flatten(path + "." + i, value.get(i), text);
             }
         } else {
-            text.append(path).append('=').append(value.isArray() ? String.join(",", words(value)) : value.asText())
+            text.append(path)
+                    .append('=')
+                    .append(value.isArray() ? String.join(",", words(value)) : value.asText())
                     .append('\n');
         }
     }
--- a/src/main/java/ivybank/daemon/ConfigFile.java
+++ b/src/main/java/ivybank/daemon/ConfigFile.java
@@ -23,8 +23,7 @@
     private Looks looks;
 
     /** What changes with a file's text, unless it is changed twice within one step of the file system's clock. */
-    private record Looks(FileTime changed, long bytes) {
-    }
+    private record Looks(FileTime changed, long bytes) {}
 
     ConfigFile(Map<String, String> environment) {
         path = environment.getOrDefault(Config.FILE, "");
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -1,18 +1,6 @@
 package ivybank.daemon;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.EnumMap;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Queue;
-import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
+import io.netty.channel.EventLoop;
 import ivybank.common.Clock;
 import ivybank.common.HeldUp;
 import ivybank.common.Log;
@@ -25,18 +13,29 @@
 import ivybank.exchange.SendRecord;
 import ivybank.handover.Learned;
 import ivybank.handover.Memory;
+import ivybank.policy.Balancer;
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.ListKind;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.policy.Balancer.Request;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Upstream;
-import ivybank.policy.Balancer;
 import ivybank.tally.Tally;
-import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamAttempt;
+import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamPool;
-import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Drives the module: tells it what happens on the sockets, one event after another, and carries out what it asks for.
@@ -56,6 +55,7 @@
         final ClientRequest request;
         /** Far off while its last byte is still to come. */
         double deadlineMs;
+
         final Consumer<Answer> client;
         final List<UpstreamAttempt> attempts = new ArrayList<>(2);
         ScheduledFuture<?> backstop;
@@ -74,14 +74,17 @@
 
     /** What is kept of the client's time for the way of the answer: so much, or so much of a short time. */
     private static final double ANSWER_MS = 20;
+
     private static final double ANSWER_PART = 0.1;
     /** When the backstop acts, of that, before the deadline: later than any attempt's time-out. */
     private static final double BACKSTOP_PART = 0.5;
     /** What is left to a request that may have stood in its socket for longer than it had: so much, or so much of a short time. */
     private static final double LEAST_LEFT_MS = 500;
+
     private static final double LEAST_LEFT_PART = 0.5;
     /** How late the answer to one that may have stood there may be: it only may have come that early, and half a second is allowed. */
     private static final double LATE_MS = 300;
+
     private static final int FAILED = 502;
     private static final int OUT_OF_TIME = 504;
     private static final double MICROS_IN_MS = 1000;
@@ -97,12 +100,14 @@
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     /** The ids, as clients give them, of the requests that are not answered yet. */
     private final Set<String> openIds = new HashSet<>();
+
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Counters counters = new Counters();
     private Tally tally = Tally.NONE;
     private HeldUp heldUp = HeldUp.NEVER;
     /** What is taken over from another process until discovery has told its whole list; null for none. */
     private Learned<String> toRecall;
+
     private double trust;
     private final Set<Integer> recalled = new HashSet<>();
     private boolean telling;
@@ -110,8 +115,15 @@
     private int lastId;
     private int unanswered;
 
-    Driver(Settings settings, long seed, Factory factory, EventLoop loop, Clock clock, Directory directory,
-            UpstreamPool pool, Log log) {
+    Driver(
+            Settings settings,
+            long seed,
+            Factory factory,
+            EventLoop loop,
+            Clock clock,
+            Directory directory,
+            UpstreamPool pool,
+            Log log) {
         this.settings = settings;
         this.loop = loop;
         this.clock = clock;
@@ -182,7 +194,8 @@
 
     /** What this process leaves for others of its sidecar. */
     Memory memory(int descriptors) {
-        return new Memory(clock.nowMs(), unanswered, descriptors, balancer.learned().named(directory::host));
+        return new Memory(
+                clock.nowMs(), unanswered, descriptors, balancer.learned().named(directory::host));
     }
 
     /** Tells what another process has out by node, and how many requests it has in hand. */
@@ -239,8 +252,15 @@
         if (!arriving) {
             guard(exchange, deadlineMs - clock.nowMs());
         }
-        tell(() -> balancer.request(clock.nowMs(), new Request(exchange.id, request.requestClass(), request.tenant(),
-                Math.max(0, leftMs - answerMs(request)), request.repeat(), arriving)));
+        tell(() -> balancer.request(
+                clock.nowMs(),
+                new Request(
+                        exchange.id,
+                        request.requestClass(),
+                        request.tenant(),
+                        Math.max(0, leftMs - answerMs(request)),
+                        request.repeat(),
+                        arriving)));
         return exchange.id;
     }
 
@@ -318,7 +338,8 @@
 
     /** Fails what is still open when the process is about to end: after that nobody could answer it. */
     void failOpen() {
-        List<Exchange> open = exchanges.values().stream().filter(exchange -> !exchange.over && exchange.passingOn < 0)
+        List<Exchange> open = exchanges.values().stream()
+                .filter(exchange -> !exchange.over && exchange.passingOn < 0)
                 .toList();
         if (!open.isEmpty()) {
             log.line("ending: " + open.size() + " requests were still open and are failed");
@@ -353,8 +374,16 @@
             answer(exchange, Answer.served(ending.contentType(), ending.body()));
         }
         Node node = exchange.attempts.get(number).node;
-        tell(() -> balancer.attemptEnded(clock.nowMs(), new AttemptEnd(exchange.id, number, node.id,
-                ending.outcome(), clock.nowMs() - sentMs, exchange.over, ending.report())));
+        tell(() -> balancer.attemptEnded(
+                clock.nowMs(),
+                new AttemptEnd(
+                        exchange.id,
+                        number,
+                        node.id,
+                        ending.outcome(),
+                        clock.nowMs() - sentMs,
+                        exchange.over,
+                        ending.report())));
         forget(exchange);
     }
 
@@ -446,8 +475,11 @@
             log.line("the decision module sent request " + request + ", which is not known here");
             return;
         }
-        if (node == null) { // it has been forgotten since: without an end of this attempt the request would wait for its deadline
-            log.line("the decision module sent request " + request + " to upstream " + upstream + ", which is not known here");
+        if (node
+                == null) { // it has been forgotten since: without an end of this attempt the request would wait for its
+            // deadline
+            log.line("the decision module sent request " + request + " to upstream " + upstream
+                    + ", which is not known here");
             node = new Node(upstream, "unknown");
         }
         send(exchange, node, timeoutMs);
@@ -472,7 +504,8 @@
         exchange.attempts.add(attempt);
         exchange.out++;
         // What went with an earlier attempt of a long request is gone.
-        boolean spent = exchange.request.rest() != null && exchange.request.rest().taken();
+        boolean spent =
+                exchange.request.rest() != null && exchange.request.rest().taken();
         if (exchange.over || spent || mostMs <= 0 || number >= settings.limits().maxAttempts()) {
             attempt.end(Ending.of(Outcome.NOT_SENT));
         } else {
@@ -485,7 +518,8 @@
 
     /** Since when an attempt counts: an upstream begins with the last byte. */
     private double sinceMs(Exchange exchange, double sentMs) {
-        double arrivedMs = exchange.deadlineMs == Double.MAX_VALUE ? clock.nowMs()
+        double arrivedMs = exchange.deadlineMs == Double.MAX_VALUE
+                ? clock.nowMs()
                 : exchange.deadlineMs - exchange.request.budgetMs();
         return exchange.request.rest() == null ? sentMs : Math.max(sentMs, arrivedMs);
     }
@@ -499,11 +533,13 @@
             attempt.goOut();
             pool.send(attempt);
         } else {
-            record.record(() -> {
-                if (!attempt.ended()) { // or it was called off meanwhile
-                    send(exchange, attempt);
-                }
-            }, () -> unrecorded(exchange, attempt));
+            record.record(
+                    () -> {
+                        if (!attempt.ended()) { // or it was called off meanwhile
+                            send(exchange, attempt);
+                        }
+                    },
+                    () -> unrecorded(exchange, attempt));
         }
     }
 
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -1,5 +1,12 @@
 package ivybank.daemon;
 
+import io.netty.channel.EventLoop;
+import ivybank.client.ClientServer;
+import ivybank.common.Clock;
+import ivybank.common.Descriptors;
+import ivybank.common.Log;
+import ivybank.handover.Memory;
+import ivybank.handover.MemoryFiles;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -12,14 +19,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-import ivybank.client.ClientServer;
-import ivybank.common.Clock;
-import ivybank.common.Descriptors;
-import ivybank.common.Log;
-import ivybank.handover.Memory;
-import ivybank.handover.MemoryFiles;
-import io.netty.channel.EventLoop;
-
 /**
  * Leaves word of what this process knows for the others of its sidecar, and passes on what they left: all of it to a process
  * that begins, and what they have in hand while they are here. Files are read and written on a thread of its own.
@@ -28,6 +27,7 @@
 
     /** How often word is left while another process reads it, and while none does. */
     private static final long TOGETHER_MS = 50;
+
     private static final int ALONE_TIMES = 20;
     /** What another process holds beside its connections, and may have opened since it was heard of. */
     private static final int HELD_BESIDE = 40;
@@ -46,7 +46,13 @@
     private boolean toldElsewhere;
     private String failure;
 
-    Handover(Path folder, EventLoop loop, Driver driver, ClientServer server, Descriptors descriptors, Clock clock,
+    Handover(
+            Path folder,
+            EventLoop loop,
+            Driver driver,
+            ClientServer server,
+            Descriptors descriptors,
+            Clock clock,
             Log log) {
         this.loop = loop;
         this.driver = driver;
@@ -67,8 +73,9 @@
         double nowMs = clock.nowMs();
         Optional<Memory> newest = others().stream().max(Comparator.comparingDouble(Memory::writtenMs));
         newest.ifPresent(memory -> {
-            log.line("taking over what another process has learned of " + memory.learned().nodes().size() + " nodes, "
-                    + Math.round(nowMs - memory.writtenMs()) + " ms ago, believed to " + Math.round(100 * memory.trust(nowMs)) + "%");
+            log.line("taking over what another process has learned of "
+                    + memory.learned().nodes().size() + " nodes, " + Math.round(nowMs - memory.writtenMs())
+                    + " ms ago, believed to " + Math.round(100 * memory.trust(nowMs)) + "%");
             loop.execute(() -> driver.recall(memory.learned(), memory.trust(nowMs)));
         });
     }
@@ -125,7 +132,8 @@
 
     private void leave() {
         try {
-            files.write(CompletableFuture.supplyAsync(() -> driver.memory(descriptors.used()), loop).join());
+            files.write(CompletableFuture.supplyAsync(() -> driver.memory(descriptors.used()), loop)
+                    .join());
             failure = null;
         } catch (IOException | RuntimeException e) {
             fails("what this process has learned is not on file: " + e);
--- a/src/main/java/ivybank/daemon/HangUp.java
+++ b/src/main/java/ivybank/daemon/HangUp.java
@@ -8,8 +8,7 @@
  */
 final class HangUp {
 
-    private HangUp() {
-    }
+    private HangUp() {}
 
     /**
      * From now on runs {@code action} at each SIGHUP, on a thread of its own. Returns false where no SIGHUP will come: the
@@ -19,8 +18,8 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object acting = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
+            Object acting = Proxy.newProxyInstance(
+                    handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
                         action.run();
                         return null;
                     });
--- a/src/main/java/ivybank/daemon/Inherited.java
+++ b/src/main/java/ivybank/daemon/Inherited.java
@@ -11,8 +11,7 @@
     /** Names the descriptor, which Java can take over only where it is that of standard input. */
     static final String VARIABLE = "EDGE_INHERITED_FD";
 
-    private Inherited() {
-    }
+    private Inherited() {}
 
     /**
      * The socket, or null where none is handed over. It must not be closed while the log is needed: with it Java closes
--- a/src/main/java/ivybank/daemon/KeptPromises.java
+++ b/src/main/java/ivybank/daemon/KeptPromises.java
@@ -1,9 +1,5 @@
 package ivybank.daemon;
 
-import java.io.IOException;
-import java.util.UUID;
-import java.util.concurrent.ScheduledExecutorService;
-
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -11,20 +7,28 @@
 import ivybank.promises.PromiseKeeper;
 import ivybank.store.RealDisk;
 import ivybank.store.StoreIdentity;
+import java.io.IOException;
+import java.util.UUID;
+import java.util.concurrent.ScheduledExecutorService;
 
 /** Opens what promises are kept in. A class of its own, so that a sidecar without it loads nothing of the store. */
 final class KeptPromises {
 
-    private KeptPromises() {
-    }
+    private KeptPromises() {}
 
-    static PromiseKeeper open(StoreSettings store, String name, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
+    static PromiseKeeper open(
+            StoreSettings store, String name, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
             throws IOException {
         RealDisk disk = RealDisk.take(store.folder());
         try {
-            StoreIdentity identity = StoreIdentity.take(disk, name, store.firstStart(), () -> UUID.randomUUID().toString(),
+            StoreIdentity identity = StoreIdentity.take(
+                    disk,
+                    name,
+                    store.firstStart(),
+                    () -> UUID.randomUUID().toString(),
                     line -> log.line("store " + store.folder() + ": " + line));
-            log.line("store " + store.folder() + ": id " + identity.id() + ", taken up for the " + identity.life() + ". time");
+            log.line("store " + store.folder() + ": id " + identity.id() + ", taken up for the " + identity.life()
+                    + ". time");
         } catch (IOException | RuntimeException e) {
             disk.close();
             throw e;
--- a/src/main/java/ivybank/daemon/OperatorsDoor.java
+++ b/src/main/java/ivybank/daemon/OperatorsDoor.java
@@ -1,21 +1,19 @@
 package ivybank.daemon;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Path;
-import java.util.Map;
-
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.control.Company;
 import ivybank.control.ControlDoor;
 import ivybank.control.Operated;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
 
 /** Opens the door for operators. A class of its own, so that a sidecar without one loads nothing of it. */
 final class OperatorsDoor {
 
-    private OperatorsDoor() {
-    }
+    private OperatorsDoor() {}
 
     /**
      * Lets the process that this one takes over from know of it, before anything else: to start takes half of the core that
@@ -23,7 +21,10 @@
      */
     static Company join(Map<String, String> environment) throws IOException {
         Path folder = folder(environment);
-        return folder == null || environment.getOrDefault(Inherited.VARIABLE, "").isBlank() ? null : Company.join(folder);
+        return folder == null
+                        || environment.getOrDefault(Inherited.VARIABLE, "").isBlank()
+                ? null
+                : Company.join(folder);
     }
 
     /** Where the processes of a sidecar leave word for each other; null where there is no such place. */
@@ -32,8 +33,14 @@
         return folder.isBlank() ? null : Path.of(folder);
     }
 
-    static void open(Operated sidecar, InetSocketAddress address, Map<String, String> environment, Company company, Clock clock,
-            Log log) throws IOException {
+    static void open(
+            Operated sidecar,
+            InetSocketAddress address,
+            Map<String, String> environment,
+            Company company,
+            Clock clock,
+            Log log)
+            throws IOException {
         new ControlDoor(sidecar, folder(environment), company, clock, log).open(address);
     }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -1,15 +1,19 @@
 package ivybank.daemon;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.file.Path;
-import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Promise;
 import ivybank.client.ClientServer;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
@@ -22,8 +26,8 @@
 import ivybank.discovery.Discovery;
 import ivybank.discovery.Timing;
 import ivybank.operations.Orders;
-import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.operator.OperatorFile;
+import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.peers.PeerFleet;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
@@ -34,20 +38,15 @@
 import ivybank.toml.InputException;
 import ivybank.upstream.LoadReport;
 import ivybank.upstream.UpstreamPool;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.PooledByteBufAllocator;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.NetUtil;
-import io.netty.util.concurrent.Promise;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A real sidecar: puts the parts together on one event loop, starts them, and ends them in order. */
 public final class Sidecar implements Operated {
@@ -58,35 +57,44 @@
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB: small messages, little memory
     /** What one read from a client takes: requests are small, and what it holds beyond those served waits here. */
     private static final int LEAST_READ = 512;
+
     private static final int FIRST_READ = 1024;
     private static final int LONGEST_READ = 16 * 1024;
     private static final int CACHED_BUFFERS = 32;
     /** Of what a client sends the system holds little more than this: its end may stand behind all that. */
     private static final int READ_AHEAD_BYTES = 256 * 1024;
+
     private static final int RESERVED_DESCRIPTORS = 24; // for the listener, discovery, files and the selector
     /** Of the other descriptors, together more than all: what one side leaves the other may use. */
     private static final double UPSTREAM_PART = 0.5;
+
     private static final double CLIENT_PART = 0.7;
     /** Of all descriptors: the client may have a third for requests, and must not run out of them. */
     private static final double COMFORTABLE_PART = 0.31;
+
     private static final int FOR_REQUESTS = 3;
     private static final double REFUSED_PART = 0.06; // of the client's: connections that are only told to come back
     /** A node with many connections open is slower; an idle one costs as much as a new one within a few seconds. */
     private static final double LONGEST_IDLE_MS = 3000;
+
     private static final double PART_OF_IDLE_LIMIT = 0.5;
     private static final long REPORT_S = 10;
     /** After the signal new connections still come for up to 0.4 s. */
     private static final long STOP_LISTENING_MS = 600;
+
     private static final long LEAST_LISTENING_MS = 450;
     /** The process is left the longest deadline, or so much if that is less, and a while more to end in. */
     private static final double LONGEST_TIME_TO_END_MS = 3000;
+
     private static final double MORE_TIME_TO_END_MS = 700;
     private static final double END_MARGIN_MS = 200;
     /** Of the longest time in which an answer is of use: what is taken last is left this much, and most take less. */
     private static final double LAST_PART = 0.3;
+
     private static final long POLL_MS = 5;
     /** A file that can't be read is tried again so often, for so long. */
     private static final long RELOAD_PAUSE_MS = 50;
+
     private static final double LONGEST_RELOAD_MS = 5000;
     private static final long LONGEST_WARM_UP_MS = 3000;
     private static final long LONGEST_DRAIN_S = 15;
@@ -104,13 +112,20 @@
          * would have found nobody otherwise; it does harm where a process is killed sooner than it was promised.
          */
         static DrainTimes longest(Settings settings) {
-            double deadlineMs = settings.classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
+            double deadlineMs = settings.classes().stream()
+                    .mapToDouble(RequestClass::deadlineMs)
+                    .max()
+                    .orElse(0);
             double answerMs = settings.classes().stream()
-                    .mapToDouble(spec -> spec.lateWorth() > 0 ? spec.deadlineMs() : spec.aimMs()).max().orElse(0);
+                    .mapToDouble(spec -> spec.lateWorth() > 0 ? spec.deadlineMs() : spec.aimMs())
+                    .max()
+                    .orElse(0);
             double allMs = Math.min(LONGEST_TIME_TO_END_MS, deadlineMs) + MORE_TIME_TO_END_MS - END_MARGIN_MS;
             // Where deadlines are short the listener closes sooner, so that what it took last can still be answered.
-            long stopListeningMs = Math.max(LEAST_LISTENING_MS, Math.min(STOP_LISTENING_MS, (long) (allMs - LAST_PART * answerMs)));
-            return new DrainTimes(stopListeningMs, Math.max(stopListeningMs, (long) (allMs - LAST_PART * answerMs)), (long) allMs);
+            long stopListeningMs =
+                    Math.max(LEAST_LISTENING_MS, Math.min(STOP_LISTENING_MS, (long) (allMs - LAST_PART * answerMs)));
+            return new DrainTimes(
+                    stopListeningMs, Math.max(stopListeningMs, (long) (allMs - LAST_PART * answerMs)), (long) allMs);
         }
     }
 
@@ -146,8 +161,16 @@
      * @param store where promises are kept; null for none
      * @param inherited the clients' listening socket, which other processes have too; null to listen as configured
      */
-    Sidecar(Config config, ConfigFile file, Log log, Clock clock, DrainTimes drainTimes,
-            Timing timing, StoreSettings store, ServerSocketChannel inherited) throws IOException {
+    Sidecar(
+            Config config,
+            ConfigFile file,
+            Log log,
+            Clock clock,
+            DrainTimes drainTimes,
+            Timing timing,
+            StoreSettings store,
+            ServerSocketChannel inherited)
+            throws IOException {
         this.inherited = inherited;
         this.file = file;
         this.config = config;
@@ -162,24 +185,48 @@
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
         int clients = Math.max(1, (int) (sockets * CLIENT_PART));
         int refused = Math.max(1, (int) (clients * REFUSED_PART));
-        UpstreamPool.Limits limits = new UpstreamPool.Limits(upstreams, (int) config.connectTimeoutMs(),
+        UpstreamPool.Limits limits = new UpstreamPool.Limits(
+                upstreams,
+                (int) config.connectTimeoutMs(),
                 Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()));
-        buffers = new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
-        Bootstrap base = new Bootstrap().channel(NioSocketChannel.class).option(ChannelOption.ALLOCATOR, buffers)
+        buffers =
+                new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
+        Bootstrap base = new Bootstrap()
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, buffers)
                 .option(ChannelOption.TCP_NODELAY, true);
-        pool = new UpstreamPool(loop, clock, limits, descriptors,
-                new LoadReport(config.settings().reportFields()), base.clone(), log);
-        Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
-        driver = new Driver(config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool,
+        pool = new UpstreamPool(
+                loop,
+                clock,
+                limits,
+                descriptors,
+                new LoadReport(config.settings().reportFields()),
+                base.clone(),
                 log);
+        Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
+        driver = new Driver(
+                config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
         promises = store == null ? null : promises(store);
         int served = clients - refused;
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
-        server = new ClientServer(config.settings(), promises == null ? driver : promises, clock,
-                new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)), descriptors,
-                store == null ? null : store.promises().header(), log);
-        discovery = new Discovery(loop, base.clone(), config.discovery(), file::changedDiscovery,
-                config.known().resumeFrom(config.settings().askForList()), timing, driver::updated, clock, log);
+        server = new ClientServer(
+                config.settings(),
+                promises == null ? driver : promises,
+                clock,
+                new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)),
+                descriptors,
+                store == null ? null : store.promises().header(),
+                log);
+        discovery = new Discovery(
+                loop,
+                base.clone(),
+                config.discovery(),
+                file::changedDiscovery,
+                config.known().resumeFrom(config.settings().askForList()),
+                timing,
+                driver::updated,
+                clock,
+                log);
     }
 
     /**
@@ -196,21 +243,38 @@
         Timing timing = more == null ? standard : more.discovery();
         Clock clock = Clock.system();
         Log log = new Log(System.err, clock);
-        Sidecar sidecar = new Sidecar(config, new ConfigFile(environment), log, clock,
-                DrainTimes.longest(config.settings()), timing, more == null ? null : more.store(), Inherited.listener(environment));
+        Sidecar sidecar = new Sidecar(
+                config,
+                new ConfigFile(environment),
+                log,
+                clock,
+                DrainTimes.longest(config.settings()),
+                timing,
+                more == null ? null : more.store(),
+                Inherited.listener(environment));
         if (more != null && more.peers() != null) {
-            sidecar.among(Peers.of(more.peers(), config, environment, sidecar.loop, clock, log,
-                    count -> sidecar.driver.sidecars(count, "by the fleet's own view")), company != null && company.others());
+            sidecar.among(
+                    Peers.of(
+                            more.peers(),
+                            config,
+                            environment,
+                            sidecar.loop,
+                            clock,
+                            log,
+                            count -> sidecar.driver.sidecars(count, "by the fleet's own view")),
+                    company != null && company.others());
         }
         if (config.control() != null) {
             OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
         }
         if (!HangUp.handle(sidecar::reload)) {
-            log.line("SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
-                    + " read again only when a connection to discovery has ended");
+            log.line(
+                    "SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
+                            + " read again only when a connection to discovery has ended");
         }
         if (company != null) {
-            // Another process has clients to serve on the core that both have: to get ready may wait for it. The threads that
+            // Another process has clients to serve on the core that both have: to get ready may wait for it. The
+            // threads that
             // serve were started before, and keep their part. Only where the JVM is told to heed priorities.
             Thread.currentThread().setPriority(Thread.MIN_PRIORITY);
         }
@@ -220,10 +284,12 @@
         }
         sidecar.start();
         // The socket that others have too is never closed here: the process just ends, and nothing else is left to do.
-        Runnable end = sidecar.inherited == null ? sidecar::drain : () -> {
-            sidecar.finishAll();
-            Runtime.getRuntime().halt(ENDED_BY_SIGTERM);
-        };
+        Runnable end = sidecar.inherited == null
+                ? sidecar::drain
+                : () -> {
+                    sidecar.finishAll();
+                    Runtime.getRuntime().halt(ENDED_BY_SIGTERM);
+                };
         Runtime.getRuntime().addShutdownHook(new Thread(end, "drain"));
     }
 
@@ -280,7 +346,8 @@
         bound.awaitUninterruptibly();
         if (!bound.isSuccess()) {
             group.shutdownGracefully();
-            throw new IOException("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
+            throw new IOException(
+                    "cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
         listening = true;
         if (peers != null) {
@@ -302,10 +369,12 @@
 
     @Override
     public CompletionStage<Void> obey(Orders orders) {
-        return CompletableFuture.runAsync(() -> {
-            driver.takeOut(orders.out());
-            server.standBy(orders.standbySinceMs());
-        }, loop);
+        return CompletableFuture.runAsync(
+                () -> {
+                    driver.takeOut(orders.out());
+                    server.standBy(orders.standbySinceMs());
+                },
+                loop);
     }
 
     private void begin(Promise<Channel> bound) {
@@ -336,13 +405,17 @@
         server.mind(heldUp);
         driver.mind(heldUp);
         long lookMs = (long) heldUp.periodMs();
-        loop.scheduleWithFixedDelay(() -> {
-            if (heldUp.look(clock.nowMs())) {
-                settle(heldUp);
-            }
-        }, lookMs, lookMs, TimeUnit.MILLISECONDS);
-        log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of " + config.known().entries().size()
-                + " nodes; limits: " + config.limits());
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    if (heldUp.look(clock.nowMs())) {
+                        settle(heldUp);
+                    }
+                },
+                lookMs,
+                lookMs,
+                TimeUnit.MILLISECONDS);
+        log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of "
+                + config.known().entries().size() + " nodes; limits: " + config.limits());
         driver.start(config.known());
         if (timing.asked()) {
             thenListen.run();
@@ -364,12 +437,20 @@
     }
 
     private ChannelFuture listen() {
-        return server.listen(new ServerBootstrap().group(group).channelFactory(() -> inherited == null ? new NioServerSocketChannel()
-                : new NioServerSocketChannel(inherited))
-                .option(ChannelOption.SO_RCVBUF, READ_AHEAD_BYTES).option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.ALLOCATOR, buffers).childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, LONGEST_READ)),
+        return server.listen(
+                new ServerBootstrap()
+                        .group(group)
+                        .channelFactory(() -> inherited == null
+                                ? new NioServerSocketChannel()
+                                : new NioServerSocketChannel(inherited))
+                        .option(ChannelOption.SO_RCVBUF, READ_AHEAD_BYTES)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.ALLOCATOR, buffers)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, LONGEST_READ)),
                 inherited == null ? config.listen() : null);
     }
 
@@ -425,7 +506,8 @@
         String counts = driver.counters().report();
         if (counts != null) {
             log.line(counts + "; connections: " + server.connections() + " from the client, " + pool.open()
-                    + " to upstreams, " + pool.opened() + " opened and " + pool.spoilt() + " spoilt answers so far; " + server.evicted()
+                    + " to upstreams, " + pool.opened() + " opened and " + pool.spoilt() + " spoilt answers so far; "
+                    + server.evicted()
                     + " of the client's closed as idle and " + server.turnedAway() + " requests refused for want of"
                     + " descriptors or, when ending, of connections so far");
         }
@@ -451,7 +533,8 @@
     private void finishAll() {
         loop.execute(() -> {
             log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
-                    + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " what comes on open connections"));
+                    + drainTimes.stopServingMs() + " ms"
+                    + (inherited == null ? "" : " what comes on open connections"));
             if (peers != null) {
                 peers.draining();
             }
@@ -464,10 +547,13 @@
                 pool.keepNoneIdle();
                 finish(drainTimes.stopServingMs());
             }
-            loop.schedule(() -> {
-                server.refuseAll();
-                driver.failOpen();
-            }, drainTimes.failRestMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        server.refuseAll();
+                        driver.failOpen();
+                    },
+                    drainTimes.failRestMs(),
+                    TimeUnit.MILLISECONDS);
         });
         try {
             if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
@@ -494,19 +580,23 @@
     private void finish(long idleMs) {
         server.drain();
         double closeIdleMs = clock.nowMs() + idleMs;
-        loop.scheduleWithFixedDelay(() -> {
-            if (clock.nowMs() >= closeIdleMs) {
-                server.closeIdle(true);
-            }
-            if (unanswered() == 0 && server.connections() == 0) {
-                discovery.stop();
-                pool.closeAllIdle();
-                if (peers != null) {
-                    peers.leave();
-                }
-                report();
-                drained.countDown();
-            }
-        }, 0, POLL_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    if (clock.nowMs() >= closeIdleMs) {
+                        server.closeIdle(true);
+                    }
+                    if (unanswered() == 0 && server.connections() == 0) {
+                        discovery.stop();
+                        pool.closeAllIdle();
+                        if (peers != null) {
+                            peers.leave();
+                        }
+                        report();
+                        drained.countDown();
+                    }
+                },
+                0,
+                POLL_MS,
+                TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -1,25 +1,5 @@
 package ivybank.daemon;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-
-import ivybank.client.ClientServer;
-import ivybank.common.Clock;
-import ivybank.common.Descriptors;
-import ivybank.common.Log;
-import ivybank.discovery.Directory;
-import ivybank.discovery.HostUpdate;
-import ivybank.policy.Balancer.Effect;
-import ivybank.policy.Balancer.RequestClass;
-import ivybank.policy.Balancer.Settings;
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.LoadShiftingBalancer;
-import ivybank.upstream.LoadReport;
-import ivybank.upstream.UpstreamPool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -35,6 +15,25 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
+import ivybank.client.ClientServer;
+import ivybank.common.Clock;
+import ivybank.common.Descriptors;
+import ivybank.common.Log;
+import ivybank.discovery.Directory;
+import ivybank.discovery.HostUpdate;
+import ivybank.policy.Balancer.Effect;
+import ivybank.policy.Balancer.RequestClass;
+import ivybank.policy.Balancer.Settings;
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.LoadShiftingBalancer;
+import ivybank.upstream.LoadReport;
+import ivybank.upstream.UpstreamPool;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes requests through a scratch copy of the request path, in memory and without sockets, before the sidecar says
@@ -61,9 +60,11 @@
 
     private Warmup(Settings settings) {
         this.settings = settings;
-        String report = String.join(", ", settings.reportFields().stream().map(name -> name + "=0.5").toList());
+        String report = String.join(
+                ", ",
+                settings.reportFields().stream().map(name -> name + "=0.5").toList());
         answer = ("HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\nContent-Type: application/json\r\n"
-                + "X-Load-Report: TEXT " + report + "\r\n\r\n" + "x".repeat(BODY_BYTES))
+                        + "X-Load-Report: TEXT " + report + "\r\n\r\n" + "x".repeat(BODY_BYTES))
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -90,20 +91,45 @@
 
     private void begin() {
         LocalAddress upstream = new LocalAddress("warm-up upstream");
-        new ServerBootstrap().group(group).channel(LocalServerChannel.class).childHandler(initializer(() ->
-                new ChannelHandler[] {new Upstream()})).bind(upstream);
+        new ServerBootstrap()
+                .group(group)
+                .channel(LocalServerChannel.class)
+                .childHandler(initializer(() -> new ChannelHandler[] {new Upstream()}))
+                .bind(upstream);
         Descriptors descriptors = new Descriptors(2 * CONNECTIONS);
-        UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS, 0, IDLE_MS), descriptors,
-                new LoadReport(settings.reportFields()), new Bootstrap().channel(LocalChannel.class), silent);
-        Driver driver = new Driver(settings, 1, LoadShiftingBalancer::new, loop, clock,
-                new Directory(List.of(), List.of(), pool::closeIdle), pool, silent);
+        UpstreamPool pool = new UpstreamPool(
+                loop,
+                clock,
+                new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS, 0, IDLE_MS),
+                descriptors,
+                new LoadReport(settings.reportFields()),
+                new Bootstrap().channel(LocalChannel.class),
+                silent);
+        Driver driver = new Driver(
+                settings,
+                1,
+                LoadShiftingBalancer::new,
+                loop,
+                clock,
+                new Directory(List.of(), List.of(), pool::closeIdle),
+                pool,
+                silent);
         driver.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
         LocalAddress listen = new LocalAddress("warm-up sidecar");
-        new ClientServer(settings, driver, clock, new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS, CONNECTIONS), descriptors,
-                null, silent)
+        new ClientServer(
+                        settings,
+                        driver,
+                        clock,
+                        new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS, CONNECTIONS),
+                        descriptors,
+                        null,
+                        silent)
                 .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
-        new Bootstrap().group(loop).channel(LocalChannel.class).handler(initializer(() ->
-                new ChannelHandler[] {new Client()})).connect(listen);
+        new Bootstrap()
+                .group(loop)
+                .channel(LocalChannel.class)
+                .handler(initializer(() -> new ChannelHandler[] {new Client()}))
+                .connect(listen);
     }
 
     private static HostUpdate.Entry entry(String host, LocalAddress address) {
@@ -164,9 +190,10 @@
             RequestClass spec = settings.classes().get(sent % settings.classes().size());
             sent++;
             boolean safe = spec.effect() == Effect.SAFE;
-            String head = (safe ? "GET /" : "POST /") + spec.name() + "?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: warm-up\r\n"
-                    + "X-Call-Id: " + sent + "\r\nX-Budget-Ms: " + BUDGET_MS + "\r\n"
-                    + (safe ? "\r\n" : "Content-Length: " + BODY_BYTES + "\r\n\r\n" + "x".repeat(BODY_BYTES));
+            String head =
+                    (safe ? "GET /" : "POST /") + spec.name() + "?obj=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: warm-up\r\n"
+                            + "X-Call-Id: " + sent + "\r\nX-Budget-Ms: " + BUDGET_MS + "\r\n"
+                            + (safe ? "\r\n" : "Content-Length: " + BODY_BYTES + "\r\n\r\n" + "x".repeat(BODY_BYTES));
             ctx.writeAndFlush(Unpooled.copiedBuffer(head, StandardCharsets.US_ASCII));
         }
     }
--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -1,5 +1,7 @@
 package ivybank.discovery;
 
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.Balancer.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -10,9 +12,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.Balancer.Upstream;
-
 /**
  * The upstreams that discovery names. A host keeps its number until it is gone; it is forgotten then, for new ones come
  * for ever, and no number is given twice, so that what still refers to it meets no other.
@@ -37,6 +36,7 @@
     };
     /** The nodes that operators have taken out, with when they did. */
     private final Map<String, Double> out = new HashMap<>();
+
     private int nextId;
 
     /** Tells {@code retired} of each node whose connections are of no more use. */
@@ -55,16 +55,20 @@
         List<Upstream> entries = new ArrayList<>();
         Collection<HostUpdate.Entry> told = onceEach(update.entries());
         for (HostUpdate.Entry entry : told) {
-            if (update.fromElsewhere() && ended.containsKey(entry.host())
+            if (update.fromElsewhere()
+                    && ended.containsKey(entry.host())
                     && ended.get(entry.host()) == entry.bornMs()) {
                 continue;
             }
             Node node = byHost.computeIfAbsent(entry.host(), this::add);
             named.add(node);
-            // Another machine, or another process on it: what leads to the one before is of no more use, and what is written
+            // Another machine, or another process on it: what leads to the one before is of no more use, and what is
+            // written
             // there ends as a reset of a request that may have run.
             boolean moved = !entry.address().equals(node.address) || entry.bornMs() != node.bornMs;
-            boolean undrained = update.fromElsewhere() && node.status == Status.DRAINING && node.bornMs == entry.bornMs()
+            boolean undrained = update.fromElsewhere()
+                    && node.status == Status.DRAINING
+                    && node.bornMs == entry.bornMs()
                     && entry.status() == Status.READY;
             Status status = undrained ? Status.DRAINING : entry.status();
             node.address = entry.address();
@@ -110,7 +114,8 @@
         if (earlier.bornMs() != later.bornMs()) {
             return earlier.bornMs() > later.bornMs() ? earlier : later;
         }
-        boolean laterAllowsMore = earlier.status() == Status.GONE || earlier.status() == Status.DRAINING && later.status() == Status.READY;
+        boolean laterAllowsMore = earlier.status() == Status.GONE
+                || earlier.status() == Status.DRAINING && later.status() == Status.READY;
         return laterAllowsMore ? earlier : later;
     }
 
@@ -120,8 +125,14 @@
         Status status = out.containsKey(node.host) ? Status.DRAINING : node.status;
         node.outSinceMs = out.getOrDefault(node.host, 0.0);
         node.ready = status == Status.READY;
-        return new Upstream(node.id, status, startOf(node), number(zones, entry.zone()), number(kinds, entry.kind()),
-                entry.cell(), entry.weight());
+        return new Upstream(
+                node.id,
+                status,
+                startOf(node),
+                number(zones, entry.zone()),
+                number(kinds, entry.kind()),
+                entry.cell(),
+                entry.weight());
     }
 
     /**
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -1,19 +1,6 @@
 package ivybank.discovery;
 
-import java.io.IOException;
-import java.net.SocketAddress;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.DoubleSupplier;
-import java.util.function.Supplier;
-
 import com.fasterxml.jackson.databind.JsonNode;
-import ivybank.common.Clock;
-import ivybank.common.Json;
-import ivybank.common.Log;
-import ivybank.tally.Tally;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
@@ -33,6 +20,18 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import ivybank.common.Clock;
+import ivybank.common.Json;
+import ivybank.common.Log;
+import ivybank.tally.Tally;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * Follows discovery: the whole list first, then a watch from its version on; or at once a watch from the version of a list that
@@ -64,9 +63,11 @@
     private long newest = -1;
     /** Whether {@code seq} is from before the start, and nothing has been heard since that confirms it. */
     private boolean remembered;
+
     private double pauseMs = Timing.FIRST_PAUSE_MS;
     /** Watches in a row that have fallen silent without a word. */
     private int silent;
+
     private boolean reachable = true;
     private boolean stopped;
     private SocketAddress address;
@@ -75,23 +76,51 @@
     private double movedMs = Double.NaN;
     /** The call at hand; what others still bring is late and is ignored, but for one to the address before a move. */
     private Channel current;
+
     private Channel previous;
     private ScheduledFuture<?> nextStart;
-    private Runnable firstWord = () -> { };
+    private Runnable firstWord = () -> {};
     private Tally tally = Tally.NONE;
 
     /**
      * @param where may return null: then the address stays
      * @param from the version to go on from, of a list that is known, or -1 to begin with the whole list
      */
-    public Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, long from, Timing timing,
-            Consumer<HostUpdate> listener, Clock clock, Log log) {
-        this(loop, base, address, where, from, timing, () -> ThreadLocalRandom.current().nextDouble(), listener, clock, log);
+    public Discovery(
+            EventLoop loop,
+            Bootstrap base,
+            SocketAddress address,
+            Supplier<SocketAddress> where,
+            long from,
+            Timing timing,
+            Consumer<HostUpdate> listener,
+            Clock clock,
+            Log log) {
+        this(
+                loop,
+                base,
+                address,
+                where,
+                from,
+                timing,
+                () -> ThreadLocalRandom.current().nextDouble(),
+                listener,
+                clock,
+                log);
     }
 
     /** {@code random}: from 0 to 1, what a pause is drawn by. */
-    Discovery(EventLoop loop, Bootstrap base, SocketAddress address, Supplier<SocketAddress> where, long from, Timing timing,
-            DoubleSupplier random, Consumer<HostUpdate> listener, Clock clock, Log log) {
+    Discovery(
+            EventLoop loop,
+            Bootstrap base,
+            SocketAddress address,
+            Supplier<SocketAddress> where,
+            long from,
+            Timing timing,
+            DoubleSupplier random,
+            Consumer<HostUpdate> listener,
+            Clock clock,
+            Log log) {
         this.seq = from;
         this.remembered = from >= 0;
         this.loop = loop;
@@ -107,7 +136,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) throws IOException {
-                        channel.pipeline().addLast(new HttpClientCodec(), new Call(timing.asksForAll(silent) ? -1 : seq, newest));
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(), new Call(timing.asksForAll(silent) ? -1 : seq, newest));
                     }
                 });
     }
@@ -128,7 +158,7 @@
 
     private void firstWord() {
         Runnable told = firstWord;
-        firstWord = () -> { };
+        firstWord = () -> {};
         told.run();
     }
 
@@ -259,8 +289,8 @@
             if (watching) {
                 values = new ListValues(MOST_BYTES);
             }
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    watching ? WATCH + version : LIST);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, watching ? WATCH + version : LIST);
             request.headers().set(HttpHeaderNames.HOST, "discovery");
             ctx.writeAndFlush(request);
         }
@@ -268,9 +298,13 @@
         /** What it waits for now, and for how long: only that, or what goes before it, ends the wait, not any byte. */
         private void guard(ChannelHandlerContext ctx, long mostMs, String what) {
             unguard();
-            guard = loop.schedule(() -> {
-                guard = loop.schedule(() -> missed(ctx, what + mostMs + " ms"), ONE_MORE_PASS_MS, TimeUnit.MILLISECONDS);
-            }, mostMs, TimeUnit.MILLISECONDS);
+            guard = loop.schedule(
+                    () -> {
+                        guard = loop.schedule(
+                                () -> missed(ctx, what + mostMs + " ms"), ONE_MORE_PASS_MS, TimeUnit.MILLISECONDS);
+                    },
+                    mostMs,
+                    TimeUnit.MILLISECONDS);
         }
 
         private void unguard() {
@@ -336,7 +370,8 @@
             try {
                 piece = values.take(ByteBufUtil.getBytes(content));
             } catch (IOException e) {
-                throw unreadable(ctx.channel(), "the watch from version " + version + ", at byte " + values.at() + ",", e);
+                throw unreadable(
+                        ctx.channel(), "the watch from version " + version + ", at byte " + values.at() + ",", e);
             }
             for (JsonNode value : piece.values()) {
                 read(ctx.channel(), value);
@@ -356,7 +391,10 @@
             if (channel == current) {
                 seq = -1;
             }
-            return new IOException(where + " can't be read: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""), e);
+            return new IOException(
+                    where + " can't be read: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""),
+                    e);
         }
 
         private void read(Channel channel, JsonNode json) throws IOException {
@@ -375,7 +413,8 @@
                 if (!update.whole() && update.seq() < version) {
                     seq = -1;
                     newest = -1;
-                    throw new IOException("it is at version " + update.seq() + " and knows nothing of the list of version " + version);
+                    throw new IOException("it is at version " + update.seq()
+                            + " and knows nothing of the list of version " + version);
                 }
             }
             boolean moved = channel == current && !Double.isNaN(movedMs);
--- a/src/main/java/ivybank/discovery/HostUpdate.java
+++ b/src/main/java/ivybank/discovery/HostUpdate.java
@@ -1,13 +1,12 @@
 package ivybank.discovery;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import ivybank.common.Addresses;
+import ivybank.policy.Balancer.Status;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
-import ivybank.common.Addresses;
-import ivybank.policy.Balancer.Status;
-import com.fasterxml.jackson.databind.JsonNode;
-
 /**
  * What discovery says of upstreams: the whole list, or the entries that changed up to version {@code seq}; and whether
  * it is the first word from another address, which may be older than what is known.
@@ -35,9 +34,15 @@
     }
 
     /** One upstream; {@code bornMs} 0 means long ago. */
-    public record Entry(String host, SocketAddress address, Status status, double bornMs, String zone, String kind,
-                 int cell, double weight) {
-    }
+    public record Entry(
+            String host,
+            SocketAddress address,
+            Status status,
+            double bornMs,
+            String zone,
+            String kind,
+            int cell,
+            double weight) {}
 
     public HostUpdate {
         entries = List.copyOf(entries);
@@ -58,9 +63,15 @@
         if (host.isEmpty()) {
             throw new IllegalArgumentException("an upstream has no host");
         }
-        return new Entry(host, Addresses.parse(node.path("dial").asText("")), status(node.path("health").asText("")),
-                node.path("born_ms").asDouble(0), node.path("site").asText(""), node.path("class").asText(""),
-                node.path("block").asInt(0), Math.max(0, node.path("share").asDouble(1)));
+        return new Entry(
+                host,
+                Addresses.parse(node.path("dial").asText("")),
+                status(node.path("health").asText("")),
+                node.path("born_ms").asDouble(0),
+                node.path("site").asText(""),
+                node.path("class").asText(""),
+                node.path("block").asInt(0),
+                Math.max(0, node.path("share").asDouble(1)));
     }
 
     private static Status status(String health) {
--- a/src/main/java/ivybank/discovery/ListValues.java
+++ b/src/main/java/ivybank/discovery/ListValues.java
@@ -1,16 +1,15 @@
 package ivybank.discovery;
 
-import java.io.Closeable;
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
-
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.util.TokenBuffer;
 import ivybank.common.Json;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Takes the JSON values out of a watch, whatever the white space in and between them and wherever the pieces are cut. Guards
@@ -50,7 +49,9 @@
         boolean emptyLine = value == null && beginsWithEmptyLine(bytes);
         List<JsonNode> whole = new ArrayList<>(1);
         feeder.feedInput(bytes, 0, bytes.length);
-        for (JsonToken token = parser.nextToken(); token != null && token != JsonToken.NOT_AVAILABLE; token = parser.nextToken()) {
+        for (JsonToken token = parser.nextToken();
+                token != null && token != JsonToken.NOT_AVAILABLE;
+                token = parser.nextToken()) {
             if (value == null) {
                 value = new TokenBuffer(parser);
                 begunAt = at();
--- a/src/main/java/ivybank/discovery/Node.java
+++ b/src/main/java/ivybank/discovery/Node.java
@@ -1,8 +1,7 @@
 package ivybank.discovery;
 
-import java.net.SocketAddress;
-
 import ivybank.policy.Balancer.Status;
+import java.net.SocketAddress;
 
 /** One upstream as this sidecar knows it: its number for the module, where to dial it, and whether it may be sent to. */
 public final class Node {
@@ -19,6 +18,7 @@
     HostUpdate.Entry listed;
     /** Since when it has been out by the operators' order, or 0; and when it was called back last. */
     double outSinceMs;
+
     double calledBackMs;
 
     public Node(int id, String host) {
--- a/src/main/java/ivybank/discovery/Timing.java
+++ b/src/main/java/ivybank/discovery/Timing.java
@@ -24,9 +24,11 @@
     private static final int SILENCE_MS = 3000;
     /** The first word of a watch that follows a silent one: the empty line and a little. */
     private static final int FIRST_WORD_MS = 2300;
+
     private static final int CONNECT_MS = 1000;
     /** Where lists are asked for: two silent watches, and this between them, have to fit in {@link #SILENCE_COUNTS_MS}. */
     private static final int ASKED_CONNECT_MS = 500;
+
     private static final int AT_ONCE_MS = 1000;
     private static final double LONGEST_PAUSE_MS = 1500;
     /**
@@ -34,6 +36,7 @@
      * counts at once. What is left of the grace is for the list itself.
      */
     private static final double CONNECT_PART = 0.15;
+
     private static final double ANSWER_PART = 0.3;
     private static final double PAUSE_PART = 0.15;
     private static final int LEAST_MS = 20;
@@ -46,10 +49,14 @@
      * @param graceMs for how long a node may be sent to that was told to drain
      */
     public static Timing standard(boolean asked, double graceMs) {
-        return asked ? new Timing(SILENCE_MS, SILENCE_MS, ASKED_CONNECT_MS, LONGEST_PAUSE_MS, true)
-                : new Timing(SILENCE_MS, (int) within(LEAST_MS, ANSWER_PART * graceMs, AT_ONCE_MS),
+        return asked
+                ? new Timing(SILENCE_MS, SILENCE_MS, ASKED_CONNECT_MS, LONGEST_PAUSE_MS, true)
+                : new Timing(
+                        SILENCE_MS,
+                        (int) within(LEAST_MS, ANSWER_PART * graceMs, AT_ONCE_MS),
                         (int) within(LEAST_MS, CONNECT_PART * graceMs, CONNECT_MS),
-                        within(LEAST_PAUSE_MS, PAUSE_PART * graceMs, LONGEST_PAUSE_MS), false);
+                        within(LEAST_PAUSE_MS, PAUSE_PART * graceMs, LONGEST_PAUSE_MS),
+                        false);
     }
 
     private static double within(double least, double value, double most) {
--- a/src/main/java/ivybank/emulator/FleetResult.java
+++ b/src/main/java/ivybank/emulator/FleetResult.java
@@ -14,9 +14,20 @@
  * @param worstCold of what a cold node could do in two seconds, what it was sent in them
  * @param mostMembers nodes that one sidecar drew from
  */
-public record FleetResult(long requests, double inTime, double[] bySecond, long connections, long attempts, long givenUp,
-                          int mostBegun, int mostHeld, int jammed, int justBack, double worstCold, int mostMembers,
-                          double meanMembers) {
+public record FleetResult(
+        long requests,
+        double inTime,
+        double[] bySecond,
+        long connections,
+        long attempts,
+        long givenUp,
+        int mostBegun,
+        int mostHeld,
+        int jammed,
+        int justBack,
+        double worstCold,
+        int mostMembers,
+        double meanMembers) {
 
     /** The part in time of the requests of these seconds. */
     public double between(int from, int until) {
@@ -29,10 +40,22 @@
 
     /** One line of figures. */
     public String line() {
-        return String.format(Locale.ROOT, "%d requests, %.3f in time, %.2f connections and %.2f attempts for each, %d given up;"
-                + " at one node %d begun in a second, %d held, %d attempts when just back, cold %.2f of capacity; %d jammed;"
-                + " members %d at most, %.1f in the mean", requests, inTime, connections / (double) Math.max(1, requests),
-                attempts / (double) Math.max(1, requests), givenUp, mostBegun, mostHeld, justBack, worstCold, jammed,
-                mostMembers, meanMembers);
+        return String.format(
+                Locale.ROOT,
+                "%d requests, %.3f in time, %.2f connections and %.2f attempts for each, %d given up;"
+                        + " at one node %d begun in a second, %d held, %d attempts when just back, cold %.2f of capacity; %d jammed;"
+                        + " members %d at most, %.1f in the mean",
+                requests,
+                inTime,
+                connections / (double) Math.max(1, requests),
+                attempts / (double) Math.max(1, requests),
+                givenUp,
+                mostBegun,
+                mostHeld,
+                justBack,
+                worstCold,
+                jammed,
+                mostMembers,
+                meanMembers);
     }
 }
--- a/src/main/java/ivybank/emulator/FleetRun.java
+++ b/src/main/java/ivybank/emulator/FleetRun.java
@@ -1,15 +1,14 @@
 package ivybank.emulator;
 
+import ivybank.policy.Balancer.ListKind;
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.Balancer.Upstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
-import ivybank.policy.Balancer.ListKind;
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.Balancer.Upstream;
-
 /** One run of a fleet: nodes, sidecars, clients and what happens to them, from a seed alone. */
 public final class FleetRun {
 
@@ -20,17 +19,20 @@
     private static final int RETRIES = 1;
     /** Mean work of a request, and what it waits beside its cores. */
     private static final double WORK = 350;
+
     private static final double LEAST_WORK = 0.2; // of the mean; the rest is exponential
     private static final double IO_MS = 250;
     private static final double READS = 0.65;
     private static final double[] SPEEDS = {0.8, 1.2, 2.0};
     /** How late a sidecar is told of what happens to a node, and how long one drains. */
     private static final double TOLD_MS = 1500;
+
     private static final double DRAIN_MS = 3500;
     private static final double STARTED_MS = 1_000_000;
     private static final int STEPS = 10;
     /** When what happens begins, and how long a sidecar that is restarted serves nobody. */
     private static final double INCIDENT_MS = 8000;
+
     private static final double DOWN_MS = 3000;
     /** After its start, for how long a node counts as just back. */
     private static final double JUST_BACK_MS = 2000;
@@ -113,8 +115,14 @@
     }
 
     private static Upstream entry(NodeModel node, Status status) {
-        return new Upstream(node.id, status, node.startedMs, node.id % 4, node.spec.speed() > 1.5 ? 2 : node.spec.speed() > 1 ? 1 : 0,
-                0, 1);
+        return new Upstream(
+                node.id,
+                status,
+                node.startedMs,
+                node.id % 4,
+                node.spec.speed() > 1.5 ? 2 : node.spec.speed() > 1 ? 1 : 0,
+                0,
+                1);
     }
 
     private void begin(int sidecar) {
@@ -147,7 +155,9 @@
             if (served && simulation.nowMs() - firstMs <= AIM_MS) {
                 inTime.count(firstMs - STARTED_MS);
             } else if (!served && tries < RETRIES) {
-                simulation.after(BACKOFF_MS * (0.5 + draws.nextDouble()), () -> ask(sidecar, read, firstMs, work, tries + 1, draws));
+                simulation.after(
+                        BACKOFF_MS * (0.5 + draws.nextDouble()),
+                        () -> ask(sidecar, read, firstMs, work, tries + 1, draws));
             }
         });
     }
@@ -252,8 +262,19 @@
         for (int second = 0; second < seconds; second++) {
             served[second] = asked.in(second) == 0 ? 1 : inTime.in(second) / (double) asked.in(second);
         }
-        return new FleetResult(asked.sum(0, seconds), inTime.sum(0, seconds) / (double) Math.max(1, asked.sum(0, seconds)), served,
-                tally.connected, tally.attempts, tally.givenUp, most, held, choked,
-                justBack.values().stream().mapToInt(count -> count).max().orElse(0), cold, mostMembers, meanMembers / memberSamples);
+        return new FleetResult(
+                asked.sum(0, seconds),
+                inTime.sum(0, seconds) / (double) Math.max(1, asked.sum(0, seconds)),
+                served,
+                tally.connected,
+                tally.attempts,
+                tally.givenUp,
+                most,
+                held,
+                choked,
+                justBack.values().stream().mapToInt(count -> count).max().orElse(0),
+                cold,
+                mostMembers,
+                meanMembers / memberSamples);
     }
 }
--- a/src/main/java/ivybank/emulator/FleetSpec.java
+++ b/src/main/java/ivybank/emulator/FleetSpec.java
@@ -1,8 +1,5 @@
 package ivybank.emulator;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import ivybank.policy.Balancer.Contract;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.Goal;
@@ -10,6 +7,8 @@
 import ivybank.policy.Balancer.Limits;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A fleet and what happens to it. Times are in milliseconds.
@@ -21,8 +20,17 @@
  * @param told how many sidecars the settings name
  * @param viewed whether sidecars know by their own view how many there are
  */
-public record FleetSpec(int sidecars, int nodes, double load, double busy, double lengthMs, double idleMs, Incident incident,
-                        long seed, int told, boolean viewed) {
+public record FleetSpec(
+        int sidecars,
+        int nodes,
+        double load,
+        double busy,
+        double lengthMs,
+        double idleMs,
+        Incident incident,
+        long seed,
+        int told,
+        boolean viewed) {
 
     public FleetSpec {
         require(sidecars >= 1 && nodes >= 1, "a fleet needs a sidecar and a node");
@@ -81,8 +89,18 @@
         List<RequestClass> classes = new ArrayList<>();
         classes.add(new RequestClass("read", 1500, 6000, 3, 0, Effect.SAFE, Group.ALL, 0, false));
         classes.add(new RequestClass("submit", 1500, 6000, 10, 0, Effect.UNSAFE, Group.ALL, 0, false));
-        return new Settings(classes, List.of(), told, false, false, 5, 0, List.of("rps", "cpu"),
-                new Limits(6, true, true, false, 2000), new Contract(0.2, 15_000, 2.5, 2000, 15_000), new Goal(0.7, 0.3, 0, 0));
+        return new Settings(
+                classes,
+                List.of(),
+                told,
+                false,
+                false,
+                5,
+                0,
+                List.of("rps", "cpu"),
+                new Limits(6, true, true, false, 2000),
+                new Contract(0.2, 15_000, 2.5, 2000, 15_000),
+                new Goal(0.7, 0.3, 0, 0));
     }
 
     private static void require(boolean holds, String what) {
--- a/src/main/java/ivybank/emulator/Incident.java
+++ b/src/main/java/ivybank/emulator/Incident.java
@@ -9,7 +9,8 @@
  * @param overMs how long the steps take in all
  * @param silent the part of the nodes that answers nothing, for {@code silentMs}, and is replaced then
  */
-public record Incident(double replaced, double restarted, boolean atOnce, double overMs, double silent, double silentMs) {
+public record Incident(
+        double replaced, double restarted, boolean atOnce, double overMs, double silent, double silentMs) {
 
     static final Incident NONE = new Incident(0, 0, false, 0, 0, 0);
     /** Half of the nodes are replaced while each sidecar is restarted once. */
--- a/src/main/java/ivybank/emulator/NodeModel.java
+++ b/src/main/java/ivybank/emulator/NodeModel.java
@@ -14,6 +14,7 @@
     private static final double STEP_MS = 50;
     /** How fast the load that it reports follows the one that it has, and the one that overdrives it. */
     private static final double REPORT_MS = 250;
+
     private static final double OVERDRIVEN_MS = 2000;
 
     /** Work in hand; ends by {@link #finished} or by being called off. */
@@ -42,6 +43,7 @@
     private final ArrayDeque<Job> waiting = new ArrayDeque<>();
     /** Work that each running job has had since the beginning of time. */
     private double progress;
+
     private double progressedMs;
     private long wake;
     private int slotsTaken;
@@ -54,6 +56,7 @@
     private final double[] coldWork = new double[64];
     /** Figures of the whole run. */
     int mostConnections;
+
     int choked;
     long refused;
     double worstCold;
@@ -71,7 +74,9 @@
     /** The part of its capacity that is warm. */
     double warmth() {
         double ageMs = simulation.nowMs() - startedMs;
-        return startedMs <= 0 || ageMs >= spec.coldMs() ? 1 : spec.coldFrom() + (1 - spec.coldFrom()) * ageMs / spec.coldMs();
+        return startedMs <= 0 || ageMs >= spec.coldMs()
+                ? 1
+                : spec.coldFrom() + (1 - spec.coldFrom()) * ageMs / spec.coldMs();
     }
 
     private double capacity() {
--- a/src/main/java/ivybank/emulator/NodeSpec.java
+++ b/src/main/java/ivybank/emulator/NodeSpec.java
@@ -14,8 +14,19 @@
  * @param chokeSlower how much slower it is then
  * @param chokeMs how long
  */
-public record NodeSpec(int cores, double speed, int slots, int queue, double coldFrom, double coldMs, double handshakeWork,
-                       int connections, double fullTax, double chokeAt, double chokeSlower, double chokeMs) {
+public record NodeSpec(
+        int cores,
+        double speed,
+        int slots,
+        int queue,
+        double coldFrom,
+        double coldMs,
+        double handshakeWork,
+        int connections,
+        double fullTax,
+        double chokeAt,
+        double chokeSlower,
+        double chokeMs) {
 
     /** A node of four cores that bears some 15 requests a second. */
     public static NodeSpec usual(double speed) {
--- a/src/main/java/ivybank/emulator/SidecarModel.java
+++ b/src/main/java/ivybank/emulator/SidecarModel.java
@@ -1,12 +1,5 @@
 package ivybank.emulator;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-
 import ivybank.fleet.FleetCount;
 import ivybank.policy.Balancer;
 import ivybank.policy.Balancer.AttemptEnd;
@@ -15,6 +8,12 @@
 import ivybank.policy.Balancer.Request;
 import ivybank.policy.Balancer.Upstream;
 import ivybank.policy.LoadShiftingBalancer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 
 /**
  * One life of a sidecar: the real module, and a model of the connections that it keeps. A connection carries one request at
@@ -26,6 +25,7 @@
     private static final double CONNECT_TIMEOUT_MS = 250;
     /** What is kept of the client's time for the way of the answer. */
     private static final double ANSWER_MS = 20;
+
     private static final double[] NO_REPORT = {};
 
     /** What a client's request became, once. */
@@ -82,8 +82,16 @@
             }
             boolean heard = served || outcome == Outcome.REJECTED;
             double[] report = heard ? new double[] {0, node.busy()} : NO_REPORT;
-            tell(() -> balancer.attemptEnded(simulation.nowMs(), new AttemptEnd(exchange.id, number, node.id, outcome,
-                    simulation.nowMs() - sentMs, exchange.over, report)));
+            tell(() -> balancer.attemptEnded(
+                    simulation.nowMs(),
+                    new AttemptEnd(
+                            exchange.id,
+                            number,
+                            node.id,
+                            outcome,
+                            simulation.nowMs() - sentMs,
+                            exchange.over,
+                            report)));
             if (now) {
                 exchange.answer.answered(true);
             }
@@ -122,7 +130,11 @@
     private boolean ended;
     private int lastId;
 
-    SidecarModel(Simulation simulation, Map<Integer, NodeModel> nodes, FleetSpec spec, FleetRun.Tally tally,
+    SidecarModel(
+            Simulation simulation,
+            Map<Integer, NodeModel> nodes,
+            FleetSpec spec,
+            FleetRun.Tally tally,
             SplittableRandom random) {
         this.simulation = simulation;
         this.nodes = nodes;
@@ -141,7 +153,9 @@
 
     /** How many nodes it draws from. */
     int members() {
-        return (int) balancer.learned().nodes().values().stream().filter(node -> node.share() > 0).count();
+        return (int) balancer.learned().nodes().values().stream()
+                .filter(node -> node.share() > 0)
+                .count();
     }
 
     /** A client's request; what this life leaves unanswered is never answered. */
@@ -159,7 +173,8 @@
             }
             simulation.after(1000, () -> exchanges.remove(exchange.id));
         });
-        tell(() -> balancer.request(simulation.nowMs(), new Request(exchange.id, read ? 0 : 1, 0, budgetMs - ANSWER_MS, false, false)));
+        tell(() -> balancer.request(
+                simulation.nowMs(), new Request(exchange.id, read ? 0 : 1, 0, budgetMs - ANSWER_MS, false, false)));
     }
 
     /** Its process is killed: its connections break, and what was asked of nodes is called off. */
@@ -206,7 +221,9 @@
         }
         double oldestMs = simulation.nowMs() - spec.idleMs();
         for (ArrayDeque<Connection> connections : idle.values()) {
-            while (!connections.isEmpty() && (connections.peekLast().idleSinceMs < oldestMs || connections.peekLast().node.gone())) {
+            while (!connections.isEmpty()
+                    && (connections.peekLast().idleSinceMs < oldestMs
+                            || connections.peekLast().node.gone())) {
                 close(connections.pollLast());
             }
         }
--- a/src/main/java/ivybank/emulator/Simulation.java
+++ b/src/main/java/ivybank/emulator/Simulation.java
@@ -11,8 +11,7 @@
 
     private static final int MOST_AT_ONCE = 1_000_000;
 
-    private record Event(double atMs, long number, Runnable action) {
-    }
+    private record Event(double atMs, long number, Runnable action) {}
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::number));
--- a/src/main/java/ivybank/emulator/ViewWorld.java
+++ b/src/main/java/ivybank/emulator/ViewWorld.java
@@ -1,13 +1,5 @@
 package ivybank.emulator;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
-import java.util.Random;
-import java.util.function.BiPredicate;
-import java.util.function.IntPredicate;
-
 import ivybank.fleet.Change;
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.FleetView;
@@ -15,6 +7,13 @@
 import ivybank.fleet.MessageCodec;
 import ivybank.fleet.Standing;
 import ivybank.fleet.ViewSnapshot;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.IntPredicate;
 
 /**
  * Many sidecars' views on one simulated clock: the real code and the real layout, a network that loses, delays, doubles and
@@ -24,6 +23,7 @@
 
     /** What a stopped process's socket keeps. */
     private static final int MOST_QUEUED = 256;
+
     private static final double STARTED_MS = 1_700_000_000_000.0;
 
     private final class Process implements FleetView.Out {
@@ -35,7 +35,8 @@
 
         private Process(int seat, long life, String name) {
             this.seat = seat;
-            this.view = new FleetView(seat, name, "", life, processes.length, timing, new Random(random.nextLong()), this);
+            this.view =
+                    new FleetView(seat, name, "", life, processes.length, timing, new Random(random.nextLong()), this);
         }
 
         private void tick() {
@@ -58,7 +59,8 @@
             }
             for (int copies = random.nextDouble() < network.doubled() ? 2 : 1; copies > 0; copies--) {
                 if (random.nextDouble() >= network.loss()) {
-                    simulation.after(network.leastMs() + random.nextDouble() * (network.mostMs() - network.leastMs()),
+                    simulation.after(
+                            network.leastMs() + random.nextDouble() * (network.mostMs() - network.leastMs()),
                             () -> arrive(seat, to, bytes));
                 }
             }
@@ -242,8 +244,8 @@
         for (Process each : processes) {
             if (each != null && !each.dead && side.test(each.seat)) {
                 for (ViewSnapshot.Seen seen : view(each.seat).members()) {
-                    if (seen.standing().lives() && (!lives(seen.seat()) || life(seen.seat()) != seen.life()
-                            || !side.test(seen.seat()))) {
+                    if (seen.standing().lives()
+                            && (!lives(seen.seat()) || life(seen.seat()) != seen.life() || !side.test(seen.seat()))) {
                         return false;
                     }
                 }
--- a/src/main/java/ivybank/exchange/BodyPipe.java
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -1,10 +1,9 @@
 package ivybank.exchange;
 
+import io.netty.buffer.ByteBuf;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-import io.netty.buffer.ByteBuf;
-
 /**
  * What is still to come of a long body, from the side that reads it to the side that writes it. Holds what has come until
  * somebody takes it; the reader is told to stop meanwhile and whenever the writer can take no more, so that it holds little
@@ -38,6 +37,7 @@
     private boolean taken;
     /** Whether the sink can take no more at once. */
     private boolean paused;
+
     private boolean delivering;
     private boolean ended;
     private boolean whole;
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -8,14 +8,50 @@
  * {@code rest} what is still to come, {@code length} that of all or -1 where only its end will tell; its time counts from its
  * last byte, which comes after {@code arrivedMs}.
  */
-public record ClientRequest(HttpMethod method, String uri, String callId, String idempotencyKey, byte[] body,
-                     int requestClass, int tenant, boolean repeat, double arrivedMs, double budgetMs, String identity,
-                     SendRecord record, BodyPipe rest, long length) {
+public record ClientRequest(
+        HttpMethod method,
+        String uri,
+        String callId,
+        String idempotencyKey,
+        byte[] body,
+        int requestClass,
+        int tenant,
+        boolean repeat,
+        double arrivedMs,
+        double budgetMs,
+        String identity,
+        SendRecord record,
+        BodyPipe rest,
+        long length) {
 
-    public ClientRequest(HttpMethod method, String uri, String callId, String idempotencyKey, byte[] body, int requestClass,
-            int tenant, boolean repeat, double arrivedMs, double budgetMs, String identity, SendRecord record) {
-        this(method, uri, callId, idempotencyKey, body, requestClass, tenant, repeat, arrivedMs, budgetMs, identity, record,
-                null, body.length);
+    public ClientRequest(
+            HttpMethod method,
+            String uri,
+            String callId,
+            String idempotencyKey,
+            byte[] body,
+            int requestClass,
+            int tenant,
+            boolean repeat,
+            double arrivedMs,
+            double budgetMs,
+            String identity,
+            SendRecord record) {
+        this(
+                method,
+                uri,
+                callId,
+                idempotencyKey,
+                body,
+                requestClass,
+                tenant,
+                repeat,
+                arrivedMs,
+                budgetMs,
+                identity,
+                record,
+                null,
+                body.length);
     }
 
     /** Whether its last byte has not come yet. */
@@ -25,7 +61,20 @@
 
     /** The same, to be on record before it is sent. */
     public ClientRequest with(SendRecord kept) {
-        return new ClientRequest(method, uri, callId, idempotencyKey, body, requestClass, tenant, repeat, arrivedMs, budgetMs,
-                identity, kept, rest, length);
+        return new ClientRequest(
+                method,
+                uri,
+                callId,
+                idempotencyKey,
+                body,
+                requestClass,
+                tenant,
+                repeat,
+                arrivedMs,
+                budgetMs,
+                identity,
+                kept,
+                rest,
+                length);
     }
 }
--- a/src/main/java/ivybank/fleet/Change.java
+++ b/src/main/java/ivybank/fleet/Change.java
@@ -1,5 +1,4 @@
 package ivybank.fleet;
 
 /** A change of the view, for the log. */
-public record Change(int seat, String name, long life, String what) {
-}
+public record Change(int seat, String name, long life, String what) {}
--- a/src/main/java/ivybank/fleet/FleetTiming.java
+++ b/src/main/java/ivybank/fleet/FleetTiming.java
@@ -14,8 +14,16 @@
  * @param forgetMs after which who is gone is no longer listed
  * @param holdMs for which a smaller number of sidecars must have been seen before it counts
  */
-public record FleetTiming(double tickMs, double periodMs, double answerMs, double leastDoubtMs, double mostDoubtMs,
-                          double seekMs, double syncMs, double forgetMs, double holdMs) {
+public record FleetTiming(
+        double tickMs,
+        double periodMs,
+        double answerMs,
+        double leastDoubtMs,
+        double mostDoubtMs,
+        double seekMs,
+        double syncMs,
+        double forgetMs,
+        double holdMs) {
 
     public static final FleetTiming STANDARD = new FleetTiming(50, 600, 150, 1200, 4000, 1500, 400, 600_000, 120_000);
 }
--- a/src/main/java/ivybank/fleet/FleetView.java
+++ b/src/main/java/ivybank/fleet/FleetView.java
@@ -1,5 +1,6 @@
 package ivybank.fleet;
 
+import ivybank.fleet.Message.Kind;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -8,8 +9,6 @@
 import java.util.Random;
 import java.util.TreeMap;
 
-import ivybank.fleet.Message.Kind;
-
 /**
  * One sidecar's view of the others: who is here, by what they say of themselves, by probes and by rumours, after SWIM with
  * Lifeguard. No I/O and no clock: what comes is told with its time, what is to be sent goes to {@link Out} during the call.
@@ -31,14 +30,17 @@
 
     /** Members that look at a suspect themselves when they hear of it, of all, if none has just heard it. */
     private static final double LOOKERS = 4;
+
     private static final double RECENT_PERIODS = 2;
     /** Times that a rumour is told, for each doubling of the fleet. */
     private static final int TOLD = 2;
+
     private static final double PUSHES_A_SECOND = 25;
     private static final double PUSHES_AT_ONCE = 32;
     private static final double ANSWERS_A_SECOND = 40; // to what proves nothing
     /** Peers in a row whose views are like this one, after which it has nothing to tell. */
     private static final int ENOUGH_MATCHES = 3;
+
     private static final double QUIET_MS = 2000; // without a change
     private static final int PAGES = 12; // of an answer to SYNC
     private static final double LONGEST_SYNC_MS = 8000;
@@ -93,7 +95,8 @@
      * @param life higher than each that it had before, as far as it knows
      * @param seats how many the list has
      */
-    public FleetView(int seat, String name, String zone, long life, int seats, FleetTiming timing, Random random, Out out) {
+    public FleetView(
+            int seat, String name, String zone, long life, int seats, FleetTiming timing, Random random, Out out) {
         this.timing = timing;
         this.random = random;
         this.out = out;
@@ -214,7 +217,9 @@
         }
         if (it.life() < member.life || it.life() <= member.endedLife) {
             stale++;
-            message.words().stream().filter(word -> word.seat() == self.seat).forEach(word -> aboutSelf(nowMs, word, from));
+            message.words().stream()
+                    .filter(word -> word.seat() == self.seat)
+                    .forEach(word -> aboutSelf(nowMs, word, from));
             if (nowMs - member.correctedMs >= CORRECT_MS) {
                 member.correctedMs = nowMs;
                 answer(member, message, member.lives() ? member.statement() : null);
@@ -269,7 +274,14 @@
 
     private void answer(Member to, Message message, Word first) {
         boolean ping = message.kind() == Kind.PING;
-        sendTo(to.seat, message.self().life(), ping ? Kind.ACK : Kind.WORDS, ping ? message.probe() : 0, -1, null, first);
+        sendTo(
+                to.seat,
+                message.self().life(),
+                ping ? Kind.ACK : Kind.WORDS,
+                ping ? message.probe() : 0,
+                -1,
+                null,
+                first);
     }
 
     // ---- Words.
@@ -329,7 +341,9 @@
                 return;
             }
         }
-        if (word.seat() == word.accuser() || word.accuser() >= members.length || !heeded(word.accuser(), nowMs)
+        if (word.seat() == word.accuser()
+                || word.accuser() >= members.length
+                || !heeded(word.accuser(), nowMs)
                 || !heeded(from, nowMs)) {
             return;
         }
@@ -414,8 +428,10 @@
         }
         if (word.life() > self.life || gaveUp) {
             returns++;
-            tell(self, "was given up, or taken for another, by word of seat " + from + " with life " + word.life()
-                    + "; goes on with life " + (word.life() + 1));
+            tell(
+                    self,
+                    "was given up, or taken for another, by word of seat " + from + " with life " + word.life()
+                            + "; goes on with life " + (word.life() + 1));
             restate(nowMs, word.life() + 1, 0, self.standing);
         } else if (word.turn() >= MessageCodec.MOST_TURN) {
             restate(nowMs, self.life + 1, 0, self.standing);
@@ -527,8 +543,13 @@
                 prober.probe(nowMs, member.seat, false); // it speaks to this one: others' words are not enough
             } else {
                 boolean left = member.suspicion.left;
-                end(nowMs, member, left ? Standing.LEFT : Standing.GONE, left ? "has left, by word of others"
-                        : "is given up, doubted by seats " + member.suspicion.accusers());
+                end(
+                        nowMs,
+                        member,
+                        left ? Standing.LEFT : Standing.GONE,
+                        left
+                                ? "has left, by word of others"
+                                : "is given up, doubted by seats " + member.suspicion.accusers());
             }
         }
     }
@@ -570,7 +591,8 @@
         mismatches++;
         if (mismatches >= 2 && nowMs >= nextSyncMs && pushes.take(nowMs)) {
             // What asking again and again does not mend is not worth the datagrams: it pauses for longer and longer.
-            syncPauseMs = changedMs > nextSyncMs - syncPauseMs ? timing.syncMs() : Math.min(LONGEST_SYNC_MS, 2 * syncPauseMs);
+            syncPauseMs =
+                    changedMs > nextSyncMs - syncPauseMs ? timing.syncMs() : Math.min(LONGEST_SYNC_MS, 2 * syncPauseMs);
             nextSyncMs = nowMs + syncPauseMs * (0.75 + 0.5 * random.nextDouble());
             int[] buckets = new int[sums.length];
             for (int i = 0; i < buckets.length; i++) {
@@ -586,7 +608,10 @@
         for (int i = 0; i < members.length; i++) {
             Member member = members[(start + i) % members.length];
             int bucket = member.seat % sums.length;
-            if (member.seat == to || member == self || bucket >= theirs.length || theirs[bucket] == fold(sums[bucket])) {
+            if (member.seat == to
+                    || member == self
+                    || bucket >= theirs.length
+                    || theirs[bucket] == fold(sums[bucket])) {
                 continue;
             }
             if (member.lives()) {
@@ -621,8 +646,10 @@
         } else if (member.suspicion != null && !member.suspicion.accusers().isEmpty()) {
             // Who is doubted is told first, and may answer for itself.
             int accuser = member.suspicion.accusers().get(0);
-            words.add(member.suspicion.brief() ? Word.gaveUp(to, member.life, member.suspicion.turn, Standing.GONE, accuser)
-                    : Word.suspect(to, member.life, member.suspicion.turn, accuser));
+            words.add(
+                    member.suspicion.brief()
+                            ? Word.gaveUp(to, member.life, member.suspicion.turn, Standing.GONE, accuser)
+                            : Word.suspect(to, member.life, member.suspicion.turn, accuser));
         } else if (!member.lives() && member.endedLife > 0) {
             words.add(Word.gaveUp(to, member.endedLife, member.turn, member.standing, self.seat));
         }
@@ -634,8 +661,19 @@
 
     private void transmit(int to, long toLife, Kind kind, int probe, int subject, int[] buckets, List<Word> words) {
         sent++;
-        out.send(to, new Message(kind, self.statement(), to, toLife, ++members[to].sent, fold(digest()), probe, subject, buckets,
-                words));
+        out.send(
+                to,
+                new Message(
+                        kind,
+                        self.statement(),
+                        to,
+                        toLife,
+                        ++members[to].sent,
+                        fold(digest()),
+                        probe,
+                        subject,
+                        buckets,
+                        words));
     }
 
     // ---- What is known.
@@ -668,12 +706,26 @@
         List<ViewSnapshot.Seen> seen = new ArrayList<>();
         for (Member member : members) {
             if (member.life > 0 && (member.lives() || nowMs - member.endedMs <= timing.forgetMs())) {
-                seen.add(new ViewSnapshot.Seen(member.seat, member.name, member.life, member.turn, member.zone, member.standing,
-                        member.suspicion == null ? List.of() : member.suspicion.accusers(), heeded(member.seat, nowMs)));
+                seen.add(new ViewSnapshot.Seen(
+                        member.seat,
+                        member.name,
+                        member.life,
+                        member.turn,
+                        member.zone,
+                        member.standing,
+                        member.suspicion == null ? List.of() : member.suspicion.accusers(),
+                        heeded(member.seat, nowMs)));
             }
         }
-        return new ViewSnapshot(self.seat, self.life, digest(), Math.max(0, nowMs - Math.max(changedMs, mismatchMs)), alive.size(),
-                members.length, health.points(), seen,
+        return new ViewSnapshot(
+                self.seat,
+                self.life,
+                digest(),
+                Math.max(0, nowMs - Math.max(changedMs, mismatchMs)),
+                alive.size(),
+                members.length,
+                health.points(),
+                seen,
                 new ViewSnapshot.Counts(sent, received, replayed, stale, unknown, forged, givenUp, returns));
     }
 }
--- a/src/main/java/ivybank/fleet/Member.java
+++ b/src/main/java/ivybank/fleet/Member.java
@@ -15,11 +15,13 @@
     Suspicion suspicion;
     /** The life up to which it has been given up or has left. */
     long endedLife;
+
     double endedMs = Double.NEGATIVE_INFINITY;
     double heardMs = Double.NEGATIVE_INFINITY; // by a datagram of its own
     double correctedMs = Double.NEGATIVE_INFINITY;
     /** Who brought the last news of it: the way to it where the direct one is cut. */
     int by = -1;
+
     int sent; // datagrams to it
     final ReplayWindow window = new ReplayWindow();
     /** Who has accused it itself, in this turn: to be blamed if it lives. */
--- a/src/main/java/ivybank/fleet/Message.java
+++ b/src/main/java/ivybank/fleet/Message.java
@@ -16,8 +16,17 @@
  *        {@link Kind#ACK} by another; -1 otherwise
  * @param buckets sums of the sender's view, for {@link Kind#SYNC}; empty otherwise
  */
-public record Message(Kind kind, Word self, int to, long toLife, int counter, int digest, int probe, int subject,
-                      int[] buckets, List<Word> words) {
+public record Message(
+        Kind kind,
+        Word self,
+        int to,
+        long toLife,
+        int counter,
+        int digest,
+        int probe,
+        int subject,
+        int[] buckets,
+        List<Word> words) {
 
     /** What it is. The order is that of the layout on the wire. */
     public enum Kind {
--- a/src/main/java/ivybank/fleet/MessageCodec.java
+++ b/src/main/java/ivybank/fleet/MessageCodec.java
@@ -18,6 +18,7 @@
     public static final int LONGEST = 256;
     /** Bytes that a signature takes at the end. */
     public static final int SIGNATURE = 16;
+
     public static final int LONGEST_NAME = 24;
     public static final int LONGEST_ZONE = 12;
     public static final int BUCKETS = 16;
@@ -28,8 +29,7 @@
     private static final int WORD_FIXED = 1 + 1 + 2 + 6 + 2; // length, kind and standing, seat, life, turn
     private static final int KINDS = Message.Kind.values().length;
 
-    private MessageCodec() {
-    }
+    private MessageCodec() {}
 
     /** What can't be read. */
     public static final class MalformedException extends Exception {
@@ -54,7 +54,8 @@
 
     /** Bytes that a word takes. */
     static int size(Word word) {
-        return WORD_FIXED + (word.accuses() ? 2 : 2 + word.name().length() + word.zone().length());
+        return WORD_FIXED
+                + (word.accuses() ? 2 : 2 + word.name().length() + word.zone().length());
     }
 
     /** Bytes left for words beside what a message of this kind has in any case. */
@@ -68,7 +69,10 @@
         out.put((byte) VERSION).put((byte) message.kind().ordinal()).put((byte) key);
         out.put((byte) FIXED).putInt(fleet).putShort((short) message.to());
         life(out, message.toLife());
-        out.putInt(message.counter()).putInt(message.digest()).putInt(message.probe()).putShort((short) message.subject());
+        out.putInt(message.counter())
+                .putInt(message.digest())
+                .putInt(message.probe())
+                .putShort((short) message.subject());
         out.put((byte) (message.buckets().length)).put((byte) message.words().size());
         word(out, message.self());
         for (int sum : message.buckets()) {
@@ -85,7 +89,8 @@
     }
 
     private static void word(ByteBuffer out, Word word) {
-        out.put((byte) size(word)).put((byte) (word.kind().ordinal() << 4 | word.standing().ordinal()))
+        out.put((byte) size(word))
+                .put((byte) (word.kind().ordinal() << 4 | word.standing().ordinal()))
                 .putShort((short) word.seat());
         life(out, word.life());
         out.putShort((short) word.turn());
@@ -130,7 +135,8 @@
             int kind = in.get(1) & 0xff;
             int header = in.get(3) & 0xff;
             if (header < FIXED || kind >= KINDS) {
-                throw new MalformedException(kind >= KINDS ? "kind " + kind : "a header of " + header + " bytes", kind >= KINDS);
+                throw new MalformedException(
+                        kind >= KINDS ? "kind " + kind : "a header of " + header + " bytes", kind >= KINDS);
             }
             in.position(8);
             int to = in.getShort() & 0xffff;
@@ -160,7 +166,8 @@
                     read.add(word);
                 }
             }
-            return new Message(Message.Kind.values()[kind], self, to, toLife, counter, digest, probe, subject, sums, read);
+            return new Message(
+                    Message.Kind.values()[kind], self, to, toLife, counter, digest, probe, subject, sums, read);
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             throw new MalformedException("cut off", false);
         }
--- a/src/main/java/ivybank/fleet/Prober.java
+++ b/src/main/java/ivybank/fleet/Prober.java
@@ -1,5 +1,6 @@
 package ivybank.fleet;
 
+import ivybank.fleet.Message.Kind;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Iterator;
@@ -8,8 +9,6 @@
 import java.util.Random;
 import java.util.TreeMap;
 
-import ivybank.fleet.Message.Kind;
-
 /**
  * Who is asked whether it is there, and when that has failed: one member a period in a shuffled order, repeated, then by way of
  * others; and what others ask this one to look at for them.
@@ -45,8 +44,7 @@
         }
     }
 
-    private record Relayed(int forSeat, int forProbe, int subject, double dueMs) {
-    }
+    private record Relayed(int forSeat, int forProbe, int subject, double dueMs) {}
 
     private final FleetTiming timing;
     private final Random random;
@@ -87,7 +85,7 @@
 
     void tick(double nowMs) {
         endProbes(nowMs);
-        for (Iterator<Relayed> i = relayed.values().iterator(); i.hasNext();) {
+        for (Iterator<Relayed> i = relayed.values().iterator(); i.hasNext(); ) {
             Relayed each = i.next();
             if (nowMs >= each.dueMs) {
                 i.remove();
@@ -126,7 +124,7 @@
 
     private void endProbes(double nowMs) {
         List<Probe> failed = new ArrayList<>();
-        for (Iterator<Map.Entry<Integer, Probe>> i = probes.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<Integer, Probe>> i = probes.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<Integer, Probe> entry = i.next();
             Probe probe = entry.getValue();
             Member member = members[probe.seat];
--- a/src/main/java/ivybank/fleet/Suspicion.java
+++ b/src/main/java/ivybank/fleet/Suspicion.java
@@ -11,6 +11,7 @@
     final int turn;
     /** Whether it has said itself that it leaves, by word of others. */
     boolean left;
+
     private double sinceMs;
     private boolean brief;
     private final List<Integer> accusers = new ArrayList<>();
--- a/src/main/java/ivybank/fleet/Word.java
+++ b/src/main/java/ivybank/fleet/Word.java
@@ -14,7 +14,11 @@
 public record Word(Kind kind, int seat, long life, int turn, Standing standing, String name, String zone, int accuser) {
 
     /** What is said. The order is that of the layout on the wire. */
-    public enum Kind { STATEMENT, SUSPECT, GAVE_UP }
+    public enum Kind {
+        STATEMENT,
+        SUSPECT,
+        GAVE_UP
+    }
 
     /** An accusation by one who has not heard it. */
     public static Word suspect(int seat, long life, int turn, int accuser) {
--- a/src/main/java/ivybank/handover/Heir.java
+++ b/src/main/java/ivybank/handover/Heir.java
@@ -15,10 +15,8 @@
      * Takes over what another process has learned, as far as it is believed (0 to 1). Of nodes that are not listed nothing
      * is kept; classes of another number than the own ones say that only the nodes count.
      */
-    default void recall(Learned<Integer> other, double trust) {
-    }
+    default void recall(Learned<Integer> other, double trust) {}
 
     /** Tells what another process has out by node, and this one's part of the requests that both have in hand. */
-    default void elsewhere(Map<Integer, Integer> out, double part) {
-    }
+    default void elsewhere(Map<Integer, Integer> out, double part) {}
 }
--- a/src/main/java/ivybank/handover/Learned.java
+++ b/src/main/java/ivybank/handover/Learned.java
@@ -15,12 +15,11 @@
  * @param nodes by what names a node: the module's number within a process, discovery's id between two
  * @param carried by kind, the most that a warm node was seen to carry
  */
-public record Learned<K>(double admitted, double extra, List<OfClass> classes, Map<K, OfNode> nodes,
-        Map<Integer, Double> carried) {
+public record Learned<K>(
+        double admitted, double extra, List<OfClass> classes, Map<K, OfNode> nodes, Map<Integer, Double> carried) {
 
     /** The running median of a class's latencies, the same while all was quiet (0: not known), and from how many answers. */
-    public record OfClass(double typicalMs, double quietMs, int answers) {
-    }
+    public record OfClass(double typicalMs, double quietMs, int answers) {}
 
     /**
      * What was learned of one node since its start at {@code startedMs} (0: long ago).
@@ -34,7 +33,13 @@
     public record OfNode(double startedMs, double rank, double share, double window, int out, boolean aside) {
 
         public OfNode {
-            if (!(rank >= 0 && rank <= 1 && share >= 0 && share <= 1 && window >= 0 && window <= MOST_OUT && out >= 0)) {
+            if (!(rank >= 0
+                    && rank <= 1
+                    && share >= 0
+                    && share <= 1
+                    && window >= 0
+                    && window <= MOST_OUT
+                    && out >= 0)) {
                 throw new IllegalArgumentException("not what a node is remembered by");
             }
         }
--- a/src/main/java/ivybank/handover/MemoryCodec.java
+++ b/src/main/java/ivybank/handover/MemoryCodec.java
@@ -29,11 +29,11 @@
     private static final int SUM_BYTES = 4;
     /** More than any fleet needs: some 60 bytes for each node. */
     public static final int MOST_BYTES = 1 << 20;
+
     private static final int MOST_NODES = 8192;
     private static final int LONGEST_ID = 512;
 
-    private MemoryCodec() {
-    }
+    private MemoryCodec() {}
 
     /** @param memory of which nodes beyond the most that fit are left out */
     public static byte[] write(Memory memory) {
@@ -47,20 +47,29 @@
                 bytes += id.length + 40;
             }
         }
-        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + SUM_BYTES + 64 + bytes + 20 * learned.classes().size()
+        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES
+                + SUM_BYTES
+                + 64
+                + bytes
+                + 20 * learned.classes().size()
                 + 12 * learned.carried().size());
         out.putInt(MARK).putShort(VERSION).putInt(0);
         out.putDouble(memory.writtenMs()).putInt(memory.inHand()).putInt(memory.descriptors());
         out.putDouble(learned.admitted()).putDouble(learned.extra());
         out.putInt(learned.classes().size());
-        learned.classes().forEach(its -> out.putDouble(its.typicalMs()).putDouble(its.quietMs()).putInt(its.answers()));
+        learned.classes()
+                .forEach(its ->
+                        out.putDouble(its.typicalMs()).putDouble(its.quietMs()).putInt(its.answers()));
         out.putInt(learned.carried().size());
         learned.carried().forEach((kind, perMs) -> out.putInt(kind).putDouble(perMs));
         out.putInt(nodes.size());
         for (Map.Entry<byte[], Learned.OfNode> entry : nodes) {
             Learned.OfNode node = entry.getValue();
             out.putShort((short) entry.getKey().length).put(entry.getKey());
-            out.putDouble(node.startedMs()).putDouble(node.rank()).putDouble(node.share()).putFloat((float) node.window());
+            out.putDouble(node.startedMs())
+                    .putDouble(node.rank())
+                    .putDouble(node.share())
+                    .putFloat((float) node.window());
             out.putInt(node.out()).put((byte) (node.aside() ? 1 : 0));
         }
         out.putInt(HEAD_BYTES - 4, out.position() - HEAD_BYTES);
@@ -111,8 +120,10 @@
         for (int left = in.getInt(); left > 0; left--) {
             byte[] id = new byte[in.getShort()];
             in.get(id);
-            nodes.put(new String(id, StandardCharsets.UTF_8), new Learned.OfNode(in.getDouble(), in.getDouble(),
-                    in.getDouble(), in.getFloat(), in.getInt(), in.get() != 0));
+            nodes.put(
+                    new String(id, StandardCharsets.UTF_8),
+                    new Learned.OfNode(
+                            in.getDouble(), in.getDouble(), in.getDouble(), in.getFloat(), in.getInt(), in.get() != 0));
         }
         return new Memory(writtenMs, inHand, descriptors, new Learned<>(admitted, extra, classes, nodes, carried));
     }
--- a/src/main/java/ivybank/handover/Trust.java
+++ b/src/main/java/ivybank/handover/Trust.java
@@ -3,8 +3,7 @@
 /** What is taken over of what another process has learned, between what a fresh start has and all of it. */
 public final class Trust {
 
-    private Trust() {
-    }
+    private Trust() {}
 
     /** A value as remembered, drawn back to that of a fresh start as far as it is not believed. */
     public static double blend(double fresh, double remembered, double trust) {
--- a/src/main/java/ivybank/peers/LifeFile.java
+++ b/src/main/java/ivybank/peers/LifeFile.java
@@ -9,8 +9,7 @@
 /** Keeps a sidecar's life over a restart: a clock that was set back must not lower it. */
 final class LifeFile {
 
-    private LifeFile() {
-    }
+    private LifeFile() {}
 
     /**
      * The life of a process that starts now, noted before it is used.
@@ -36,7 +35,9 @@
             Files.write(part, Long.toString(life).getBytes(StandardCharsets.US_ASCII));
             Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
-            said.accept("peers: " + file + " can't be written: a clock that is set back may lower this sidecar's life until peers correct it");
+            said.accept(
+                    "peers: " + file
+                            + " can't be written: a clock that is set back may lower this sidecar's life until peers correct it");
         }
         return life;
     }
--- a/src/main/java/ivybank/peers/PeerKeys.java
+++ b/src/main/java/ivybank/peers/PeerKeys.java
@@ -10,7 +10,6 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
-
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
@@ -70,11 +69,15 @@
                 }
                 keys.add(key);
             } catch (IllegalArgumentException e) {
-                throw new IOException(file + ", line " + (i + 1) + ": a key of " + 2 * LEAST_BYTES + " hexadecimal figures or more is allowed", e);
+                throw new IOException(
+                        file + ", line " + (i + 1) + ": a key of " + 2 * LEAST_BYTES
+                                + " hexadecimal figures or more is allowed",
+                        e);
             }
         }
         if (keys.isEmpty() || keys.size() > MOST_KEYS) {
-            throw new IOException(file + ": holds " + keys.size() + " keys: the current one is needed, and the one before it is allowed");
+            throw new IOException(file + ": holds " + keys.size()
+                    + " keys: the current one is needed, and the one before it is allowed");
         }
         return new PeerKeys(keys, length);
     }
--- a/src/main/java/ivybank/peers/PeerSettings.java
+++ b/src/main/java/ivybank/peers/PeerSettings.java
@@ -1,10 +1,9 @@
 package ivybank.peers;
 
+import ivybank.fleet.MessageCodec;
 import java.nio.file.Path;
 import java.util.List;
 
-import ivybank.fleet.MessageCodec;
-
 /**
  * What the operator file says of the other sidecars.
  *
--- a/src/main/java/ivybank/peers/PeerSocket.java
+++ b/src/main/java/ivybank/peers/PeerSocket.java
@@ -1,13 +1,5 @@
 package ivybank.peers;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.Arrays;
-import java.util.EnumMap;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -24,6 +16,13 @@
 import ivybank.common.Log;
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * Datagrams to and from the other sidecars, signed. What is not theirs is counted and said in a line now and then; it never
@@ -37,7 +36,14 @@
     }
 
     /** Why a datagram was passed over. */
-    enum Refusal { UNKNOWN_ADDRESS, TOO_LONG, UNSIGNED, OTHER_FLEET, OTHER_VERSION, MALFORMED }
+    enum Refusal {
+        UNKNOWN_ADDRESS,
+        TOO_LONG,
+        UNSIGNED,
+        OTHER_FLEET,
+        OTHER_VERSION,
+        MALFORMED
+    }
 
     private static final int BUFFER = 256 * 1024;
     private static final double SAY_MS = 60_000;
@@ -82,14 +88,19 @@
      */
     void open(InetSocketAddress listen, boolean shared, Receiver to) throws IOException {
         receiver = to;
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.SO_RCVBUF, BUFFER).option(ChannelOption.SO_REUSEADDR, shared)
+        ChannelFuture bound = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.SO_RCVBUF, BUFFER)
+                .option(ChannelOption.SO_REUSEADDR, shared)
                 // One more than is allowed, so that what is too long is seen to be.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageCodec.LONGEST + 1))
-                .handler(new Incoming()).bind(listen).awaitUninterruptibly();
+                .handler(new Incoming())
+                .bind(listen)
+                .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException("cannot listen for peers on " + listen + ": " + bound.cause().getMessage()
-                    + " (is another process of this name here?)");
+            throw new IOException("cannot listen for peers on " + listen + ": "
+                    + bound.cause().getMessage() + " (is another process of this name here?)");
         }
         channel = bound.channel();
     }
@@ -105,9 +116,11 @@
             dropped++;
             return;
         }
-        byte[] signed = keys.sign(MessageCodec.write(message, fleet, keys.mark()), keys.choose(preferred[seat], understood[seat]));
+        byte[] signed = keys.sign(
+                MessageCodec.write(message, fleet, keys.mark()), keys.choose(preferred[seat], understood[seat]));
         sentBytes += signed.length;
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(signed), addresses.get(seat)), channel.voidPromise());
+        channel.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(signed), addresses.get(seat)), channel.voidPromise());
     }
 
     private void received(InetSocketAddress from, byte[] signed) {
@@ -146,8 +159,9 @@
         Double said = saidMs.get(why);
         if (said == null || nowMs - said >= SAY_MS) {
             saidMs.put(why, nowMs);
-            log.line("peers: datagrams passed over as " + why.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ')
-                    + ": " + count + " so far, the last from " + from + more);
+            log.line("peers: datagrams passed over as "
+                    + why.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + ": " + count
+                    + " so far, the last from " + from + more);
         }
     }
 
--- a/src/main/java/ivybank/promises/Entry.java
+++ b/src/main/java/ivybank/promises/Entry.java
@@ -1,10 +1,9 @@
 package ivybank.promises;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-
 import ivybank.exchange.Answer;
 import ivybank.promises.Promises.State;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 
 /** What is on record of an identity: sent or acked, since when (Unix time, ms), and the answer of one that is acked. */
 record Entry(State state, double atMs, Answer answer) {
@@ -17,8 +16,14 @@
             return ByteBuffer.allocate(9).put(SENT).putLong((long) atMs).array();
         }
         byte[] type = (answer.contentType() == null ? "" : answer.contentType()).getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(13 + type.length + answer.body().length).put(ACKED).putLong((long) atMs)
-                .putShort((short) answer.status()).putShort((short) type.length).put(type).put(answer.body()).array();
+        return ByteBuffer.allocate(13 + type.length + answer.body().length)
+                .put(ACKED)
+                .putLong((long) atMs)
+                .putShort((short) answer.status())
+                .putShort((short) type.length)
+                .put(type)
+                .put(answer.body())
+                .array();
     }
 
     static Entry read(byte[] bytes) {
@@ -33,7 +38,9 @@
         in.get(type);
         byte[] body = new byte[in.remaining()];
         in.get(body);
-        return new Entry(State.ACKED, atMs, new Answer(status, type.length == 0 ? null : new String(type, StandardCharsets.UTF_8),
-                body, 0));
+        return new Entry(
+                State.ACKED,
+                atMs,
+                new Answer(status, type.length == 0 ? null : new String(type, StandardCharsets.UTF_8), body, 0));
     }
 }
--- a/src/main/java/ivybank/promises/PromiseFolder.java
+++ b/src/main/java/ivybank/promises/PromiseFolder.java
@@ -1,5 +1,9 @@
 package ivybank.promises;
 
+import ivybank.promises.Promises.State;
+import ivybank.store.Disk;
+import ivybank.store.Limits;
+import ivybank.store.Store;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -7,20 +11,13 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-import ivybank.promises.Promises.State;
-import ivybank.store.Disk;
-import ivybank.store.Limits;
-import ivybank.store.Store;
-
 /** The promises in a folder that no daemon holds. */
 public final class PromiseFolder {
 
     /** One of them: the class and the name of its request (empty: it had none), since when in Unix ms. */
-    public record Kept(String requestClass, String name, State state, double atMs) {
-    }
+    public record Kept(String requestClass, String name, State state, double atMs) {}
 
-    private PromiseFolder() {
-    }
+    private PromiseFolder() {}
 
     /** All of them, the oldest first; what was sent and not acked is in doubt. */
     public static List<Kept> list(Disk disk, Limits limits) throws IOException {
@@ -47,12 +44,20 @@
     }
 
     private static Store open(Disk disk, Limits limits, List<Kept> all) throws IOException {
-        return Store.open(disk, limits, false, (key, value) -> {
-            Entry entry = Entry.read(value);
-            String identity = new String(key, StandardCharsets.UTF_8);
-            int split = identity.indexOf('\n');
-            all.add(new Kept(identity.substring(0, split), split == 0 ? "" : identity.substring(split + 1),
-                    entry.state() == State.ACKED ? State.ACKED : State.IN_DOUBT, entry.atMs()));
-        }, task -> new Thread(task, "store"));
+        return Store.open(
+                disk,
+                limits,
+                false,
+                (key, value) -> {
+                    Entry entry = Entry.read(value);
+                    String identity = new String(key, StandardCharsets.UTF_8);
+                    int split = identity.indexOf('\n');
+                    all.add(new Kept(
+                            identity.substring(0, split),
+                            split == 0 ? "" : identity.substring(split + 1),
+                            entry.state() == State.ACKED ? State.ACKED : State.IN_DOUBT,
+                            entry.atMs()));
+                },
+                task -> new Thread(task, "store"));
     }
 }
