--- a/src/main/java/ivybank/promises/PromiseKeeper.java
+++ b/src/main/java/ivybank/promises/PromiseKeeper.java
@@ -1,19 +1,5 @@
 package ivybank.promises;
 
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.exchange.Answer;
@@ -28,6 +14,19 @@
 import ivybank.store.Disk;
 import ivybank.store.Limits;
 import ivybank.store.Store;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Stands between clients and the driver: lets requests through that are safe to repeat, and keeps the promise of the others.
@@ -38,6 +37,7 @@
 
     /** When a promise that is still being written is given up, before the client's time is over. */
     private static final double MARGIN_MS = 10;
+
     private static final int FAILED = 502;
     private static final int OUT_OF_TIME = 504;
     private static final int IN_DOUBT = 409;
@@ -53,6 +53,7 @@
         ScheduledFuture<?> patience;
         /** What its client is known by when it leaves. */
         int number;
+
         boolean over;
 
         Waiter(Consumer<Answer> client) {
@@ -106,15 +107,18 @@
                 return;
             }
             recording = true;
-            store.put(key(identity), new Entry(State.SENT, clock.nowMs(), null).bytes(), outcome -> loop.execute(() -> {
-                recording = false;
-                recorded = outcome == Store.Outcome.CONFIRMED || settings.letThrough();
-                unrecorded += outcome == Store.Outcome.CONFIRMED ? 0 : 1;
-                List<Runnable> told = List.copyOf(recorded ? onRecord : onFailure);
-                onRecord.clear();
-                onFailure.clear();
-                told.forEach(Runnable::run);
-            }));
+            store.put(
+                    key(identity),
+                    new Entry(State.SENT, clock.nowMs(), null).bytes(),
+                    outcome -> loop.execute(() -> {
+                        recording = false;
+                        recorded = outcome == Store.Outcome.CONFIRMED || settings.letThrough();
+                        unrecorded += outcome == Store.Outcome.CONFIRMED ? 0 : 1;
+                        List<Runnable> told = List.copyOf(recorded ? onRecord : onFailure);
+                        onRecord.clear();
+                        onFailure.clear();
+                        told.forEach(Runnable::run);
+                    }));
         }
 
         @Override
@@ -142,11 +146,14 @@
                 if (entry.length > longestEntry) {
                     return;
                 }
-                store.put(key(identity), entry, outcome -> loop.execute(() -> {
-                    if (outcome == Store.Outcome.CONFIRMED) {
-                        promises.acked(identity, clock.nowMs());
-                    }
-                }));
+                store.put(
+                        key(identity),
+                        entry,
+                        outcome -> loop.execute(() -> {
+                            if (outcome == Store.Outcome.CONFIRMED) {
+                                promises.acked(identity, clock.nowMs());
+                            }
+                        }));
             }
         }
     }
@@ -164,6 +171,7 @@
     private final Map<Integer, Promise> byNumber = new HashMap<>();
     /** Given up here as ones that may have run, whose attempts may still be told of. */
     private final Set<String> inDoubt = new HashSet<>();
+
     private RequestHandler driver;
     private long nameless;
     private int joined;
@@ -175,8 +183,16 @@
      *
      * @throws IOException in one line, if the store can't be used as it is
      */
-    public PromiseKeeper(PromiseSettings settings, Settings module, Disk disk, Limits limits, boolean degrade,
-            ScheduledExecutorService loop, Clock clock, Log log) throws IOException {
+    public PromiseKeeper(
+            PromiseSettings settings,
+            Settings module,
+            Disk disk,
+            Limits limits,
+            boolean degrade,
+            ScheduledExecutorService loop,
+            Clock clock,
+            Log log)
+            throws IOException {
         this.settings = settings;
         this.classes = module.classes();
         this.loop = loop;
@@ -186,24 +202,29 @@
         this.longestEntry = limits.value();
         this.promises = new Promises(settings.keepMs(), settings.most(), this::forget);
         List<Found> found = new ArrayList<>();
-        this.store = Store.open(disk, limits, degrade, (key, value) -> {
-            Entry entry = Entry.read(value);
-            found.add(new Found(new String(key, StandardCharsets.UTF_8), entry.state(), entry.atMs()));
-        }, task -> {
-            Thread thread = new Thread(task, "store");
-            thread.setDaemon(true);
-            return thread;
-        });
+        this.store = Store.open(
+                disk,
+                limits,
+                degrade,
+                (key, value) -> {
+                    Entry entry = Entry.read(value);
+                    found.add(new Found(new String(key, StandardCharsets.UTF_8), entry.state(), entry.atMs()));
+                },
+                task -> {
+                    Thread thread = new Thread(task, "store");
+                    thread.setDaemon(true);
+                    return thread;
+                });
         found.sort(Comparator.comparingDouble(Found::atMs));
         double nowMs = clock.nowMs();
         found.forEach(each -> promises.recovered(each.identity, each.state, each.atMs, nowMs));
         promises.trim(nowMs);
         log.line("store: " + store.report().line());
-        log.line("promises: " + promises.figures().acked() + " acked and " + promises.figures().inDoubt() + " in doubt from before");
+        log.line("promises: " + promises.figures().acked() + " acked and "
+                + promises.figures().inDoubt() + " in doubt from before");
     }
 
-    private record Found(String identity, State state, double atMs) {
-    }
+    private record Found(String identity, State state, double atMs) {}
 
     /** Who takes what may go on. */
     public void driver(RequestHandler handler) {
@@ -218,7 +239,7 @@
         if (was == State.IN_DOUBT) {
             log.line("forgotten while in doubt, for its age or for want of room: " + identity);
         }
-        store.delete(key(identity), outcome -> { }); // what stays is forgotten again at the next start
+        store.delete(key(identity), outcome -> {}); // what stays is forgotten again at the next start
     }
 
     @Override
@@ -248,7 +269,8 @@
         }
         String named = request.identity();
         // One without a name is never recognised again: what is promised of it is only that this sidecar sends it once.
-        String identity = named == null ? NAMELESS + Long.toHexString((long) (clock.nowMs() * MICROS_IN_MS)) + "-" + ++nameless
+        String identity = named == null
+                ? NAMELESS + Long.toHexString((long) (clock.nowMs() * MICROS_IN_MS)) + "-" + ++nameless
                 : spec.name() + "\n" + named;
         Decision decision = promises.ask(identity, clock.nowMs());
         switch (decision) {
@@ -312,22 +334,28 @@
             notAcknowledged(promise, answer);
             return;
         }
-        store.put(key(promise.identity), entry, outcome -> loop.execute(() -> {
-            if (outcome == Store.Outcome.CONFIRMED) {
-                inHand.remove(promise.identity);
-                promises.acked(promise.identity, clock.nowMs());
-                tell(promise, answer);
-            } else {
-                notAcknowledged(promise, answer);
-            }
-        }));
+        store.put(
+                key(promise.identity),
+                entry,
+                outcome -> loop.execute(() -> {
+                    if (outcome == Store.Outcome.CONFIRMED) {
+                        inHand.remove(promise.identity);
+                        promises.acked(promise.identity, clock.nowMs());
+                        tell(promise, answer);
+                    } else {
+                        notAcknowledged(promise, answer);
+                    }
+                }));
     }
 
     private void notAcknowledged(Promise promise, Answer answer) {
         unacknowledged++;
         end(promise, false);
-        tell(promise, settings.letThrough() ? answer
-                : Answer.told(FAILED, "it has run, and its answer could not be recorded: in doubt"));
+        tell(
+                promise,
+                settings.letThrough()
+                        ? answer
+                        : Answer.told(FAILED, "it has run, and its answer could not be recorded: in doubt"));
     }
 
     /** It has ended without an answer that is on record. */
@@ -346,7 +374,8 @@
 
     /** Bounds its wait by its client's time. */
     private void bound(Waiter waiter, double deadlineMs) {
-        waiter.patience = after(deadlineMs - MARGIN_MS - clock.nowMs(),
+        waiter.patience = after(
+                deadlineMs - MARGIN_MS - clock.nowMs(),
                 () -> waiter.tell(Answer.told(OUT_OF_TIME, "it is in hand, and its answer is not there yet")));
     }
 
@@ -362,10 +391,15 @@
     private void readAnswer(String identity, ClientRequest request, Consumer<Answer> client) {
         Waiter waiter = new Waiter(client);
         bound(waiter, request.arrivedMs() + request.budgetMs());
-        store.get(key(identity), (value, failure) -> loop.execute(() -> waiter.tell(value == null
-                ? Answer.told(FAILED, "it has run, and its answer can't be read: "
-                        + (failure == null ? "it was just forgotten" : failure.getMessage()))
-                : Entry.read(value).answer())));
+        store.get(
+                key(identity),
+                (value, failure) -> loop.execute(() -> waiter.tell(
+                        value == null
+                                ? Answer.told(
+                                        FAILED,
+                                        "it has run, and its answer can't be read: "
+                                                + (failure == null ? "it was just forgotten" : failure.getMessage()))
+                                : Entry.read(value).answer())));
     }
 
     private ScheduledFuture<?> after(double delayMs, Runnable task) {
@@ -385,7 +419,8 @@
             return;
         }
         promise.waiters.stream().filter(waiter -> waiter.number == number).forEach(Waiter::leave);
-        if (promise.waiters.stream().allMatch(waiter -> waiter.over) && !promise.settled) { // else another one waits for the same
+        if (promise.waiters.stream().allMatch(waiter -> waiter.over)
+                && !promise.settled) { // else another one waits for the same
             driver.clientLeft(promise.number);
             promise.settled = true;
             end(promise, promise.out == 0);
@@ -396,12 +431,17 @@
     public String report() {
         Promises.Figures figures = promises.figures();
         Store.Figures disk = store.figures();
-        return "promises: " + figures.inHand() + " in hand, " + figures.acked() + " acked, " + figures.inDoubt() + " in doubt; "
-                + figures.stored() + " answered from the record, " + figures.joined() + " joined, " + figures.failedInDoubt()
+        return "promises: " + figures.inHand() + " in hand, " + figures.acked() + " acked, " + figures.inDoubt()
+                + " in doubt; "
+                + figures.stored() + " answered from the record, " + figures.joined() + " joined, "
+                + figures.failedInDoubt()
                 + " failed as in doubt, " + figures.forgottenByAge() + " forgotten by age, " + figures.forgottenBySize()
-                + " by size, " + figures.forgottenInDoubt() + " of them in doubt; " + unrecorded + " not recorded, " + unacknowledged
-                + " answers not recorded; store " + disk.state() + ", " + disk.used() + " bytes, " + disk.keys() + " keys, "
-                + disk.confirmed() + " changes in " + disk.batches() + " writes, " + disk.compactions() + " compactions, "
+                + " by size, " + figures.forgottenInDoubt() + " of them in doubt; " + unrecorded + " not recorded, "
+                + unacknowledged
+                + " answers not recorded; store " + disk.state() + ", " + disk.used() + " bytes, " + disk.keys()
+                + " keys, "
+                + disk.confirmed() + " changes in " + disk.batches() + " writes, " + disk.compactions()
+                + " compactions, "
                 + disk.failures() + " failures, longest write " + Math.round(disk.longestForceMs()) + " ms";
     }
 
--- a/src/main/java/ivybank/promises/PromiseSettings.java
+++ b/src/main/java/ivybank/promises/PromiseSettings.java
@@ -8,5 +8,4 @@
  * @param most identities
  * @param letThrough whether requests go on without a promise while nothing can be recorded, rather than be refused
  */
-public record PromiseSettings(String header, double keepMs, int most, boolean letThrough) {
-}
+public record PromiseSettings(String header, double keepMs, int most, boolean letThrough) {}
--- a/src/main/java/ivybank/promises/Promises.java
+++ b/src/main/java/ivybank/promises/Promises.java
@@ -38,17 +38,23 @@
     }
 
     /** Figures for operators; counts are since the start. */
-    public record Figures(int inHand, int acked, int inDoubt, long stored, long joined, long failedInDoubt, long forgottenByAge,
-                          long forgottenBySize, long forgottenInDoubt) {
-    }
+    public record Figures(
+            int inHand,
+            int acked,
+            int inDoubt,
+            long stored,
+            long joined,
+            long failedInDoubt,
+            long forgottenByAge,
+            long forgottenBySize,
+            long forgottenInDoubt) {}
 
     /** Told of each identity that is forgotten, whose record is to go too. */
     public interface Forgotten {
         void identity(String identity, State was);
     }
 
-    private record Settled(State state, double sinceMs) {
-    }
+    private record Settled(State state, double sinceMs) {}
 
     private final double keepMs;
     private final int most;
@@ -89,7 +95,7 @@
     /** Forgets what is too old or too much; call it once after all that is recovered, in the order of their times. */
     public void trim(double nowMs) {
         double now = now(nowMs);
-        for (Iterator<Map.Entry<String, Settled>> each = settled.entrySet().iterator(); each.hasNext();) {
+        for (Iterator<Map.Entry<String, Settled>> each = settled.entrySet().iterator(); each.hasNext(); ) {
             Map.Entry<String, Settled> oldest = each.next();
             boolean old = now - oldest.getValue().sinceMs > keepMs;
             if (!old && settled.size() + inHand.size() <= most) {
@@ -161,7 +167,15 @@
     }
 
     public Figures figures() {
-        return new Figures(inHand.size(), settled.size() - doubts, doubts, stored, joined, failedInDoubt, byAge, bySize,
+        return new Figures(
+                inHand.size(),
+                settled.size() - doubts,
+                doubts,
+                stored,
+                joined,
+                failedInDoubt,
+                byAge,
+                bySize,
                 forgottenInDoubt);
     }
 }
--- a/src/main/java/ivybank/rehearsal/HtmlReport.java
+++ b/src/main/java/ivybank/rehearsal/HtmlReport.java
@@ -1,5 +1,7 @@
 package ivybank.rehearsal;
 
+import ivybank.rehearsal.referee.Service;
+import ivybank.rehearsal.stand.Day;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -10,9 +12,6 @@
 import java.util.Map;
 import java.util.function.IntToDoubleFunction;
 
-import ivybank.rehearsal.referee.Service;
-import ivybank.rehearsal.stand.Day;
-
 /** One page, whole in itself, with the day's plots on one time line: results, latency, nodes and sidecars. */
 final class HtmlReport {
 
@@ -21,8 +20,21 @@
     private static final int HEIGHT = 150;
     private static final int LANE = 14;
     private static final String[] RESULT_COLOURS = {"#3a7d44", "#e9c46a", "#4c78a8", "#b23a48", "#6d597a"};
-    private static final Map<String, String> STATE_COLOURS = Map.of("ready", "#d5e8d4", "cold", "#9ecae1", "draining",
-            "#f2cc8f", "down", "#666666", "silent", "#b23a48", "slow", "#e07a5f", "spoils", "#9d4edd");
+    private static final Map<String, String> STATE_COLOURS = Map.of(
+            "ready",
+            "#d5e8d4",
+            "cold",
+            "#9ecae1",
+            "draining",
+            "#f2cc8f",
+            "down",
+            "#666666",
+            "silent",
+            "#b23a48",
+            "slow",
+            "#e07a5f",
+            "spoils",
+            "#9d4edd");
     private static final String[] LINES = {"#1d3557", "#b23a48", "#3a7d44", "#9d4edd", "#e07a5f", "#4c78a8"};
 
     private final Day.Result day;
@@ -41,7 +53,10 @@
     }
 
     private static String escaped(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 
     private void add(String format, Object... values) {
@@ -55,17 +70,30 @@
     String text() {
         Service service = day.service();
         String name = escaped(day.plan().scenario().name());
-        add("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>%s, seed %d</title>", name, day.plan().seed());
-        add("<style>body{font:14px sans-serif;margin:24px;max-width:1040px;color:#222}svg{display:block}table{border-collapse:"
-                + "collapse}td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #ddd}.failed{color:#b23a48}"
-                + ".passed{color:#3a7d44}.key span{display:inline-block;width:11px;height:11px;margin:0 4px 0 14px}</style>");
+        add(
+                "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>%s, seed %d</title>",
+                name, day.plan().seed());
+        add(
+                "<style>body{font:14px sans-serif;margin:24px;max-width:1040px;color:#222}svg{display:block}table{border-collapse:"
+                        + "collapse}td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #ddd}.failed{color:#b23a48}"
+                        + ".passed{color:#3a7d44}.key span{display:inline-block;width:11px;height:11px;margin:0 4px 0 14px}</style>");
         String kind = verdict.kind().name().toLowerCase(Locale.ROOT);
-        add("<h1>%s, seed %d: <span class=\"%s\">%s</span></h1><p>%s</p>", name, day.plan().seed(), kind,
-                kind.replace('_', ' '), escaped(day.plan().scenario().title()));
+        add(
+                "<h1>%s, seed %d: <span class=\"%s\">%s</span></h1><p>%s</p>",
+                name,
+                day.plan().seed(),
+                kind,
+                kind.replace('_', ' '),
+                escaped(day.plan().scenario().title()));
         list(verdict.reasons());
-        add("<table><tr><th>service<th>whole day<th>worst 10 s<th>worst class<th>p50, ms<th>p99, ms</tr><tr><td>%.3f<td>%.3f"
-                + "<td>%.3f<td>%.3f<td>%d<td>%d</tr></table>", service.figure(), service.whole(), service.worstWindow(),
-                service.worstClass(), service.latencies().getValueAtPercentile(50),
+        add(
+                "<table><tr><th>service<th>whole day<th>worst 10 s<th>worst class<th>p50, ms<th>p99, ms</tr><tr><td>%.3f<td>%.3f"
+                        + "<td>%.3f<td>%.3f<td>%d<td>%d</tr></table>",
+                service.figure(),
+                service.whole(),
+                service.worstWindow(),
+                service.worstClass(),
+                service.latencies().getValueAtPercentile(50),
                 service.latencies().getValueAtPercentile(99));
         results(service);
         latency(service);
@@ -76,10 +104,17 @@
         add("<h2>What happened</h2><table>");
         day.events().forEach(event -> add("<tr><td>%.2f s<td>%s</tr>", event.atMs() / 1000, escaped(event.what())));
         add("</table><h2>Rules</h2>");
-        list(day.referee().examples().stream().map(breach -> String.format(Locale.ROOT, "%.2f s, %s: %s",
-                breach.atMs() / 1000, Verdict.word(breach.rule()), breach.what())).toList());
-        add("<p>%s The kit itself was up to %.0f ms late.</p></html>", day.referee().counts().isEmpty()
-                ? "No rule was broken." : "", day.latenessMs());
+        list(day.referee().examples().stream()
+                .map(breach -> String.format(
+                        Locale.ROOT,
+                        "%.2f s, %s: %s",
+                        breach.atMs() / 1000,
+                        Verdict.word(breach.rule()),
+                        breach.what()))
+                .toList());
+        add(
+                "<p>%s The kit itself was up to %.0f ms late.</p></html>",
+                day.referee().counts().isEmpty() ? "No rule was broken." : "", day.latenessMs());
         return out.toString();
     }
 
@@ -102,8 +137,10 @@
             add("<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%.0f s</text>", x(s), height + 16, s);
         }
         for (Day.Event event : day.events()) {
-            add("<line x1=\"%1$.1f\" x2=\"%1$.1f\" y1=\"0\" y2=\"%2$d\" stroke=\"#999\" stroke-dasharray=\"3 3\"><title>%3$s"
-                    + "</title></line>", x(event.atMs() / 1000), height, escaped(event.what()));
+            add(
+                    "<line x1=\"%1$.1f\" x2=\"%1$.1f\" y1=\"0\" y2=\"%2$d\" stroke=\"#999\" stroke-dasharray=\"3 3\"><title>%3$s"
+                            + "</title></line>",
+                    x(event.atMs() / 1000), height, escaped(event.what()));
         }
         add("</svg>");
     }
@@ -136,8 +173,9 @@
                 double high = rows[s][r] / most * (HEIGHT - 10);
                 base -= high;
                 if (high > 0) {
-                    add("<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>", x(s), base,
-                            Math.max(0.5, x(s + 1) - x(s) - 1), high, RESULT_COLOURS[r]);
+                    add(
+                            "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>",
+                            x(s), base, Math.max(0.5, x(s + 1) - x(s) - 1), high, RESULT_COLOURS[r]);
                 }
             }
         }
@@ -172,7 +210,13 @@
         int seconds = day.service().results().length;
         double most = 1;
         for (int s = 0; s < seconds; s++) {
-            most = Math.max(most, Math.max(day.returns().borne(s).begun(), Math.max(day.returns().borne(s).justBack(), day.returns().borne(s).calls())));
+            most = Math.max(
+                    most,
+                    Math.max(
+                            day.returns().borne(s).begun(),
+                            Math.max(
+                                    day.returns().borne(s).justBack(),
+                                    day.returns().borne(s).calls())));
         }
         begin("What others bore, each second", HEIGHT);
         scale(most, "/s");
@@ -203,8 +247,9 @@
         day.states().forEach(state -> lanes.putIfAbsent(state.host(), lanes.size()));
         int height = lanes.size() * LANE;
         begin("Nodes", height);
-        lanes.forEach((host, lane) -> add("<text x=\"%d\" y=\"%d\" text-anchor=\"end\">%s</text>", LEFT - 6,
-                lane * LANE + LANE - 3, escaped(host)));
+        lanes.forEach((host, lane) -> add(
+                "<text x=\"%d\" y=\"%d\" text-anchor=\"end\">%s</text>",
+                LEFT - 6, lane * LANE + LANE - 3, escaped(host)));
         for (int i = 0; i < day.states().size(); i++) {
             Day.NodeState state = day.states().get(i);
             double until = lengthS * 1000;
@@ -215,9 +260,15 @@
                 }
             }
             double from = Math.max(0, state.atMs()) / 1000;
-            add("<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"><title>%s: %s</title></rect>", x(from),
-                    lanes.get(state.host()) * LANE + 1, Math.max(0, x(until / 1000) - x(from)), LANE - 2,
-                    STATE_COLOURS.getOrDefault(state.state(), "#fff"), escaped(state.host()), state.state());
+            add(
+                    "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"><title>%s: %s</title></rect>",
+                    x(from),
+                    lanes.get(state.host()) * LANE + 1,
+                    Math.max(0, x(until / 1000) - x(from)),
+                    LANE - 2,
+                    STATE_COLOURS.getOrDefault(state.state(), "#fff"),
+                    escaped(state.host()),
+                    state.state());
         }
         end(height);
         key(new java.util.TreeMap<>(STATE_COLOURS).entrySet());
@@ -231,11 +282,15 @@
             StringBuilder points = new StringBuilder();
             for (Day.Usage each : day.usage()) {
                 if (each.sidecar() == i && each.atMs() <= lengthS * 1000) {
-                    points.append(String.format(Locale.ROOT, "%.1f,%.1f ", x(each.atMs() / 1000),
+                    points.append(String.format(
+                            Locale.ROOT,
+                            "%.1f,%.1f ",
+                            x(each.atMs() / 1000),
                             HEIGHT - value.applyAsDouble(each) / most * (HEIGHT - 10)));
                 }
             }
-            add("<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"1.5\"><title>sidecar %d</title></polyline>",
+            add(
+                    "<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"1.5\"><title>sidecar %d</title></polyline>",
                     points, LINES[i % LINES.length], i);
         }
         end(HEIGHT);
--- a/src/main/java/ivybank/rehearsal/Scenarios.java
+++ b/src/main/java/ivybank/rehearsal/Scenarios.java
@@ -1,5 +1,8 @@
 package ivybank.rehearsal;
 
+import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.ScenarioReader;
+import ivybank.toml.InputException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -7,22 +10,20 @@
 import java.nio.file.Path;
 import java.util.List;
 
-import ivybank.rehearsal.scenario.Scenario;
-import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.toml.InputException;
-
 /** The scenarios that ship with the program, and those in files. */
 public final class Scenarios {
 
     private static final String END = ".toml";
 
-    private Scenarios() {
-    }
+    private Scenarios() {}
 
     /** The names of those that ship, in the order in which they are worth playing. */
     public static List<String> names() {
         try (InputStream in = Scenarios.class.getResourceAsStream("scenarios.txt")) {
-            return new String(in.readAllBytes(), StandardCharsets.UTF_8).lines().filter(line -> !line.isBlank()).toList();
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> !line.isBlank())
+                    .toList();
         } catch (IOException e) {
             throw new IllegalStateException("the list of scenarios is not in the jar", e);
         }
@@ -39,7 +40,8 @@
             try {
                 return Files.readString(Path.of(name));
             } catch (IOException e) {
-                throw new InputException(name + ": can't be read: " + e.getClass().getSimpleName());
+                throw new InputException(
+                        name + ": can't be read: " + e.getClass().getSimpleName());
             }
         }
         if (!names().contains(name)) {
--- a/src/main/java/ivybank/rehearsal/Shrink.java
+++ b/src/main/java/ivybank/rehearsal/Shrink.java
@@ -11,8 +11,7 @@
         boolean holds(List<T> part) throws E;
     }
 
-    private Shrink() {
-    }
+    private Shrink() {}
 
     /**
      * The smallest part that was found.
@@ -22,7 +21,7 @@
     public static <T, E extends Exception> List<T> to(List<T> all, int most, Check<T, E> check) throws E {
         List<T> kept = List.copyOf(all);
         int checks = 0;
-        for (int parts = 2; kept.size() >= 2 && checks < most;) {
+        for (int parts = 2; kept.size() >= 2 && checks < most; ) {
             List<T> smaller = null;
             int each = (kept.size() + parts - 1) / parts;
             for (int from = 0; from < kept.size() && smaller == null && checks < most; from += each) {
--- a/src/main/java/ivybank/rehearsal/referee/Referee.java
+++ b/src/main/java/ivybank/rehearsal/referee/Referee.java
@@ -1,14 +1,13 @@
 package ivybank.rehearsal.referee;
 
+import ivybank.rehearsal.scenario.Scenario.Effect;
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import ivybank.rehearsal.scenario.Scenario.Effect;
-import ivybank.rehearsal.scenario.Scenario.RequestClass;
-
 /**
  * Keeps the rules from what nodes, roster and clients saw, never from what a sidecar says of itself. Pure: it is told
  * events in the order in which they happened, with times in ms of one clock. It keeps a record of each call of the day.
@@ -36,11 +35,17 @@
     }
 
     /** One breach: when, and what was seen. */
-    public record Breach(Rule rule, double atMs, String what) {
-    }
+    public record Breach(Rule rule, double atMs, String what) {}
 
     /** How a node saw an attempt end. */
-    public enum Ending { SERVED, ERROR, REJECTED, SPOILT, SILENT, CLOSED }
+    public enum Ending {
+        SERVED,
+        ERROR,
+        REJECTED,
+        SPOILT,
+        SILENT,
+        CLOSED
+    }
 
     /** An attempt as its node saw it. */
     public static final class Attempt {
@@ -96,6 +101,7 @@
     private static final int UNAVAILABLE = 503;
     /** Waiting for room, and tries to connect, are no holding back: both are bounded well under this. */
     private static final double WAIT_PART = 0.6;
+
     private static final double CONNECTS_MS = 1500;
     /** From the client's leaving to the last byte that may reach a node. */
     private static final double DEPARTED_MS = 300;
@@ -165,28 +171,43 @@
         }
         call.answered = true;
         call.over = true;
-        String acked = call.family.stream().map(each -> each.body).filter(each -> each != null).findFirst().orElse(null);
+        String acked = call.family.stream()
+                .map(each -> each.body)
+                .filter(each -> each != null)
+                .findFirst()
+                .orElse(null);
         if (status == OK) {
-            if (call.family.stream().noneMatch(each -> each.served.contains(body)) || acked != null && !acked.equals(body)) {
+            if (call.family.stream().noneMatch(each -> each.served.contains(body))
+                    || acked != null && !acked.equals(body)) {
                 breach(Rule.ANSWER, nowMs, "call " + id + " was served with what no node made for it");
             }
             call.body = body;
             return;
         }
         if (acked != null && status != BUSY && status != UNAVAILABLE) {
-            breach(Rule.ANSWER, nowMs, "call " + id + " asked for what was served before and got " + status + ": the answer is lost");
+            breach(
+                    Rule.ANSWER,
+                    nowMs,
+                    "call " + id + " asked for what was served before and got " + status + ": the answer is lost");
         }
         boolean refused = status == BUSY || status == UNAVAILABLE;
         // A client's retry of a keyed call is dropped wherever it goes only where all nodes are one group.
         boolean harmful = call.effect == Effect.UNSAFE || call.effect == Effect.KEYED && call.bySite;
         if (refused && harmful && call.mayHaveRun()) {
-            breach(Rule.REFUSAL, nowMs, "call " + id + " was refused, and " + call.attempts.get(0).host + " had begun it");
+            breach(
+                    Rule.REFUSAL,
+                    nowMs,
+                    "call " + id + " was refused, and " + call.attempts.get(0).host + " had begun it");
         }
-        double sinceMs = Math.max(Double.isNaN(call.lastEndMs) ? call.takenMs : call.lastEndMs,
+        double sinceMs = Math.max(
+                Double.isNaN(call.lastEndMs) ? call.takenMs : call.lastEndMs,
                 wentOnMs.getOrDefault(call.sidecar, Double.NEGATIVE_INFINITY));
         if (call.open == 0 && nowMs - sinceMs > WAIT_PART * call.aimMs + CONNECTS_MS) {
-            breach(Rule.HELD_BACK, nowMs, "call " + id + " was answered " + status + " "
-                    + Math.round(nowMs - sinceMs) + " ms after anything was still tried");
+            breach(
+                    Rule.HELD_BACK,
+                    nowMs,
+                    "call " + id + " was answered " + status + " " + Math.round(nowMs - sinceMs)
+                            + " ms after anything was still tried");
         }
     }
 
@@ -211,8 +232,12 @@
     /** What a client that sent rubbish got in its time: a status, or 0 for neither an error nor a close. */
     public void rude(int sidecar, String words, int status, double nowMs) {
         if (status == 0 || status < FIRST_ERROR) {
-            breach(Rule.ANSWER, nowMs, "sidecar " + sidecar + " was sent what can't be used (" + words.lines().findFirst()
-                    .orElse("nothing at all") + ") and gave " + (status == 0 ? "neither an error nor a close" : status));
+            breach(
+                    Rule.ANSWER,
+                    nowMs,
+                    "sidecar " + sidecar + " was sent what can't be used ("
+                            + words.lines().findFirst().orElse("nothing at all") + ") and gave "
+                            + (status == 0 ? "neither an error nor a close" : status));
         }
     }
 
@@ -232,21 +257,39 @@
         }
         Double toldMs = told.get(call.sidecar).get(host);
         if (toldMs != null && firstByteMs > toldMs + drainGraceMs + marginMs) {
-            breach(Rule.DRAIN, nowMs, "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
-                    + Math.round(firstByteMs - toldMs) + " ms after it was told that it drains or is gone");
+            breach(
+                    Rule.DRAIN,
+                    nowMs,
+                    "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
+                            + Math.round(firstByteMs - toldMs) + " ms after it was told that it drains or is gone");
         }
         if (nowMs > call.leftMs + DEPARTED_MS + marginMs) {
-            breach(Rule.DEPARTED, nowMs, "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
-                    + Math.round(nowMs - call.leftMs) + " ms after its client had left");
+            breach(
+                    Rule.DEPARTED,
+                    nowMs,
+                    "sidecar " + call.sidecar + " sent call " + id + " to " + host + " "
+                            + Math.round(nowMs - call.leftMs) + " ms after its client had left");
         }
         if (call.effect == Effect.UNSAFE) {
-            call.family.stream().filter(Call::mayHaveRun).findFirst().ifPresent(before -> breach(Rule.REPEAT, nowMs, "call " + id
-                    + " must not run twice: begun by " + before.attempts.get(0).host + ", then sent to " + host));
+            call.family.stream()
+                    .filter(Call::mayHaveRun)
+                    .findFirst()
+                    .ifPresent(before -> breach(
+                            Rule.REPEAT,
+                            nowMs,
+                            "call " + id + " must not run twice: begun by " + before.attempts.get(0).host
+                                    + ", then sent to " + host));
         }
-        if (call.effect == Effect.KEYED && call.attempts.stream().anyMatch(earlier -> earlier.ending != Ending.REJECTED
-                && (call.bySite && !earlier.site.equals(site) || nowMs - earlier.begunMs > call.windowMs))) {
-            breach(Rule.REPEAT, nowMs, "call " + id + " was sent to " + host + " of " + site + ", outside the group or the time in"
-                    + " which its key keeps it from running twice");
+        if (call.effect == Effect.KEYED
+                && call.attempts.stream()
+                        .anyMatch(earlier -> earlier.ending != Ending.REJECTED
+                                && (call.bySite && !earlier.site.equals(site)
+                                        || nowMs - earlier.begunMs > call.windowMs))) {
+            breach(
+                    Rule.REPEAT,
+                    nowMs,
+                    "call " + id + " was sent to " + host + " of " + site + ", outside the group or the time in"
+                            + " which its key keeps it from running twice");
         }
         Attempt attempt = new Attempt(call, host, site, nowMs);
         call.attempts.add(attempt);
@@ -269,7 +312,10 @@
 
     /** A cold node was sent more than it can bear and stays down. */
     public void fell(String host, double nowMs, double pushed) {
-        breach(Rule.COLD, nowMs, host + " was cold and fell over: sent " + Math.round(100 * pushed) + "% of what it bears");
+        breach(
+                Rule.COLD,
+                nowMs,
+                host + " was cold and fell over: sent " + Math.round(100 * pushed) + "% of what it bears");
     }
 
     // ---- What the roster did, and the kit.
--- a/src/main/java/ivybank/rehearsal/referee/Returns.java
+++ b/src/main/java/ivybank/rehearsal/referee/Returns.java
@@ -13,12 +13,10 @@
 public final class Returns {
 
     /** One start, in ms from it; NaN for what never came: its first answer of discovery, ready, first attempt, first served. */
-    public record Start(int sidecar, double atMs, double askedMs, double readyMs, double attemptMs, double servedMs) {
-    }
+    public record Start(int sidecar, double atMs, double askedMs, double readyMs, double attemptMs, double servedMs) {}
 
     /** What others bore in a second. {@code begun} and {@code justBack} at the node that had most. */
-    public record Borne(int begun, int justBack, int calls, int attempts) {
-    }
+    public record Borne(int begun, int justBack, int calls, int attempts) {}
 
     private static final class Mark {
         private final int sidecar;
@@ -113,7 +111,9 @@
     /** What was borne in a second of the day. */
     public Borne borne(int second) {
         Second its = seconds.get(second);
-        return its == null ? new Borne(0, 0, 0, 0) : new Borne(Second.most(its.begun), Second.most(its.justBack), its.calls, its.attempts);
+        return its == null
+                ? new Borne(0, 0, 0, 0)
+                : new Borne(Second.most(its.begun), Second.most(its.justBack), its.calls, its.attempts);
     }
 
     /** The most of each in the seconds of a span, each by itself. */
@@ -121,7 +121,10 @@
         Borne worst = new Borne(0, 0, 0, 0);
         for (int second = from; second < until; second++) {
             Borne one = borne(second);
-            worst = new Borne(Math.max(worst.begun, one.begun), Math.max(worst.justBack, one.justBack), Math.max(worst.calls, one.calls),
+            worst = new Borne(
+                    Math.max(worst.begun, one.begun),
+                    Math.max(worst.justBack, one.justBack),
+                    Math.max(worst.calls, one.calls),
                     Math.max(worst.attempts, one.attempts));
         }
         return worst;
--- a/src/main/java/ivybank/rehearsal/referee/Service.java
+++ b/src/main/java/ivybank/rehearsal/referee/Service.java
@@ -1,9 +1,8 @@
 package ivybank.rehearsal.referee;
 
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import java.util.ArrayList;
 import java.util.List;
-
-import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -19,7 +18,13 @@
     private static final long MOST_MS = 600_000;
 
     /** What a first try came to. */
-    public enum Result { IN_TIME, LATE, REFUSED, FAILED, NO_CONNECTION }
+    public enum Result {
+        IN_TIME,
+        LATE,
+        REFUSED,
+        FAILED,
+        NO_CONNECTION
+    }
 
     private final List<RequestClass> classes;
     private final double[][] asked; // by class and second
@@ -135,8 +140,16 @@
                     sum[r] += results[i][r];
                 }
             }
-            lines.add(String.format(java.util.Locale.ROOT, "%6d %8d %8d %8d %8d %14d  %5.1f%%", s, sum[0], sum[1], sum[2],
-                    sum[3], sum[4], 100 * part(-1, s, Math.min(results.length, s + WINDOW_S / 2))));
+            lines.add(String.format(
+                    java.util.Locale.ROOT,
+                    "%6d %8d %8d %8d %8d %14d  %5.1f%%",
+                    s,
+                    sum[0],
+                    sum[1],
+                    sum[2],
+                    sum[3],
+                    sum[4],
+                    100 * part(-1, s, Math.min(results.length, s + WINDOW_S / 2))));
         }
         return lines;
     }
--- a/src/main/java/ivybank/rehearsal/referee/Views.java
+++ b/src/main/java/ivybank/rehearsal/referee/Views.java
@@ -25,12 +25,10 @@
     }
 
     /** From a change of the truth on, how long until all views were true; infinite if they never were. */
-    public record Epoch(double atMs, String what, double settledMs, double lastedMs) {
-    }
+    public record Epoch(double atMs, String what, double settledMs, double lastedMs) {}
 
     /** One look at a sidecar's view: the lives of those that live, by seat, and of those that don't. */
-    public record Look(double atMs, int by, String digest, Map<Integer, Long> living, Map<Integer, Long> ended) {
-    }
+    public record Look(double atMs, int by, String digest, Map<Integer, Long> living, Map<Integer, Long> ended) {}
 
     private static final int MOST_EXAMPLES = 20;
 
@@ -119,7 +117,8 @@
         for (int a = 0; a < sidecars; a++) {
             for (int b = 0; b < sidecars; b++) {
                 boolean reached = side[a] >= 0 && side[a] == side[b];
-                reachedSinceMs[a][b] = !reached ? Double.NaN : Double.isNaN(reachedSinceMs[a][b]) ? atMs : reachedSinceMs[a][b];
+                reachedSinceMs[a][b] =
+                        !reached ? Double.NaN : Double.isNaN(reachedSinceMs[a][b]) ? atMs : reachedSinceMs[a][b];
             }
         }
     }
@@ -154,10 +153,17 @@
             boolean lives = look.living().containsKey(seat);
             boolean wanted = side[seat] >= 0 && side[seat] == side[by];
             right &= processes[seat] == Process.BETWEEN || lives == wanted;
-            if (wanted && !lives && last[by] != null && last[by].living().containsKey(seat)
+            if (wanted
+                    && !lives
+                    && last[by] != null
+                    && last[by].living().containsKey(seat)
                     && look.atMs() - reachedSinceMs[by][seat] > settleMs) {
                 falseAccusations++;
-                breach(String.format(Locale.ROOT, "%.2f s: sidecar %d gave up sidecar %d, which ran and could be reached", look.atMs() / 1000, by,
+                breach(String.format(
+                        Locale.ROOT,
+                        "%.2f s: sidecar %d gave up sidecar %d, which ran and could be reached",
+                        look.atMs() / 1000,
+                        by,
                         seat));
             }
         }
@@ -174,8 +180,12 @@
             if (processes[i] != Process.ON) {
                 continue;
             }
-            if (Double.isNaN(trueSinceMs[i]) || !digests.computeIfAbsent(side[i], key -> last[key].digest()).equals(last[i].digest())) {
-                settled = settled < Double.POSITIVE_INFINITY && Double.isNaN(trueSinceMs[i]) ? Double.POSITIVE_INFINITY : settled;
+            if (Double.isNaN(trueSinceMs[i])
+                    || !digests.computeIfAbsent(side[i], key -> last[key].digest())
+                            .equals(last[i].digest())) {
+                settled = settled < Double.POSITIVE_INFINITY && Double.isNaN(trueSinceMs[i])
+                        ? Double.POSITIVE_INFINITY
+                        : settled;
                 return;
             }
             sinceMs = Math.max(sinceMs, last[i].atMs());
@@ -190,23 +200,36 @@
         long own = look.living().getOrDefault(look.by(), 0L);
         boolean another = ownStart[look.by()] != starts[look.by()];
         if (own < ownLife[look.by()] || another && own == ownLife[look.by()]) {
-            breach(String.format(Locale.ROOT, "%.2f s: the life of sidecar %d did not rise: it was %d, and is %d%s", look.atMs() / 1000, by,
-                    ownLife[look.by()], own, another ? " in a process that was started since" : ""));
+            breach(String.format(
+                    Locale.ROOT,
+                    "%.2f s: the life of sidecar %d did not rise: it was %d, and is %d%s",
+                    look.atMs() / 1000,
+                    by,
+                    ownLife[look.by()],
+                    own,
+                    another ? " in a process that was started since" : ""));
         }
         ownStart[look.by()] = starts[look.by()];
         ownLife[look.by()] = Math.max(ownLife[look.by()], own);
         look.living().forEach((seat, life) -> {
             List<Long> key = List.of(by, (long) starts[look.by()], (long) seat);
             if (life < lives.getOrDefault(key, 0L)) {
-                breach(String.format(Locale.ROOT, "%.2f s: sidecar %d saw the life of %d fall", look.atMs() / 1000, by, seat));
+                breach(String.format(
+                        Locale.ROOT, "%.2f s: sidecar %d saw the life of %d fall", look.atMs() / 1000, by, seat));
             }
             lives.merge(key, life, Math::max);
             if (life <= endedLives.getOrDefault(key, 0L)) {
-                breach(String.format(Locale.ROOT, "%.2f s: sidecar %d took %d back with the life in which it had given it up", look.atMs() / 1000,
-                        by, seat));
+                breach(String.format(
+                        Locale.ROOT,
+                        "%.2f s: sidecar %d took %d back with the life in which it had given it up",
+                        look.atMs() / 1000,
+                        by,
+                        seat));
             }
         });
-        look.ended().forEach((seat, life) -> endedLives.merge(List.of(by, (long) starts[look.by()], (long) seat), life, Math::max));
+        look.ended()
+                .forEach((seat, life) ->
+                        endedLives.merge(List.of(by, (long) starts[look.by()], (long) seat), life, Math::max));
     }
 
     private void breach(String what) {
@@ -220,10 +243,17 @@
         List<String> reasons = new ArrayList<>(breaches);
         for (Epoch each : epochs) {
             // A side that has lost most of the others finds it out one by one, and doubts itself meanwhile.
-            double boundMs = each.what().startsWith("cut") ? 2 * knowMs : each.what().startsWith("end") ? knowMs : settleMs;
+            double boundMs =
+                    each.what().startsWith("cut") ? 2 * knowMs : each.what().startsWith("end") ? knowMs : settleMs;
             if (each.settledMs() > boundMs && each.lastedMs() > boundMs) {
-                reasons.add(String.format(Locale.ROOT, "views: %s at %.1f s: all were true %s, %.1f s are allowed", each.what(), each.atMs() / 1000,
-                        each.settledMs() == Double.POSITIVE_INFINITY ? "never" : String.format(Locale.ROOT, "after %.1f s", each.settledMs() / 1000),
+                reasons.add(String.format(
+                        Locale.ROOT,
+                        "views: %s at %.1f s: all were true %s, %.1f s are allowed",
+                        each.what(),
+                        each.atMs() / 1000,
+                        each.settledMs() == Double.POSITIVE_INFINITY
+                                ? "never"
+                                : String.format(Locale.ROOT, "after %.1f s", each.settledMs() / 1000),
                         boundMs / 1000));
             }
         }
--- a/src/main/java/ivybank/rehearsal/scenario/Plan.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Plan.java
@@ -1,14 +1,13 @@
 package ivybank.rehearsal.scenario;
 
+import ivybank.rehearsal.scenario.Scenario.Fault;
+import ivybank.rehearsal.scenario.Scenario.Kind;
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 
-import ivybank.rehearsal.scenario.Scenario.Fault;
-import ivybank.rehearsal.scenario.Scenario.Kind;
-import ivybank.rehearsal.scenario.Scenario.RequestClass;
-
 /**
  * One draw of a scenario: all that chance decides is decided here, before anything runs, so that arrivals wait for no
  * answer and the same seed gives the same day.
@@ -16,20 +15,26 @@
 public record Plan(Scenario scenario, long seed, List<NodeSpec> nodes, List<Arrival> arrivals, List<Target> targets) {
 
     /** A node at the start of the day; {@code speed} is that of a core against the yardstick. */
-    public record NodeSpec(String host, Kind kind, String site, double speed) {
-    }
+    public record NodeSpec(String host, Kind kind, String site, double speed) {}
 
     /**
      * A first try, in ms from the start of the day. {@code work} and {@code wait} are what it takes of a yardstick core and
      * of others; {@code tries} the patience of each try, in ms.
      */
-    public record Arrival(int number, double atMs, int sidecar, int requestClass, String key, double workMs, double waitMs,
-                          double patienceMs, double backoffMs, boolean honours) {
-    }
+    public record Arrival(
+            int number,
+            double atMs,
+            int sidecar,
+            int requestClass,
+            String key,
+            double workMs,
+            double waitMs,
+            double patienceMs,
+            double backoffMs,
+            boolean honours) {}
 
     /** A fault with the numbers of the nodes or sidecars that it meets. */
-    public record Target(Fault fault, List<Integer> members) {
-    }
+    public record Target(Fault fault, List<Integer> members) {}
 
     /** Draws the day; the parts of the draw do not depend on one another. */
     public static Plan draw(Scenario scenario, long seed) {
@@ -37,7 +42,8 @@
         List<NodeSpec> nodes = nodes(scenario, root.split());
         List<Arrival> arrivals = arrivals(scenario, root.split());
         SplittableRandom faults = root.split();
-        return new Plan(scenario, seed, nodes, arrivals, targets(Storm.spelledOut(scenario, seed), nodes.size(), faults));
+        return new Plan(
+                scenario, seed, nodes, arrivals, targets(Storm.spelledOut(scenario, seed), nodes.size(), faults));
     }
 
     private static List<NodeSpec> nodes(Scenario scenario, SplittableRandom random) {
@@ -54,8 +60,11 @@
                     break;
                 }
             }
-            nodes.add(new NodeSpec("n-" + Long.toHexString(random.nextLong() >>> 32), kind,
-                    "site-" + i % scenario.fleet().sites(), between(kind.speed(), random)));
+            nodes.add(new NodeSpec(
+                    "n-" + Long.toHexString(random.nextLong() >>> 32),
+                    kind,
+                    "site-" + i % scenario.fleet().sites(),
+                    between(kind.speed(), random)));
         }
         return nodes;
     }
@@ -63,9 +72,14 @@
     private static List<Arrival> arrivals(Scenario scenario, SplittableRandom random) {
         List<Arrival> arrivals = new ArrayList<>();
         Scenario.Traffic traffic = scenario.traffic();
-        double[] worksMs = scenario.classes().stream().mapToDouble(spec -> between(spec.workMs(), random)).toArray();
-        double[] waitsMs = scenario.classes().stream().mapToDouble(spec -> between(spec.waitMs(), random)).toArray();
-        double allShares = scenario.classes().stream().mapToDouble(RequestClass::share).sum();
+        double[] worksMs = scenario.classes().stream()
+                .mapToDouble(spec -> between(spec.workMs(), random))
+                .toArray();
+        double[] waitsMs = scenario.classes().stream()
+                .mapToDouble(spec -> between(spec.waitMs(), random))
+                .toArray();
+        double allShares =
+                scenario.classes().stream().mapToDouble(RequestClass::share).sum();
         double weights = traffic.skew() + traffic.sidecars() - 1;
         double most = traffic.rate() * (1 + traffic.swing());
         double lengthMs = scenario.lengthS() * 1000;
@@ -77,7 +91,9 @@
             double who = random.nextDouble() * weights;
             int sidecar = who < traffic.skew() ? 0 : Math.min(traffic.sidecars() - 1, 1 + (int) (who - traffic.skew()));
             int requestClass = 0;
-            for (double at = random.nextDouble() * allShares; requestClass < scenario.classes().size() - 1; requestClass++) {
+            for (double at = random.nextDouble() * allShares;
+                    requestClass < scenario.classes().size() - 1;
+                    requestClass++) {
                 at -= scenario.classes().get(requestClass).share();
                 if (at < 0) {
                     break;
@@ -87,9 +103,17 @@
             double workMs = worksMs[requestClass] * (0.5 + 0.5 * exponential(random));
             double waitMs = waitsMs[requestClass] * (0.5 + 0.5 * exponential(random));
             Scenario.Clients clients = scenario.clients();
-            arrivals.add(new Arrival(arrivals.size(), atMs, sidecar, requestClass, Long.toHexString(random.nextLong()), workMs,
-                    waitMs, scenario.classes().get(requestClass).deadlineMs() * between(clients.tryShare(), random),
-                    between(clients.backoffMs(), random), random.nextDouble() < clients.honour()));
+            arrivals.add(new Arrival(
+                    arrivals.size(),
+                    atMs,
+                    sidecar,
+                    requestClass,
+                    Long.toHexString(random.nextLong()),
+                    workMs,
+                    waitMs,
+                    scenario.classes().get(requestClass).deadlineMs() * between(clients.tryShare(), random),
+                    between(clients.backoffMs(), random),
+                    random.nextDouble() < clients.honour()));
         }
         return arrivals;
     }
@@ -116,8 +140,9 @@
                 continue;
             }
             int count = (int) Math.round(fault.part() * all);
-            targets.add(new Target(fault, List.copyOf(orders.get(orders.size() - 1)
-                    .subList(0, Math.max(fault.part() > 0 ? 1 : 0, count)))));
+            targets.add(new Target(
+                    fault,
+                    List.copyOf(orders.get(orders.size() - 1).subList(0, Math.max(fault.part() > 0 ? 1 : 0, count)))));
         }
         targets.sort(Comparator.comparingDouble(target -> target.fault().atS()));
         return targets;
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -6,12 +6,31 @@
  * A day to rehearse: a fleet, classes of requests, traffic and a time line of faults. Times are in seconds from the first
  * request where a name ends in S, in milliseconds where it ends in Ms; a pair is a range that a draw picks from.
  */
-public record Scenario(String name, String title, double lengthS, long seed, Fleet fleet, List<Kind> kinds, Cold cold,
-                       Choke choke, List<RequestClass> classes, Traffic traffic, Clients clients, Limits limits, Rules rules,
-                       Roster roster, Peers peers, List<Fault> faults, Floor floor) {
+public record Scenario(
+        String name,
+        String title,
+        double lengthS,
+        long seed,
+        Fleet fleet,
+        List<Kind> kinds,
+        Cold cold,
+        Choke choke,
+        List<RequestClass> classes,
+        Traffic traffic,
+        Clients clients,
+        Limits limits,
+        Rules rules,
+        Roster roster,
+        Peers peers,
+        List<Fault> faults,
+        Floor floor) {
 
     /** What a second run of a request would do, by the protocol. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** What goes wrong. */
     public enum FaultKind {
@@ -63,43 +82,64 @@
         /** Whether it meets sidecars; nodes otherwise. */
         public boolean ofSidecars() {
             return switch (this) {
-                case KILL, TERM, ROSTER_SILENT, ROSTER_ODD, ROSTER_HUSH, ROSTER_OLD, ROSTER_MOVE, PARTITION, LINK, FREEZE, JOIN, LOSE, TWICE,
-                     STORM -> true;
+                case KILL,
+                        TERM,
+                        ROSTER_SILENT,
+                        ROSTER_ODD,
+                        ROSTER_HUSH,
+                        ROSTER_OLD,
+                        ROSTER_MOVE,
+                        PARTITION,
+                        LINK,
+                        FREEZE,
+                        JOIN,
+                        LOSE,
+                        TWICE,
+                        STORM -> true;
                 default -> false;
             };
         }
     }
 
-    public record Fleet(int nodes, int sites) {
-    }
+    public record Fleet(int nodes, int sites) {}
 
     /** A kind of node: cores, speed of a core against the yardstick, room, connections it bears and what one costs. */
-    public record Kind(String name, double share, int cores, double[] speed, int queuePerCore, int connections,
-                       double connectMs) {
-    }
+    public record Kind(
+            String name,
+            double share,
+            int cores,
+            double[] speed,
+            int queuePerCore,
+            int connections,
+            double connectMs) {}
 
     /** How a started node warms up, and how it falls over: sent so many times its capacity for so long. */
-    public record Cold(double from, double warmS, double fallMultiple, double fallS) {
-    }
+    public record Cold(double from, double warmS, double fallMultiple, double fallS) {}
 
     /**
      * A node that holds more than its cores and {@code at} times their root for so long turns so many times slower, until
      * it has held less than its cores for a while. {@code slower} 1: never.
      */
-    public record Choke(double at, double overS, double slower, double restS) {
-    }
+    public record Choke(double at, double overS, double slower, double restS) {}
 
     /**
      * A class of requests. Nodes drop the repeats of a keyed one for {@code windowMs}, all together or, with
      * {@code bySite}, those of one site.
      */
-    public record RequestClass(String name, double share, double[] workMs, double[] waitMs, double aimMs,
-                               double deadlineMs, double worth, Effect effect, boolean bySite, double windowMs) {
-    }
+    public record RequestClass(
+            String name,
+            double share,
+            double[] workMs,
+            double[] waitMs,
+            double aimMs,
+            double deadlineMs,
+            double worth,
+            Effect effect,
+            boolean bySite,
+            double windowMs) {}
 
     /** Requests a second in all; the share of the first sidecar against an even one; a swing over the day, in parts. */
-    public record Traffic(double rate, int sidecars, double skew, double swing) {
-    }
+    public record Traffic(double rate, int sidecars, double skew, double swing) {}
 
     /**
      * Tries are given up after a share of the deadline; retries wait as long as they are told, or {@code backoffMs};
@@ -107,27 +147,30 @@
      * carry one name, and {@code askAgain} of those that were served are asked for once more, some seconds later. Of all
      * tries {@code leaves} are left by their clients after {@code leaveMs}, long before their time.
      */
-    public record Clients(int retries, double[] tryShare, double[] backoffMs, double honour, double rubbish,
-                          boolean named, double askAgain, double leaves, double leaveMs) {
-    }
+    public record Clients(
+            int retries,
+            double[] tryShare,
+            double[] backoffMs,
+            double honour,
+            double rubbish,
+            boolean named,
+            double askAgain,
+            double leaves,
+            double leaveMs) {}
 
-    public record Limits(int memoryMb, int sockets, int attempts) {
-    }
+    public record Limits(int memoryMb, int sockets, int attempts) {}
 
-    public record Rules(double drainGraceMs, double marginMs) {
-    }
+    public record Rules(double drainGraceMs, double marginMs) {}
 
     /** How late each change reaches a sidecar, and after what time it counts as told all the same. */
-    public record Roster(double[] noticeMs, double toldMs) {
-    }
+    public record Roster(double[] noticeMs, double toldMs) {}
 
     /**
      * What sidecars know of one another. With {@code on}, each has a list of addresses, with {@code never} more that nobody ever
      * has, a key, and a door that the kit asks what it sees. An end is to be known after {@code knowS}, and all views to be true
      * {@code settleS} after each other change. A process that is stopped for no longer than {@code pauseS} is not to be given up.
      */
-    public record Peers(boolean on, int never, double knowS, double settleS, double pauseS) {
-    }
+    public record Peers(boolean on, int never, double knowS, double settleS, double pauseS) {}
 
     /**
      * What happens to datagrams and bytes on some ways between sidecars.
@@ -141,19 +184,33 @@
      * @param forged part that is followed by a forgery: its sender is said to leave, and nobody has signed that
      * @param replayed part that comes once more some seconds later
      */
-    public record Quality(boolean cut, double loss, double[] delayMs, double doubled, double reordered, double kbPerS, double forged,
-                          double replayed) {
+    public record Quality(
+            boolean cut,
+            double loss,
+            double[] delayMs,
+            double doubled,
+            double reordered,
+            double kbPerS,
+            double forged,
+            double replayed) {
 
         /** Nothing is wrong. */
-        public static final Quality GOOD = new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
+        public static final Quality GOOD =
+                new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
         /** Nothing comes. */
-        public static final Quality CUT = new Quality(true, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
+        public static final Quality CUT =
+                new Quality(true, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 0);
 
         /** Both at once. */
         public Quality and(Quality other) {
-            return new Quality(cut || other.cut, 1 - (1 - loss) * (1 - other.loss),
-                    new double[] {delayMs[0] + other.delayMs[0], delayMs[1] + other.delayMs[1]}, 1 - (1 - doubled) * (1 - other.doubled),
-                    1 - (1 - reordered) * (1 - other.reordered), Math.min(kbPerS, other.kbPerS), Math.max(forged, other.forged),
+            return new Quality(
+                    cut || other.cut,
+                    1 - (1 - loss) * (1 - other.loss),
+                    new double[] {delayMs[0] + other.delayMs[0], delayMs[1] + other.delayMs[1]},
+                    1 - (1 - doubled) * (1 - other.doubled),
+                    1 - (1 - reordered) * (1 - other.reordered),
+                    Math.min(kbPerS, other.kbPerS),
+                    Math.max(forged, other.forged),
                     Math.max(replayed, other.replayed));
         }
     }
@@ -172,7 +229,8 @@
 
         /** Whether it meets what one sidecar sends to another. */
         public boolean meets(int sender, int receiver) {
-            return from.contains(sender) && to.contains(receiver) || !oneWay && from.contains(receiver) && to.contains(sender);
+            return from.contains(sender) && to.contains(receiver)
+                    || !oneWay && from.contains(receiver) && to.contains(sender);
         }
     }
 
@@ -182,8 +240,16 @@
      * own. {@code members} are those that it meets where they are named; empty for a draw. {@code ways} is null but between
      * sidecars.
      */
-    public record Fault(FaultKind kind, double atS, double forS, double part, double size, double extra, int like,
-                        List<Integer> members, Ways ways) {
+    public record Fault(
+            FaultKind kind,
+            double atS,
+            double forS,
+            double part,
+            double size,
+            double extra,
+            int like,
+            List<Integer> members,
+            Ways ways) {
 
         public Fault {
             members = List.copyOf(members);
@@ -191,8 +257,7 @@
     }
 
     /** What service must be reached at least, 0 to 1. */
-    public record Floor(double service) {
-    }
+    public record Floor(double service) {}
 
     public Scenario {
         kinds = List.copyOf(kinds);
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioWriter.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioWriter.java
@@ -1,20 +1,18 @@
 package ivybank.rehearsal.scenario;
 
-import java.util.Arrays;
-import java.util.List;
-import java.util.Locale;
-import java.util.stream.Collectors;
-
 import ivybank.rehearsal.scenario.Scenario.Fault;
 import ivybank.rehearsal.scenario.Scenario.FaultKind;
 import ivybank.rehearsal.scenario.Scenario.Quality;
 import ivybank.toml.InputException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
 
 /** Writes a scenario with other faults: the text that it was read from, and those in place of its own. */
 public final class ScenarioWriter {
 
-    private ScenarioWriter() {
-    }
+    private ScenarioWriter() {}
 
     /**
      * The text with other faults.
@@ -34,7 +32,8 @@
             }
         }
         if (!ScenarioReader.read(file, out.toString()).faults().isEmpty()) {
-            throw new InputException(file + ": its faults can't be replaced: each must be a table of its own, [[fault]]");
+            throw new InputException(
+                    file + ": its faults can't be replaced: each must be a table of its own, [[fault]]");
         }
         faults.forEach(fault -> write(fault, out));
         return out.toString();
@@ -71,8 +70,13 @@
             out.append("bridge = ").append(fault.ways().bridge()).append('\n');
         }
         if (kind == FaultKind.LINK) {
-            out.append("from = ").append(fault.ways().from()).append("\nto = ").append(fault.ways().to()).append("\none_way = ")
-                    .append(fault.ways().oneWay()).append('\n');
+            out.append("from = ")
+                    .append(fault.ways().from())
+                    .append("\nto = ")
+                    .append(fault.ways().to())
+                    .append("\none_way = ")
+                    .append(fault.ways().oneWay())
+                    .append('\n');
             write(fault.ways().quality(), out);
         }
     }
@@ -85,8 +89,11 @@
             number(out, "loss", quality.loss());
         }
         if (quality.delayMs()[1] > 0) {
-            out.append("delay_ms = ").append(Arrays.stream(quality.delayMs()).mapToObj(ScenarioWriter::brief)
-                    .collect(Collectors.joining(", ", "[", "]"))).append('\n');
+            out.append("delay_ms = ")
+                    .append(Arrays.stream(quality.delayMs())
+                            .mapToObj(ScenarioWriter::brief)
+                            .collect(Collectors.joining(", ", "[", "]")))
+                    .append('\n');
         }
         if (quality.doubled() > 0) {
             number(out, "doubled", quality.doubled());
--- a/src/main/java/ivybank/rehearsal/stand/Ceiling.java
+++ b/src/main/java/ivybank/rehearsal/stand/Ceiling.java
@@ -1,15 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.LongAdder;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,6 +21,15 @@
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.stand.RosterServer.Entry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * The highest rate of a sidecar: clients that ask again as soon as they are answered, on threads of their own, and nodes
@@ -39,35 +38,48 @@
 public final class Ceiling implements AutoCloseable {
 
     /** What so many clients came to, a second; the cores that the sidecar used meanwhile, 0 past it. */
-    public record Row(int clients, double servedRate, double otherRate, double cores) {
-    }
+    public record Row(int clients, double servedRate, double otherRate, double cores) {}
 
     private static final long READY_MS = 30_000;
     private static final int NODES = 8;
     private static final int THREADS = 2;
     private static final int MAX_BODY = 4096;
     private static final int OK = 200;
-    private static final byte[] ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
 
     private final MultiThreadIoEventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final MultiThreadIoEventLoopGroup rosters = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final MultiThreadIoEventLoopGroup nodeLoops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
-    private final MultiThreadIoEventLoopGroup clientLoops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup nodeLoops =
+            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup clientLoops =
+            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     private final List<InetSocketAddress> nodes = new ArrayList<>();
     private final SidecarProcess sidecar;
     private final String path;
 
     /** Starts nodes and a sidecar; the scenario brings the first class, kinds and limits. */
-    public Ceiling(Scenario scenario, String command, Path folder, Path state, int net) throws IOException, InterruptedException {
+    public Ceiling(Scenario scenario, String command, Path folder, Path state, int net)
+            throws IOException, InterruptedException {
         path = scenario.classes().get(0).name();
         World world = new World(scenario, acceptor, rosters.next(), Clock.system(), new Referee(1, 1e9, 0), net);
-        RosterServer roster = world.loop.submit(() -> new RosterServer(world, 0)).sync().getNow();
+        RosterServer roster =
+                world.loop.submit(() -> new RosterServer(world, 0)).sync().getNow();
         for (int i = 0; i < NODES; i++) {
-            Channel listener = Loopback.listen(acceptor, nodeLoops.next(), NodeServer.address(net, i), channel -> channel.pipeline()
-                    .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(MAX_BODY), new Node()));
+            Channel listener = Loopback.listen(
+                    acceptor,
+                    nodeLoops.next(),
+                    NodeServer.address(net, i),
+                    channel -> channel.pipeline()
+                            .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(MAX_BODY), new Node()));
             nodes.add((InetSocketAddress) listener.localAddress());
-            Entry entry = new Entry("n-" + i, Loopback.text(listener), "site-" + i % scenario.fleet().sites(),
-                    scenario.kinds().get(0).name(), "Ready", 0);
+            Entry entry = new Entry(
+                    "n-" + i,
+                    Loopback.text(listener),
+                    "site-" + i % scenario.fleet().sites(),
+                    scenario.kinds().get(0).name(),
+                    "Ready",
+                    0);
             world.loop.submit(() -> roster.change(entry)).sync();
         }
         sidecar = new SidecarProcess(scenario, 0, command, folder, state, Loopback.forSidecar(net, 0), 1);
@@ -89,13 +101,20 @@
         long from = System.nanoTime();
         for (int i = 0; i < clients; i++) {
             Client client = new Client(i, served, other, over);
-            channels.add(new Bootstrap().group(clientLoops).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+            channels.add(new Bootstrap()
+                    .group(clientLoops)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpResponseDecoder(), new HttpObjectAggregator(MAX_BODY), client);
+                            channel.pipeline()
+                                    .addLast(new HttpResponseDecoder(), new HttpObjectAggregator(MAX_BODY), client);
                         }
-                    }).connect(through ? sidecar.listen() : nodes.get(i % NODES)).sync().channel());
+                    })
+                    .connect(through ? sidecar.listen() : nodes.get(i % NODES))
+                    .sync()
+                    .channel());
         }
         Thread.sleep((long) (seconds * 1000));
         over.set(true);
@@ -146,8 +165,9 @@
         }
 
         private void ask(ChannelHandlerContext ctx) {
-            ByteBuf request = Unpooled.copiedBuffer("GET /" + path + " HTTP/1.1\r\nHost: api\r\nX-Call-Id: " + number + "-"
-                    + Long.toHexString(mark) + "-" + ++asked + "\r\nX-Caller: ceiling\r\nX-Budget-Ms: 2000\r\n\r\n",
+            ByteBuf request = Unpooled.copiedBuffer(
+                    "GET /" + path + " HTTP/1.1\r\nHost: api\r\nX-Call-Id: " + number + "-" + Long.toHexString(mark)
+                            + "-" + ++asked + "\r\nX-Caller: ceiling\r\nX-Budget-Ms: 2000\r\n\r\n",
                     StandardCharsets.US_ASCII);
             ctx.writeAndFlush(request);
         }
@@ -159,7 +179,8 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            boolean good = message instanceof FullHttpResponse response && response.status().code() == OK;
+            boolean good = message instanceof FullHttpResponse response
+                    && response.status().code() == OK;
             ReferenceCountUtil.release(message);
             if (!over.get()) {
                 (good ? served : other).increment();
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -1,14 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
-import java.util.function.DoublePredicate;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -27,6 +18,14 @@
 import ivybank.rehearsal.scenario.Scenario.Clients;
 import ivybank.rehearsal.scenario.Scenario.Effect;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.DoublePredicate;
 
 /**
  * The client process beside one sidecar: sends what was drawn ahead when its time has come, whatever has become of what
@@ -51,7 +50,12 @@
     private long lastTry;
     private int openTries;
 
-    ClientApp(World world, int sidecar, InetSocketAddress address, int mostConnections, Service service,
+    ClientApp(
+            World world,
+            int sidecar,
+            InetSocketAddress address,
+            int mostConnections,
+            Service service,
             DoublePredicate endedBefore) {
         this.world = world;
         this.sidecar = sidecar;
@@ -127,11 +131,14 @@
         String text() {
             boolean safe = spec.effect() == Effect.SAFE;
             String body = safe ? "" : "{\"key\":\"" + arrival.key() + "\"}";
-            return (safe ? "GET /" : "POST /") + spec.name() + "?obj=" + arrival.key() + " HTTP/1.1\r\nHost: api\r\nX-Call-Id: "
+            return (safe ? "GET /" : "POST /") + spec.name() + "?obj=" + arrival.key()
+                    + " HTTP/1.1\r\nHost: api\r\nX-Call-Id: "
                     + id + "\r\nX-Caller: rehearsal\r\nX-Budget-Ms: "
                     + Math.max(1, Math.round(arrival.patienceMs() - (world.nowMs() - beganMs))) + "\r\n"
                     + (number > 0 ? "X-Again: 1\r\n" : "")
-                    + (spec.effect() == Effect.KEYED || name != null ? "Idempotency-Key: " + arrival.key() + "\r\n" : "")
+                    + (spec.effect() == Effect.KEYED || name != null
+                            ? "Idempotency-Key: " + arrival.key() + "\r\n"
+                            : "")
                     + (safe ? "\r\n" : "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
@@ -165,8 +172,8 @@
                 return;
             }
             if (connection != null && connection.written && !endedBefore.test(world.nowMs())) {
-                world.referee.unanswered(id, world.nowMs(), "got no answer within its " + Math.round(arrival.patienceMs())
-                        + " ms");
+                world.referee.unanswered(
+                        id, world.nowMs(), "got no answer within its " + Math.round(arrival.patienceMs()) + " ms");
             } else {
                 world.referee.excused(id);
             }
@@ -213,10 +220,14 @@
                 return;
             }
             boolean served = result == Result.IN_TIME || result == Result.LATE;
-            if (served && name != null && arrival.number() % 100 < 100 * world.scenario.clients().askAgain()) {
+            if (served
+                    && name != null
+                    && arrival.number() % 100 < 100 * world.scenario.clients().askAgain()) {
                 world.after(ASK_AGAIN_MS, () -> new Try(arrival, number + 1, true).begin());
             }
-            boolean again = result != Result.IN_TIME && result != Result.LATE && number < world.scenario.clients().retries();
+            boolean again = result != Result.IN_TIME
+                    && result != Result.LATE
+                    && number < world.scenario.clients().retries();
             if (!again) {
                 service.count(arrival.requestClass(), arrival.atMs(), result, afterMs);
                 return;
@@ -239,15 +250,23 @@
 
         void open() {
             connections.add(this);
-            channel = new Bootstrap().group(world.loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS).option(ChannelOption.TCP_NODELAY, true)
+            channel = new Bootstrap()
+                    .group(world.loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel made) {
-                            made.pipeline().addLast(new HttpResponseDecoder(), new HttpObjectAggregator(MAX_BODY),
-                                    Connection.this);
+                            made.pipeline()
+                                    .addLast(
+                                            new HttpResponseDecoder(),
+                                            new HttpObjectAggregator(MAX_BODY),
+                                            Connection.this);
                         }
-                    }).connect(address).addListener(up -> {
+                    })
+                    .connect(address)
+                    .addListener(up -> {
                         if (!up.isSuccess()) {
                             connections.remove(this);
                             Try waiting = current;
@@ -261,7 +280,8 @@
                         } else {
                             send(current);
                         }
-                    }).channel();
+                    })
+                    .channel();
         }
 
         void send(Try next) {
@@ -269,12 +289,13 @@
             next.connection = this;
             written = false;
             anyByte = false;
-            channel.writeAndFlush(Unpooled.copiedBuffer(next.text(), StandardCharsets.US_ASCII)).addListener(done -> {
-                if (done.isSuccess() && current == next) {
-                    written = true;
-                    world.referee.taken(next.id, world.nowMs());
-                }
-            });
+            channel.writeAndFlush(Unpooled.copiedBuffer(next.text(), StandardCharsets.US_ASCII))
+                    .addListener(done -> {
+                        if (done.isSuccess() && current == next) {
+                            written = true;
+                            world.referee.taken(next.id, world.nowMs());
+                        }
+                    });
         }
 
         private void free() {
@@ -307,7 +328,9 @@
             }
             if (answered != null) {
                 String after = response.headers().get("Retry-After");
-                answered.answered(response.status().code(), response.content().toString(StandardCharsets.UTF_8),
+                answered.answered(
+                        response.status().code(),
+                        response.content().toString(StandardCharsets.UTF_8),
                         after == null ? Double.NaN : Double.parseDouble(after) * 1000);
             }
         }
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/Day.java
@@ -1,5 +1,24 @@
 package ivybank.rehearsal.stand;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import ivybank.common.Addresses;
+import ivybank.common.Clock;
+import ivybank.common.FleetDoor;
+import ivybank.rehearsal.referee.Referee;
+import ivybank.rehearsal.referee.Returns;
+import ivybank.rehearsal.referee.Service;
+import ivybank.rehearsal.referee.Views;
+import ivybank.rehearsal.scenario.Plan;
+import ivybank.rehearsal.scenario.Plan.Arrival;
+import ivybank.rehearsal.scenario.Plan.NodeSpec;
+import ivybank.rehearsal.scenario.Plan.Target;
+import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.Scenario.Fault;
+import ivybank.rehearsal.scenario.Scenario.Ways;
+import ivybank.rehearsal.stand.RosterServer.Entry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -19,26 +38,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import ivybank.common.Addresses;
-import ivybank.common.Clock;
-import ivybank.common.FleetDoor;
-import ivybank.rehearsal.referee.Referee;
-import ivybank.rehearsal.referee.Returns;
-import ivybank.rehearsal.referee.Service;
-import ivybank.rehearsal.referee.Views;
-import ivybank.rehearsal.scenario.Plan;
-import ivybank.rehearsal.scenario.Plan.Arrival;
-import ivybank.rehearsal.scenario.Plan.NodeSpec;
-import ivybank.rehearsal.scenario.Plan.Target;
-import ivybank.rehearsal.scenario.Scenario;
-import ivybank.rehearsal.scenario.Scenario.Fault;
-import ivybank.rehearsal.scenario.Scenario.Ways;
-import ivybank.rehearsal.stand.RosterServer.Entry;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-
 /**
  * Plays one drawn day: starts nodes, roster and sidecars, sends the clients' requests, brings about the faults at their
  * times and ends all that it started. One instance plays once.
@@ -46,16 +45,13 @@
 public final class Day implements AutoCloseable {
 
     /** What happened when, for people; times in ms of the day. */
-    public record Event(double atMs, String what) {
-    }
+    public record Event(double atMs, String what) {}
 
     /** What a node is from a time of the day on, in a word. */
-    public record NodeState(double atMs, String host, String state) {
-    }
+    public record NodeState(double atMs, String host, String state) {}
 
     /** Memory in MB, descriptors and CPU seconds of a sidecar's process at a time of the day. */
-    public record Usage(double atMs, int sidecar, double memoryMb, double descriptors, double cpuS) {
-    }
+    public record Usage(double atMs, int sidecar, double memoryMb, double descriptors, double cpuS) {}
 
     /**
      * What a day came to; connections, attempts and attempts given up are those that nodes saw. {@code views} is null where
@@ -63,9 +59,23 @@
      * {@code returns}: how processes that were started in the course of the day came back, and what that cost others;
      * {@code starvedMs}: the longest that one of a sidecar's event loops waited for a core within half a second.
      */
-    public record Result(Plan plan, Service service, Referee referee, List<Event> events, List<NodeState> states, List<Usage> usage,
-                         double latenessMs, double mostPushed, List<Double> readyAfterMs, long connections, Map<String, Long> attemptsOf,
-                         long givenUp, Views views, long[] betweenSidecars, Returns returns, double starvedMs) {
+    public record Result(
+            Plan plan,
+            Service service,
+            Referee referee,
+            List<Event> events,
+            List<NodeState> states,
+            List<Usage> usage,
+            double latenessMs,
+            double mostPushed,
+            List<Double> readyAfterMs,
+            long connections,
+            Map<String, Long> attemptsOf,
+            long givenUp,
+            Views views,
+            long[] betweenSidecars,
+            Returns returns,
+            double starvedMs) {
 
         /** Attempts at all nodes. */
         public long attempts() {
@@ -73,7 +83,8 @@
         }
     }
 
-    private static final AtomicInteger NETS = new AtomicInteger((int) (ProcessHandle.current().pid() % 200));
+    private static final AtomicInteger NETS =
+            new AtomicInteger((int) (ProcessHandle.current().pid() % 200));
     private static final long READY_MS = 30_000;
     private static final double END_AFTER_TERM_MS = 700;
     private static final double LONGEST_DEADLINE_MS = 3000;
@@ -128,10 +139,15 @@
         this.folder = folder;
         this.state = state;
         this.progress = progress;
-        referee = new Referee(scenario.traffic().sidecars(), scenario.rules().drainGraceMs(), scenario.rules().marginMs());
+        referee = new Referee(
+                scenario.traffic().sidecars(),
+                scenario.rules().drainGraceMs(),
+                scenario.rules().marginMs());
         service = new Service(scenario.classes(), scenario.lengthS());
         Scenario.Peers peers = scenario.peers();
-        views = peers.on() ? new Views(scenario.traffic().sidecars(), peers.knowS() * 1000, peers.settleS() * 1000) : null;
+        views = peers.on()
+                ? new Views(scenario.traffic().sidecars(), peers.knowS() * 1000, peers.settleS() * 1000)
+                : null;
         wayFaults = new WayFaults(scenario.traffic().sidecars());
         for (Target target : plan.targets()) {
             if (target.fault().kind() == Scenario.FaultKind.JOIN) {
@@ -169,8 +185,14 @@
         onLoop(this::begin);
         double lengthMs = scenario.lengthS() * 1000;
         for (double nowMs = onLoopNow(); nowMs < lengthMs; nowMs = onLoopNow()) {
-            progress.accept(String.format(Locale.ROOT, "%.0f of %.0f s, %s", nowMs / 1000, scenario.lengthS(),
-                    events.isEmpty() ? "nothing has gone wrong yet" : events.get(events.size() - 1).what()));
+            progress.accept(String.format(
+                    Locale.ROOT,
+                    "%.0f of %.0f s, %s",
+                    nowMs / 1000,
+                    scenario.lengthS(),
+                    events.isEmpty()
+                            ? "nothing has gone wrong yet"
+                            : events.get(events.size() - 1).what()));
             Thread.sleep((long) Math.min(1000, Math.max(1, lengthMs - nowMs)));
         }
         awaitRest();
@@ -178,9 +200,23 @@
         if (views != null) {
             onLoop(() -> views.end(world.nowMs()));
         }
-        return new Result(plan, service, referee, List.copyOf(events), List.copyOf(states), List.copyOf(usage),
-                world.latenessMs(), mostPushed, List.copyOf(readyAfterMs), world.connections(), world.attempts(), world.givenUp(),
-                views, relay == null ? new long[4] : relay.counts(), world.returns, starvedMs);
+        return new Result(
+                plan,
+                service,
+                referee,
+                List.copyOf(events),
+                List.copyOf(states),
+                List.copyOf(usage),
+                world.latenessMs(),
+                mostPushed,
+                List.copyOf(readyAfterMs),
+                world.connections(),
+                world.attempts(),
+                world.givenUp(),
+                views,
+                relay == null ? new long[4] : relay.counts(),
+                world.returns,
+                starvedMs);
     }
 
     private void onLoop(Runnable task) throws InterruptedException {
@@ -193,7 +229,10 @@
 
     /** What is still open when the day is over ends by its own patience. */
     private void awaitRest() throws InterruptedException {
-        while (loop.submit(() -> clients.stream().mapToInt(ClientApp::openTries).sum()).sync().getNow() > 0) {
+        while (loop.submit(() -> clients.stream().mapToInt(ClientApp::openTries).sum())
+                        .sync()
+                        .getNow()
+                > 0) {
             Thread.sleep(20);
         }
         Thread.sleep((long) SETTLE_MS);
@@ -207,10 +246,22 @@
     }
 
     private NodeServer addNode(NodeSpec spec, boolean cold, InetSocketAddress address) {
-        NodeModel model = new NodeModel(spec.kind(), spec.speed(), scenario.cold(), scenario.choke(),
+        NodeModel model = new NodeModel(
+                spec.kind(),
+                spec.speed(),
+                scenario.cold(),
+                scenario.choke(),
                 cold ? world.nowMs() : Double.NEGATIVE_INFINITY);
-        NodeServer node = new NodeServer(world, spec.host(), spec.site(), model, spec.kind().connections(), spec.kind().connectMs(),
-                address, cold, plan.seed() + ++nodesMade);
+        NodeServer node = new NodeServer(
+                world,
+                spec.host(),
+                spec.site(),
+                model,
+                spec.kind().connections(),
+                spec.kind().connectMs(),
+                address,
+                cold,
+                plan.seed() + ++nodesMade);
         nodes.put(spec.host(), node);
         state(node);
         if (cold) {
@@ -222,13 +273,21 @@
 
     private void makeSidecar(int number) throws IOException, InterruptedException {
         RosterServer roster = loop.submit(() -> {
-            RosterServer made = new RosterServer(world, number);
-            nodes.keySet().forEach(host -> made.change(entry(host, "Ready")));
-            return made;
-        }).sync().getNow();
+                    RosterServer made = new RosterServer(world, number);
+                    nodes.keySet().forEach(host -> made.change(entry(host, "Ready")));
+                    return made;
+                })
+                .sync()
+                .getNow();
         rosters.add(roster);
         Path own = Files.createDirectories(state.resolve("sidecar-" + number));
-        SidecarProcess sidecar = new SidecarProcess(scenario, number, command, folder, own, Loopback.forSidecar(world.net, number),
+        SidecarProcess sidecar = new SidecarProcess(
+                scenario,
+                number,
+                command,
+                folder,
+                own,
+                Loopback.forSidecar(world.net, number),
                 plan.seed() * 31 + number);
         sidecars.add(sidecar);
         downSinceMs.add(Double.NaN);
@@ -236,14 +295,21 @@
         if (late.contains(number)) {
             downSinceMs.set(number, Double.NEGATIVE_INFINITY);
         }
-        ClientApp client = new ClientApp(world, number, sidecar.listen(), scenario.limits().sockets() / 3, service,
+        ClientApp client = new ClientApp(
+                world,
+                number,
+                sidecar.listen(),
+                scenario.limits().sockets() / 3,
+                service,
                 atMs -> downSinceMs.get(number) <= atMs);
         clients.add(client);
     }
 
     /** Addresses for each of the others, all by way of the relay, and some that nobody ever has. */
     private void placeAmongPeers() throws IOException, InterruptedException {
-        Path keys = Files.writeString(state.resolve("fleet.key"), "6b6579206f66207468652072656865617273616c20666c656574\n").toAbsolutePath();
+        Path keys = Files.writeString(
+                        state.resolve("fleet.key"), "6b6579206f66207468652072656865617273616c20666c656574\n")
+                .toAbsolutePath();
         List<InetSocketAddress> real = new ArrayList<>();
         for (int i = 0; i < sidecars.size(); i++) {
             real.add(Loopback.forPeers(world.net, i));
@@ -257,7 +323,9 @@
             for (int never = 0; never < scenario.peers().never(); never++) {
                 addresses.add("127." + world.net + ".219." + (1 + never) + ":7946");
             }
-            sidecars.get(i).among(new SidecarProcess.PeerPlace(addresses.get(i), addresses, Loopback.forDoor(world.net, i), keys));
+            sidecars.get(i)
+                    .among(new SidecarProcess.PeerPlace(
+                            addresses.get(i), addresses, Loopback.forDoor(world.net, i), keys));
             RosterServer roster = rosters.get(i);
             sidecars.get(i).configure(roster.address(), roster.known());
         }
@@ -287,7 +355,8 @@
         Map<Integer, Long> living = new HashMap<>();
         Map<Integer, Long> ended = new HashMap<>();
         for (JsonNode member : view.path("members")) {
-            (FleetDoor.lives(member) ? living : ended).put(member.path("seat").asInt(), member.path("life").asLong());
+            (FleetDoor.lives(member) ? living : ended)
+                    .put(member.path("seat").asInt(), member.path("life").asLong());
         }
         return new Views.Look(world.nowMs(), by, view.path("digest").asText(), living, ended);
     }
@@ -332,8 +401,13 @@
         for (Arrival arrival : plan.arrivals()) {
             if (Math.floor(arrival.number() * scenario.clients().rubbish()) > rude) {
                 int number = rude++;
-                world.at(arrival.atMs(), () -> RudeClient.come(world, arrival.sidecar(),
-                        sidecars.get(arrival.sidecar()).listen(), number));
+                world.at(
+                        arrival.atMs(),
+                        () -> RudeClient.come(
+                                world,
+                                arrival.sidecar(),
+                                sidecars.get(arrival.sidecar()).listen(),
+                                number));
             }
         }
         for (Target target : plan.targets()) {
@@ -356,7 +430,11 @@
             if (now != null) {
                 usage.add(new Usage(world.nowMs(), i, now[0], now[1], now[2]));
                 if (now[0] > scenario.limits().memoryMb()) {
-                    event(String.format(Locale.ROOT, "sidecar %d holds %.0f MB of memory, %d are allowed: it is killed", i, now[0],
+                    event(String.format(
+                            Locale.ROOT,
+                            "sidecar %d holds %.0f MB of memory, %d are allowed: it is killed",
+                            i,
+                            now[0],
                             scenario.limits().memoryMb()));
                     sidecar.killForMemory();
                 }
@@ -382,25 +460,39 @@
             target.members().forEach(member -> hit.add(nodes.get(members.get(member))));
         }
         switch (fault.kind()) {
-            case SILENT -> whileOn(fault, hit.size() + " nodes accept and answer nothing", on -> hit.forEach(node -> {
-                node.silent(on);
-                state(node);
-            }));
-            case SLOW -> whileOn(fault, "a neighbour takes " + Math.round(100 * fault.size()) + "% of " + hit.size()
-                    + " nodes", on -> hit.forEach(node -> {
-                        node.neighbour(on ? fault.size() : 0);
-                        state(node);
-                    }));
-            case SPOIL -> whileOn(fault, Math.round(100 * fault.size()) + "% of the answers of " + hit.size()
-                    + " nodes are spoilt", on -> hit.forEach(node -> {
-                        node.spoil(on ? fault.size() : 0);
-                        state(node);
-                    }));
-            case BREAK -> whileOn(fault, Math.round(100 * fault.size()) + "% of the exchanges with " + hit.size()
-                    + " nodes are broken in between", on -> hit.forEach(node -> {
-                        node.broken(on ? fault.size() : 0);
-                        state(node);
-                    }));
+            case SILENT ->
+                whileOn(
+                        fault,
+                        hit.size() + " nodes accept and answer nothing",
+                        on -> hit.forEach(node -> {
+                            node.silent(on);
+                            state(node);
+                        }));
+            case SLOW ->
+                whileOn(
+                        fault,
+                        "a neighbour takes " + Math.round(100 * fault.size()) + "% of " + hit.size() + " nodes",
+                        on -> hit.forEach(node -> {
+                            node.neighbour(on ? fault.size() : 0);
+                            state(node);
+                        }));
+            case SPOIL ->
+                whileOn(
+                        fault,
+                        Math.round(100 * fault.size()) + "% of the answers of " + hit.size() + " nodes are spoilt",
+                        on -> hit.forEach(node -> {
+                            node.spoil(on ? fault.size() : 0);
+                            state(node);
+                        }));
+            case BREAK ->
+                whileOn(
+                        fault,
+                        Math.round(100 * fault.size()) + "% of the exchanges with " + hit.size()
+                                + " nodes are broken in between",
+                        on -> hit.forEach(node -> {
+                            node.broken(on ? fault.size() : 0);
+                            state(node);
+                        }));
             case REPLACE -> {
                 event(hit.size() + " nodes are replaced at their addresses");
                 target.members().forEach(member -> replaceInPlace(fault, member));
@@ -423,10 +515,15 @@
             }
             case DEPLOY -> deploy(fault, target.members());
             case KILL, TERM -> restart(fault, target.members());
-            case ROSTER_SILENT -> whileOn(fault, "the roster says nothing to " + target.members().size() + " sidecars", on ->
-                    target.members().forEach(member -> rosters.get(member).silent(on)));
+            case ROSTER_SILENT ->
+                whileOn(
+                        fault,
+                        "the roster says nothing to " + target.members().size() + " sidecars",
+                        on -> target.members()
+                                .forEach(member -> rosters.get(member).silent(on)));
             case ROSTER_ODD -> {
-                event("the roster sends a line that can't be read to " + target.members().size() + " sidecars");
+                event("the roster sends a line that can't be read to "
+                        + target.members().size() + " sidecars");
                 target.members().forEach(member -> rosters.get(member).odd());
             }
             case ROSTER_HUSH -> {
@@ -465,7 +562,9 @@
     private void between(Fault fault, List<Integer> drawn) {
         Ways ways = fault.ways();
         boolean partition = fault.kind() == Scenario.FaultKind.PARTITION;
-        List<Integer> from = ways.from().isEmpty() ? drawn.stream().filter(each -> !ways.bridge().contains(each)).toList() : ways.from();
+        List<Integer> from = ways.from().isEmpty()
+                ? drawn.stream().filter(each -> !ways.bridge().contains(each)).toList()
+                : ways.from();
         List<Integer> to = new ArrayList<>(ways.to());
         for (int i = 0; i < sidecars.size() && ways.to().isEmpty(); i++) {
             if (!from.contains(i) && !ways.bridge().contains(i)) {
@@ -473,8 +572,11 @@
             }
         }
         Ways met = new Ways(from, to, ways.bridge(), ways.oneWay(), ways.quality());
-        String what = partition ? "cut of sidecars " + from + " from " + to + (ways.bridge().isEmpty() ? "" : ", bridged by " + ways.bridge())
-                : (ways.quality().cut() ? "cut of" : "fault on") + " the ways from " + from + " to " + to + (ways.oneWay() ? ", one way" : "");
+        String what = partition
+                ? "cut of sidecars " + from + " from " + to
+                        + (ways.bridge().isEmpty() ? "" : ", bridged by " + ways.bridge())
+                : (ways.quality().cut() ? "cut of" : "fault on") + " the ways from " + from + " to " + to
+                        + (ways.oneWay() ? ", one way" : "");
         event(what);
         fault(met, true, what);
         world.after(fault.forS() * 1000, () -> {
@@ -486,7 +588,10 @@
     /** What a stopped process did not do nobody blames on it, until its requests of that time are over. */
     private void freeze(Fault fault, List<Integer> hit) {
         event("sidecars " + hit + " are stopped");
-        double deadlineMs = scenario.classes().stream().mapToDouble(Scenario.RequestClass::deadlineMs).max().orElse(0);
+        double deadlineMs = scenario.classes().stream()
+                .mapToDouble(Scenario.RequestClass::deadlineMs)
+                .max()
+                .orElse(0);
         for (int member : hit) {
             SidecarProcess sidecar = sidecars.get(member);
             downSinceMs.set(member, world.nowMs());
@@ -527,8 +632,8 @@
                         event("sidecar " + member + " is started a second time");
                     });
                     boolean ended = twin.waitFor((long) (fault.forS() * 1000), TimeUnit.MILLISECONDS);
-                    loop.execute(() -> event("the second sidecar " + member + (ended ? " has ended with exit code " + twin.exitValue()
-                            : " runs: it is killed")));
+                    loop.execute(() -> event("the second sidecar " + member
+                            + (ended ? " has ended with exit code " + twin.exitValue() : " runs: it is killed")));
                     twin.destroyForcibly();
                 } catch (IOException e) {
                     loop.execute(() -> event("sidecar " + member + " could not be started twice: " + e.getMessage()));
@@ -630,14 +735,18 @@
                 sidecar.configure(address, known);
                 sidecar.signal("HUP");
             } catch (IOException e) {
-                loop.execute(() -> event("the configuration of " + sidecar + " could not be replaced: " + e.getMessage()));
+                loop.execute(
+                        () -> event("the configuration of " + sidecar + " could not be replaced: " + e.getMessage()));
             }
         });
     }
 
     private void restart(Fault fault, List<Integer> hit) {
         boolean killed = fault.kind() == Scenario.FaultKind.KILL;
-        double deadlineMs = scenario.classes().stream().mapToDouble(Scenario.RequestClass::deadlineMs).max().orElse(0);
+        double deadlineMs = scenario.classes().stream()
+                .mapToDouble(Scenario.RequestClass::deadlineMs)
+                .max()
+                .orElse(0);
         double endMs = killed ? 0 : Math.min(LONGEST_DEADLINE_MS, deadlineMs) + END_AFTER_TERM_MS;
         double apartMs = hit.size() > 1 ? fault.forS() * 1000 / (hit.size() - 1) : 0;
         for (int i = 0; i < hit.size(); i++) {
--- a/src/main/java/ivybank/rehearsal/stand/LinkRelay.java
+++ b/src/main/java/ivybank/rehearsal/stand/LinkRelay.java
@@ -1,13 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -17,6 +9,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import ivybank.rehearsal.scenario.Scenario.Quality;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 
 /**
  * Carries TCP links between sidecars as {@link PeerRelay} carries datagrams: an address for each ordered pair, and the same faults.
@@ -52,7 +51,8 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf bytes = (ByteBuf) message;
             Quality quality = faults.quality(from, to);
-            double delayMs = quality.delayMs()[0] + world.random() * (quality.delayMs()[1] - quality.delayMs()[0])
+            double delayMs = quality.delayMs()[0]
+                    + world.random() * (quality.delayMs()[1] - quality.delayMs()[0])
                     + (world.random() < quality.loss() ? SENT_AGAIN_MS : 0);
             if (quality.kbPerS() < Double.POSITIVE_INFINITY) {
                 freeAtMs = Math.max(freeAtMs, world.nowMs()) + bytes.readableBytes() / quality.kbPerS();
@@ -129,7 +129,8 @@
                 if (a != b) {
                     int from = a;
                     int to = b;
-                    listeners[a][b] = Loopback.listen(world.acceptor, world.loop, world.net, 221, 1 + a, channel -> accept(from, to, channel));
+                    listeners[a][b] = Loopback.listen(
+                            world.acceptor, world.loop, world.net, 221, 1 + a, channel -> accept(from, to, channel));
                 }
             }
         }
@@ -152,7 +153,10 @@
             world.after(SENT_AGAIN_MS, () -> connect(there));
             return;
         }
-        new Bootstrap().group(world.loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(world.loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRegistered(ChannelHandlerContext ctx) {
@@ -162,7 +166,9 @@
                         ctx.pipeline().replace(this, "back", back);
                         ctx.fireChannelRegistered();
                     }
-                }).connect(real.get(there.to)).addListener(up -> {
+                })
+                .connect(real.get(there.to))
+                .addListener(up -> {
                     if (up.isSuccess()) {
                         there.sink = there.back.source;
                         there.pump();
--- a/src/main/java/ivybank/rehearsal/stand/NodeModel.java
+++ b/src/main/java/ivybank/rehearsal/stand/NodeModel.java
@@ -1,5 +1,8 @@
 package ivybank.rehearsal.stand;
 
+import ivybank.rehearsal.scenario.Scenario.Choke;
+import ivybank.rehearsal.scenario.Scenario.Cold;
+import ivybank.rehearsal.scenario.Scenario.Kind;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,10 +10,6 @@
 import java.util.List;
 import java.util.PriorityQueue;
 
-import ivybank.rehearsal.scenario.Scenario.Choke;
-import ivybank.rehearsal.scenario.Scenario.Cold;
-import ivybank.rehearsal.scenario.Scenario.Kind;
-
 /**
  * A node's machine: cores that work off a queue, a start that is cold, and what it takes to fall over. Pure: the clock
  * comes in with each call, in ms, and never goes back. Work is in ms of a yardstick core.
@@ -36,8 +35,7 @@
         }
     }
 
-    private record Sent(double atMs, double workMs) {
-    }
+    private record Sent(double atMs, double workMs) {}
 
     private final Kind kind;
     private final double speed;
@@ -142,7 +140,8 @@
         window.addLast(new Sent(nowMs, workMs));
         windowMs += workMs;
         if (warmth(nowMs) < 1) {
-            double budgetMs = cold.fallMultiple() * spanMs * (capacity(Math.max(bornMs, nowMs - spanMs)) + capacity(nowMs)) / 2;
+            double budgetMs =
+                    cold.fallMultiple() * spanMs * (capacity(Math.max(bornMs, nowMs - spanMs)) + capacity(nowMs)) / 2;
             double over = (windowMs - SLACK_JOBS * workMs) / budgetMs;
             pushed = Math.max(pushed, over);
             if (over > 1) {
--- a/src/main/java/ivybank/rehearsal/stand/NodeServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/NodeServer.java
@@ -1,13 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
-import java.util.Locale;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.ScheduledFuture;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -22,6 +14,13 @@
 import ivybank.rehearsal.referee.Referee.Attempt;
 import ivybank.rehearsal.referee.Referee.Ending;
 import ivybank.rehearsal.stand.NodeModel.Job;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledFuture;
 
 /** A stand-in intake node on a socket of its own: its machine is a {@link NodeModel}, its ways are the protocol's. */
 public final class NodeServer {
@@ -30,6 +29,7 @@
     private static final double REPORT_EVERY_MS = 200;
     /** How an exchange is broken by what lies between. */
     private static final int NOT_BROKEN = -1;
+
     private static final int UNDER_THE_SIDECAR = 0;
     private static final int UNDER_THE_NODE = 1;
     private static final int BEFORE_IT_IS_BEGUN = 2;
@@ -61,8 +61,16 @@
     private int answersInPeriod;
 
     /** A node that starts now, cold, or has run for long, at {@code address}, whose port may be left to the system. */
-    NodeServer(World world, String host, String site, NodeModel model, int mostConnections, double connectMs,
-            InetSocketAddress address, boolean cold, long seed) {
+    NodeServer(
+            World world,
+            String host,
+            String site,
+            NodeModel model,
+            int mostConnections,
+            double connectMs,
+            InetSocketAddress address,
+            boolean cold,
+            long seed) {
         this.world = world;
         this.host = host;
         this.site = site;
@@ -73,8 +81,12 @@
         this.bornUnixMs = cold ? world.unixMs() : 0;
         this.listener = Loopback.listen(world.acceptor, world.loop, address, channel -> {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(new FirstByte(connection), new HttpRequestDecoder(),
-                    new HttpObjectAggregator(MAX_BODY), connection);
+            channel.pipeline()
+                    .addLast(
+                            new FirstByte(connection),
+                            new HttpRequestDecoder(),
+                            new HttpObjectAggregator(MAX_BODY),
+                            connection);
         });
         this.dial = Loopback.text(listener);
     }
@@ -122,8 +134,17 @@
 
     /** What it is now, in a word; of several things that are wrong the worst one. */
     String condition() {
-        return ended || cutOff || model.fallen() ? "down" : silent ? "silent" : rejecting ? "draining" : neighbour > 0 ? "slow"
-                : spoilt > 0 || broken > 0 ? "spoils" : model.warmth(world.nowMs()) < 1 ? "cold" : "ready";
+        return ended || cutOff || model.fallen()
+                ? "down"
+                : silent
+                        ? "silent"
+                        : rejecting
+                                ? "draining"
+                                : neighbour > 0
+                                        ? "slow"
+                                        : spoilt > 0 || broken > 0
+                                                ? "spoils"
+                                                : model.warmth(world.nowMs()) < 1 ? "cold" : "ready";
     }
 
     void neighbour(double part) {
@@ -193,8 +214,11 @@
         if (nowMs - reportedMs > REPORT_EVERY_MS) {
             double spanMs = Math.min(10_000, nowMs - reportedMs);
             double noise = 0.95 + 0.1 * random.nextDouble();
-            report = String.format(Locale.ROOT, "X-Load-Report: TEXT qps=%.2f, util=%.3f, eps=0\r\n",
-                    answersInPeriod * 1000 / spanMs * noise, Math.min(1, model.utilisation() * noise));
+            report = String.format(
+                    Locale.ROOT,
+                    "X-Load-Report: TEXT qps=%.2f, util=%.3f, eps=0\r\n",
+                    answersInPeriod * 1000 / spanMs * noise,
+                    Math.min(1, model.utilisation() * noise));
             reportedMs = nowMs;
             answersInPeriod = 0;
         }
@@ -246,7 +270,10 @@
         /** Noise, or half an answer, after which the connection stays open or ends. */
         private void spoil() {
             int how = random.nextInt(3);
-            connection.write(how == 0 ? "no answer at all\u0000\r\n\r\n" : "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nhalf");
+            connection.write(
+                    how == 0
+                            ? "no answer at all\u0000\r\n\r\n"
+                            : "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nhalf");
             if (how == 2) {
                 connection.channel.close();
             }
--- a/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
+++ b/src/main/java/ivybank/rehearsal/stand/PeerRelay.java
@@ -1,9 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.SplittableRandom;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -16,6 +12,9 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import ivybank.common.Addresses;
 import ivybank.rehearsal.scenario.Scenario.Quality;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.SplittableRandom;
 
 /**
  * Carries datagrams between sidecars, and does to them what faults say. Each sidecar has a list of addresses of its own for the
@@ -54,7 +53,8 @@
             }
             harm(bytes, quality);
             for (int copies = random.nextDouble() < quality.doubled() ? 2 : 1; copies > 0; copies--) {
-                double delayMs = quality.delayMs()[0] + random.nextDouble() * (quality.delayMs()[1] - quality.delayMs()[0])
+                double delayMs = quality.delayMs()[0]
+                        + random.nextDouble() * (quality.delayMs()[1] - quality.delayMs()[0])
                         + (random.nextDouble() < quality.reordered() ? OVERTAKEN_MS * random.nextDouble() : 0);
                 if (quality.kbPerS() < Double.POSITIVE_INFINITY) {
                     freeAtMs = Math.max(freeAtMs, world.nowMs()) + bytes.length / quality.kbPerS();
@@ -124,7 +124,9 @@
                 ways[a][b] = new Way(a, b);
                 if (a != b) {
                     Way way = ways[a][b];
-                    sockets[a][b] = new Bootstrap().group(world.loop).channel(NioDatagramChannel.class)
+                    sockets[a][b] = new Bootstrap()
+                            .group(world.loop)
+                            .channel(NioDatagramChannel.class)
                             .option(ChannelOption.SO_RCVBUF, 1 << 18)
                             .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                                 @Override
@@ -136,7 +138,10 @@
                                 public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                                     // Nobody listens there now: the datagram is lost, as on a network.
                                 }
-                            }).bind(new InetSocketAddress("127." + world.net + ".220." + (1 + a), 0)).syncUninterruptibly().channel();
+                            })
+                            .bind(new InetSocketAddress("127." + world.net + ".220." + (1 + a), 0))
+                            .syncUninterruptibly()
+                            .channel();
                 }
             }
         }
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -1,15 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
@@ -21,6 +11,15 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.ReferenceCountUtil;
 import ivybank.common.Json;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * Discovery as one sidecar sees it: an agent on its machine that tells what it has been sent, answers at once and is silent
@@ -37,13 +36,20 @@
     record Entry(String host, String dial, String site, String kind, String health, double bornUnixMs) {
 
         private ObjectNode json() {
-            return Json.MAPPER.createObjectNode().put("host", host).put("dial", dial).put("site", site)
-                    .put("class", kind).put("block", 0).put("health", health).put("share", 1.0).put("born_ms", bornUnixMs);
+            return Json.MAPPER
+                    .createObjectNode()
+                    .put("host", host)
+                    .put("dial", dial)
+                    .put("site", site)
+                    .put("class", kind)
+                    .put("block", 0)
+                    .put("health", health)
+                    .put("share", 1.0)
+                    .put("born_ms", bornUnixMs);
         }
     }
 
-    private record Snapshot(double atMs, long seq, Map<String, Entry> list) {
-    }
+    private record Snapshot(double atMs, long seq, Map<String, Entry> list) {}
 
     private final World world;
     private final int sidecar;
@@ -56,6 +62,7 @@
     private final List<Runnable> whenBack = new ArrayList<>();
     /** What it shows while it is behind; null otherwise. */
     private Snapshot behind;
+
     private Channel listener;
     private long seq;
     private boolean silent;
@@ -70,8 +77,14 @@
     }
 
     private Channel listen() {
-        return Loopback.listen(world.acceptor, world.loop, world.net, 200, 1 + sidecar, channel -> channel.pipeline()
-                .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1024), new Caller()));
+        return Loopback.listen(
+                world.acceptor,
+                world.loop,
+                world.net,
+                200,
+                1 + sidecar,
+                channel -> channel.pipeline()
+                        .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1024), new Caller()));
     }
 
     String address() {
@@ -140,7 +153,10 @@
     /** Shows the list as it was so long ago, and after as long a while the present one. */
     void fallBehind(double behindMs) {
         double asOfMs = world.nowMs() - behindMs;
-        behind = snapshots.stream().filter(each -> each.atMs() >= asOfMs).findFirst().orElse(null);
+        behind = snapshots.stream()
+                .filter(each -> each.atMs() >= asOfMs)
+                .findFirst()
+                .orElse(null);
         world.after(behindMs, () -> {
             behind = null;
             toWatches(known() + "\n");
@@ -224,15 +240,19 @@
             }
             if (uri.contains(STREAM)) {
                 boolean unknown = !uri.endsWith("index=" + shownSeq());
-                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + chunk(unknown ? known() + "\n" : "\n"), StandardCharsets.UTF_8));
+                ctx.writeAndFlush(Unpooled.copiedBuffer(
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + chunk(unknown ? known() + "\n" : "\n"),
+                        StandardCharsets.UTF_8));
                 watches.add(ctx.channel());
                 hushedMs = Double.NaN;
                 tellAll(); // at the latest now
             } else {
                 String body = known().toString();
-                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: "
-                        + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body, StandardCharsets.UTF_8));
+                ctx.writeAndFlush(Unpooled.copiedBuffer(
+                        "HTTP/1.1 200 OK\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length
+                                + "\r\n\r\n" + body,
+                        StandardCharsets.UTF_8));
             }
         }
 
--- a/src/main/java/ivybank/rehearsal/stand/RudeClient.java
+++ b/src/main/java/ivybank/rehearsal/stand/RudeClient.java
@@ -1,9 +1,5 @@
 package ivybank.rehearsal.stand;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -14,6 +10,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * A client that sends what can't be used, once, on a connection of its own. It is owed an error or a close in time, and never
@@ -26,14 +25,18 @@
     private static final String GOOD_HEAD = "Host: x\r\nX-Call-Id: rude\r\nX-Budget-Ms: 1000\r\n";
 
     /** What it sends; %s stands for the path of a class that is safe to repeat. */
-    private static final List<String> WORDS = List.of("", "\u0016\u0003\u0001\u0002 no words\r\n\r\n", "GET %s HTTP/1.1\r\nHost",
+    private static final List<String> WORDS = List.of(
+            "",
+            "\u0016\u0003\u0001\u0002 no words\r\n\r\n",
+            "GET %s HTTP/1.1\r\nHost",
             "GET %s HTTP/1.1\r\nHost: x\r\nX-Budget-Ms: 1000\r\n\r\n",
             "GET %s HTTP/1.1\r\nHost: x\r\nX-Call-Id: rude\r\nX-Budget-Ms: soon\r\n\r\n",
             "GET /no-such-class HTTP/1.1\r\n" + GOOD_HEAD + "\r\n",
             "POST %s HTTP/1.1\r\n" + GOOD_HEAD + "Content-Length: -5\r\n\r\n",
             "POST %s HTTP/1.1\r\n" + GOOD_HEAD + "Content-Length: 3000000000\r\n\r\nx",
-            "POST %s HTTP/1.1\r\n" + GOOD_HEAD + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET %s HTTP/1.1"
-                    + "\r\n" + GOOD_HEAD + "\r\n");
+            "POST %s HTTP/1.1\r\n" + GOOD_HEAD
+                    + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET %s HTTP/1.1" + "\r\n"
+                    + GOOD_HEAD + "\r\n");
 
     private final World world;
     private final int sidecar;
@@ -49,14 +52,19 @@
     /** One of them comes, {@code number} of the day; what it sends goes by that. */
     static void come(World world, int sidecar, InetSocketAddress address, int number) {
         String path = "/" + world.scenario.classes().get(0).name();
-        RudeClient client = new RudeClient(world, sidecar, WORDS.get(number % WORDS.size()).replace("%s", path));
-        new Bootstrap().group(world.loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+        RudeClient client =
+                new RudeClient(world, sidecar, WORDS.get(number % WORDS.size()).replace("%s", path));
+        new Bootstrap()
+                .group(world.loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(client);
                     }
-                }).connect(address);
+                })
+                .connect(address);
     }
 
     @Override
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -1,5 +1,13 @@
 package ivybank.rehearsal.stand;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import ivybank.common.Addresses;
+import ivybank.common.FleetDoor;
+import ivybank.common.Json;
+import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
@@ -14,15 +22,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import ivybank.common.Addresses;
-import ivybank.common.FleetDoor;
-import ivybank.common.Json;
-import ivybank.rehearsal.scenario.Scenario;
-import ivybank.rehearsal.scenario.Scenario.RequestClass;
-
 /**
  * One real sidecar: a process with a configuration, an address and a log of its own. A second, tiny process ends it if the
  * kit itself is gone: it waits for the end of a pipe that only the kit holds open. It heeds no signal that a terminal or a shell sends
@@ -49,7 +48,13 @@
     private PeerPlace place; // null: it knows of no other
     private volatile boolean expected; // to end
 
-    SidecarProcess(Scenario scenario, int number, String command, Path folder, Path state, InetSocketAddress listen,
+    SidecarProcess(
+            Scenario scenario,
+            int number,
+            String command,
+            Path folder,
+            Path state,
+            InetSocketAddress listen,
             long seed) {
         this.scenario = scenario;
         this.number = number;
@@ -65,13 +70,14 @@
     }
 
     /** What it knows of the others: where it listens for them, their addresses, and the door where it can be asked. */
-    record PeerPlace(String listen, List<String> addresses, InetSocketAddress door, Path keys) {
-    }
+    record PeerPlace(String listen, List<String> addresses, InetSocketAddress door, Path keys) {}
 
     /** Puts it among others, from the next configuration on. */
     void among(PeerPlace peers) throws IOException {
         place = peers;
-        Files.writeString(state.resolve("operator.toml"), "[peers]\nkey_file = \"" + peers.keys() + "\"\nfleet = \"rehearsal\"\n");
+        Files.writeString(
+                state.resolve("operator.toml"),
+                "[peers]\nkey_file = \"" + peers.keys() + "\"\nfleet = \"rehearsal\"\n");
     }
 
     /** The view of its fleet, as its door tells it; null where it does not. */
@@ -81,10 +87,15 @@
 
     /** Replaces the configuration as one step. */
     void configure(String discovery, ObjectNode known) throws IOException {
-        ObjectNode root = Json.MAPPER.createObjectNode().put("name", "n" + number)
-                .put("listen", Addresses.text(listen)).put("discovery", discovery)
+        ObjectNode root = Json.MAPPER
+                .createObjectNode()
+                .put("name", "n" + number)
+                .put("listen", Addresses.text(listen))
+                .put("discovery", discovery)
                 .put("seed", Long.toHexString(seeds.nextLong()));
-        root.putObject("limits").put("cores", 1.0).put("memory_mb", scenario.limits().memoryMb())
+        root.putObject("limits")
+                .put("cores", 1.0)
+                .put("memory_mb", scenario.limits().memoryMb())
                 .put("sockets", scenario.limits().sockets());
         if (place != null) {
             root.put("peer_listen", place.listen()).put("control", Addresses.text(place.door()));
@@ -95,11 +106,17 @@
         root.set("settings", settings());
         Path file = state.resolve("config.json.new");
         Files.writeString(file, root.toString());
-        Files.move(file, state.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                file,
+                state.resolve("config.json"),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
     }
 
     private ObjectNode settings() {
-        ObjectNode settings = Json.MAPPER.createObjectNode().put("instances", scenario.traffic().sidecars())
+        ObjectNode settings = Json.MAPPER
+                .createObjectNode()
+                .put("instances", scenario.traffic().sidecars())
                 .put("tickMs", 1.0);
         ArrayNode sites = settings.putArray("failureDomains");
         for (int i = 0; i < scenario.fleet().sites(); i++) {
@@ -109,42 +126,70 @@
         scenario.kinds().forEach(kind -> kinds.add(kind.name()));
         ArrayNode lanes = settings.putArray("lanes");
         for (RequestClass spec : scenario.classes()) {
-            lanes.addObject().put("name", spec.name()).put("aimMs", spec.aimMs()).put("hardLimitMs", spec.deadlineMs())
-                    .put("worth", spec.worth()).put("group", spec.bySite() ? "zone" : "all").put("windowMs", spec.windowMs()).put("idempotency", switch (spec.effect()) {
-                        case SAFE -> "retryable";
-                        case KEYED -> "dedup";
-                        case UNSAFE -> "fragile";
-                    });
+            lanes.addObject()
+                    .put("name", spec.name())
+                    .put("aimMs", spec.aimMs())
+                    .put("hardLimitMs", spec.deadlineMs())
+                    .put("worth", spec.worth())
+                    .put("group", spec.bySite() ? "zone" : "all")
+                    .put("windowMs", spec.windowMs())
+                    .put(
+                            "idempotency",
+                            switch (spec.effect()) {
+                                case SAFE -> "retryable";
+                                case KEYED -> "dedup";
+                                case UNSAFE -> "fragile";
+                            });
         }
-        settings.putObject("limits").put("maxAttempts", scenario.limits().attempts()).put("cancel", true)
-                .put("secondCopies", true).put("retryAfter", true).put("maxRetryAfterMs", 2000.0)
-                .put("connectTimeoutMs", 250.0).put("connIdleMs", 15_000.0);
+        settings.putObject("limits")
+                .put("maxAttempts", scenario.limits().attempts())
+                .put("cancel", true)
+                .put("secondCopies", true)
+                .put("retryAfter", true)
+                .put("maxRetryAfterMs", 2000.0)
+                .put("connectTimeoutMs", 250.0)
+                .put("connIdleMs", 15_000.0);
         Scenario.Cold cold = scenario.cold();
-        settings.putObject("contract").put("coldFrom", cold.from()).put("coldMs", cold.warmS() * 1000)
-                .put("overloadFactor", cold.fallMultiple()).put("fallMs", cold.fallS() * 1000).put("askEveryMs", 10_000.0);
-        settings.putObject("report").put("via", "inline").putArray("fields").add("qps").add("util").add("eps");
+        settings.putObject("contract")
+                .put("coldFrom", cold.from())
+                .put("coldMs", cold.warmS() * 1000)
+                .put("overloadFactor", cold.fallMultiple())
+                .put("fallMs", cold.fallS() * 1000)
+                .put("askEveryMs", 10_000.0);
+        settings.putObject("report")
+                .put("via", "inline")
+                .putArray("fields")
+                .add("qps")
+                .add("util")
+                .add("eps");
         return settings;
     }
 
     /** Starts it with the descriptors that it may have and no more; what it prints goes to its log. */
     void start() throws IOException {
         expected = false;
-        process = launch("ulimit -n " + scenario.limits().sockets() + " && " + command,
+        process = launch(
+                "ulimit -n " + scenario.limits().sockets() + " && " + command,
                 ProcessBuilder.Redirect.appendTo(state.resolve("sidecar.log").toFile()));
-        guard = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP INT TERM; read line; kill -9 " + process.pid()).start();
+        guard = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP INT TERM; read line; kill -9 " + process.pid())
+                .start();
     }
 
     /** Starts a second one with the same configuration beside it; the caller ends it. */
     Process startTwin() throws IOException {
-        return launch(command, ProcessBuilder.Redirect.to(state.resolve("twin.log").toFile()));
+        return launch(
+                command, ProcessBuilder.Redirect.to(state.resolve("twin.log").toFile()));
     }
 
     private Process launch(String line, ProcessBuilder.Redirect log) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line).directory(folder.toFile()).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line)
+                .directory(folder.toFile())
+                .redirectErrorStream(true)
                 .redirectOutput(log);
         builder.environment().put("EDGE_CONFIG", state.resolve("config.json").toString());
         if (place != null) {
-            builder.environment().put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
+            builder.environment()
+                    .put("EDGE_OPERATOR", state.resolve("operator.toml").toString());
         }
         Process launched = builder.start();
         launched.getOutputStream().close();
@@ -165,7 +210,10 @@
 
     private boolean isReady() {
         try {
-            HttpURLConnection call = (HttpURLConnection) URI.create("http://" + Addresses.text(listen) + "/health/ready").toURL().openConnection();
+            HttpURLConnection call =
+                    (HttpURLConnection) URI.create("http://" + Addresses.text(listen) + "/health/ready")
+                            .toURL()
+                            .openConnection();
             call.setConnectTimeout(1000);
             call.setReadTimeout(1000);
             boolean ready = call.getResponseCode() == HTTP_OK;
@@ -231,7 +279,9 @@
             }
             String stat = Files.readString(proc.resolve("stat"), StandardCharsets.US_ASCII);
             String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            return new double[] {rssMb, descriptors.count(), (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0};
+            return new double[] {
+                rssMb, descriptors.count(), (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0
+            };
         } catch (IOException | NumberFormatException e) {
             return null;
         }
@@ -271,7 +321,8 @@
 
     /** Nanoseconds that a thread was ready to run and did not. */
     private static long waited(Path task) throws IOException {
-        return Long.parseLong(Files.readString(task.resolve("schedstat")).strip().split(" ")[1]);
+        return Long.parseLong(
+                Files.readString(task.resolve("schedstat")).strip().split(" ")[1]);
     }
 
     @Override
--- a/src/main/java/ivybank/rehearsal/stand/WayFaults.java
+++ b/src/main/java/ivybank/rehearsal/stand/WayFaults.java
@@ -1,12 +1,11 @@
 package ivybank.rehearsal.stand;
 
+import ivybank.rehearsal.scenario.Scenario.Quality;
+import ivybank.rehearsal.scenario.Scenario.Ways;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
-import ivybank.rehearsal.scenario.Scenario.Quality;
-import ivybank.rehearsal.scenario.Scenario.Ways;
-
 /** What is wrong now on each way from one sidecar to another: all faults that meet it, together. */
 final class WayFaults {
 
@@ -41,7 +40,9 @@
             for (int to = 0; to < qualities.length; to++) {
                 int sender = from;
                 int receiver = to;
-                qualities[from][to] = faults.stream().filter(each -> each.meets(sender, receiver)).map(Ways::quality)
+                qualities[from][to] = faults.stream()
+                        .filter(each -> each.meets(sender, receiver))
+                        .map(Ways::quality)
                         .reduce(Quality.GOOD, Quality::and);
             }
         }
--- a/src/main/java/ivybank/rehearsal/stand/World.java
+++ b/src/main/java/ivybank/rehearsal/stand/World.java
@@ -1,17 +1,16 @@
 package ivybank.rehearsal.stand;
 
-import java.util.HashMap;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import ivybank.common.Clock;
 import ivybank.rehearsal.referee.Referee;
 import ivybank.rehearsal.referee.Returns;
 import ivybank.rehearsal.scenario.Scenario;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What the stand-ins of one day share: one thread, on which all of them live, its clock, the referee and what each call
--- a/src/main/java/ivybank/room/Window.java
+++ b/src/main/java/ivybank/room/Window.java
@@ -10,7 +10,8 @@
     private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded node takes
     private static final double GROW = 0.25; // attempts that a quick answer adds, at most
     private static final double SHRINK = 0.5; // attempts that a slow answer takes off, at most
-    private static final double KEPT = 0.25; // of its least, that a slow node gets from one of many: with all of it a jam never ends
+    private static final double KEPT =
+            0.25; // of its least, that a slow node gets from one of many: with all of it a jam never ends
     private static final double SLOWEST = 0.01; // of the time: a node is never forgotten
 
     private double size;
@@ -70,8 +71,10 @@
     public void answered(double nowMs, double latencyMs, double quietMs, double typicalMs, double least) {
         double change = Math.min(GROW, CROWDED * quietMs / latencyMs - 1);
         if (change < 0) {
-            // It was slow with so many out: room that was not even used is no reason to send more than that. A window that had
-            // grown on quick answers otherwise took a dozen slow ones to shrink, and a node of little traffic has no dozen.
+            // It was slow with so many out: room that was not even used is no reason to send more than that. A window
+            // that had
+            // grown on quick answers otherwise took a dozen slow ones to shrink, and a node of little traffic has no
+            // dozen.
             size = Math.min(size, Math.max(1, out + elsewhere + 1));
             change = Math.max(-SHRINK, change) * Math.min(1, size);
             size = Math.max(least > 1 ? least : KEPT * least, size + change);
--- a/src/main/java/ivybank/roster/SubsetSize.java
+++ b/src/main/java/ivybank/roster/SubsetSize.java
@@ -27,18 +27,22 @@
     public static final int USUAL = 10;
     /** Sidecars that draw from a node at rest, where that leaves each enough nodes; and what is enough to compare them. */
     private static final double NEIGHBOURS = 8;
+
     private static final int FEWEST = 6;
     private static final double LEAST_OUT = 8; // attempts of all sidecars together that a node has room for
     /** Over which the traffic is averaged. */
     private static final double TRAFFIC_MS = 3000;
+
     private static final double LEAST_SEEN = 0.1; // of that time: a few requests tell nothing
     /** Deviations of the number of requests in hand, that there are to be places for. */
     private static final double DEVIATIONS = 2;
     /** Beyond what is needed, from which on members go: each that is added and goes costs handshakes. */
     private static final double SLACK = 1.5;
+
     private static final double SHED = 0.1; // of the size, in a tick
     /** Of the size, that a step without room adds where nodes report their load, and where they don't. */
     private static final double GROWTH = 0.5;
+
     private static final double BLIND_GROWTH = 0.1;
     /** Steps without a report after which it goes on: the aim of a request. */
     private static final int LONGEST_WAIT = 16;
@@ -48,12 +52,14 @@
     private static final double BUSY = 0.75;
     /** The same, of nodes that have more than they can do. */
     private static final double OVERLOADED = 0.95;
+
     private static final double SAMPLE_WEIGHT = 0.2;
     private static final double REPORT_WEIGHT = 0.02;
     /** Of the size, that goes in a tick of an overloaded fleet. */
     private static final double RETREAT = 0.05;
     /** Of the attempts without an answer, from which on nodes are jammed, and the weight of each. */
     private static final double MOST_LOST = 0.08;
+
     private static final double LOST_WEIGHT = 0.03;
     /** Share ticks with room to spare after which one goes. */
     private static final int CALM_TICKS = 10;
@@ -65,9 +71,11 @@
     private boolean reports;
     /** The load of new members as they were found, and of all members; the latest count most. */
     private double found;
+
     private double load;
     /** The part of the attempts that no answer came of; the latest count most. */
     private double lost;
+
     private final IntSupplier sidecars;
     private int counted;
     private int usual = USUAL;
@@ -179,7 +187,8 @@
      */
     public boolean step(int members, int listed) {
         steps++;
-        boolean due = !reports || (found < BUSY ? 2 * awaited.size() <= lastAdded || steps > LONGEST_WAIT : steps > SLOW);
+        boolean due =
+                !reports || (found < BUSY ? 2 * awaited.size() <= lastAdded || steps > LONGEST_WAIT : steps > SLOW);
         int most = Math.min(listed, needed());
         boolean grows = foundFull && due && members >= size && size < most && lost < MOST_LOST;
         foundFull = false;
@@ -205,7 +214,8 @@
         // Where all are drawn from, or those met last were busy, no idle node is left to be found.
         boolean noneIdle = size >= listed || found >= BUSY;
         boolean overloaded = lost > 2 * MOST_LOST || load >= OVERLOADED && noneIdle;
-        int fewer = size > SLACK * needed() ? (int) Math.ceil(SHED * size)
+        int fewer = size > SLACK * needed()
+                ? (int) Math.ceil(SHED * size)
                 : overloaded ? (int) Math.ceil(RETREAT * size) : calmTicks > CALM_TICKS ? 1 : 0;
         int before = size;
         size = Math.min(size, Math.max(usual, size - fewer));
--- a/src/main/java/ivybank/settings/SettingsText.java
+++ b/src/main/java/ivybank/settings/SettingsText.java
@@ -1,11 +1,5 @@
 package ivybank.settings;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
-
 import ivybank.policy.Balancer.Contract;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.Goal;
@@ -14,6 +8,11 @@
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Tenant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
 
 /**
  * Reads the path=value lines of the first message. What is missing gets the value that keeps the rules (one attempt,
@@ -31,7 +30,9 @@
         text.lines().forEach(line -> {
             int split = line.indexOf('=');
             if (split > 0) {
-                values.put(line.substring(0, split).trim(), line.substring(split + 1).trim());
+                values.put(
+                        line.substring(0, split).trim(),
+                        line.substring(split + 1).trim());
             }
         });
     }
@@ -48,22 +49,39 @@
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < count("tenants.count"); i++) {
             String path = "tenants." + i + ".";
-            tenants.add(new Tenant(word(path + "name", "tenant-" + i), number(path + "portion", 0),
-                    number(path + "quotaPerS", 0)));
+            tenants.add(new Tenant(
+                    word(path + "name", "tenant-" + i), number(path + "portion", 0), number(path + "quotaPerS", 0)));
         }
         String fields = "off".equals(word("report.via", "off")) ? "" : word("report.fields", "");
-        Limits limits = new Limits(whole("limits.maxAttempts", 1, 1), flag("limits.secondCopies"),
-                flag("limits.cancel"), flag("limits.probing"),
+        Limits limits = new Limits(
+                whole("limits.maxAttempts", 1, 1),
+                flag("limits.secondCopies"),
+                flag("limits.cancel"),
+                flag("limits.probing"),
                 flag("limits.retryAfter") ? number("limits.maxRetryAfterMs", 0) : 0);
-        Contract contract = new Contract(number("contract.coldFrom", COLD_FROM_UNKNOWN),
-                number("contract.coldMs", COLD_MS_UNKNOWN), number("contract.overloadFactor", 1),
-                number("contract.fallMs", 0), number("contract.askEveryMs", ASK_EVERY_MS_UNKNOWN));
-        Goal goal = new Goal(number("scoringMix.whole", 1), number("scoringMix.worstClass", 0),
-                number("scoringMix.worstTenant", 0), number("charges.probe", 0));
-        return new Settings(classes, tenants, whole("instances", 1, 1),
-                oneOf("membershipMode", "push", Map.of("ask", true, "push", false)), flag("clients.marksRetry"),
-                number("tickMs", 0), number("overShareWorth", 1),
-                fields.isEmpty() ? List.of() : List.of(fields.split(",")), limits, contract, goal);
+        Contract contract = new Contract(
+                number("contract.coldFrom", COLD_FROM_UNKNOWN),
+                number("contract.coldMs", COLD_MS_UNKNOWN),
+                number("contract.overloadFactor", 1),
+                number("contract.fallMs", 0),
+                number("contract.askEveryMs", ASK_EVERY_MS_UNKNOWN));
+        Goal goal = new Goal(
+                number("scoringMix.whole", 1),
+                number("scoringMix.worstClass", 0),
+                number("scoringMix.worstTenant", 0),
+                number("charges.probe", 0));
+        return new Settings(
+                classes,
+                tenants,
+                whole("instances", 1, 1),
+                oneOf("membershipMode", "push", Map.of("ask", true, "push", false)),
+                flag("clients.marksRetry"),
+                number("tickMs", 0),
+                number("overShareWorth", 1),
+                fields.isEmpty() ? List.of() : List.of(fields.split(",")),
+                limits,
+                contract,
+                goal);
     }
 
     private RequestClass requestClass(String path) {
@@ -71,12 +89,21 @@
             throw new IllegalArgumentException("setting " + path + "hardLimitMs is missing");
         }
         double deadlineMs = number(path + "hardLimitMs", 0);
-        Effect effect = oneOf(path + "idempotency", "fragile",
+        Effect effect = oneOf(
+                path + "idempotency",
+                "fragile",
                 Map.of("retryable", Effect.SAFE, "dedup", Effect.KEYED, "fragile", Effect.UNSAFE));
         Group group = oneOf(path + "group", "cell", Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL));
-        return new RequestClass(word(path + "name", "class"), number(path + "aimMs", deadlineMs), deadlineMs,
-                number(path + "worth", 1), number(path + "lateWorth", 0), effect, group,
-                number(path + "windowMs", 0), flag(path + "streaming"));
+        return new RequestClass(
+                word(path + "name", "class"),
+                number(path + "aimMs", deadlineMs),
+                deadlineMs,
+                number(path + "worth", 1),
+                number(path + "lateWorth", 0),
+                effect,
+                group,
+                number(path + "windowMs", 0),
+                flag(path + "streaming"));
     }
 
     private int count(String path) {
@@ -86,7 +113,8 @@
     private int whole(String path, int otherwise, int least) {
         double number = number(path, otherwise);
         if (number != Math.rint(number) || number < least || number > Integer.MAX_VALUE) {
-            throw new IllegalArgumentException("setting " + path + " is " + values.get(path) + ": a whole number of " + least + " or more is allowed");
+            throw new IllegalArgumentException("setting " + path + " is " + values.get(path) + ": a whole number of "
+                    + least + " or more is allowed");
         }
         return (int) number;
     }
--- a/src/main/java/ivybank/simhost/Batch.java
+++ b/src/main/java/ivybank/simhost/Batch.java
@@ -35,8 +35,8 @@
         }
         long length = Integer.toUnsignedLong(header.getInt(8)) - (HEADER_BYTES - LENGTH_END);
         if (length < 0 || length > MAX_BYTES) {
-            throw new MalformedFrameException("batch " + number() + ": length field " + (length + 8)
-                    + " is outside 8 to " + MAX_BYTES);
+            throw new MalformedFrameException(
+                    "batch " + number() + ": length field " + (length + 8) + " is outside 8 to " + MAX_BYTES);
         }
         if (length > body.capacity()) {
             body = little(new byte[(int) Math.min(MAX_BYTES, 2 * length)]);
@@ -44,8 +44,8 @@
         body.clear().limit((int) length);
         int read = in.readNBytes(body.array(), 0, (int) length);
         if (read < length) {
-            throw new MalformedFrameException("batch " + number() + ": input ends after " + read + " of " + length
-                    + " bytes");
+            throw new MalformedFrameException(
+                    "batch " + number() + ": input ends after " + read + " of " + length + " bytes");
         }
         return true;
     }
--- a/src/main/java/ivybank/simhost/Reply.java
+++ b/src/main/java/ivybank/simhost/Reply.java
@@ -1,5 +1,6 @@
 package ivybank.simhost;
 
+import ivybank.policy.Balancer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
@@ -7,8 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-import ivybank.policy.Balancer;
-
 /** Collects the actions of all instances for one batch and writes them as one frame. */
 final class Reply {
 
--- a/src/main/java/ivybank/simhost/SimHost.java
+++ b/src/main/java/ivybank/simhost/SimHost.java
@@ -1,5 +1,15 @@
 package ivybank.simhost;
 
+import ivybank.policy.Balancer;
+import ivybank.policy.Balancer.AttemptEnd;
+import ivybank.policy.Balancer.ListKind;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.policy.Balancer.Request;
+import ivybank.policy.Balancer.Settings;
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.Balancer.Upstream;
+import ivybank.policy.LoadShiftingBalancer;
+import ivybank.settings.SettingsText;
 import java.io.EOFException;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
@@ -12,17 +22,6 @@
 import java.util.List;
 import java.util.Map;
 
-import ivybank.policy.Balancer.AttemptEnd;
-import ivybank.policy.Balancer.ListKind;
-import ivybank.policy.Balancer.Outcome;
-import ivybank.policy.Balancer.Request;
-import ivybank.policy.Balancer.Settings;
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.Balancer.Upstream;
-import ivybank.policy.Balancer;
-import ivybank.policy.LoadShiftingBalancer;
-import ivybank.settings.SettingsText;
-
 /** Hosts many balancers behind the simulator's wire: reads batches, passes events on, writes one reply to each. */
 public final class SimHost {
 
@@ -130,8 +129,12 @@
                 double timeoutMs = batch.f64();
                 int tenant = batch.u32();
                 batch.f64();
-                tell(instance, balancer, () -> balancer.request(now,
-                        new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, false)));
+                tell(
+                        instance,
+                        balancer,
+                        () -> balancer.request(
+                                now,
+                                new Request(id, requestClass, tenant, timeoutMs, (flags & REPEAT_FLAG) != 0, false)));
             }
             case 4 -> {
                 int id = batch.u32();
@@ -148,8 +151,11 @@
                 int attempt = batch.u8();
                 Outcome outcome = pick(OUTCOMES, batch.u8(), "outcome");
                 double[] report = report();
-                tell(instance, balancer, () -> balancer.attemptEnded(now,
-                        new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
+                tell(
+                        instance,
+                        balancer,
+                        () -> balancer.attemptEnded(
+                                now, new AttemptEnd(id, attempt, upstream, outcome, elapsedMs, done, report)));
             }
             case 6 -> {
                 int id = batch.u32();
--- a/src/main/java/ivybank/store/Checkpoint.java
+++ b/src/main/java/ivybank/store/Checkpoint.java
@@ -43,7 +43,12 @@
         /** Puts it beside its segment; not forced, since a torn one does no harm. */
         void write(Disk disk, Segment segment) throws IOException {
             ByteBuffer all = ByteBuffer.allocate(FIXED + bytes.size() + 4);
-            all.putInt(MAGIC).putInt(FORMAT).putLong(segment.number).putInt(segment.confirmed).putInt(count).put(bytes.toByteArray());
+            all.putInt(MAGIC)
+                    .putInt(FORMAT)
+                    .putLong(segment.number)
+                    .putInt(segment.confirmed)
+                    .putInt(count)
+                    .put(bytes.toByteArray());
             all.putInt(Records.checksum(all.array(), 0, all.position()));
             String name = Segment.checkpoint(segment.number);
             disk.delete(name);
@@ -53,15 +58,18 @@
         }
     }
 
-    private Checkpoint() {
-    }
+    private Checkpoint() {}
 
     /** Shows what stands in it; false, and nothing shown, if it is not whole or not of this state of the segment. */
     static boolean read(Disk disk, Segment segment, Visitor visitor) throws IOException {
         ByteBuffer bytes = Disk.readAll(disk, Segment.checkpoint(segment.number), MOST);
         int end = bytes.limit() - 4;
-        if (end < FIXED || bytes.getInt(0) != MAGIC || bytes.getInt(4) != FORMAT || bytes.getLong(8) != segment.number
-                || bytes.getInt(16) != segment.confirmed || bytes.getInt(end) != Records.checksum(bytes.array(), 0, end)) {
+        if (end < FIXED
+                || bytes.getInt(0) != MAGIC
+                || bytes.getInt(4) != FORMAT
+                || bytes.getLong(8) != segment.number
+                || bytes.getInt(16) != segment.confirmed
+                || bytes.getInt(end) != Records.checksum(bytes.array(), 0, end)) {
             return false;
         }
         int count = bytes.getInt(20);
--- a/src/main/java/ivybank/store/Compaction.java
+++ b/src/main/java/ivybank/store/Compaction.java
@@ -11,8 +11,7 @@
     /** What is read, and forced, at a time: a batch that waits meanwhile waits no longer than this takes. */
     private static final int STEP = 128 * 1024;
 
-    private record Move(Key key, Index.Place from, Index.Place to) {
-    }
+    private record Move(Key key, Index.Place from, Index.Place to) {}
 
     private final Disk disk;
     private final Index index;
@@ -90,17 +89,20 @@
         ByteBuffer prefix = ByteBuffer.allocate(Records.PREFIX);
         Disk.readFully(from.file, at, prefix);
         int length = prefix.getInt(0);
-        Records.Read read = length < 0 || length > from.confirmed - at - Records.PREFIX ? null
+        Records.Read read = length < 0 || length > from.confirmed - at - Records.PREFIX
+                ? null
                 : from.read(at, Records.PREFIX + length);
         if (read == null) {
-            throw new StoreException(Segment.name(from.number) + ": the record at byte " + at + " can't be read any more");
+            throw new StoreException(
+                    Segment.name(from.number) + ": the record at byte " + at + " can't be read any more");
         }
         return read;
     }
 
     private boolean lives(Segment from, Records.Read read) {
         Index.Place place = index.get(new Key(read.key()));
-        return read.kind() == Records.PUT ? place != null && place.segment() == from && place.at() == read.at()
+        return read.kind() == Records.PUT
+                ? place != null && place.segment() == from && place.at() == read.at()
                 : !oldest && place == null;
     }
 
@@ -120,7 +122,9 @@
             if (read.kind() == Records.DELETE) {
                 output.deletions += read.length();
             } else {
-                moves.add(new Move(new Key(read.key()), new Index.Place(from, read.at(), read.length()),
+                moves.add(new Move(
+                        new Key(read.key()),
+                        new Index.Place(from, read.at(), read.length()),
                         new Index.Place(output, place, read.length())));
             }
         }
--- a/src/main/java/ivybank/store/Index.java
+++ b/src/main/java/ivybank/store/Index.java
@@ -8,8 +8,7 @@
 final class Index {
 
     /** The place of a record. */
-    record Place(Segment segment, int at, int length) {
-    }
+    record Place(Segment segment, int at, int length) {}
 
     private final Map<Key, Place> places = new HashMap<>();
 
--- a/src/main/java/ivybank/store/Maintenance.java
+++ b/src/main/java/ivybank/store/Maintenance.java
@@ -6,8 +6,7 @@
 /** What can be done with the folder of a store while no daemon holds it. */
 public final class Maintenance {
 
-    private Maintenance() {
-    }
+    private Maintenance() {}
 
     /** Reads every record and tells what a start would find; changes nothing. */
     public static RecoveryReport verify(Disk disk) throws IOException {
@@ -24,9 +23,10 @@
     public static StoreIdentity make(Disk disk, Limits limits, String owner, Supplier<String> ids) throws IOException {
         try {
             if (!disk.names().isEmpty()) {
-                throw new StoreException("the folder is not empty: it has " + disk.names().get(0) + ", and nothing is changed");
+                throw new StoreException(
+                        "the folder is not empty: it has " + disk.names().get(0) + ", and nothing is changed");
             }
-            StoreIdentity made = StoreIdentity.take(disk, owner, true, ids, line -> { });
+            StoreIdentity made = StoreIdentity.take(disk, owner, true, ids, line -> {});
             Recovery.run(disk, limits, false).log().close(); // and the disk with it
             return made;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/ivybank/store/Manifest.java
+++ b/src/main/java/ivybank/store/Manifest.java
@@ -19,8 +19,7 @@
     private static final int MOST = 1 << 20;
 
     /** A segment, and up to where it is confirmed; of all but the last that is all that counts. */
-    record Entry(long segment, int confirmed) {
-    }
+    record Entry(long segment, int confirmed) {}
 
     Manifest {
         segments = List.copyOf(segments);
@@ -29,7 +28,12 @@
 
     /** Of these segments as they are confirmed now. */
     static Manifest of(long next, List<Segment> segments, List<Long> quarantined) {
-        return new Manifest(next, segments.stream().map(each -> new Entry(each.number, each.confirmed)).toList(), quarantined);
+        return new Manifest(
+                next,
+                segments.stream()
+                        .map(each -> new Entry(each.number, each.confirmed))
+                        .toList(),
+                quarantined);
     }
 
     /** Puts it in the place of the one before. */
@@ -38,7 +42,13 @@
         ByteBuffer bytes = ByteBuffer.allocate(2 * length);
         for (int copy = 0; copy < 2; copy++) {
             int start = bytes.position();
-            bytes.putInt(MAGIC).putInt(FORMAT).putInt(length).putLong(next).putInt(segments.size()).putInt(quarantined.size()).putInt(0);
+            bytes.putInt(MAGIC)
+                    .putInt(FORMAT)
+                    .putInt(length)
+                    .putLong(next)
+                    .putInt(segments.size())
+                    .putInt(quarantined.size())
+                    .putInt(0);
             segments.forEach(entry -> bytes.putLong(entry.segment).putInt(entry.confirmed));
             quarantined.forEach(bytes::putLong);
             bytes.putInt(Records.checksum(bytes.array(), start, length - 4));
@@ -62,13 +72,15 @@
                 return found;
             }
         }
-        throw new StoreException("the manifest can't be read (both copies are damaged): nothing is changed; put back a copy of the"
-                + " folder, or move it away to begin with an empty one");
+        throw new StoreException(
+                "the manifest can't be read (both copies are damaged): nothing is changed; put back a copy of the"
+                        + " folder, or move it away to begin with an empty one");
     }
 
     private static Manifest copy(ByteBuffer bytes, int at) throws StoreException {
         int length = bytes.getInt(at + 8);
-        if (length < FIXED + 4 || length > bytes.limit() - at
+        if (length < FIXED + 4
+                || length > bytes.limit() - at
                 || Records.checksum(bytes.array(), at, length - 4) != bytes.getInt(at + length - 4)) {
             return null;
         }
--- a/src/main/java/ivybank/store/RealDisk.java
+++ b/src/main/java/ivybank/store/RealDisk.java
@@ -48,13 +48,19 @@
     @Override
     public List<String> names() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.map(path -> path.getFileName().toString()).filter(name -> !name.equals(LOCK)).sorted().toList();
+            return files.map(path -> path.getFileName().toString())
+                    .filter(name -> !name.equals(LOCK))
+                    .sorted()
+                    .toList();
         }
     }
 
     @Override
     public File create(String name) throws IOException {
-        return new Opened(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
+        return new Opened(FileChannel.open(
+                folder.resolve(name),
+                StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.READ,
                 StandardOpenOption.WRITE));
     }
 
@@ -65,7 +71,11 @@
 
     @Override
     public void rename(String from, String to) throws IOException {
-        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                folder.resolve(from),
+                folder.resolve(to),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
     }
 
     @Override
--- a/src/main/java/ivybank/store/Records.java
+++ b/src/main/java/ivybank/store/Records.java
@@ -17,6 +17,7 @@
     static final int PREFIX = 12;
     /** Kind, and the length of the key. */
     static final int LEAST_BODY = 3;
+
     static final byte PUT = 1;
     static final byte DELETE = 2;
     private static final int MAGIC = 0x4956594c; // IVYL
@@ -36,11 +37,14 @@
         }
     }
 
-    private Records() {
-    }
+    private Records() {}
 
     static ByteBuffer header(long segment) {
-        ByteBuffer header = ByteBuffer.allocate(HEADER).putInt(MAGIC).putInt(FORMAT).putLong(segment).putInt(0);
+        ByteBuffer header = ByteBuffer.allocate(HEADER)
+                .putInt(MAGIC)
+                .putInt(FORMAT)
+                .putLong(segment)
+                .putInt(0);
         return header.putInt(checksum(header.array(), 0, HEADER_CHECKED)).flip();
     }
 
@@ -50,7 +54,9 @@
      * @throws StoreException if a newer program has written it
      */
     static boolean hasHeader(ByteBuffer bytes, long segment) throws StoreException {
-        if (bytes.limit() < HEADER || bytes.getInt(0) != MAGIC || bytes.getLong(8) != segment
+        if (bytes.limit() < HEADER
+                || bytes.getInt(0) != MAGIC
+                || bytes.getLong(8) != segment
                 || bytes.getInt(HEADER_CHECKED) != checksum(bytes.array(), bytes.arrayOffset(), HEADER_CHECKED)) {
             return false;
         }
@@ -78,15 +84,24 @@
     /** Appends a record that will stand at {@code at} of a segment; {@code value} is empty for a deletion. */
     static void write(ByteBuffer into, long segment, int at, int batch, byte kind, byte[] key, byte[] value) {
         int start = into.position();
-        into.putInt(LEAST_BODY + key.length + value.length).putInt(0).putInt(batch).put(kind).putShort((short) key.length)
-                .put(key).put(value);
+        into.putInt(LEAST_BODY + key.length + value.length)
+                .putInt(0)
+                .putInt(batch)
+                .put(kind)
+                .putShort((short) key.length)
+                .put(key)
+                .put(value);
         into.putInt(start + 4, checksum(into, start, into.position() - start, segment, at));
     }
 
     /** Over the place, so that a block that was written to the wrong one is not taken for a record of it. */
     private static int checksum(ByteBuffer bytes, int start, int length, long segment, int at) {
         CRC32C checksum = new CRC32C();
-        checksum.update(ByteBuffer.allocate(16).putLong(segment).putInt(at).putInt(bytes.getInt(start)).flip());
+        checksum.update(ByteBuffer.allocate(16)
+                .putLong(segment)
+                .putInt(at)
+                .putInt(bytes.getInt(start))
+                .flip());
         checksum.update(bytes.array(), bytes.arrayOffset() + start + 8, length - 8);
         return (int) checksum.getValue();
     }
@@ -104,7 +119,8 @@
             return null;
         }
         int body = bytes.getInt(start);
-        if (body < LEAST_BODY || body > left - PREFIX
+        if (body < LEAST_BODY
+                || body > left - PREFIX
                 || checksum(bytes, start, PREFIX + body, segment, at) != bytes.getInt(start + 4)) {
             return null;
         }
@@ -117,7 +133,12 @@
         byte[] key = new byte[keyLength];
         bytes.get(start + PREFIX + LEAST_BODY, key);
         int value = start + PREFIX + LEAST_BODY + keyLength;
-        return new Read(kind, at, PREFIX + body, bytes.getInt(start + 8), key,
+        return new Read(
+                kind,
+                at,
+                PREFIX + body,
+                bytes.getInt(start + 8),
+                key,
                 bytes.slice(value, start + PREFIX + body - value).asReadOnlyBuffer());
     }
 }
--- a/src/main/java/ivybank/store/Recovery.java
+++ b/src/main/java/ivybank/store/Recovery.java
@@ -36,8 +36,7 @@
     }
 
     /** The log as it is to go on, and the report. */
-    record Recovered(SegmentLog log, RecoveryReport report) {
-    }
+    record Recovered(SegmentLog log, RecoveryReport report) {}
 
     /**
      * Recovers.
@@ -120,8 +119,9 @@
             if (name.startsWith("segment-") || name.startsWith("quarantine-")) {
                 ByteBuffer bytes = Disk.readAll(disk, name, MOST_SEGMENT);
                 if (bytes.limit() > Records.HEADER) {
-                    throw new StoreException("the manifest is missing, and " + name + " holds records: nothing is changed; put back"
-                            + " a copy of the folder, or move it away to begin with an empty one");
+                    throw new StoreException(
+                            "the manifest is missing, and " + name + " holds records: nothing is changed; put back"
+                                    + " a copy of the folder, or move it away to begin with an empty one");
                 }
                 disk.delete(name);
             }
@@ -142,7 +142,10 @@
         }
         Segment segment = new Segment(entry.segment(), disk.open(name), entry.confirmed());
         segments.add(segment);
-        if (!dry && !last && names.contains(Segment.checkpoint(segment.number)) && segment.file.size() >= segment.confirmed
+        if (!dry
+                && !last
+                && names.contains(Segment.checkpoint(segment.number))
+                && segment.file.size() >= segment.confirmed
                 && Checkpoint.read(disk, segment, (kind, key, at, length) -> apply(segment, kind, key, at, length))) {
             checkpoints++;
             return;
@@ -188,7 +191,8 @@
             }
         }
         if (end < segment.confirmed) {
-            damage.add(Segment.name(segment.number) + ": ends at " + end + ", was confirmed up to " + segment.confirmed);
+            damage.add(
+                    Segment.name(segment.number) + ": ends at " + end + ", was confirmed up to " + segment.confirmed);
         }
         if (damage.size() > before) {
             if (degrade) {
@@ -228,7 +232,7 @@
 
     /** Whether a later record proves that this place was forced: its batch begins behind it. */
     private static boolean isProvedLater(ByteBuffer bytes, Segment segment, int at, int resumed) throws StoreException {
-        for (int from = resumed; from < bytes.limit();) {
+        for (int from = resumed; from < bytes.limit(); ) {
             Records.Read read = Records.read(bytes, 0, segment.number, from);
             if (read == null) {
                 from = resume(bytes, segment, from);
@@ -249,7 +253,8 @@
         quarantined.add(damaged.number);
         rewritten = true;
         lastWasSealed = last;
-        ByteBuffer all = ByteBuffer.allocate(good.stream().mapToInt(Records.Read::length).sum());
+        ByteBuffer all =
+                ByteBuffer.allocate(good.stream().mapToInt(Records.Read::length).sum());
         for (Records.Read read : good) {
             int at = Records.HEADER + all.position();
             Records.write(all, fresh.number, at, Records.HEADER, read.kind(), read.key(), read.valueBytes());
--- a/src/main/java/ivybank/store/RecoveryReport.java
+++ b/src/main/java/ivybank/store/RecoveryReport.java
@@ -20,7 +20,8 @@
 
     /** In one line. */
     public String line() {
-        return segments + " segments, " + keys + " keys of " + records + " records, " + checkpoints + " segments by their"
+        return segments + " segments, " + keys + " keys of " + records + " records, " + checkpoints
+                + " segments by their"
                 + " checkpoints; " + cutBytes + " bytes of an unconfirmed last write cut off"
                 + (damage.isEmpty() ? "" : "; DAMAGED: " + String.join("; ", damage));
     }
--- a/src/main/java/ivybank/store/SegmentLog.java
+++ b/src/main/java/ivybank/store/SegmentLog.java
@@ -26,11 +26,18 @@
     private Segment active;
     /** The last segment can't be written any more; the next append begins another. */
     private boolean broken;
+
     private Compaction compaction;
     private long compactions;
     private long failures;
 
-    SegmentLog(Disk disk, Limits limits, List<Segment> segments, Index index, Checkpoint.Builder tail, long next,
+    SegmentLog(
+            Disk disk,
+            Limits limits,
+            List<Segment> segments,
+            Index index,
+            Checkpoint.Builder tail,
+            long next,
             List<Long> quarantined) {
         this.disk = disk;
         this.limits = limits;
@@ -101,8 +108,14 @@
         int from = active.confirmed;
         ByteBuffer bytes = ByteBuffer.allocate(size);
         for (Op op : batch) {
-            Records.write(bytes, active.number, from + bytes.position(), from, op.isDeletion() ? Records.DELETE : Records.PUT,
-                    op.key().bytes(), op.bytes());
+            Records.write(
+                    bytes,
+                    active.number,
+                    from + bytes.position(),
+                    from,
+                    op.isDeletion() ? Records.DELETE : Records.PUT,
+                    op.key().bytes(),
+                    op.bytes());
         }
         try {
             Disk.writeFully(active.file, from, bytes.flip());
@@ -209,7 +222,8 @@
             if (run == null) {
                 return;
             }
-            compaction = new Compaction(disk, index, List.copyOf(segments.subList(run[0], run[1])), run[0] == 0, next++);
+            compaction =
+                    new Compaction(disk, index, List.copyOf(segments.subList(run[0], run[1])), run[0] == 0, next++);
         }
         try {
             if (compaction.step()) {
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -30,27 +30,37 @@
     }
 
     /** How the store is. */
-    public enum State { GOOD, FULL, FAILING, CLOSED }
+    public enum State {
+        GOOD,
+        FULL,
+        FAILING,
+        CLOSED
+    }
 
     /**
      * Figures for operators: waiting ones, bytes on the disk, keys, and counts since the start.
      *
      * @param longestForceMs the longest that a batch took so far
      */
-    public record Figures(State state, int waiting, long used, int keys, long confirmed, long batches, long compactions,
-                          long failures, double longestForceMs) {
-    }
+    public record Figures(
+            State state,
+            int waiting,
+            long used,
+            int keys,
+            long confirmed,
+            long batches,
+            long compactions,
+            long failures,
+            double longestForceMs) {}
 
     private static final int LONGEST_KEY = 65_535;
     private static final long PAUSE_AFTER_FAILURE_MS = 200;
     private static final long IDLE_MS = 1000;
     private static final double NANOS_IN_MS = 1e6;
 
-    private record Waiting(Op op, Consumer<Outcome> done, int size) {
-    }
+    private record Waiting(Op op, Consumer<Outcome> done, int size) {}
 
-    private record Read(byte[] key, BiConsumer<byte[], IOException> done) {
-    }
+    private record Read(byte[] key, BiConsumer<byte[], IOException> done) {}
 
     private final SegmentLog log;
     private final Limits limits;
@@ -82,7 +92,8 @@
      * @param stored is shown all that it holds, before this returns
      * @throws StoreException in one line, if it can't be used as it is; nothing is changed then
      */
-    public static Store open(Disk disk, Limits limits, boolean degrade, BiConsumer<byte[], byte[]> stored, ThreadFactory threads)
+    public static Store open(
+            Disk disk, Limits limits, boolean degrade, BiConsumer<byte[], byte[]> stored, ThreadFactory threads)
             throws IOException {
         try {
             Recovery.Recovered recovered = Recovery.run(disk, limits, degrade);
@@ -113,7 +124,8 @@
     /** Sets a key's value; {@code done} is told once, at once if nothing can be tried. */
     public void put(byte[] key, byte[] value, Consumer<Outcome> done) {
         if (value.length > limits.value()) {
-            throw new IllegalArgumentException("a value of " + value.length + " bytes, " + limits.value() + " are allowed");
+            throw new IllegalArgumentException(
+                    "a value of " + value.length + " bytes, " + limits.value() + " are allowed");
         }
         submit(new Op(checked(key), value), done);
     }
@@ -138,7 +150,8 @@
 
     private static Key checked(byte[] key) {
         if (key.length == 0 || key.length > LONGEST_KEY) {
-            throw new IllegalArgumentException("a key of " + key.length + " bytes, 1 to " + LONGEST_KEY + " are allowed");
+            throw new IllegalArgumentException(
+                    "a key of " + key.length + " bytes, 1 to " + LONGEST_KEY + " are allowed");
         }
         return new Key(key);
     }
@@ -188,7 +201,8 @@
     }
 
     private long pauseMs() {
-        return state == State.FAILING ? PAUSE_AFTER_FAILURE_MS
+        return state == State.FAILING
+                ? PAUSE_AFTER_FAILURE_MS
                 : log.wantsCompaction() && System.nanoTime() >= quietUntil ? 0 : IDLE_MS;
     }
 
@@ -292,7 +306,15 @@
     }
 
     private void publish() {
-        figures = new Figures(state, queue.size(), log.used(), log.keys(), confirmed, batches, log.compactions(), log.failures(),
+        figures = new Figures(
+                state,
+                queue.size(),
+                log.used(),
+                log.keys(),
+                confirmed,
+                batches,
+                log.compactions(),
+                log.failures(),
                 longestForceMs);
     }
 
--- a/src/main/java/ivybank/store/StoreIdentity.java
+++ b/src/main/java/ivybank/store/StoreIdentity.java
@@ -34,31 +34,42 @@
      * @param said takes one line where something is worth one
      * @throws StoreException in one line, if the folder has none, another's, or only part of one; nothing is changed then
      */
-    public static StoreIdentity take(Disk disk, String owner, boolean mayMake, Supplier<String> ids, Consumer<String> said) throws IOException {
+    public static StoreIdentity take(
+            Disk disk, String owner, boolean mayMake, Supplier<String> ids, Consumer<String> said) throws IOException {
         List<String> names = disk.names();
         boolean manifest = names.contains(Manifest.NAME);
-        boolean records = names.stream().anyMatch(name -> name.startsWith("segment-") || name.startsWith("quarantine-"));
+        boolean records =
+                names.stream().anyMatch(name -> name.startsWith("segment-") || name.startsWith("quarantine-"));
         StoreIdentity before = names.contains(NAME) ? read(disk) : null;
         if (before != null && !before.owner.equals(owner)) {
-            throw new StoreException("it is the store of " + before.owner + " (id " + before.id + "), and this is " + owner
-                    + ": nothing is changed; are two folders swapped?");
+            throw new StoreException("it is the store of " + before.owner + " (id " + before.id + "), and this is "
+                    + owner + ": nothing is changed; are two folders swapped?");
         }
         if (before != null && !manifest && before.life > 1) {
             throw new StoreException("the store that was here (id " + before.id + ", taken up " + before.life
-                    + " times) is lost but for its name" + (records ? " and records that no manifest names" : "") + ": nothing is changed; put back a copy of the folder, or move it away and make another"
+                    + " times) is lost but for its name" + (records ? " and records that no manifest names" : "")
+                    + ": nothing is changed; put back a copy of the folder, or move it away and make another"
                     + " one by `store init`, and what it held is not known");
         }
         if (before == null && !manifest && !records && !mayMake) {
-            throw new StoreException("there is no store here: if there was one, it is lost; the first one of a sidecar is made by"
-                    + " `store init DIR --name " + owner + "`, or at a start with first_start = \"make\" in [store]");
+            throw new StoreException(
+                    "there is no store here: if there was one, it is lost; the first one of a sidecar is made by"
+                            + " `store init DIR --name " + owner
+                            + "`, or at a start with first_start = \"make\" in [store]");
         }
         if (before != null && !manifest) {
-            return before; // the power was cut while it was made: its first life goes on, or a second cut would make it a lost one
+            return before; // the power was cut while it was made: its first life goes on, or a second cut would make it
+            // a lost one
         }
-        StoreIdentity now = before == null ? new StoreIdentity(owner, ids.get(), 1) : new StoreIdentity(owner, before.id, before.life + 1);
+        StoreIdentity now = before == null
+                ? new StoreIdentity(owner, ids.get(), 1)
+                : new StoreIdentity(owner, before.id, before.life + 1);
         if (before == null) {
-            said.accept(manifest || records ? "it had no name, as those of earlier versions: from now on it is " + owner + "'s, id " + now.id
-                    : "there was none: a first one is made, id " + now.id);
+            said.accept(
+                    manifest || records
+                            ? "it had no name, as those of earlier versions: from now on it is " + owner + "'s, id "
+                                    + now.id
+                            : "there was none: a first one is made, id " + now.id);
         }
         now.write(disk);
         return now;
@@ -70,16 +81,23 @@
     }
 
     private static StoreIdentity read(Disk disk) throws IOException {
-        String text = StandardCharsets.UTF_8.decode(Disk.readAll(disk, NAME, MOST)).toString();
+        String text =
+                StandardCharsets.UTF_8.decode(Disk.readAll(disk, NAME, MOST)).toString();
         List<String> lines = text.lines().toList();
-        if (lines.size() == 5 && lines.get(1).startsWith(OWNER) && lines.get(2).startsWith(ID) && lines.get(3).matches(LIFE + "[0-9]{1,18}")) {
-            StoreIdentity identity = new StoreIdentity(lines.get(1).substring(OWNER.length()), lines.get(2).substring(ID.length()),
+        if (lines.size() == 5
+                && lines.get(1).startsWith(OWNER)
+                && lines.get(2).startsWith(ID)
+                && lines.get(3).matches(LIFE + "[0-9]{1,18}")) {
+            StoreIdentity identity = new StoreIdentity(
+                    lines.get(1).substring(OWNER.length()),
+                    lines.get(2).substring(ID.length()),
                     Long.parseLong(lines.get(3).substring(LIFE.length())));
             if (identity.text().equals(text)) { // to the last sign, the checksum among them
                 return identity;
             }
         }
-        throw new StoreException("the file " + NAME + " can't be read: nothing is changed; put back a copy of it, or remove it if you are sure"
+        throw new StoreException("the file " + NAME
+                + " can't be read: nothing is changed; put back a copy of it, or remove it if you are sure"
                 + " that the folder is this sidecar's");
     }
 
