--- a/src/main/java/ivybank/tally/FleetSum.java
+++ b/src/main/java/ivybank/tally/FleetSum.java
@@ -1,5 +1,6 @@
 package ivybank.tally;
 
+import ivybank.common.ReturnTime;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -12,16 +13,15 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import ivybank.common.ReturnTime;
-
 /**
  * The counts of all sidecars, added up by second and by node. Seconds are those of the sidecars' clocks: each second of a
  * sidecar is added to the second in which it ended.
  */
 public final class FleetSum {
 
-    private static final Pattern GIVEN_UP = Pattern.compile("given up within \\d+ ms: \\{([A-Z_0-9=, ]*)\\}; admitting (\\d+)%; of (\\d+)"
-            + " members (\\d+) full, (\\d+) cold, (\\d+) set aside");
+    private static final Pattern GIVEN_UP =
+            Pattern.compile("given up within \\d+ ms: \\{([A-Z_0-9=, ]*)\\}; admitting (\\d+)%; of (\\d+)"
+                    + " members (\\d+) full, (\\d+) cold, (\\d+) set aside");
     private static final Pattern CAUSE = Pattern.compile("([A-Z_]+)=(\\d{1,9})");
     /** No fleet lives longer in one folder of logs: what lies farther apart is a clock that was set. */
     static final int MOST_SECONDS = 7 * 24 * 3600;
@@ -58,8 +58,11 @@
 
         /** The most of a figure at one node; what has no place of its own is no node. */
         int most(ToIntFunction<Second.OfNode> figure) {
-            return nodes.entrySet().stream().filter(entry -> !entry.getKey().equals(Second.OTHERS))
-                    .mapToInt(entry -> figure.applyAsInt(entry.getValue())).max().orElse(0);
+            return nodes.entrySet().stream()
+                    .filter(entry -> !entry.getKey().equals(Second.OTHERS))
+                    .mapToInt(entry -> figure.applyAsInt(entry.getValue()))
+                    .max()
+                    .orElse(0);
         }
 
         public int taken() {
@@ -76,12 +79,12 @@
     }
 
     /** One figure of the whole. */
-    public record Figure(String name, double value) {
-    }
+    public record Figure(String name, double value) {}
 
     private final TreeMap<Long, InSecond> seconds = new TreeMap<>();
     /** By version, when each sidecar first knew it. */
     private final Map<Long, List<Double>> known = new TreeMap<>();
+
     private final Set<String> sidecars = new HashSet<>();
     private final Set<String> nodes = new HashSet<>();
     private String sidecar = "";
@@ -164,14 +167,20 @@
 
     /** What the whole comes to. */
     public List<Figure> figures() {
-        double requests = Math.max(1, seconds.values().stream().mapToInt(InSecond::taken).sum());
-        Second.OfNode all = seconds.values().stream().map(InSecond::all).reduce(Second.OfNode.NOTHING, Second.OfNode::plus);
+        double requests =
+                Math.max(1, seconds.values().stream().mapToInt(InSecond::taken).sum());
+        Second.OfNode all =
+                seconds.values().stream().map(InSecond::all).reduce(Second.OfNode.NOTHING, Second.OfNode::plus);
         List<Figure> figures = new ArrayList<>();
         figures.add(new Figure("sidecars", sidecars.size()));
-        figures.add(new Figure("nodes", nodes.stream().filter(name -> !name.equals(Second.OTHERS)).count()));
+        figures.add(new Figure(
+                "nodes",
+                nodes.stream().filter(name -> !name.equals(Second.OTHERS)).count()));
         figures.add(new Figure("seconds", seconds.size()));
         figures.add(new Figure("requests taken", requests));
-        figures.add(new Figure("served, of those taken", seconds.values().stream().mapToInt(InSecond::served).sum() / requests));
+        figures.add(new Figure(
+                "served, of those taken",
+                seconds.values().stream().mapToInt(InSecond::served).sum() / requests));
         figures.add(new Figure("attempts for each request", all.sent() / requests));
         figures.add(new Figure("connections begun for each request", all.begun() / requests));
         figures.add(new Figure("connections not come up, for each request", all.notUp() / requests));
@@ -181,13 +190,28 @@
         figures.add(new Figure("connections held at one node at most", worst(Second.OfNode::held)));
         figures.add(new Figure("attempts at one node just back in its worst second", worst(Second.OfNode::justBack)));
         figures.add(new Figure("attempts at one cold node in its worst second", worst(Second.OfNode::cold)));
-        figures.add(new Figure("calls to discovery in the worst second", seconds.values().stream().mapToInt(s -> s.calls).max().orElse(0)));
-        figures.add(new Figure("calls to discovery that failed", seconds.values().stream()
-                .flatMap(s -> s.callsFailed.values().stream()).mapToInt(count -> count).sum()));
-        figures.add(new Figure("given up for each request", seconds.values().stream().flatMap(s -> s.givenUp.values().stream())
-                .mapToInt(count -> count).sum() / requests));
-        figures.add(new Figure("members drawn from, where requests were given up", seconds.values().stream().mapToInt(s -> s.members).sum()
-                / (double) Math.max(1, seconds.values().stream().mapToInt(s -> s.told).sum())));
+        figures.add(new Figure(
+                "calls to discovery in the worst second",
+                seconds.values().stream().mapToInt(s -> s.calls).max().orElse(0)));
+        figures.add(new Figure(
+                "calls to discovery that failed",
+                seconds.values().stream()
+                        .flatMap(s -> s.callsFailed.values().stream())
+                        .mapToInt(count -> count)
+                        .sum()));
+        figures.add(new Figure(
+                "given up for each request",
+                seconds.values().stream()
+                                .flatMap(s -> s.givenUp.values().stream())
+                                .mapToInt(count -> count)
+                                .sum()
+                        / requests));
+        figures.add(new Figure(
+                "members drawn from, where requests were given up",
+                seconds.values().stream().mapToInt(s -> s.members).sum()
+                        / (double) Math.max(
+                                1,
+                                seconds.values().stream().mapToInt(s -> s.told).sum())));
         figures.add(new Figure("event loop late, ms, at the 99th percentile of seconds", lateness()));
         figures.add(new Figure("ms until nine in ten sidecars knew of a change, in the median", spread()));
         return figures;
@@ -200,42 +224,95 @@
         }
         long first = seconds.keySet().iterator().next();
         int count = (int) (seconds.lastKey() - first) + 1;
-        return ReturnTime.seconds(second -> {
-            InSecond its = seconds.get(first + second);
-            return its == null || its.served + its.notServed == 0 ? Double.NaN : its.served / (double) (its.served + its.notServed);
-        }, count, faultS - first);
+        return ReturnTime.seconds(
+                second -> {
+                    InSecond its = seconds.get(first + second);
+                    return its == null || its.served + its.notServed == 0
+                            ? Double.NaN
+                            : its.served / (double) (its.served + its.notServed);
+                },
+                count,
+                faultS - first);
     }
 
     private double worst(ToIntFunction<Second.OfNode> figure) {
-        return seconds.values().stream().mapToInt(second -> second.most(figure)).max().orElse(0);
+        return seconds.values().stream()
+                .mapToInt(second -> second.most(figure))
+                .max()
+                .orElse(0);
     }
 
     private double lateness() {
-        double[] late = seconds.values().stream().mapToDouble(second -> second.mostLateMs).sorted().toArray();
+        double[] late = seconds.values().stream()
+                .mapToDouble(second -> second.mostLateMs)
+                .sorted()
+                .toArray();
         return late.length == 0 ? 0 : late[(int) (0.99 * (late.length - 1))];
     }
 
     /** Of the versions that at least half of the sidecars came to know; the others were overtaken by the next. */
     private double spread() {
-        double[] spreads = known.values().stream().filter(times -> 2 * times.size() >= sidecars.size()).mapToDouble(times -> {
-            List<Double> sorted = times.stream().sorted().toList();
-            return sorted.get((int) (0.9 * (sorted.size() - 1))) - sorted.get(0);
-        }).sorted().toArray();
+        double[] spreads = known.values().stream()
+                .filter(times -> 2 * times.size() >= sidecars.size())
+                .mapToDouble(times -> {
+                    List<Double> sorted = times.stream().sorted().toList();
+                    return sorted.get((int) (0.9 * (sorted.size() - 1))) - sorted.get(0);
+                })
+                .sorted()
+                .toArray();
         return spreads.length == 0 ? 0 : spreads[spreads.length / 2];
     }
 
     /** A line for each second. */
     public List<String> table() {
         List<String> lines = new ArrayList<>();
-        lines.add(String.format(Locale.ROOT, "%4s %5s %6s %6s %6s | %6s %5s %5s %5s %6s %6s | %5s %5s %5s | %5s %5s | %4s %5s | %s", "s", "alive",
-                "taken", "served", "not", "sent", "new", "cold", "t-out", "away", "not up", "begun", "held", "idle", "begun", "held", "late",
-                "calls", "given up; members, full"));
+        lines.add(String.format(
+                Locale.ROOT,
+                "%4s %5s %6s %6s %6s | %6s %5s %5s %5s %6s %6s | %5s %5s %5s | %5s %5s | %4s %5s | %s",
+                "s",
+                "alive",
+                "taken",
+                "served",
+                "not",
+                "sent",
+                "new",
+                "cold",
+                "t-out",
+                "away",
+                "not up",
+                "begun",
+                "held",
+                "idle",
+                "begun",
+                "held",
+                "late",
+                "calls",
+                "given up; members, full"));
         long first = seconds.isEmpty() ? 0 : seconds.keySet().iterator().next();
-        seconds.forEach((at, s) -> lines.add(String.format(Locale.ROOT,
-                "%4d %5d %6d %6d %6d | %6d %5d %5d %5d %6d %6d | %5d %5d %5d | %5d %5d | %4.0f %5d | %s; %.1f, %.1f%s", at - first, s.sidecars,
-                s.taken, s.served, s.notServed, s.all.sent(), s.all.justBack(), s.all.cold(), s.all.timedOut(), s.all.turnedAway(),
-                s.all.notUp(), s.all.begun(), s.all.held(), s.all.idle(), s.most(Second.OfNode::begun), s.most(Second.OfNode::held),
-                s.mostLateMs, s.calls, s.givenUp, s.members / Math.max(1.0, s.told), s.full / Math.max(1.0, s.told),
+        seconds.forEach((at, s) -> lines.add(String.format(
+                Locale.ROOT,
+                "%4d %5d %6d %6d %6d | %6d %5d %5d %5d %6d %6d | %5d %5d %5d | %5d %5d | %4.0f %5d | %s; %.1f, %.1f%s",
+                at - first,
+                s.sidecars,
+                s.taken,
+                s.served,
+                s.notServed,
+                s.all.sent(),
+                s.all.justBack(),
+                s.all.cold(),
+                s.all.timedOut(),
+                s.all.turnedAway(),
+                s.all.notUp(),
+                s.all.begun(),
+                s.all.held(),
+                s.all.idle(),
+                s.most(Second.OfNode::begun),
+                s.most(Second.OfNode::held),
+                s.mostLateMs,
+                s.calls,
+                s.givenUp,
+                s.members / Math.max(1.0, s.told),
+                s.full / Math.max(1.0, s.told),
                 s.callsFailed.isEmpty() ? "" : "; calls failed " + s.callsFailed)));
         return lines;
     }
@@ -244,8 +321,7 @@
     public List<String> against(FleetSum other) {
         List<Figure> mine = figures();
         List<Figure> its = other.figures();
-        record Change(String name, double before, double now, double factor) {
-        }
+        record Change(String name, double before, double now, double factor) {}
         List<Change> changes = new ArrayList<>();
         for (int i = 0; i < mine.size(); i++) {
             double now = mine.get(i).value();
@@ -256,18 +332,38 @@
             }
         }
         changes.sort(Comparator.comparingDouble(change -> -Math.abs(Math.log(change.factor))));
-        return changes.stream().map(change -> String.format(Locale.ROOT, "%s: %.3f from %.3f, %.1f times", change.name, change.now,
-                change.before, change.factor)).toList();
+        return changes.stream()
+                .map(change -> String.format(
+                        Locale.ROOT,
+                        "%s: %.3f from %.3f, %.1f times",
+                        change.name,
+                        change.now,
+                        change.before,
+                        change.factor))
+                .toList();
     }
 
     /** The nodes with the most attempts timed out: a line each. */
     public List<String> mostTimedOut(int most) {
         Map<String, Second.OfNode> whole = new TreeMap<>();
-        seconds.values().forEach(second -> second.nodes.forEach((name, node) -> whole.merge(name, node, Second.OfNode::plus)));
-        return whole.entrySet().stream().sorted(Comparator.comparingInt((Map.Entry<String, Second.OfNode> entry) -> -entry.getValue().timedOut())
-                .thenComparing(Map.Entry::getKey)).limit(most).map(entry -> String.format(Locale.ROOT,
+        seconds.values()
+                .forEach(second -> second.nodes.forEach((name, node) -> whole.merge(name, node, Second.OfNode::plus)));
+        return whole.entrySet().stream()
+                .sorted(Comparator.comparingInt((Map.Entry<String, Second.OfNode> entry) ->
+                                -entry.getValue().timedOut())
+                        .thenComparing(Map.Entry::getKey))
+                .limit(most)
+                .map(entry -> String.format(
+                        Locale.ROOT,
                         "%-24s %6d sent, of them %d when just back and %d cold; %d timed out, %d turned away; %d connections begun, %d not come up",
-                        entry.getKey(), entry.getValue().sent(), entry.getValue().justBack(), entry.getValue().cold(), entry.getValue().timedOut(),
-                        entry.getValue().turnedAway(), entry.getValue().begun(), entry.getValue().notUp())).toList();
+                        entry.getKey(),
+                        entry.getValue().sent(),
+                        entry.getValue().justBack(),
+                        entry.getValue().cold(),
+                        entry.getValue().timedOut(),
+                        entry.getValue().turnedAway(),
+                        entry.getValue().begun(),
+                        entry.getValue().notUp()))
+                .toList();
     }
 }
--- a/src/main/java/ivybank/tally/LogFolder.java
+++ b/src/main/java/ivybank/tally/LogFolder.java
@@ -14,8 +14,7 @@
 /** Reads a folder of logs, one file for each sidecar; what can't be read is counted and left out, never fatal. */
 public final class LogFolder {
 
-    private LogFolder() {
-    }
+    private LogFolder() {}
 
     /**
      * Adds up all files of a folder whose names end in {@code .log}.
@@ -26,13 +25,18 @@
         FleetSum sum = new FleetSum();
         List<Path> files = new ArrayList<>();
         try (Stream<Path> all = Files.list(folder)) {
-            all.filter(file -> file.getFileName().toString().endsWith(".log") && Files.isRegularFile(file)).sorted().forEach(files::add);
+            all.filter(file -> file.getFileName().toString().endsWith(".log") && Files.isRegularFile(file))
+                    .sorted()
+                    .forEach(files::add);
         }
         for (Path file : files) {
             String name = file.getFileName().toString();
             // A log that was cut or damaged has bytes that are no text: they must not end the sum.
-            try (BufferedReader lines = new BufferedReader(new InputStreamReader(Files.newInputStream(file),
-                    StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPLACE)
+            try (BufferedReader lines = new BufferedReader(new InputStreamReader(
+                    Files.newInputStream(file),
+                    StandardCharsets.UTF_8
+                            .newDecoder()
+                            .onMalformedInput(CodingErrorAction.REPLACE)
                             .onUnmappableCharacter(CodingErrorAction.REPLACE)))) {
                 sum.begin(name.substring(0, name.length() - ".log".length()));
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
--- a/src/main/java/ivybank/tally/Second.java
+++ b/src/main/java/ivybank/tally/Second.java
@@ -15,15 +15,25 @@
  * @param calls to discovery begun; {@code callsFailed} by how they ended
  * @param nodes by name; at most {@link SecondTally#MOST_NODES}, the rest as one under {@link #OTHERS}
  */
-public record Second(double atMs, double lateMs, long version, int taken, int served, int notServed, int calls,
-                     Map<String, Integer> callsFailed, Map<String, OfNode> nodes) {
+public record Second(
+        double atMs,
+        double lateMs,
+        long version,
+        int taken,
+        int served,
+        int notServed,
+        int calls,
+        Map<String, Integer> callsFailed,
+        Map<String, OfNode> nodes) {
 
     /** The name of all nodes that had no place of their own. */
     public static final String OTHERS = "*";
+
     static final String WORD = "tally";
 
     /** Of one node: connections begun, held and idle at the end, not come up; attempts by its age, turned away, timed out. */
-    public record OfNode(int begun, int held, int idle, int notUp, int justBack, int cold, int warm, int turnedAway, int timedOut) {
+    public record OfNode(
+            int begun, int held, int idle, int notUp, int justBack, int cold, int warm, int turnedAway, int timedOut) {
 
         static final OfNode NOTHING = new OfNode(0, 0, 0, 0, 0, 0, 0, 0, 0);
         private static final int FIGURES = 9;
@@ -37,14 +47,21 @@
         }
 
         OfNode plus(OfNode other) {
-            return new OfNode(begun + other.begun, held + other.held, idle + other.idle, notUp + other.notUp,
-                    justBack + other.justBack, cold + other.cold, warm + other.warm, turnedAway + other.turnedAway,
+            return new OfNode(
+                    begun + other.begun,
+                    held + other.held,
+                    idle + other.idle,
+                    notUp + other.notUp,
+                    justBack + other.justBack,
+                    cold + other.cold,
+                    warm + other.warm,
+                    turnedAway + other.turnedAway,
                     timedOut + other.timedOut);
         }
 
         private String text() {
-            return begun + "," + held + "," + idle + "," + notUp + "," + justBack + "," + cold + "," + warm + "," + turnedAway + ","
-                    + timedOut;
+            return begun + "," + held + "," + idle + "," + notUp + "," + justBack + "," + cold + "," + warm + ","
+                    + turnedAway + "," + timedOut;
         }
 
         private static OfNode parse(String text) {
@@ -67,10 +84,23 @@
 
     /** As a line of the log. */
     public String line() {
-        StringBuilder text = new StringBuilder(WORD).append(" at=").append(Math.round(atMs)).append(" late=").append(Math.round(lateMs))
-                .append(" list=").append(version).append(" taken=").append(taken).append(" served=").append(served).append(" not=")
-                .append(notServed).append(" calls=").append(calls);
-        callsFailed.forEach((how, count) -> text.append(" failed:").append(how).append('=').append(count));
+        StringBuilder text = new StringBuilder(WORD)
+                .append(" at=")
+                .append(Math.round(atMs))
+                .append(" late=")
+                .append(Math.round(lateMs))
+                .append(" list=")
+                .append(version)
+                .append(" taken=")
+                .append(taken)
+                .append(" served=")
+                .append(served)
+                .append(" not=")
+                .append(notServed)
+                .append(" calls=")
+                .append(calls);
+        callsFailed.forEach(
+                (how, count) -> text.append(" failed:").append(how).append('=').append(count));
         nodes.forEach((name, node) -> text.append(" /").append(name).append('=').append(node.text()));
         return text.toString();
     }
@@ -88,7 +118,8 @@
         Map<String, String> fields = new LinkedHashMap<>();
         Map<String, Integer> failed = new LinkedHashMap<>();
         Map<String, OfNode> nodes = new LinkedHashMap<>();
-        List<String> words = new ArrayList<>(List.of(line.substring(from + WORD.length()).trim().split(" ")));
+        List<String> words = new ArrayList<>(
+                List.of(line.substring(from + WORD.length()).trim().split(" ")));
         for (String word : words) {
             int equals = word.lastIndexOf('=');
             if (equals <= 0) {
@@ -104,8 +135,16 @@
                 fields.put(name, value);
             }
         }
-        return new Second(number(fields, "at"), number(fields, "late"), number(fields, "list"), (int) number(fields, "taken"),
-                (int) number(fields, "served"), (int) number(fields, "not"), (int) number(fields, "calls"), failed, nodes);
+        return new Second(
+                number(fields, "at"),
+                number(fields, "late"),
+                number(fields, "list"),
+                (int) number(fields, "taken"),
+                (int) number(fields, "served"),
+                (int) number(fields, "not"),
+                (int) number(fields, "calls"),
+                failed,
+                nodes);
     }
 
     private static long number(Map<String, String> fields, String name) {
--- a/src/main/java/ivybank/tally/SecondTally.java
+++ b/src/main/java/ivybank/tally/SecondTally.java
@@ -14,6 +14,7 @@
 
     /** Nodes with a place of their own in a line. */
     public static final int MOST_NODES = 64;
+
     private static final int MOST_WAYS_TO_FAIL = 8;
     private static final int LONGEST_NAME = 64;
 
@@ -137,7 +138,18 @@
             }
         });
         boolean quiet = figures.isEmpty() && taken + answered + calls == 0 && callsFailed.isEmpty() && version == told;
-        Second second = quiet ? null : new Second(nowMs, lateMs, version, taken, served, Math.max(0, answered - served), calls, callsFailed, bounded(figures));
+        Second second = quiet
+                ? null
+                : new Second(
+                        nowMs,
+                        lateMs,
+                        version,
+                        taken,
+                        served,
+                        Math.max(0, answered - served),
+                        calls,
+                        callsFailed,
+                        bounded(figures));
         nodes.values().removeIf(Counts::begin);
         callsFailed.clear();
         taken = 0;
@@ -153,11 +165,16 @@
             return figures;
         }
         List<Map.Entry<String, Second.OfNode>> busiest = figures.entrySet().stream()
-                .sorted(Comparator.comparingInt((Map.Entry<String, Second.OfNode> entry) -> -entry.getValue().sent() - entry.getValue().begun())
-                        .thenComparing(Map.Entry::getKey)).toList();
+                .sorted(Comparator.comparingInt((Map.Entry<String, Second.OfNode> entry) ->
+                                -entry.getValue().sent() - entry.getValue().begun())
+                        .thenComparing(Map.Entry::getKey))
+                .toList();
         Map<String, Second.OfNode> kept = new HashMap<>();
         for (int i = 0; i < busiest.size(); i++) {
-            kept.merge(i < MOST_NODES - 1 ? busiest.get(i).getKey() : Second.OTHERS, busiest.get(i).getValue(), Second.OfNode::plus);
+            kept.merge(
+                    i < MOST_NODES - 1 ? busiest.get(i).getKey() : Second.OTHERS,
+                    busiest.get(i).getValue(),
+                    Second.OfNode::plus);
         }
         return kept;
     }
--- a/src/main/java/ivybank/tally/Tally.java
+++ b/src/main/java/ivybank/tally/Tally.java
@@ -4,8 +4,7 @@
 public interface Tally {
 
     /** Counts nothing. */
-    Tally NONE = new Tally() {
-    };
+    Tally NONE = new Tally() {};
 
     /** How an attempt is counted by the life of its node's process. */
     enum Age {
@@ -27,54 +26,41 @@
     }
 
     /** A connection to a node was begun. */
-    default void begun(String node) {
-    }
+    default void begun(String node) {}
 
     /** One came up, or one that had come up has ended. */
-    default void held(String node, int change) {
-    }
+    default void held(String node, int change) {}
 
     /** So many are idle at the end of the second. */
-    default void idle(String node, int count) {
-    }
+    default void idle(String node, int count) {}
 
     /** One was refused, never came up, or broke before it was of use. */
-    default void notUp(String node) {
-    }
+    default void notUp(String node) {}
 
     /** An attempt was sent. */
-    default void sent(String node, Age age) {
-    }
+    default void sent(String node, Age age) {}
 
     /** An attempt was turned away unseen. */
-    default void turnedAway(String node) {
-    }
+    default void turnedAway(String node) {}
 
     /** An attempt got no answer in its time. */
-    default void timedOut(String node) {
-    }
+    default void timedOut(String node) {}
 
     /** A client's request was taken. */
-    default void taken() {
-    }
+    default void taken() {}
 
     /** A client's request is over: it has its final answer, or its client has left. */
-    default void answered() {
-    }
+    default void answered() {}
 
     /** One of those was served. */
-    default void served() {
-    }
+    default void served() {}
 
     /** Discovery was called. */
-    default void called() {
-    }
+    default void called() {}
 
     /** A call to discovery has ended without what was asked for; {@code how} is a word, such as a status. */
-    default void callFailed(String how) {
-    }
+    default void callFailed(String how) {}
 
     /** A list, or a change of it, was taken over, up to this version. */
-    default void listed(long version) {
-    }
+    default void listed(long version) {}
 }
--- a/src/main/java/ivybank/toml/StrictTable.java
+++ b/src/main/java/ivybank/toml/StrictTable.java
@@ -1,14 +1,13 @@
 package ivybank.toml;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-
 /**
  * A table of a TOML file that is read strictly: each value is asked for with its type and range, and {@link #end} refuses
  * what nobody has asked for. Every error names the file, the key and what is allowed.
@@ -35,8 +34,10 @@
         try {
             return new StrictTable(file, "", new TomlMapper().readTree(text));
         } catch (JsonProcessingException e) {
-            String place = e.getLocation() == null ? "" : ", line " + e.getLocation().getLineNr() + ", column "
-                    + e.getLocation().getColumnNr();
+            String place = e.getLocation() == null
+                    ? ""
+                    : ", line " + e.getLocation().getLineNr() + ", column "
+                            + e.getLocation().getColumnNr();
             throw new InputException(file + place + ": no TOML: "
                     + e.getOriginalMessage().lines().findFirst().orElse("it can't be read"));
         }
@@ -99,8 +100,10 @@
     private double checked(String key, JsonNode value, double least, double most) throws InputException {
         double number = value.isNumber() ? value.asDouble() : Double.NaN;
         if (!(number >= least && number <= most)) {
-            throw error(key, "is " + (value.isMissingNode() ? "missing" : value) + ": a number from " + brief(least) + " to "
-                    + brief(most) + " is allowed");
+            throw error(
+                    key,
+                    "is " + (value.isMissingNode() ? "missing" : value) + ": a number from " + brief(least) + " to "
+                            + brief(most) + " is allowed");
         }
         return number;
     }
@@ -195,7 +198,7 @@
 
     /** Ends the reading of this table: a key that has not been asked for is an error. */
     public void end() throws InputException {
-        for (var names = node.fieldNames(); names.hasNext();) {
+        for (var names = node.fieldNames(); names.hasNext(); ) {
             String name = names.next();
             if (!asked.contains(name)) {
                 throw error(name, "is not known here: allowed are " + asked);
--- a/src/main/java/ivybank/upstream/LoadReport.java
+++ b/src/main/java/ivybank/upstream/LoadReport.java
@@ -28,7 +28,8 @@
         int found = 0;
         for (String part : headers.get(0).substring(FORM.length()).split(",")) {
             int equals = part.indexOf('=');
-            int field = equals < 0 ? -1 : fields.indexOf(part.substring(0, equals).trim());
+            int field =
+                    equals < 0 ? -1 : fields.indexOf(part.substring(0, equals).trim());
             if (field >= 0) {
                 double value = number(part.substring(equals + 1).trim());
                 if (!(value >= 0) || Double.isInfinite(value) || !Double.isNaN(values[field])) {
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -1,13 +1,12 @@
 package ivybank.upstream;
 
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-
+import io.netty.channel.EventLoop;
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
-import io.netty.channel.EventLoop;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /** One attempt at one upstream. It ends exactly once, whatever else is still to come for it. */
 public final class UpstreamAttempt {
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -1,18 +1,5 @@
 package ivybank.upstream;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.SocketAddress;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
-
-import ivybank.common.Framing;
-import ivybank.discovery.Node;
-import ivybank.exchange.Answer;
-import ivybank.exchange.BodyPipe;
-import ivybank.exchange.ClientRequest;
-import ivybank.policy.Balancer.Outcome;
-import ivybank.upstream.UpstreamAttempt.Ending;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -35,6 +22,18 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import ivybank.common.Framing;
+import ivybank.discovery.Node;
+import ivybank.exchange.Answer;
+import ivybank.exchange.BodyPipe;
+import ivybank.exchange.ClientRequest;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.upstream.UpstreamAttempt.Ending;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to an upstream, with one request at a time on it. It alone sees which bytes have left and what came
@@ -63,6 +62,7 @@
     double idleSinceMs;
     /** When its last answer came, by the module's clock. */
     double answeredMs = Double.NEGATIVE_INFINITY;
+
     private final AnswerDecoder decoder;
     private final UpstreamPool pool;
     private final LoadReport reports;
@@ -73,17 +73,21 @@
     private ByteArrayOutputStream body;
     /** The rest of a long answer that is being passed on, else null; and how much of it has come. */
     private BodyPipe rest;
+
     private long passed;
     /** When its last part came, by the module's clock. */
     private double partMs;
     /** The rest of a long request that is being passed on, else null. */
     private BodyPipe upload;
+
     private ScheduledFuture<?> stalled;
     /** Whether it has ended otherwise than in order. */
     private boolean broken;
+
     private int interimAnswers;
     /** What the answer that has come whole makes of the attempt, until the read has ended; else null. */
     private Ending whole;
+
     private boolean reusable;
 
     UpstreamConnection(Node node, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
@@ -140,8 +144,13 @@
             upload.take(new Upload(next));
             return;
         }
-        DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()), headers, EmptyHttpHeaders.INSTANCE);
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
         channel.writeAndFlush(message).addListener(write -> written(next, write.isSuccess()));
     }
 
@@ -189,7 +198,8 @@
             }
             if (whole) {
                 upload = null;
-                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(write -> written(sent, write.isSuccess()));
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                        .addListener(write -> written(sent, write.isSuccess()));
             } else {
                 finish(Ending.of(Outcome.CONNECT_FAILED), false);
             }
@@ -210,11 +220,17 @@
             stalled.cancel(false);
         }
         UpstreamAttempt sent = attempt;
-        stalled = more ? null : channel.eventLoop().schedule(() -> {
-            if (attempt == sent && upload != null) {
-                finish(Ending.of(Outcome.CONNECT_FAILED), false);
-            }
-        }, LONGEST_STALL_MS, TimeUnit.MILLISECONDS);
+        stalled = more
+                ? null
+                : channel.eventLoop()
+                        .schedule(
+                                () -> {
+                                    if (attempt == sent && upload != null) {
+                                        finish(Ending.of(Outcome.CONNECT_FAILED), false);
+                                    }
+                                },
+                                LONGEST_STALL_MS,
+                                TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -237,9 +253,11 @@
     /** Takes the head of an answer, unless it alone tells that no answer worth reading follows. */
     private void begin(HttpResponse response) {
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        // Without a length its end is that of the connection, which must have been announced: else it can't be told from
+        // Without a length its end is that of the connection, which must have been announced: else it can't be told
+        // from
         // a break, and a part of an answer must not be served.
-        boolean bounded = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        boolean bounded = HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response)
                 || !HttpUtil.isKeepAlive(response);
         if (!Framing.isClear(response) || !interim && !bounded) {
             spoilt("doesn't tell where it ends");
@@ -298,26 +316,33 @@
             rest.part(part.retain());
             partMs = pool.nowMs();
             watchStall(attempt);
-            attempt.begin(Answer.begun(head.headers().get(HttpHeaderNames.CONTENT_TYPE), body.toByteArray(), rest,
+            attempt.begin(Answer.begun(
+                    head.headers().get(HttpHeaderNames.CONTENT_TYPE),
+                    body.toByteArray(),
+                    rest,
                     HttpUtil.getContentLength(head, -1L)));
         }
     }
 
     /** Guards clients against a node that begins a long answer and never ends it: no other time runs any more. */
     private void watchStall(UpstreamAttempt passing) {
-        channel.eventLoop().schedule(() -> {
-            if (attempt != passing || rest == null || whole != null) {
-                return;
-            }
-            if (!channel.config().isAutoRead()) {
-                partMs = pool.nowMs(); // it is the client that takes no more
-            }
-            if (pool.nowMs() - partMs > pool.stallMs()) {
-                spoilt("stands still after " + passed + " bytes");
-            } else {
-                watchStall(passing);
-            }
-        }, (long) (pool.stallMs() / STALL_LOOKS), TimeUnit.MILLISECONDS);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (attempt != passing || rest == null || whole != null) {
+                                return;
+                            }
+                            if (!channel.config().isAutoRead()) {
+                                partMs = pool.nowMs(); // it is the client that takes no more
+                            }
+                            if (pool.nowMs() - partMs > pool.stallMs()) {
+                                spoilt("stands still after " + passed + " bytes");
+                            } else {
+                                watchStall(passing);
+                            }
+                        },
+                        (long) (pool.stallMs() / STALL_LOOKS),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void answered() {
@@ -330,7 +355,9 @@
         }
         Outcome outcome = outcome();
         boolean served = outcome == Outcome.OK;
-        whole = new Ending(outcome, reports.read(head.headers().getAll(LOAD_REPORT)),
+        whole = new Ending(
+                outcome,
+                reports.read(head.headers().getAll(LOAD_REPORT)),
                 served ? head.headers().get(HttpHeaderNames.CONTENT_TYPE) : null,
                 served ? body.toByteArray() : null);
         reusable = written && HttpUtil.isKeepAlive(head);
@@ -362,7 +389,8 @@
 
     private Outcome outcome() {
         int status = head.status().code();
-        boolean turnedAway = (status == UNAVAILABLE || status == TOO_LATE) && "1".equals(head.headers().get(REJECTED));
+        boolean turnedAway = (status == UNAVAILABLE || status == TOO_LATE)
+                && "1".equals(head.headers().get(REJECTED));
         if (turnedAway) {
             return Outcome.REJECTED;
         }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -1,11 +1,12 @@
 package ivybank.upstream;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
@@ -15,13 +16,11 @@
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Tally;
 import ivybank.upstream.UpstreamAttempt.Ending;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
@@ -44,6 +43,7 @@
      * in use it can't be told from the answer that is awaited.
      */
     private static final double REST_MS = 30;
+
     private static final double LONGEST_STALL_MS = 5000;
 
     private final EventLoop loop;
@@ -62,16 +62,21 @@
     private long spoilt;
 
     /** {@code base} says what kind of channels to open, and with which options. */
-    public UpstreamPool(EventLoop loop, Clock clock, Limits limits, Descriptors descriptors, LoadReport reports,
-            Bootstrap base, Log log) {
+    public UpstreamPool(
+            EventLoop loop,
+            Clock clock,
+            Limits limits,
+            Descriptors descriptors,
+            LoadReport reports,
+            Bootstrap base,
+            Log log) {
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
         this.descriptors = descriptors;
         this.reports = reports;
         this.log = log;
-        this.bootstrap = base.group(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+        this.bootstrap = base.group(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
         loop.scheduleWithFixedDelay(this::closeLongIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -140,7 +145,8 @@
         } else if (connection != null && restMs(connection) <= 0) {
             send(connection, attempt);
         } else if (connection != null) {
-            loop.schedule(() -> rested(connection, attempt), (long) Math.ceil(restMs(connection)), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> rested(connection, attempt), (long) Math.ceil(restMs(connection)), TimeUnit.MILLISECONDS);
         } else if (open < limits.connections() && !descriptors.full() || evictOldest()) {
             connect(attempt);
         } else {
@@ -227,12 +233,15 @@
         opened++;
         tally.begun(node.host);
         tally.held(node.host, 1);
-        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-            }
-        }).connect(node.address);
+        ChannelFuture connected = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+                    }
+                })
+                .connect(node.address);
         connected.channel().closeFuture().addListener(closed -> {
             descriptors.release();
             open--;
--- a/src/main/java/ivybank/warming/Carried.java
+++ b/src/main/java/ivybank/warming/Carried.java
@@ -13,6 +13,7 @@
     private static final double SPAN_MS = 1000;
     /** Of the most that was seen, what is kept of it after a span with less: machines and their neighbours change. */
     private static final double KEPT = 0.998; // each node of a kind takes its part of it off
+
     private static final double FORGOTTEN_MS = 10_000;
 
     private static final class Count {
@@ -47,7 +48,8 @@
      * the weakest kind seen where none of its own was. 0 while nothing is known.
      */
     public double mayBeSent(int kind, double warmth) {
-        double weakest = mostPerMs.values().stream().mapToDouble(perMs -> perMs).min().orElse(0);
+        double weakest =
+                mostPerMs.values().stream().mapToDouble(perMs -> perMs).min().orElse(0);
         return own * warmth * mostPerMs.getOrDefault(kind, weakest);
     }
 
--- a/src/test/java/ivybank/JarIT.java
+++ b/src/test/java/ivybank/JarIT.java
@@ -2,15 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.nio.file.Path;
-import java.util.List;
-
 import ivybank.rehearsal.Verdict;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
 import ivybank.rehearsal.stand.Day;
 import ivybank.testing.LoadedClasses;
 import ivybank.testing.ShortNight;
+import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -25,10 +24,14 @@
     @Test
     void serveLoadsNoClassOfThePartsThatAreOff() throws Exception {
         Path loaded = dir.resolve("loaded.log");
-        String command = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC -Xlog:class+load:file="
-                + loaded + " -jar target/ivybank.jar serve";
-        try (Day day = new Day(Plan.draw(ScenarioReader.read("jar", ShortNight.TOML), 1), command, Path.of("").toAbsolutePath(),
-                dir, line -> { })) {
+        String command = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+                + "' -XX:+UseSerialGC -Xlog:class+load:file=" + loaded + " -jar target/ivybank.jar serve";
+        try (Day day = new Day(
+                Plan.draw(ScenarioReader.read("jar", ShortNight.TOML), 1),
+                command,
+                Path.of("").toAbsolutePath(),
+                dir,
+                line -> {})) {
             assertEquals(List.of(), Verdict.of(day.play()).reasons());
         }
         LoadedClasses.assertServeAlone(loaded);
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -12,112 +12,237 @@
 class LayoutTest {
 
     private static final JavaClasses PROGRAM = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("ivybank");
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("ivybank");
 
     @Test
     void eachPackageIsUsedByThoseAboveItAlone() {
-        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("ivybank..")
-                .layer("main").definedBy("ivybank")
-                .layer("cli").definedBy("ivybank.cli..")
-                .layer("rehearsal").definedBy("ivybank.rehearsal..")
-                .layer("toml").definedBy("ivybank.toml..")
-                .layer("operator").definedBy("ivybank.operator..")
-                .layer("promises").definedBy("ivybank.promises..")
-                .layer("store").definedBy("ivybank.store..")
-                .layer("daemon").definedBy("ivybank.daemon..")
-                .layer("simhost").definedBy("ivybank.simhost..")
-                .layer("client").definedBy("ivybank.client..")
-                .layer("upstream").definedBy("ivybank.upstream..")
-                .layer("discovery").definedBy("ivybank.discovery..")
-                .layer("exchange").definedBy("ivybank.exchange..")
-                .layer("control").definedBy("ivybank.control..")
-                .layer("operations").definedBy("ivybank.operations..")
-                .layer("settings").definedBy("ivybank.settings..")
-                .layer("common").definedBy("ivybank.common..")
-                .layer("policy").definedBy("ivybank.policy..")
-                .layer("warming").definedBy("ivybank.warming..")
-                .layer("roster").definedBy("ivybank.roster..")
-                .layer("room").definedBy("ivybank.room..")
-                .layer("handover").definedBy("ivybank.handover..")
-                .layer("tally").definedBy("ivybank.tally..")
-                .layer("emulator").definedBy("ivybank.emulator..")
-                .layer("fleet").definedBy("ivybank.fleet..")
-                .layer("peers").definedBy("ivybank.peers..")
-                .whereLayer("tally").mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli")
-                .whereLayer("fleet").mayOnlyBeAccessedByLayers("emulator", "peers")
-                .whereLayer("peers").mayOnlyBeAccessedByLayers("daemon", "operator")
-                .whereLayer("emulator").mayOnlyBeAccessedByLayers("cli")
-                .whereLayer("policy").mayOnlyBeAccessedByLayers("daemon", "simhost", "client", "upstream", "discovery", "exchange",
-                        "settings", "promises", "emulator")
-                .whereLayer("roster").mayOnlyBeAccessedByLayers("policy")
-                .whereLayer("room").mayOnlyBeAccessedByLayers("policy")
-                .whereLayer("handover").mayOnlyBeAccessedByLayers("policy", "room", "daemon", "emulator")
-                .whereLayer("warming").mayOnlyBeAccessedByLayers("policy")
-                .whereLayer("main").mayNotBeAccessedByAnyLayer()
-                .whereLayer("cli").mayOnlyBeAccessedByLayers("main")
-                .whereLayer("rehearsal").mayOnlyBeAccessedByLayers("cli")
-                .whereLayer("toml").mayOnlyBeAccessedByLayers("main", "cli", "rehearsal", "operator",
-                        "daemon")
-                .whereLayer("operator").mayOnlyBeAccessedByLayers("cli", "daemon")
-                .whereLayer("promises").mayOnlyBeAccessedByLayers("daemon", "operator", "cli")
-                .whereLayer("store").mayOnlyBeAccessedByLayers("promises", "daemon", "operator", "cli")
-                .whereLayer("daemon").mayOnlyBeAccessedByLayers("main")
-                .whereLayer("simhost").mayOnlyBeAccessedByLayers("main")
-                .whereLayer("client").mayOnlyBeAccessedByLayers("daemon")
-                .whereLayer("upstream").mayOnlyBeAccessedByLayers("daemon")
-                .whereLayer("discovery").mayOnlyBeAccessedByLayers("daemon", "upstream", "operator")
-                .whereLayer("exchange").mayOnlyBeAccessedByLayers("daemon", "client", "upstream", "promises")
-                .whereLayer("control").mayOnlyBeAccessedByLayers("daemon")
-                .whereLayer("operations").mayOnlyBeAccessedByLayers("daemon", "client", "control")
-                .whereLayer("settings").mayOnlyBeAccessedByLayers("daemon", "simhost")
+        layeredArchitecture()
+                .consideringOnlyDependenciesInAnyPackage("ivybank..")
+                .layer("main")
+                .definedBy("ivybank")
+                .layer("cli")
+                .definedBy("ivybank.cli..")
+                .layer("rehearsal")
+                .definedBy("ivybank.rehearsal..")
+                .layer("toml")
+                .definedBy("ivybank.toml..")
+                .layer("operator")
+                .definedBy("ivybank.operator..")
+                .layer("promises")
+                .definedBy("ivybank.promises..")
+                .layer("store")
+                .definedBy("ivybank.store..")
+                .layer("daemon")
+                .definedBy("ivybank.daemon..")
+                .layer("simhost")
+                .definedBy("ivybank.simhost..")
+                .layer("client")
+                .definedBy("ivybank.client..")
+                .layer("upstream")
+                .definedBy("ivybank.upstream..")
+                .layer("discovery")
+                .definedBy("ivybank.discovery..")
+                .layer("exchange")
+                .definedBy("ivybank.exchange..")
+                .layer("control")
+                .definedBy("ivybank.control..")
+                .layer("operations")
+                .definedBy("ivybank.operations..")
+                .layer("settings")
+                .definedBy("ivybank.settings..")
+                .layer("common")
+                .definedBy("ivybank.common..")
+                .layer("policy")
+                .definedBy("ivybank.policy..")
+                .layer("warming")
+                .definedBy("ivybank.warming..")
+                .layer("roster")
+                .definedBy("ivybank.roster..")
+                .layer("room")
+                .definedBy("ivybank.room..")
+                .layer("handover")
+                .definedBy("ivybank.handover..")
+                .layer("tally")
+                .definedBy("ivybank.tally..")
+                .layer("emulator")
+                .definedBy("ivybank.emulator..")
+                .layer("fleet")
+                .definedBy("ivybank.fleet..")
+                .layer("peers")
+                .definedBy("ivybank.peers..")
+                .whereLayer("tally")
+                .mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli")
+                .whereLayer("fleet")
+                .mayOnlyBeAccessedByLayers("emulator", "peers")
+                .whereLayer("peers")
+                .mayOnlyBeAccessedByLayers("daemon", "operator")
+                .whereLayer("emulator")
+                .mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("policy")
+                .mayOnlyBeAccessedByLayers(
+                        "daemon",
+                        "simhost",
+                        "client",
+                        "upstream",
+                        "discovery",
+                        "exchange",
+                        "settings",
+                        "promises",
+                        "emulator")
+                .whereLayer("roster")
+                .mayOnlyBeAccessedByLayers("policy")
+                .whereLayer("room")
+                .mayOnlyBeAccessedByLayers("policy")
+                .whereLayer("handover")
+                .mayOnlyBeAccessedByLayers("policy", "room", "daemon", "emulator")
+                .whereLayer("warming")
+                .mayOnlyBeAccessedByLayers("policy")
+                .whereLayer("main")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli")
+                .mayOnlyBeAccessedByLayers("main")
+                .whereLayer("rehearsal")
+                .mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("toml")
+                .mayOnlyBeAccessedByLayers("main", "cli", "rehearsal", "operator", "daemon")
+                .whereLayer("operator")
+                .mayOnlyBeAccessedByLayers("cli", "daemon")
+                .whereLayer("promises")
+                .mayOnlyBeAccessedByLayers("daemon", "operator", "cli")
+                .whereLayer("store")
+                .mayOnlyBeAccessedByLayers("promises", "daemon", "operator", "cli")
+                .whereLayer("daemon")
+                .mayOnlyBeAccessedByLayers("main")
+                .whereLayer("simhost")
+                .mayOnlyBeAccessedByLayers("main")
+                .whereLayer("client")
+                .mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("upstream")
+                .mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("discovery")
+                .mayOnlyBeAccessedByLayers("daemon", "upstream", "operator")
+                .whereLayer("exchange")
+                .mayOnlyBeAccessedByLayers("daemon", "client", "upstream", "promises")
+                .whereLayer("control")
+                .mayOnlyBeAccessedByLayers("daemon")
+                .whereLayer("operations")
+                .mayOnlyBeAccessedByLayers("daemon", "client", "control")
+                .whereLayer("settings")
+                .mayOnlyBeAccessedByLayers("daemon", "simhost")
                 .check(PROGRAM);
     }
 
     @Test
     void whatDecidesDoesNoInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.settings..", "ivybank.operations..",
-                "ivybank.warming..").should()
-                .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..",
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "ivybank.policy..", "ivybank.settings..", "ivybank.operations..", "ivybank.warming..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "io.netty..",
+                        "java.io..",
+                        "java.net..",
+                        "java.nio..",
+                        "java.util.concurrent..",
                         "com.fasterxml..")
                 .check(PROGRAM);
     }
 
     @Test
     void whetherTheLoopWasHeldUpIsDecidedWithoutIt() {
-        noClasses().that().haveFullyQualifiedName("ivybank.common.HeldUp").should().dependOnClassesThat()
-                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..").check(PROGRAM);
+        noClasses()
+                .that()
+                .haveFullyQualifiedName("ivybank.common.HeldUp")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..")
+                .check(PROGRAM);
     }
 
     @Test
     void roomAndWhatIsHandedOverAreDecidedWithoutInputAndOutput() {
-        noClasses().that().resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..", "ivybank.fleet..").and()
-                .doNotHaveFullyQualifiedName("ivybank.handover.MemoryFiles").should().dependOnClassesThat()
-                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.file..", "java.util.concurrent..",
-                        "ivybank.policy..", "ivybank.daemon..").check(PROGRAM);
+        noClasses()
+                .that()
+                .resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..", "ivybank.fleet..")
+                .and()
+                .doNotHaveFullyQualifiedName("ivybank.handover.MemoryFiles")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "io.netty..",
+                        "java.io..",
+                        "java.net..",
+                        "java.nio.file..",
+                        "java.util.concurrent..",
+                        "ivybank.policy..",
+                        "ivybank.daemon..")
+                .check(PROGRAM);
     }
 
     @Test
     void theRefereeAndTheModelsOfTheKitDoNoInputAndOutputAndKnowNothingOfTheSidecar() {
-        noClasses().that().resideInAnyPackage("ivybank.rehearsal.referee..", "ivybank.rehearsal.scenario..").should()
-                .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..")
+        noClasses()
+                .that()
+                .resideInAnyPackage("ivybank.rehearsal.referee..", "ivybank.rehearsal.scenario..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..")
+                .check(PROGRAM);
+        noClasses()
+                .that()
+                .resideInAPackage("ivybank.rehearsal..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "ivybank.policy..",
+                        "ivybank.daemon..",
+                        "ivybank.client..",
+                        "ivybank.upstream..",
+                        "ivybank.discovery..",
+                        "ivybank.exchange..")
                 .check(PROGRAM);
-        noClasses().that().resideInAPackage("ivybank.rehearsal..").should().dependOnClassesThat()
-                .resideInAnyPackage("ivybank.policy..", "ivybank.daemon..", "ivybank.client..", "ivybank.upstream..",
-                        "ivybank.discovery..", "ivybank.exchange..").check(PROGRAM);
     }
 
     @Test
     void theStoreKnowsNothingOfRequestsAndThePromisesDecideWithoutInputAndOutput() {
-        noClasses().that().resideInAPackage("ivybank.store..").should().dependOnClassesThat()
-                .resideInAnyPackage("ivybank.exchange..", "ivybank.policy..", "ivybank.promises..", "io.netty..").check(PROGRAM);
-        noClasses().that().haveFullyQualifiedName("ivybank.promises.Promises").should().dependOnClassesThat()
-                .resideInAnyPackage("java.io..", "java.nio..", "java.util.concurrent..", "io.netty..", "ivybank.store..").check(PROGRAM);
+        noClasses()
+                .that()
+                .resideInAPackage("ivybank.store..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("ivybank.exchange..", "ivybank.policy..", "ivybank.promises..", "io.netty..")
+                .check(PROGRAM);
+        noClasses()
+                .that()
+                .haveFullyQualifiedName("ivybank.promises.Promises")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..", "java.nio..", "java.util.concurrent..", "io.netty..", "ivybank.store..")
+                .check(PROGRAM);
     }
 
     @Test
     void whatDecidesReadsNoClock() {
-        noClasses().that().resideInAnyPackage("ivybank.policy..", "ivybank.operations..", "ivybank.warming..", "ivybank.room..",
-                "ivybank.roster..", "ivybank.handover..", "ivybank.tally..", "ivybank.emulator..", "ivybank.fleet..").should().callMethod(System.class, "nanoTime")
-                .orShould().callMethod(System.class, "currentTimeMillis").check(PROGRAM);
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "ivybank.policy..",
+                        "ivybank.operations..",
+                        "ivybank.warming..",
+                        "ivybank.room..",
+                        "ivybank.roster..",
+                        "ivybank.handover..",
+                        "ivybank.tally..",
+                        "ivybank.emulator..",
+                        "ivybank.fleet..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .check(PROGRAM);
     }
 }
--- a/src/test/java/ivybank/RepositoryTest.java
+++ b/src/test/java/ivybank/RepositoryTest.java
@@ -14,10 +14,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -37,8 +35,10 @@
         }
         long written = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(written <= 1200, written + " lines");
-        assertTrue(Files.readString(Path.of("deploy/balancer.toml"))
-                .contains("policy = [" + String.join(", ", names) + "]"), "the deployment names all of them");
+        assertTrue(
+                Files.readString(Path.of("deploy/balancer.toml"))
+                        .contains("policy = [" + String.join(", ", names) + "]"),
+                "the deployment names all of them");
     }
 
     @Test
@@ -49,8 +49,19 @@
         Path source = Files.writeString(dir.resolve("Example.java"), block.group(1));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         assertNotNull(compiler);
-        assertEquals(0, compiler.run(null, null, null, "-Xlint:all", "-Werror", "-cp", "target/classes", "-d",
-                dir.toString(), source.toString()));
+        assertEquals(
+                0,
+                compiler.run(
+                        null,
+                        null,
+                        null,
+                        "-Xlint:all",
+                        "-Werror",
+                        "-cp",
+                        "target/classes",
+                        "-d",
+                        dir.toString(),
+                        source.toString()));
         URL[] path = {dir.toUri().toURL(), Path.of("target/classes").toUri().toURL()};
         try (URLClassLoader loader = new URLClassLoader(path, ClassLoader.getPlatformClassLoader())) {
             Object sent = loader.loadClass("Example").getMethod("run").invoke(null);
--- a/src/test/java/ivybank/cli/IvybankTest.java
+++ b/src/test/java/ivybank/cli/IvybankTest.java
@@ -4,13 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import ivybank.testing.ShortNight;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,6 +20,7 @@
 
     @TempDir
     Path dir;
+
     private String said;
 
     private int run(String... arguments) throws Exception {
@@ -36,8 +36,10 @@
     }
 
     private Path scenario(double floor) throws Exception {
-        return Files.writeString(dir.resolve("night.toml"), ShortNight.TOML.replace("\"short\"", "\"night <1>\"")
-                .replace("length_s = 2", "length_s = 3") + """
+        return Files.writeString(
+                dir.resolve("night.toml"),
+                ShortNight.TOML.replace("\"short\"", "\"night <1>\"").replace("length_s = 2", "length_s = 3")
+                        + """
                 [clients]
                 rubbish = 0.1
                 [[fault]]
@@ -56,17 +58,27 @@
         assertEquals(2, run());
         assertEquals(2, run("serve", "now"));
         assertEquals(0, run("check", "operator", "deploy/operator.toml"));
-        assertTrue(said.contains("silenceMs=3000, firstAnswerMs=150, connectMs=75, longestPauseMs=75.0"), "the standard values: " + said);
+        assertTrue(
+                said.contains("silenceMs=3000, firstAnswerMs=150, connectMs=75, longestPauseMs=75.0"),
+                "the standard values: " + said);
         Path operator = Files.writeString(dir.resolve("operator.toml"), "[discovery]\nsilence = 3\n");
-        for (String[] use : new String[][] {{"check", "operator", operator.toString()}, {"check", "operator", dir.toString()}}) {
+        for (String[] use :
+                new String[][] {{"check", "operator", operator.toString()}, {"check", "operator", dir.toString()}}) {
             assertEquals(2, run(use));
             assertEquals(1, said.lines().count(), said);
         }
         assertEquals(2, run("check", "operator", operator.toString()));
-        assertTrue(said.contains("operator.toml: discovery.silence is not known here: allowed are [connect_ms, first_answer_ms,"
-                + " longest_pause_ms, silence_ms]"), said);
+        assertTrue(
+                said.contains(
+                        "operator.toml: discovery.silence is not known here: allowed are [connect_ms, first_answer_ms,"
+                                + " longest_pause_ms, silence_ms]"),
+                said);
         assertEquals(2, run("rehearse", "run", "no-such-night"));
-        assertTrue(said.contains("no scenario \"no-such-night\"") && said.contains("calm") && said.lines().count() == 1, said);
+        assertTrue(
+                said.contains("no scenario \"no-such-night\"")
+                        && said.contains("calm")
+                        && said.lines().count() == 1,
+                said);
         assertEquals(0, run("rehearse", "check", scenario(0).toString()));
         Files.writeString(dir.resolve("night.toml"), "name = \"x\"\nlength_s = 0\n");
         assertEquals(2, run("rehearse", "check", dir.resolve("night.toml").toString()));
@@ -77,9 +89,20 @@
     void aRunTellsWhatItSawAndPassesOrFailsByItsFloor() throws Exception {
         Path json = dir.resolve("night.json");
         Path html = dir.resolve("night.html");
-        int code = run("rehearse", "run", scenario(1).toString(), "--seed", "5", "--sidecar",
-                ShortNight.program("") + "serve", "--json", json.toString(),
-                "--html", html.toString(), "--state", dir.resolve("state").toString());
+        int code = run(
+                "rehearse",
+                "run",
+                scenario(1).toString(),
+                "--seed",
+                "5",
+                "--sidecar",
+                ShortNight.program("") + "serve",
+                "--json",
+                json.toString(),
+                "--html",
+                html.toString(),
+                "--state",
+                dir.resolve("state").toString());
         JsonNode report = new ObjectMapper().readTree(json.toFile());
         assertEquals(1, code, said);
         assertEquals("failed", report.get("verdict").asText(), said);
--- a/src/test/java/ivybank/common/OneMorePassTest.java
+++ b/src/test/java/ivybank/common/OneMorePassTest.java
@@ -3,14 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -20,6 +12,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -35,13 +34,16 @@
         CountDownLatch go = new CountDownLatch(1);
         CountDownLatch ran = new CountDownLatch(1);
         try {
-            Channel listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            Channel listener = new ServerBootstrap()
+                    .group(group)
+                    .channel(NioServerSocketChannel.class)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             channel.pipeline().addLast(new SimpleChannelInboundHandler<ByteBuf>() {
                                 @Override
-                                protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws InterruptedException {
+                                protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes)
+                                        throws InterruptedException {
                                     order.add("read");
                                     if (held.getCount() > 0) {
                                         OneMorePass.then(ctx.executor(), () -> {
@@ -54,7 +56,10 @@
                                 }
                             });
                         }
-                    }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel();
+                    })
+                    .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                    .syncUninterruptibly()
+                    .channel();
             int port = ((InetSocketAddress) listener.localAddress()).getPort();
             try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 socket.getOutputStream().write(1);
--- a/src/test/java/ivybank/common/ReturnTimeTest.java
+++ b/src/test/java/ivybank/common/ReturnTimeTest.java
@@ -14,7 +14,8 @@
     void itIsBackWhenItIsWhereItWasAndStaysForFiveSeconds() {
         assertEquals(3, time(5, 1, 1, 1, 1, 1, 0.2, 0.5, 0.9, 1, 1, 1, 1, 1, 1));
         assertEquals(0, time(5.5, 1, 1, 1, 1, 1, 0.97, 1, 1, 1, 1, 1), "it never fell by more than a twentieth");
-        assertEquals(1.5, time(5.5, 1, 1, 1, 1, 1, 0, 0, 0.96, 1, 1, 1, 1, 1), "from the fault on, not from its second");
+        assertEquals(
+                1.5, time(5.5, 1, 1, 1, 1, 1, 0, 0, 0.96, 1, 1, 1, 1, 1), "from the fault on, not from its second");
     }
 
     @Test
--- a/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
+++ b/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.daemon.SidecarRig.Client;
+import ivybank.testing.FakeServer;
+import ivybank.testing.HaltingLines;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -17,10 +20,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
-import ivybank.daemon.SidecarRig.Client;
-import ivybank.testing.FakeServer;
-import ivybank.testing.HaltingLines;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,6 +30,7 @@
 
     @TempDir
     Path dir;
+
     private final SidecarRig.Options options = new SidecarRig.Options();
 
     private static String host(String name, InetSocketAddress address, String health) {
@@ -62,14 +62,20 @@
             connection.read();
             asked.countDown();
             go.await();
-            SidecarRig.answerList(connection, SidecarRig.list(9, host("s-1", drains.address(), "Terminating") + ","
-                    + host("s-2", ready.address(), "Ready")));
+            SidecarRig.answerList(
+                    connection,
+                    SidecarRig.list(
+                            9,
+                            host("s-1", drains.address(), "Terminating") + ","
+                                    + host("s-2", ready.address(), "Ready")));
             connection.read();
             connection.read();
         });
         options.listen = freeAddress();
         options.drainGraceMs = 3000; // the agent may take half of it
-        try (drains; ready; agent) {
+        try (drains;
+                ready;
+                agent) {
             CompletableFuture<SidecarRig> started = CompletableFuture.supplyAsync(() -> {
                 try {
                     return new SidecarRig(dir, agent.address(), host("s-1", drains.address(), "Ready"), options);
@@ -85,7 +91,8 @@
             go.countDown();
             try (SidecarRig rig = started.get(5, TimeUnit.SECONDS)) {
                 for (int i = 0; i < 20; i++) {
-                    assertTrue(rig.client().write(SidecarRig.read("r" + i)).read().endsWith("body"));
+                    assertTrue(
+                            rig.client().write(SidecarRig.read("r" + i)).read().endsWith("body"));
                 }
             }
             assertTrue(drains.requests.isEmpty());
@@ -95,12 +102,16 @@
     @Test
     void anAgentThatSaysNothingIsNotWaitedForLongerThanADrainsGraceAllows() throws Exception {
         FakeServer node = FakeServer.answering(FakeServer.OK);
-        FakeServer agent = new FakeServer(connection -> connection.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
-        try (node; agent) {
+        FakeServer agent = new FakeServer(
+                connection -> connection.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
+        try (node;
+                agent) {
             long from = System.nanoTime();
             try (SidecarRig rig = new SidecarRig(dir, agent.address(), host("s-1", node.address(), "Ready"), options)) {
                 long waitedMs = (System.nanoTime() - from) / 1_000_000;
-                assertTrue(rig.client().write(SidecarRig.read("a")).read().endsWith("body"), "it goes on with the list that it has");
+                assertTrue(
+                        rig.client().write(SidecarRig.read("a")).read().endsWith("body"),
+                        "it goes on with the list that it has");
                 assertTrue(waitedMs < 3000, "waited " + waitedMs + " ms");
             }
         }
@@ -114,7 +125,9 @@
         CountDownLatch go = new CountDownLatch(1);
         options.lines = HaltingLines.at("told to end", halted, go);
         options.drainTimes = new Sidecar.DrainTimes(1, 2000, 3000);
-        try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
+        try (node;
+                SidecarRig rig =
+                        new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
             CompletableFuture<Void> ended = CompletableFuture.runAsync(rig::drain);
             halted.await();
             List<Client> clients = new ArrayList<>();
@@ -135,10 +148,13 @@
     /** Half of the nodes hang just when it is told to end: what is in hand has its answer before the process ends. */
     @Test
     void whatHangsAtTheEndIsFailedAndWhatComesMeanwhileIsAnswered() throws Exception {
-        FakeServer hangs = new FakeServer(connection -> connection.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
+        FakeServer hangs = new FakeServer(
+                connection -> connection.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
         options.deadlineMs = 600;
         options.drainTimes = new Sidecar.DrainTimes(100, 300, 500);
-        try (hangs; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), host("s-1", hangs.address(), "Ready"), options)) {
+        try (hangs;
+                SidecarRig rig =
+                        new SidecarRig(dir, FakeServer.nobody(), host("s-1", hangs.address(), "Ready"), options)) {
             List<Client> clients = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
                 clients.add(rig.client().write(SidecarRig.submit("u" + i, 2) + "ab"));
@@ -149,7 +165,9 @@
             }
             long from = System.nanoTime();
             CompletableFuture<Void> ended = CompletableFuture.runAsync(rig::drain);
-            assertTrue(idle.write(SidecarRig.read("late")).read().startsWith("HTTP/1.1 "), "a connection that is open is served");
+            assertTrue(
+                    idle.write(SidecarRig.read("late")).read().startsWith("HTTP/1.1 "),
+                    "a connection that is open is served");
             for (Client each : clients) {
                 String answer = each.read();
                 assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
@@ -165,7 +183,9 @@
     void anAnswerThatIsStillInTheBufferKeepsTheProcess() throws Exception {
         FakeServer node = FakeServer.answering("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000));
         options.drainTimes = new Sidecar.DrainTimes(1, 50, 4000);
-        try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
+        try (node;
+                SidecarRig rig =
+                        new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
             Client client = rig.client();
             for (int i = 0; i < 50; i++) { // more than the sockets hold
                 client.write(SidecarRig.read("n" + i));
--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.daemon.SidecarRig.Client;
+import ivybank.testing.FakeServer;
+import ivybank.testing.LateListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -18,10 +21,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-
-import ivybank.daemon.SidecarRig.Client;
-import ivybank.testing.FakeServer;
-import ivybank.testing.LateListener;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -68,7 +67,8 @@
     private static void awaitPasses(SidecarRig rig) throws IOException {
         Client other = rig.client();
         for (int i = 0; i < 200; i++) { // each answer takes a pass at least
-            assertNotNull(other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").read());
+            assertNotNull(
+                    other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").read());
         }
     }
 
@@ -79,7 +79,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void whileAConnectionComesUp(boolean cancel) throws Exception {
-        try (LateListener node = new LateListener(); SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+        try (LateListener node = new LateListener();
+                SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             rig.client().write(SidecarRig.submit("a", 5) + "hello").close();
             Client resets = rig.client();
             resets.write(SidecarRig.read("b")).reset();
@@ -91,7 +92,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aBurstThatLeavesAtOnce(boolean cancel) throws Exception {
-        try (LateListener node = new LateListener(); SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+        try (LateListener node = new LateListener();
+                SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             List<Client> clients = new ArrayList<>();
             for (int i = 0; i < 40; i++) {
                 clients.add(rig.client().write(SidecarRig.read("b" + i)));
@@ -109,7 +111,8 @@
     void withMoreThanIsKeptBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
         FakeServer node = holding(left, FakeServer.OK);
-        try (node; SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 3000; i++) {
                 many.append(SidecarRig.read("m" + i));
@@ -131,17 +134,22 @@
             while (connection.read() != null) { // takes requests and answers none
             }
         });
-        byte[] much = readable ? SidecarRig.read("m").repeat(300_000).getBytes(StandardCharsets.ISO_8859_1) : new byte[30_000_000];
-        try (node; SidecarRig rig = rig(host("s-1", node.address()), false)) {
+        byte[] much = readable
+                ? SidecarRig.read("m").repeat(300_000).getBytes(StandardCharsets.ISO_8859_1)
+                : new byte[30_000_000];
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()), false)) {
             long bestMs = Long.MAX_VALUE;
             for (int play = 0; play < 8 && bestMs > BOUND_MS; play++) {
                 try (SocketChannel client = SocketChannel.open()) {
                     client.setOption(StandardSocketOptions.SO_SNDBUF, 64 << 20); // as much as the system allows
                     client.connect(rig.address);
-                    client.write(ByteBuffer.wrap((SidecarRig.submit("a" + play, 5) + "hello").getBytes(StandardCharsets.ISO_8859_1)));
+                    client.write(ByteBuffer.wrap(
+                            (SidecarRig.submit("a" + play, 5) + "hello").getBytes(StandardCharsets.ISO_8859_1)));
                     assertNotNull(node.nextRequest());
                     if (!readable) {
-                        client.write(ByteBuffer.wrap("\u0001\u0002 no HTTP\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1)));
+                        client.write(
+                                ByteBuffer.wrap("\u0001\u0002 no HTTP\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1)));
                     }
                     client.configureBlocking(false);
                     ByteBuffer rest = ByteBuffer.wrap(much);
@@ -165,10 +173,13 @@
     void withSomethingUnreadableBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
         FakeServer node = holding(left, FakeServer.REJECTED); // a proof that it has not run: it may go to another one
-        try (node; SidecarRig rig = rig(host("s-1", node.address()) + "," + host("s-2", node.address()), cancel)) {
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()) + "," + host("s-2", node.address()), cancel)) {
             Client client = rig.client().write(SidecarRig.submit("a", 5) + "hello");
             assertNotNull(node.nextRequest());
-            client.write("\u0001\u0002 no HTTP\r\n\r\n").write(new byte[600_000]).close();
+            client.write("\u0001\u0002 no HTTP\r\n\r\n")
+                    .write(new byte[600_000])
+                    .close();
             awaitBound();
             left.countDown();
             assertNull(node.requests.poll(500, TimeUnit.MILLISECONDS), "it was sent again");
@@ -184,7 +195,8 @@
                 connection.write(answer);
             }
         });
-        try (node; SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             Client client = rig.client();
             StringBuilder many = new StringBuilder();
             for (int i = 0; i < 40; i++) { // their answers are far more than the sockets hold
@@ -213,7 +225,8 @@
     @ValueSource(booleans = {true, false})
     void whileNobodyTakesItsLongBody(boolean cancel) throws Exception {
         for (int bytes : new int[] {200_000, 3_000_000}) {
-            try (LateListener node = new LateListener(); SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+            try (LateListener node = new LateListener();
+                    SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
                 Client client = rig.client();
                 Thread writer = new Thread(() -> {
                     try {
@@ -236,7 +249,8 @@
     @ValueSource(booleans = {true, false})
     void whileTheRestOfItsLongBodyStandsInTheSocket(boolean cancel) throws Exception {
         int bytes = 1_000_000;
-        try (LateListener node = new LateListener(); SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
+        try (LateListener node = new LateListener();
+                SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             Client client = rig.client().write(SidecarRig.submit("long", bytes)).write(new byte[bytes]);
             client.socket.shutdownOutput();
             awaitBound();
@@ -247,7 +261,9 @@
                 int came = 0;
                 byte[] part = new byte[65_536];
                 try {
-                    for (int count = late.getInputStream().read(part); count >= 0; count = late.getInputStream().read(part)) {
+                    for (int count = late.getInputStream().read(part);
+                            count >= 0;
+                            count = late.getInputStream().read(part)) {
                         came += count;
                     }
                 } catch (IOException e) {
@@ -260,7 +276,8 @@
 
     @Test
     void aClientThatStaysIsServedAllTheSame() throws Exception {
-        try (LateListener node = new LateListener(); SidecarRig rig = rig(host("s-1", node.address()), false)) {
+        try (LateListener node = new LateListener();
+                SidecarRig rig = rig(host("s-1", node.address()), false)) {
             Client client = rig.client().write(SidecarRig.read("stays"));
             node.letIn();
             Socket late = node.next(4000);
@@ -297,7 +314,8 @@
     void whatIsMoreThanMayWaitIsRefusedInItsTurn() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = holding(go, FakeServer.OK);
-        try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()), true)) {
             Client client = flood(rig, node, 100);
             go.countDown();
             int served = 0;
@@ -305,7 +323,12 @@
             for (int i = 0; i < 101; i++) {
                 String answer = client.read();
                 boolean ok = answer.startsWith("HTTP/1.1 200");
-                assertTrue(ok || answer.startsWith("HTTP/1.1 503") && answer.toLowerCase(java.util.Locale.ROOT).contains("retry-after: 1.5"), answer);
+                assertTrue(
+                        ok
+                                || answer.startsWith("HTTP/1.1 503")
+                                        && answer.toLowerCase(java.util.Locale.ROOT)
+                                                .contains("retry-after: 1.5"),
+                        answer);
                 assertTrue(!(ok && refused), "each in its turn");
                 refused |= !ok;
                 served += ok ? 1 : 0;
@@ -320,7 +343,8 @@
     void whoSendsWithoutEndIsRefusedAThousandTimesAndThenClosed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = holding(go, FakeServer.OK);
-        try (node; SidecarRig rig = rig(host("s-1", node.address()), true)) {
+        try (node;
+                SidecarRig rig = rig(host("s-1", node.address()), true)) {
             Client client = flood(rig, node, 3000);
             go.countDown();
             int served = 0;
--- a/src/test/java/ivybank/daemon/DriverTest.java
+++ b/src/test/java/ivybank/daemon/DriverTest.java
@@ -5,15 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
@@ -32,12 +29,14 @@
 import ivybank.testing.FakeServer;
 import ivybank.upstream.LoadReport;
 import ivybank.upstream.UpstreamPool;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpMethod;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -63,11 +62,20 @@
     void start() throws Exception {
         node = FakeServer.answering(FakeServer.OK);
         onLoop(() -> {
-            UpstreamPool pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(10, 250, 10_000), new Descriptors(20),
-                    new LoadReport(List.of()), new Bootstrap().channel(NioSocketChannel.class), log);
+            UpstreamPool pool = new UpstreamPool(
+                    loop,
+                    clock,
+                    new UpstreamPool.Limits(10, 250, 10_000),
+                    new Descriptors(20),
+                    new LoadReport(List.of()),
+                    new Bootstrap().channel(NioSocketChannel.class),
+                    log);
             Directory directory = new Directory(List.of("a"), List.of("k"), pool::closeIdle);
-            driver = new Driver(SettingsText.parse("lanes.count=1\nlanes.0.name=submit\nlanes.0.hardLimitMs=6000\nlimits.maxAttempts=6\n"),
-                    1, (settings, seed, does) -> {
+            driver = new Driver(
+                    SettingsText.parse(
+                            "lanes.count=1\nlanes.0.name=submit\nlanes.0.hardLimitMs=6000\nlimits.maxAttempts=6\n"),
+                    1,
+                    (settings, seed, does) -> {
                         actions = does;
                         return new IdleBalancer() {
                             @Override
@@ -80,8 +88,14 @@
                                 ends.add(end);
                             }
                         };
-                    }, loop, clock, directory, pool, log);
-            driver.start(new HostUpdate(1, true, List.of(new HostUpdate.Entry("s-1", node.address(), Status.READY, 0, "a", "k", 0, 1))));
+                    },
+                    loop,
+                    clock,
+                    directory,
+                    pool,
+                    log);
+            driver.start(new HostUpdate(
+                    1, true, List.of(new HostUpdate.Entry("s-1", node.address(), Status.READY, 0, "a", "k", 0, 1))));
             return null;
         });
     }
@@ -97,7 +111,8 @@
     }
 
     private ClientRequest request(double budgetMs) {
-        return new ClientRequest(HttpMethod.POST, "/submit", "c1", null, new byte[2], 0, 0, false, clock.nowMs(), budgetMs, null, null);
+        return new ClientRequest(
+                HttpMethod.POST, "/submit", "c1", null, new byte[2], 0, 0, false, clock.nowMs(), budgetMs, null, null);
     }
 
     /** A record that is written when the test says so. */
@@ -138,7 +153,7 @@
     void whatWaitsForItsRecordIsNotSentOnceItsClientHasLeft() throws Exception {
         HeldRecord record = new HeldRecord();
         int id = onLoop(() -> {
-            int number = driver.request(request(6000).with(record), answer -> { });
+            int number = driver.request(request(6000).with(record), answer -> {});
             actions.send(number, 0, 0);
             return number;
         });
@@ -160,7 +175,7 @@
     @Test
     void anAttemptAtANodeThatIsForgottenEndsAtOnceAsNotSent() throws Exception {
         onLoop(() -> {
-            actions.send(driver.request(request(6000), answer -> { }), NOBODY, 0);
+            actions.send(driver.request(request(6000), answer -> {}), NOBODY, 0);
             return null;
         });
         AttemptEnd end = ends.poll(5, TimeUnit.SECONDS);
--- a/src/test/java/ivybank/daemon/HeldUpLoopTest.java
+++ b/src/test/java/ivybank/daemon/HeldUpLoopTest.java
@@ -4,6 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.common.Clock;
+import ivybank.daemon.SidecarRig.Client;
+import ivybank.testing.FakeServer;
+import ivybank.testing.HaltingLines;
+import ivybank.testing.LateListener;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -14,12 +19,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-
-import ivybank.common.Clock;
-import ivybank.daemon.SidecarRig.Client;
-import ivybank.testing.FakeServer;
-import ivybank.testing.HaltingLines;
-import ivybank.testing.LateListener;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -39,6 +38,7 @@
 
     @TempDir
     Path dir;
+
     private final SidecarRig.Options options = new SidecarRig.Options();
     private final CountDownLatch halted = new CountDownLatch(1);
     private final CountDownLatch go = new CountDownLatch(1);
@@ -67,7 +67,9 @@
         Client client = rig.client();
         for (FakeServer node : nodes) {
             for (int i = 0; node.requests.isEmpty(); i++) {
-                assertTrue(client.write(SidecarRig.read("w" + node.address().getPort() + i)).read().endsWith("body"));
+                assertTrue(client.write(SidecarRig.read("w" + node.address().getPort() + i))
+                        .read()
+                        .endsWith("body"));
             }
         }
         for (FakeServer node : nodes) {
@@ -81,7 +83,8 @@
     void whoAskedAndLeftMeanwhileIsNotSentOn(boolean cancel) throws Exception {
         options.cancel = cancel;
         FakeServer node = FakeServer.answering(FakeServer.OK);
-        try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
+        try (node;
+                SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
             warm(rig, node);
             Client open = rig.client();
             assertTrue(open.write(SidecarRig.read("o")).read().endsWith("body"));
@@ -96,7 +99,11 @@
             goOn();
             assertTrue(stays.read().endsWith("body"));
             Thread.sleep(SETTLED_MS);
-            assertEquals(List.of("stays"), node.requests.stream().map(request -> request.replaceAll("(?s).*Call-Id: (\\S+).*", "$1")).toList(),
+            assertEquals(
+                    List.of("stays"),
+                    node.requests.stream()
+                            .map(request -> request.replaceAll("(?s).*Call-Id: (\\S+).*", "$1"))
+                            .toList(),
                     "sent on for who had left");
         }
     }
@@ -121,7 +128,10 @@
         };
         FakeServer one = new FakeServer(script);
         FakeServer two = new FakeServer(script);
-        try (one; two; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", one) + "," + ready("s-2", two), options)) {
+        try (one;
+                two;
+                SidecarRig rig = new SidecarRig(
+                        dir, FakeServer.nobody(), ready("s-1", one) + "," + ready("s-2", two), options)) {
             warm(rig, one, two);
             Client client = rig.client().write(SidecarRig.submit("leaves", 5) + "hello");
             while (one.requests.size() + two.requests.size() == 0) {
@@ -143,7 +153,8 @@
     void whoLeftWhileItsConnectionCameUpIsNotSentOn(boolean cancel) throws Exception {
         options.cancel = cancel;
         try (LateListener node = new LateListener();
-                SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), SidecarRig.host("s-1", node.address(), "Ready"), options)) {
+                SidecarRig rig = new SidecarRig(
+                        dir, FakeServer.nobody(), SidecarRig.host("s-1", node.address(), "Ready"), options)) {
             Client client = rig.client().write(SidecarRig.submit("a", 5) + "hello");
             while (rig.sidecar.requestsInHand() == 0) {
                 Thread.sleep(1);
@@ -174,7 +185,8 @@
                 }
             }
         });
-        try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
+        try (node;
+                SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
             warm(rig, node);
             Client client = rig.client();
             assertTrue(client.write(SidecarRig.read("w")).read().endsWith("body"));
@@ -203,12 +215,15 @@
         });
         AtomicInteger asked = new AtomicInteger();
         FakeServer node = FakeServer.answering(FakeServer.OK);
-        try (node; SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
+        try (node;
+                SidecarRig rig = new SidecarRig(dir, FakeServer.nobody(), ready("s-1", node), options)) {
             for (int i = 0; i < 30; i++) {
                 Client busy = rig.client();
                 Thread thread = new Thread(() -> {
                     try {
-                        while (busy.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").read() != null) {
+                        while (busy.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                                        .read()
+                                != null) {
                             asked.incrementAndGet();
                         }
                     } catch (IOException e) {
@@ -250,12 +265,17 @@
             connection.read();
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
             tell.await();
-            String line = SidecarRig.list(10, SidecarRig.host("s-1", drains.address(), "Terminating")).replace("true", "false") + "\n";
+            String line = SidecarRig.list(10, SidecarRig.host("s-1", drains.address(), "Terminating"))
+                            .replace("true", "false")
+                    + "\n";
             connection.write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
             told.countDown();
             connection.read();
         });
-        try (drains; stays; agent; SidecarRig rig = new SidecarRig(dir, agent.address(), before, options)) {
+        try (drains;
+                stays;
+                agent;
+                SidecarRig rig = new SidecarRig(dir, agent.address(), before, options)) {
             warm(rig, drains, stays);
             List<Client> clients = new ArrayList<>();
             for (int i = 0; i < 12; i++) {
--- a/src/test/java/ivybank/daemon/LongBodiesTest.java
+++ b/src/test/java/ivybank/daemon/LongBodiesTest.java
@@ -7,6 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.discovery.Timing;
+import ivybank.testing.FakeServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -25,11 +29,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.discovery.Timing;
-import ivybank.testing.FakeServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -41,6 +40,7 @@
 
     /** More than the sockets on the way hold together. */
     private static final int LENGTH = 24 << 20;
+
     private static final byte[] LONG = new byte[LENGTH];
 
     static {
@@ -49,6 +49,7 @@
 
     @TempDir
     Path dir;
+
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private Sidecar sidecar;
     private InetSocketAddress address;
@@ -65,10 +66,13 @@
         List<String> hosts = new ArrayList<>();
         for (FakeServer node : nodes) {
             toClose.add(node);
-            hosts.add("{\"host\":\"s-" + hosts.size() + "\",\"dial\":\"127.0.0.1:" + node.address().getPort()
-                    + "\",\"site\":\"a\",\"class\":\"k\",\"block\":1,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}");
+            hosts.add(
+                    "{\"host\":\"s-" + hosts.size() + "\",\"dial\":\"127.0.0.1:"
+                            + node.address().getPort()
+                            + "\",\"site\":\"a\",\"class\":\"k\",\"block\":1,\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}");
         }
-        Path config = Files.writeString(dir.resolve("config.json"), """
+        Path config = Files.writeString(
+                dir.resolve("config.json"), """
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1","limits":{"sockets":256},
                  "known":{"seq":3,"whole":true,"hosts":[%s]},
                  "settings":{"instances":1,"tickMs":5,"tenants":[],
@@ -80,9 +84,15 @@
                 """.formatted(FakeServer.nobody().getPort(), String.join(",", hosts)));
         Map<String, String> environment = Map.of("EDGE_CONFIG", config.toString());
         Clock clock = Clock.system();
-        sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment),
-                new Log(new PrintStream(OutputStream.nullOutputStream()), clock), clock, new Sidecar.DrainTimes(0, 0, 2000),
-                Timing.standard(false, 500), null, null);
+        sidecar = new Sidecar(
+                Config.load(environment),
+                new ConfigFile(environment),
+                new Log(new PrintStream(OutputStream.nullOutputStream()), clock),
+                clock,
+                new Sidecar.DrainTimes(0, 0, 2000),
+                Timing.standard(false, 500),
+                null,
+                null);
         address = sidecar.start();
     }
 
@@ -173,9 +183,12 @@
         start(new FakeServer(connection -> {
             while (connection.read() != null) {
                 String form = forms.take();
-                connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + (form.startsWith("chunked")
-                        ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LENGTH) + "\r\n"
-                        : form.startsWith("close") ? "Connection: close\r\n\r\n" : "Content-Length: " + (LENGTH + 1) + "\r\n\r\n"));
+                connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                        + (form.startsWith("chunked")
+                                ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(LENGTH) + "\r\n"
+                                : form.startsWith("close")
+                                        ? "Connection: close\r\n\r\n"
+                                        : "Content-Length: " + (LENGTH + 1) + "\r\n\r\n"));
                 connection.socket.getOutputStream().write(LONG);
                 if (form.equals("chunked")) {
                     connection.write("\r\n0\r\nX-Trailer: 1\r\n\r\n");
--- a/src/test/java/ivybank/daemon/OperationsTest.java
+++ b/src/test/java/ivybank/daemon/OperationsTest.java
@@ -5,15 +5,21 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.DatagramSocket;
-import java.net.InetSocketAddress;
-import java.util.stream.Collectors;
-import java.io.PrintStream;
-import java.io.ByteArrayOutputStream;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.peers.PeerFleet;
+import ivybank.peers.PeerSettings;
+import ivybank.testing.FakeServer;
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
@@ -30,14 +36,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-
-import ivybank.testing.FakeServer;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.peers.PeerFleet;
-import ivybank.peers.PeerSettings;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -48,17 +47,21 @@
 class OperationsTest {
 
     /** Opens a listening socket, says its port, and becomes each program that it is told to with the socket as input. */
-    private static final String PLATFORM = "use Socket; $SIG{CHLD} = q(IGNORE); $| = 1; socket(my $s, PF_INET, SOCK_STREAM, 0); bind($s, pack_sockaddr_in(0,"
-            + " INADDR_LOOPBACK)) or die; listen($s, 1024) or die; print((sockaddr_in(getsockname($s)))[0], qq(\\n));"
-            + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
-            + " if (!$pid) { open(STDIN, q(<&), $s) or die; exec q(/bin/sh), q(-c), $line or die; } print qq($pid\\n); }"
-            + " kill q(KILL), $_ for @ARGV;";
+    private static final String PLATFORM =
+            "use Socket; $SIG{CHLD} = q(IGNORE); $| = 1; socket(my $s, PF_INET, SOCK_STREAM, 0); bind($s, pack_sockaddr_in(0,"
+                    + " INADDR_LOOPBACK)) or die; listen($s, 1024) or die; print((sockaddr_in(getsockname($s)))[0], qq(\\n));"
+                    + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
+                    + " if (!$pid) { open(STDIN, q(<&), $s) or die; exec q(/bin/sh), q(-c), $line or die; } print qq($pid\\n); }"
+                    + " kill q(KILL), $_ for @ARGV;";
 
     @TempDir
     Path dir;
+
     private final List<AutoCloseable> toClose = new ArrayList<>();
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(2)).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
     private Process platform;
     private BufferedReader platformSays;
     private int port;
@@ -93,12 +96,15 @@
     }
 
     private static String host(String name, FakeServer server, String health, long bornMs) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:" + server.address().getPort() + "\",\"site\":\"a\",\"class\":\"k\","
-                + "\"block\":1,\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs + "}";
+        return "{\"host\":\"" + name + "\",\"dial\":\"127.0.0.1:"
+                + server.address().getPort() + "\",\"site\":\"a\",\"class\":\"k\"," + "\"block\":1,\"health\":\""
+                + health + "\",\"share\":1.0,\"born_ms\":" + bornMs + "}";
     }
 
     private void startPlatform() throws IOException {
-        platform = new ProcessBuilder("perl", "-e", PLATFORM).redirectError(dir.resolve("platform.log").toFile()).start();
+        platform = new ProcessBuilder("perl", "-e", PLATFORM)
+                .redirectError(dir.resolve("platform.log").toFile())
+                .start();
         toClose.add(platform::destroyForcibly);
         platformSays = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.UTF_8));
         port = Integer.parseInt(platformSays.readLine());
@@ -128,7 +134,8 @@
                       "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
                                 "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":60000},
                       "report":{"via":"inline","fields":[]},"failureDomains":["a"],"kinds":["k"]}}
-                    """.formatted(port, roster.server.address().getPort(), door));
+                    """.formatted(
+                            port, roster.server.address().getPort(), door));
             String command = "TMPDIR='" + dir + "' EDGE_INHERITED_FD=0 EDGE_CONFIG='" + config + "' " + more + "exec '"
                     + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:TieredStopAtLevel=1 -cp '"
                     + System.getProperty("java.class.path") + "' ivybank.Main serve > '" + dir.resolve(door + ".log")
@@ -145,9 +152,13 @@
         }
 
         int call(String method, String path, String body) throws IOException, InterruptedException {
-            return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + path))
-                    .timeout(Duration.ofSeconds(5)).method(method, BodyPublishers.ofString(body)).build(),
-                    BodyHandlers.ofString()).statusCode();
+            return http.send(
+                            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + path))
+                                    .timeout(Duration.ofSeconds(5))
+                                    .method(method, BodyPublishers.ofString(body))
+                                    .build(),
+                            BodyHandlers.ofString())
+                    .statusCode();
         }
 
         boolean ok(String method, String path, String body) throws InterruptedException {
@@ -181,8 +192,10 @@
     }
 
     private String ask(Socket socket, String path) throws IOException {
-        socket.getOutputStream().write(("GET /" + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: c" + ++asked
-                + "\r\nX-Budget-Ms: 5000\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream()
+                .write(("GET /" + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: c" + ++asked
+                                + "\r\nX-Budget-Ms: 5000\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
         StringBuilder text = new StringBuilder();
         while (text.indexOf("\r\n\r\n") < 0) {
             int next = socket.getInputStream().read();
@@ -223,7 +236,8 @@
         assertEquals(200, first.out("a"));
         assertEquals(200, first.out("a"), "one that is out already");
         roster.later.add("{\"seq\":2,\"whole\":false,\"hosts\":[" + host("a", a, "Gone", 0) + "]}");
-        roster.later.add("{\"seq\":3,\"whole\":false,\"hosts\":[" + host("a", a, "Ready", System.currentTimeMillis()) + "]}");
+        roster.later.add(
+                "{\"seq\":3,\"whole\":false,\"hosts\":[" + host("a", a, "Ready", System.currentTimeMillis()) + "]}");
         assertAllFrom("b...");
         Started second = new Started(roster);
         kill(first.pid, "TERM");
@@ -333,15 +347,30 @@
             }
         }
         Path key = Files.writeString(dir.resolve("key"), "00112233445566778899aabbccddeeff");
-        String list = addresses.stream().map(each -> "\"127.0.0.1:" + each.getPort() + "\"").collect(Collectors.joining(", "));
-        more = "EDGE_OPERATOR='" + Files.writeString(dir.resolve("operator.toml"), "[peers]\nkey_file = \"" + key + "\"\nlisten = \"127.0.0.1:"
-                + addresses.get(0).getPort() + "\"\naddresses = [" + list + "]\n") + "' ";
+        String list = addresses.stream()
+                .map(each -> "\"127.0.0.1:" + each.getPort() + "\"")
+                .collect(Collectors.joining(", "));
+        more = "EDGE_OPERATOR='"
+                + Files.writeString(
+                        dir.resolve("operator.toml"),
+                        "[peers]\nkey_file = \"" + key + "\"\nlisten = \"127.0.0.1:"
+                                + addresses.get(0).getPort() + "\"\naddresses = [" + list + "]\n")
+                + "' ";
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         toClose.add(() -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly());
         Clock clock = Clock.system();
         ByteArrayOutputStream seen = new ByteArrayOutputStream();
-        PeerFleet other = new PeerFleet(new PeerSettings(key, "ivybank", "", "", List.of(), null), "other", addresses.get(1), addresses, 1, 2,
-                group.next(), clock, new Log(new PrintStream(seen, true, StandardCharsets.UTF_8), clock), count -> { });
+        PeerFleet other = new PeerFleet(
+                new PeerSettings(key, "ivybank", "", "", List.of(), null),
+                "other",
+                addresses.get(1),
+                addresses,
+                1,
+                2,
+                group.next(),
+                clock,
+                new Log(new PrintStream(seen, true, StandardCharsets.UTF_8), clock),
+                count -> {});
         other.open(false);
         startPlatform();
         Started first = new Started(roster);
@@ -410,7 +439,9 @@
         for (int i = 0; i < 40; i++) {
             Socket mute = new Socket(InetAddress.getLoopbackAddress(), sidecar.door);
             toClose.add(mute);
-            mute.getOutputStream().write("PUT /maintenance/enter HTTP/1.1\r\nContent-Length: 9\r\n\r\n{".getBytes(StandardCharsets.US_ASCII));
+            mute.getOutputStream()
+                    .write("PUT /maintenance/enter HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"
+                            .getBytes(StandardCharsets.US_ASCII));
         }
         assertEquals(200, sidecar.out("a"));
         assertEquals(200, sidecar.back("a"));
@@ -418,8 +449,13 @@
 
     @Test
     void anInheritedDescriptorThatIsNoListeningSocketEndsTheStartWithOneLine() throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "ivybank.Main", "serve").redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "ivybank.Main",
+                        "serve")
+                .redirectErrorStream(true);
         builder.environment().put("EDGE_INHERITED_FD", "0");
         builder.environment().put("EDGE_CONFIG", "deploy/archive.json");
         Process process = builder.start();
--- a/src/test/java/ivybank/daemon/PromiseKeeperTest.java
+++ b/src/test/java/ivybank/daemon/PromiseKeeperTest.java
@@ -4,6 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.discovery.Timing;
+import ivybank.operator.OperatorFile;
+import ivybank.testing.FakeServer;
+import ivybank.testing.LateListener;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -19,13 +25,6 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
-
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.discovery.Timing;
-import ivybank.operator.OperatorFile;
-import ivybank.testing.FakeServer;
-import ivybank.testing.LateListener;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -35,11 +34,11 @@
 @Timeout(60)
 class PromiseKeeperTest {
 
-    private record Got(int status, String body) {
-    }
+    private record Got(int status, String body) {}
 
     @TempDir
     Path dir;
+
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private final ByteArrayOutputStream said = new ByteArrayOutputStream();
     private final AtomicInteger ran = new AtomicInteger();
@@ -75,18 +74,28 @@
                    "connectTimeoutMs":250,"connIdleMs":60000},
                   "report":{"via":"inline","fields":[]},"failureDomains":["a"],"kinds":["k"]}}
                 """.formatted(node.getPort()));
-        Path operator = Files.writeString(dir.resolve("operator.toml"), "[store]\nfolder = \"" + dir.resolve("store")
-                + "\"\nfirst_start = \"make\"\n[promises]\nidentity = \"X-Event\"\n");
+        Path operator = Files.writeString(
+                dir.resolve("operator.toml"),
+                "[store]\nfolder = \"" + dir.resolve("store")
+                        + "\"\nfirst_start = \"make\"\n[promises]\nidentity = \"X-Event\"\n");
         Clock clock = Clock.system();
         Map<String, String> environment = Map.of("EDGE_CONFIG", file.toString());
-        sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment),
-                new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock), clock, new Sidecar.DrainTimes(10, 20, 200),
-                Timing.standard(false, 500), OperatorFile.read(operator).store(), null);
+        sidecar = new Sidecar(
+                Config.load(environment),
+                new ConfigFile(environment),
+                new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock),
+                clock,
+                new Sidecar.DrainTimes(10, 20, 200),
+                Timing.standard(false, 500),
+                OperatorFile.read(operator).store(),
+                null);
         address = sidecar.start();
     }
 
     private Got submit(String event, int budgetMs) throws IOException {
-        HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/submit").toURL().openConnection();
+        HttpURLConnection call = (HttpURLConnection) URI.create("http://127.0.0.1:" + address.getPort() + "/submit")
+                .toURL()
+                .openConnection();
         call.setRequestMethod("POST");
         call.setDoOutput(true);
         call.setRequestProperty("X-Call-Id", "c" + ++asked);
@@ -117,7 +126,9 @@
         assertEquals(new Got(200, "#4"), submit(null, 3000), "one without a name is not recognised");
         sidecar.drain();
         start(node);
-        assertTrue(said.toString(StandardCharsets.UTF_8).contains("promises: 2 acked and 0 in doubt from before"), said.toString(StandardCharsets.UTF_8));
+        assertTrue(
+                said.toString(StandardCharsets.UTF_8).contains("promises: 2 acked and 0 in doubt from before"),
+                said.toString(StandardCharsets.UTF_8));
         assertEquals(new Got(200, "#1"), submit("quake-7", 3000));
         assertEquals(4, ran.get());
         String folder = dir.resolve("store").toString();
@@ -131,7 +142,9 @@
         Path segment;
         try (var files = Files.list(dir.resolve("store"))) {
             segment = files.filter(file -> file.getFileName().toString().startsWith("segment-"))
-                    .max(java.util.Comparator.comparingLong(file -> file.toFile().length())).orElseThrow();
+                    .max(java.util.Comparator.comparingLong(
+                            file -> file.toFile().length()))
+                    .orElseThrow();
         }
         byte[] bytes = Files.readAllBytes(segment);
         bytes[40] ^= 1;
@@ -170,8 +183,10 @@
         AtomicInteger turnedAway = new AtomicInteger();
         InetSocketAddress node = node(connection -> {
             while (connection.read() != null) {
-                connection.write(turnedAway.getAndIncrement() < 8 ? "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
-                        : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + ran.incrementAndGet());
+                connection.write(
+                        turnedAway.getAndIncrement() < 8
+                                ? "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+                                : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n#" + ran.incrementAndGet());
             }
         });
         start(node);
@@ -193,8 +208,10 @@
             for (int i = 0; i < 2; i++) {
                 Socket client = new Socket(address.getAddress(), address.getPort());
                 clients.add(client);
-                client.getOutputStream().write(("POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: j" + i
-                        + "\r\nX-Budget-Ms: 6000\r\nX-Event: same\r\nContent-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII));
+                client.getOutputStream()
+                        .write(("POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: j" + i
+                                        + "\r\nX-Budget-Ms: 6000\r\nX-Event: same\r\nContent-Length: 2\r\n\r\n{}")
+                                .getBytes(StandardCharsets.US_ASCII));
                 while (sidecar.requestsInHand() == 0) {
                     Thread.sleep(2);
                 }
@@ -252,7 +269,8 @@
     void twoSidecarsCantHaveTheSameFolder() throws Exception {
         start(node(this::serves));
         Sidecar running = sidecar;
-        IOException e = org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> start(new InetSocketAddress("127.0.0.1", 1)));
+        IOException e = org.junit.jupiter.api.Assertions.assertThrows(
+                IOException.class, () -> start(new InetSocketAddress("127.0.0.1", 1)));
         assertTrue(e.getMessage().contains("is held by another process"), e.getMessage());
         sidecar = running;
     }
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -1,5 +1,9 @@
 package ivybank.daemon;
 
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.discovery.Timing;
+import ivybank.testing.FakeServer;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
@@ -18,11 +22,6 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.discovery.Timing;
-import ivybank.testing.FakeServer;
-
 /** A whole sidecar on loopback for one test, with settings of the test's own. */
 final class SidecarRig implements Closeable {
 
@@ -46,7 +45,9 @@
     private final List<Closeable> toClose = new ArrayList<>();
 
     SidecarRig(Path dir, InetSocketAddress discovery, String known, Options options) throws IOException {
-        Map<String, String> environment = Map.of("EDGE_CONFIG", Files.writeString(dir.resolve("config.json"), """
+        Map<String, String> environment = Map.of(
+                "EDGE_CONFIG",
+                Files.writeString(dir.resolve("config.json"), """
                 {"name":"n0","listen":"%s","discovery":"%s","seed":"ff0e5a0000000001",
                  "limits":{"sockets":1024},"known":{"seq":3,"whole":true,"hosts":[%s]},
                  "settings":{"instances":1,"tickMs":5,"tenants":[],"contract":{"drainGraceMs":%s},
@@ -55,12 +56,31 @@
                   "limits":{"maxAttempts":6,"cancel":%s,"secondCopies":%s,"retryAfter":true,
                             "maxRetryAfterMs":1500,"connectTimeoutMs":%d,"connIdleMs":60000},
                   "failureDomains":["a"],"kinds":["k"]}}
-                """.formatted(text(options.listen), text(discovery), known, options.drainGraceMs, options.deadlineMs, options.deadlineMs, options.deadlineMs,
-                options.deadlineMs, options.extraClasses, options.cancel, options.secondCopies, options.connectTimeoutMs)).toString());
+                """.formatted(
+                                        text(options.listen),
+                                        text(discovery),
+                                        known,
+                                        options.drainGraceMs,
+                                        options.deadlineMs,
+                                        options.deadlineMs,
+                                        options.deadlineMs,
+                                        options.deadlineMs,
+                                        options.extraClasses,
+                                        options.cancel,
+                                        options.secondCopies,
+                                        options.connectTimeoutMs))
+                        .toString());
         Clock clock = options.clock;
         Config config = Config.load(environment);
-        sidecar = new Sidecar(config, new ConfigFile(environment), new Log(options.lines, clock), clock, options.drainTimes,
-                Timing.standard(false, config.drainGraceMs()), null, null);
+        sidecar = new Sidecar(
+                config,
+                new ConfigFile(environment),
+                new Log(options.lines, clock),
+                clock,
+                options.drainTimes,
+                Timing.standard(false, config.drainGraceMs()),
+                null,
+                null);
         address = sidecar.start();
     }
 
@@ -69,8 +89,9 @@
     }
 
     static String host(String name, InetSocketAddress address, String health) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"" + text(address) + "\",\"site\":\"a\",\"class\":\"k\",\"block\":1,\"health\":\""
-                + health + "\",\"share\":1.0,\"born_ms\":0}";
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + text(address)
+                + "\",\"site\":\"a\",\"class\":\"k\",\"block\":1,\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":0}";
     }
 
     static String list(long seq, String hosts) {
@@ -86,7 +107,8 @@
     }
 
     static String submit(String id, int bytes) {
-        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 6000\r\nContent-Length: " + bytes + "\r\n\r\n";
+        return "POST /submit HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 6000\r\nContent-Length: "
+                + bytes + "\r\n\r\n";
     }
 
     /** Reads one answer, head and body; null at the end of the connection. */
@@ -102,7 +124,8 @@
             text = bytes.toString(StandardCharsets.ISO_8859_1);
         }
         int at = text.toLowerCase(Locale.ROOT).indexOf("content-length:");
-        int length = Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
+        int length =
+                Integer.parseInt(text.substring(at + 15, text.indexOf('\r', at)).trim());
         return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
     }
 
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -8,6 +8,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.discovery.Timing;
+import ivybank.handover.Learned;
+import ivybank.handover.Memory;
+import ivybank.handover.MemoryFiles;
+import ivybank.testing.FakeServer;
+import ivybank.testing.HaltingLines;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -27,15 +35,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-
-import ivybank.discovery.Timing;
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.handover.Learned;
-import ivybank.handover.Memory;
-import ivybank.handover.MemoryFiles;
-import ivybank.testing.FakeServer;
-import ivybank.testing.HaltingLines;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -49,13 +48,16 @@
 
     @TempDir
     Path dir;
+
     private final List<AutoCloseable> toClose = new ArrayList<>();
     private Sidecar sidecar;
     /** How far the sidecar's clock is ahead of this machine's. */
     private final AtomicLong aheadNanos = new AtomicLong();
     /** Where it stands still, if it does. */
     private final AtomicLong frozenNanos = new AtomicLong();
-    private final Clock clock = new Clock(System.currentTimeMillis(),
+
+    private final Clock clock = new Clock(
+            System.currentTimeMillis(),
             () -> frozenNanos.get() != 0 ? frozenNanos.get() : System.nanoTime() + aheadNanos.get());
     private PrintStream lines = new PrintStream(OutputStream.nullOutputStream());
     private Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0, 10_000);
@@ -78,9 +80,17 @@
     }
 
     private void start(InetSocketAddress discovery, String known, int sockets) throws IOException {
-        Map<String, String> environment = Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString());
-        sidecar = new Sidecar(Config.load(environment), new ConfigFile(environment), new Log(lines, clock), clock, drainTimes,
-                Timing.standard(false, 500), null, inherited);
+        Map<String, String> environment =
+                Map.of("EDGE_CONFIG", config(discovery, known, sockets).toString());
+        sidecar = new Sidecar(
+                Config.load(environment),
+                new ConfigFile(environment),
+                new Log(lines, clock),
+                clock,
+                drainTimes,
+                Timing.standard(false, 500),
+                null,
+                inherited);
         address = sidecar.start();
     }
 
@@ -295,13 +305,23 @@
         assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: soon\r\n\r\n"));
         assertEquals(400, client.status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: -5\r\n\r\n"));
         assertEquals(405, client.status("GET /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n\r\n"));
-        assertEquals(413, client().status("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n"
-                + "Content-Length: 40000000\r\n\r\n"), "before the body has come");
-        assertEquals(417, client().status("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n"
-                + "Expect: a-miracle\r\nContent-Length: 7\r\n\r\n"));
-        for (String head : List.of("X-Budget-Ms: +5", "X-Budget-Ms: 1e3", "X-Budget-Ms: 99999999999",
-                "X-Budget-Ms: 50\r\nX-Budget-Ms: 50", "X-Budget-Ms: 50\r\nX-Call-Id: d", "X-Budget-Ms: 50\r\nContent-Length: 1"
-                + "\r\nX: ", "X-Budget-Ms: 50\r\nIdempotency-Key: a b")) {
+        assertEquals(
+                413,
+                client().status("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n"
+                        + "Content-Length: 40000000\r\n\r\n"),
+                "before the body has come");
+        assertEquals(
+                417,
+                client().status("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 100\r\n"
+                        + "Expect: a-miracle\r\nContent-Length: 7\r\n\r\n"));
+        for (String head : List.of(
+                "X-Budget-Ms: +5",
+                "X-Budget-Ms: 1e3",
+                "X-Budget-Ms: 99999999999",
+                "X-Budget-Ms: 50\r\nX-Budget-Ms: 50",
+                "X-Budget-Ms: 50\r\nX-Call-Id: d",
+                "X-Budget-Ms: 50\r\nContent-Length: 1" + "\r\nX: ",
+                "X-Budget-Ms: 50\r\nIdempotency-Key: a b")) {
             assertEquals(400, client().status("GET /read HTTP/1.1\r\nX-Call-Id: c\r\n" + head + "\r\n\r\nx"), head);
         }
         assertEquals(400, client().status("GET /read HTTP/1.1\r\nX-Call-Id: c d\r\nX-Budget-Ms: 50\r\n\r\n"));
@@ -315,11 +335,19 @@
     void aRequestThatMayHideAnotherIsRefusedAndNothingBehindItIsRead() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
         start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
-        for (String head : List.of("Content-Length: 5\r\nTransfer-Encoding: chunked",
-                "Transfer-Encoding: chunked\r\nContent-Length: 5", "Content-Length: 5\r\nContent-Length: 5",
-                "Content-Length: 5, 5", "Content-Length: +5", "Content-Length: -5", "Content-Length: 0x5",
-                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked",
-                "Transfer-Encoding: identity", "Transfer-Encoding: xchunked", "Content-Length : 5")) {
+        for (String head : List.of(
+                "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 5",
+                "Content-Length: 5\r\nContent-Length: 5",
+                "Content-Length: 5, 5",
+                "Content-Length: +5",
+                "Content-Length: -5",
+                "Content-Length: 0x5",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: xchunked",
+                "Content-Length : 5")) {
             Client client = client();
             client.write("POST /submit HTTP/1.1\r\nX-Call-Id: c\r\nX-Budget-Ms: 900\r\n" + head + "\r\n\r\n"
                     + "0\r\n\r\n" + read(900));
@@ -377,7 +405,8 @@
             connection.read();
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             moved.await();
-            connection.write(chunk("{\"seq\":91,\"whole\":true,\"hosts\":[" + host("s-1", first.address(), "Ready") + "]}\n"));
+            connection.write(
+                    chunk("{\"seq\":91,\"whole\":true,\"hosts\":[" + host("s-1", first.address(), "Ready") + "]}\n"));
         }));
         start(old.address(), "");
         assertNotNull(old.nextRequest());
@@ -470,8 +499,11 @@
         FakeServer first = serve(FakeServer.answering(FakeServer.OK.replace("body", "one.")));
         FakeServer second = serve(FakeServer.answering(FakeServer.OK.replace("body", "two.")));
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer old = roster(9, host("s-1", first.address(), "Ready"), go, host("s-1", first.address(), "Gone") + ","
-                + host("s-2", second.address(), "Ready"));
+        FakeServer old = roster(
+                9,
+                host("s-1", first.address(), "Ready"),
+                go,
+                host("s-1", first.address(), "Gone") + "," + host("s-2", second.address(), "Ready"));
         CountDownLatch speaks = new CountDownLatch(1);
         FakeServer mute = serve(new FakeServer(connection -> {
             connection.read();
@@ -510,11 +542,17 @@
         FakeServer told = serve(FakeServer.answering(FakeServer.OK.replace("body", "told")));
         String before = host("s-1", drains.address(), "Ready") + "," + host("s-2", gone.address(), "Ready");
         CountDownLatch go = new CountDownLatch(1);
-        FakeServer old = roster(9, before + "," + host("s-3", stays.address(), "Ready"), go,
+        FakeServer old = roster(
+                9,
+                before + "," + host("s-3", stays.address(), "Ready"),
+                go,
                 host("s-1", drains.address(), "Terminating") + "," + host("s-2", gone.address(), "Gone") + ","
                         + host("s-4", told.address(), "Ready"));
         CountDownLatch restarted = new CountDownLatch(1);
-        FakeServer next = roster(5, before + "," + host("s-3", stays.address(), "Ready"), restarted,
+        FakeServer next = roster(
+                5,
+                before + "," + host("s-3", stays.address(), "Ready"),
+                restarted,
                 host("s-1", drains.address(), "Ready").replace("\"born_ms\":0", "\"born_ms\":5"));
         start(old.address(), "");
         awaitAnswer("no 1");
@@ -537,9 +575,14 @@
     /** The real program, whose signals this test can set: started with SIGHUP ignored, by {@code prefix}. */
     private Process startIgnoringHangUp(String prefix, FakeServer roster) throws Exception {
         config(roster.address(), "", 1024);
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; " + prefix + " '"
-                + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:TieredStopAtLevel=1 -cp '"
-                + System.getProperty("java.class.path") + "' ivybank.Main serve").redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(
+                        "/bin/sh",
+                        "-c",
+                        "trap '' HUP; " + prefix + " '"
+                                + Path.of(System.getProperty("java.home"), "bin", "java")
+                                + "' -XX:TieredStopAtLevel=1 -cp '"
+                                + System.getProperty("java.class.path") + "' ivybank.Main serve")
+                .redirectErrorStream(true)
                 .redirectOutput(dir.resolve("out.log").toFile());
         builder.environment().put("EDGE_CONFIG", dir.resolve("config.json").toString());
         Process process = builder.start();
@@ -550,7 +593,9 @@
     @Test
     void withTheSignalIgnoredByWhoeverStartedItTheDeployedCommandHearsItAllTheSame() throws Exception {
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run =")).findFirst().orElseThrow();
+                .filter(line -> line.startsWith("run ="))
+                .findFirst()
+                .orElseThrow();
         String prefix = run.substring(run.indexOf('"') + 1, run.indexOf(" java "));
         CountDownLatch never = new CountDownLatch(1);
         FakeServer old = roster(9, "", never, null);
@@ -558,7 +603,9 @@
         Process process = startIgnoringHangUp(prefix, old);
         assertNotNull(old.requests.poll(20, TimeUnit.SECONDS));
         config(next.address(), "", 1024);
-        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+                .start()
+                .waitFor();
         assertNotNull(next.nextRequest(), () -> "the old address stays open: " + process);
     }
 
@@ -618,13 +665,16 @@
             }
         }));
         drainTimes = new Sidecar.DrainTimes(0, 0, 300);
-        String hosts = IntStream.range(0, 12).mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
+        String hosts = IntStream.range(0, 12)
+                .mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
                 .collect(Collectors.joining(","));
         start(FakeServer.nobody(), hosts);
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < 12; i++) { // so many that a free connection for each of them is not what refuses it
             clients.add(client());
-            clients.get(i).write(submit(5000).replace("Id: s", "Id: s" + i) + submit(5000).replace("Id: s", "Id: t" + i));
+            clients.get(i)
+                    .write(submit(5000).replace("Id: s", "Id: s" + i)
+                            + submit(5000).replace("Id: s", "Id: t" + i));
             assertNotNull(upstream.nextRequest());
         }
         CompletableFuture<Void> ended = CompletableFuture.runAsync(sidecar::drain);
@@ -642,7 +692,12 @@
         assumeTrue(HangUp.handle(told::countDown), "these tests run with SIGHUP ignored");
         for (int i = 0; i < 2; i++) {
             long before = told.getCount();
-            new ProcessBuilder("kill", "-HUP", String.valueOf(ProcessHandle.current().pid())).start().waitFor();
+            new ProcessBuilder(
+                            "kill",
+                            "-HUP",
+                            String.valueOf(ProcessHandle.current().pid()))
+                    .start()
+                    .waitFor();
             while (told.getCount() == before) {
                 Thread.sleep(5);
             }
@@ -655,8 +710,9 @@
             connection.read();
             connection.reset();
         }));
-        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready") + ","
-                + host("s-2", upstream.address(), "Ready"));
+        start(
+                FakeServer.nobody(),
+                host("s-1", upstream.address(), "Ready") + "," + host("s-2", upstream.address(), "Ready"));
         int status = client().status(submit(3000));
         assertTrue(status >= 500 && status != 503, "failed, not refused: " + status);
         assertEquals(1, upstream.requests.size());
@@ -666,8 +722,7 @@
     void anUnsafeRequestThatWasTurnedAwayGoesToAnotherUpstream() throws Exception {
         FakeServer busy = serve(FakeServer.answering(FakeServer.REJECTED));
         FakeServer free = serve(FakeServer.answering(FakeServer.OK));
-        start(FakeServer.nobody(), host("s-1", busy.address(), "Ready") + ","
-                + host("s-2", free.address(), "Ready"));
+        start(FakeServer.nobody(), host("s-1", busy.address(), "Ready") + "," + host("s-2", free.address(), "Ready"));
         Client client = client();
         for (int i = 0; i < 4; i++) {
             assertEquals(200, client.status(submit(3000)));
@@ -754,9 +809,16 @@
     @Test
     void servesAfterTheSignalToEndForAsLongAsItCanAnswer() throws Exception {
         config(FakeServer.nobody(), "", 99);
-        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of("EDGE_CONFIG",
-                Files.writeString(dir.resolve("quick.json"), Files.readString(dir.resolve("config.json"))
-                        .replace("6000", "2400").replace("5000", "800").replace("1500", "600")).toString())).settings());
+        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of(
+                        "EDGE_CONFIG",
+                        Files.writeString(
+                                        dir.resolve("quick.json"),
+                                        Files.readString(dir.resolve("config.json"))
+                                                .replace("6000", "2400")
+                                                .replace("5000", "800")
+                                                .replace("1500", "600"))
+                                .toString()))
+                .settings());
         assertEquals(2400 + 700 - 200, times.failRestMs());
         assertEquals(times.failRestMs() - 240, times.stopServingMs());
     }
@@ -764,11 +826,19 @@
     @Test
     void withShortDeadlinesTheListenerClosesWhileWhatItTookLastCanStillBeAnswered() throws Exception {
         config(FakeServer.nobody(), "", 99);
-        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of("EDGE_CONFIG",
-                Files.writeString(dir.resolve("short.json"), Files.readString(dir.resolve("config.json"))
-                        .replace(":6000", ":100").replace(":5000", ":100").replace(":1500", ":80")).toString())).settings());
+        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of(
+                        "EDGE_CONFIG",
+                        Files.writeString(
+                                        dir.resolve("short.json"),
+                                        Files.readString(dir.resolve("config.json"))
+                                                .replace(":6000", ":100")
+                                                .replace(":5000", ":100")
+                                                .replace(":1500", ":80"))
+                                .toString()))
+                .settings());
         assertEquals(100 + 700 - 200, times.failRestMs());
-        assertTrue(times.stopListeningMs() <= times.failRestMs() - 30 && times.stopListeningMs() >= 450, times.toString());
+        assertTrue(
+                times.stopListeningMs() <= times.failRestMs() - 30 && times.stopListeningMs() >= 450, times.toString());
         assertTrue(times.stopServingMs() >= times.stopListeningMs());
     }
 
@@ -881,12 +951,15 @@
             connection.read();
             Thread.sleep(20_000);
         }));
-        List<String> hosts = IntStream.range(0, 6).mapToObj(i -> host("s-" + i, upstream.address(), "Ready")).toList();
-        // A third of 300 are the client's for requests: of these 100, 35 are kept free while another process is here, else 15.
+        List<String> hosts = IntStream.range(0, 6)
+                .mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
+                .toList();
+        // A third of 300 are the client's for requests: of these 100, 35 are kept free while another process is here,
+        // else 15.
         inherited = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         start(FakeServer.nobody(), String.join(",", hosts), 300);
         sidecar.handOver(folder);
-        MemoryFiles other = new MemoryFiles(folder, 1, said -> { });
+        MemoryFiles other = new MemoryFiles(folder, 1, said -> {});
         sidecar.company(true);
         leave(other, 55);
         assertRefused(2, 10 + 2);
@@ -900,7 +973,8 @@
     /** What another process leaves while it has so many requests in hand; until it has been read. */
     private void leave(MemoryFiles other, int inHand) throws Exception {
         for (int i = 0; i < 5; i++) {
-            other.write(new Memory(System.currentTimeMillis(), inHand, 10, new Learned<>(1, 0, List.of(), Map.of(), Map.of())));
+            other.write(new Memory(
+                    System.currentTimeMillis(), inHand, 10, new Learned<>(1, 0, List.of(), Map.of(), Map.of())));
             Thread.sleep(60);
         }
     }
@@ -932,8 +1006,12 @@
     void whereEachRequestComesOnANewConnectionTheOldOnesAreClosedWithTheirAnswers() throws Exception {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
         // Several nodes, so that none of their connections rests when the next request comes.
-        start(FakeServer.nobody(), IntStream.rangeClosed(1, 8).mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
-                .collect(Collectors.joining(",")), 24 + 40);
+        start(
+                FakeServer.nobody(),
+                IntStream.rangeClosed(1, 8)
+                        .mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
+                        .collect(Collectors.joining(",")),
+                24 + 40);
         String answer = "";
         for (int i = 0; !answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"); i++) {
             assertTrue(i < 300, "connections that ask once hold all that there are");
@@ -975,12 +1053,16 @@
     void aMalformedConfigurationIsOneLine() throws Exception {
         Path file = dir.resolve("bad.json");
         assertThrows(ConfigException.class, () -> Config.load(Map.of()));
-        for (String text : List.of("{", "{}", "{\"settings\":{}}", "{\"settings\":{},\"name\":\"n\",\"listen\":\"x\"}",
+        for (String text : List.of(
+                "{",
+                "{}",
+                "{\"settings\":{}}",
+                "{\"settings\":{},\"name\":\"n\",\"listen\":\"x\"}",
                 Files.readString(config(FakeServer.nobody(), "", 99)).replace("\"hardLimitMs\":6000,", ""),
                 Files.readString(config(FakeServer.nobody(), "{}", 99)))) {
             Files.writeString(file, text);
-            ConfigException e = assertThrows(ConfigException.class,
-                    () -> Config.load(Map.of("EDGE_CONFIG", file.toString())));
+            ConfigException e =
+                    assertThrows(ConfigException.class, () -> Config.load(Map.of("EDGE_CONFIG", file.toString())));
             assertEquals(1, e.getMessage().lines().count(), e.getMessage());
         }
     }
@@ -989,18 +1071,25 @@
     void aSettingThatIsOutOfRangeOrOfTheWrongTypeIsOneLineThatNamesIt() throws Exception {
         String good = Files.readString(config(FakeServer.nobody(), "", 99));
         for (String[] change : new String[][] {
-            {"\"cancel\":true", "\"cancel\":1", "limits.cancel"}, {"\"secondCopies\":true", "\"secondCopies\":\"yes\"", "limits.secondCopies"},
+            {"\"cancel\":true", "\"cancel\":1", "limits.cancel"},
+            {"\"secondCopies\":true", "\"secondCopies\":\"yes\"", "limits.secondCopies"},
             {"\"idempotency\":\"fragile\"", "\"idempotency\":\"unsafe\"", "lanes.1.idempotency"},
-            {"\"maxAttempts\":6", "\"maxAttempts\":0", "limits.maxAttempts"}, {"\"maxAttempts\":6", "\"maxAttempts\":2.5", "limits.maxAttempts"},
+            {"\"maxAttempts\":6", "\"maxAttempts\":0", "limits.maxAttempts"},
+            {"\"maxAttempts\":6", "\"maxAttempts\":2.5", "limits.maxAttempts"},
             {"\"connectTimeoutMs\":250", "\"connectTimeoutMs\":\"soon\"", "limits.connectTimeoutMs"},
-            {"\"connIdleMs\":60000", "\"connIdleMs\":-1", "limits.connIdleMs"}, {"\"aimMs\":5000", "\"aimMs\":\"x\"", "lanes.1.aimMs"},
-            {"\"aimMs\":5000", "\"aimMs\":-5000", "lanes.1.aimMs"}, {"\"tickMs\":5", "\"tickMs\":\"NaN\"", "tickMs"},
-            {"\"sockets\":99", "\"sockets\":\"all\"", "limits.sockets"}, {"\"instances\":1", "\"instances\":-3", "instances"},
+            {"\"connIdleMs\":60000", "\"connIdleMs\":-1", "limits.connIdleMs"},
+            {"\"aimMs\":5000", "\"aimMs\":\"x\"", "lanes.1.aimMs"},
+            {"\"aimMs\":5000", "\"aimMs\":-5000", "lanes.1.aimMs"},
+            {"\"tickMs\":5", "\"tickMs\":\"NaN\"", "tickMs"},
+            {"\"sockets\":99", "\"sockets\":\"all\"", "limits.sockets"},
+            {"\"instances\":1", "\"instances\":-3", "instances"},
             {"\"tenants\":[]", "\"tenants\":[],\"membershipMode\":\"pull\"", "membershipMode"},
-            {"\"tenants\":[]", "\"tenants\":[],\"contract\":{\"drainGraceMs\":0}", "contract.drainGraceMs"}}) {
+            {"\"tenants\":[]", "\"tenants\":[],\"contract\":{\"drainGraceMs\":0}", "contract.drainGraceMs"}
+        }) {
             assertTrue(good.contains(change[0]), change[0]);
             Path file = Files.writeString(dir.resolve("bad.json"), good.replace(change[0], change[1]));
-            ConfigException e = assertThrows(ConfigException.class, () -> Config.load(Map.of("EDGE_CONFIG", file.toString())), change[1]);
+            ConfigException e = assertThrows(
+                    ConfigException.class, () -> Config.load(Map.of("EDGE_CONFIG", file.toString())), change[1]);
             assertEquals(1, e.getMessage().lines().count(), e.getMessage());
             assertTrue(e.getMessage().contains(change[2]) && e.getMessage().contains(file.toString()), e.getMessage());
         }
@@ -1020,8 +1109,12 @@
     @Test
     void theWarmUpGetsThroughTheWholeRequestPath() throws Exception {
         // It once stood still after seven requests, and a fresh sidecar then met its first clients cold.
-        assertTrue(Warmup.run(Config.load(Map.of("EDGE_CONFIG", config(FakeServer.nobody(), "", 99).toString()))
-                .settings(), 8_000));
+        assertTrue(Warmup.run(
+                Config.load(Map.of(
+                                "EDGE_CONFIG",
+                                config(FakeServer.nobody(), "", 99).toString()))
+                        .settings(),
+                8_000));
     }
 
     @Test
--- a/src/test/java/ivybank/discovery/DirectoryTest.java
+++ b/src/test/java/ivybank/discovery/DirectoryTest.java
@@ -6,12 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.policy.Balancer;
+import ivybank.policy.Balancer.Status;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-
-import ivybank.policy.Balancer;
-import ivybank.policy.Balancer.Status;
 import org.junit.jupiter.api.Test;
 
 /** The upstreams that discovery names, while hosts come and go for ever. */
@@ -21,8 +20,14 @@
     private final Directory directory = new Directory(List.of("a"), List.of("k"), retired::add);
 
     private int apply(boolean whole, String host, Status status) {
-        return directory.apply(new HostUpdate(1, whole, List.of(new HostUpdate.Entry(host,
-                new InetSocketAddress("127.0.0.1", 7070), status, 0, "a", "k", 0, 1)))).get(0).id();
+        return directory
+                .apply(new HostUpdate(
+                        1,
+                        whole,
+                        List.of(new HostUpdate.Entry(
+                                host, new InetSocketAddress("127.0.0.1", 7070), status, 0, "a", "k", 0, 1))))
+                .get(0)
+                .id();
     }
 
     @Test
@@ -47,7 +52,8 @@
         int second = apply(true, "s-2", Status.READY);
         assertNull(directory.node(first));
         assertNotNull(directory.node(second));
-        assertEquals(List.of(node), retired.stream().filter(each -> each == node).toList());
+        assertEquals(
+                List.of(node), retired.stream().filter(each -> each == node).toList());
     }
 
     private static HostUpdate.Entry entry(String host, Status status, double bornMs) {
@@ -74,8 +80,8 @@
                 assertEquals(Status.READY, told.get(0).status(), twice.toString());
                 assertTrue(directory.node(told.get(0).id()).ready, "the module and this know the same");
             }
-            List<Balancer.Upstream> gone = directory.apply(new HostUpdate(3, whole,
-                    List.of(entry("s-1", Status.GONE, 9), entry("s-1", Status.READY, 9))));
+            List<Balancer.Upstream> gone = directory.apply(
+                    new HostUpdate(3, whole, List.of(entry("s-1", Status.GONE, 9), entry("s-1", Status.READY, 9))));
             assertEquals(Status.GONE, gone.get(0).status());
             assertNull(directory.node(gone.get(0).id()));
         }
--- a/src/test/java/ivybank/discovery/DiscoveryTest.java
+++ b/src/test/java/ivybank/discovery/DiscoveryTest.java
@@ -3,13 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.util.List;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -19,6 +12,12 @@
 import ivybank.policy.Balancer.Status;
 import ivybank.testing.FakeServer;
 import ivybank.testing.FakeServer.Connection;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -27,9 +26,10 @@
 
     private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String NOTHING = "{\"seq\":%d,\"whole\":false,\"hosts\":[]}\n";
-    private static final String LIST = "{\"seq\":%d,\"whole\":true,\"hosts\":[{\"host\":\"b\",\"dial\":\"127.0.0.1:1\",\"health\":\"Ready\"}]}\n";
-    private static final HostUpdate KNOWN = new HostUpdate(41, true,
-            List.of(new HostUpdate.Entry("a", null, Status.READY, 0, "", "", 0, 1)));
+    private static final String LIST =
+            "{\"seq\":%d,\"whole\":true,\"hosts\":[{\"host\":\"b\",\"dial\":\"127.0.0.1:1\",\"health\":\"Ready\"}]}\n";
+    private static final HostUpdate KNOWN =
+            new HostUpdate(41, true, List.of(new HostUpdate.Entry("a", null, Status.READY, 0, "", "", 0, 1)));
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<HostUpdate> heard = new LinkedBlockingQueue<>();
@@ -43,8 +43,17 @@
 
     private void follow(long from) {
         Clock clock = Clock.system();
-        new Discovery(group.next(), new Bootstrap().channel(NioSocketChannel.class), server.address(), () -> null, from,
-                Timing.standard(true, 500), heard::add, clock, new Log(new PrintStream(OutputStream.nullOutputStream()), clock)).start();
+        new Discovery(
+                        group.next(),
+                        new Bootstrap().channel(NioSocketChannel.class),
+                        server.address(),
+                        () -> null,
+                        from,
+                        Timing.standard(true, 500),
+                        heard::add,
+                        clock,
+                        new Log(new PrintStream(OutputStream.nullOutputStream()), clock))
+                .start();
     }
 
     private static String chunk(String line) {
--- a/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
+++ b/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
@@ -4,16 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.testing.SetClockAgent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
-
-import io.netty.bootstrap.Bootstrap;
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.testing.SetClockAgent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -24,7 +23,8 @@
 @Timeout(60)
 class DiscoveryTimesTest {
 
-    private static final String LIST = "{\"seq\":%d,\"whole\":true,\"hosts\":[{\"host\":\"b\",\"dial\":\"127.0.0.1:1\",\"health\":\"%s\"}]}";
+    private static final String LIST =
+            "{\"seq\":%d,\"whole\":true,\"hosts\":[{\"host\":\"b\",\"dial\":\"127.0.0.1:1\",\"health\":\"%s\"}]}";
 
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final List<HostUpdate> heard = new ArrayList<>();
@@ -51,11 +51,20 @@
             answers.called(call, head);
         });
         Clock clock = new Clock(0, () -> (long) (agent.nowMs() * 1e6));
-        Discovery discovery = new Discovery(agent.loop(), new Bootstrap().channelFactory(() -> agent.channel()), agent.address(), () -> null, -1,
-                timing, () -> 1, update -> {
+        Discovery discovery = new Discovery(
+                agent.loop(),
+                new Bootstrap().channelFactory(() -> agent.channel()),
+                agent.address(),
+                () -> null,
+                -1,
+                timing,
+                () -> 1,
+                update -> {
                     heard.add(update);
                     heardMs = agent.nowMs();
-                }, clock, new Log(new PrintStream(log, true), clock));
+                },
+                clock,
+                new Log(new PrintStream(log, true), clock));
         discovery.start();
         agent.settle();
         return discovery;
@@ -107,18 +116,22 @@
             heard.clear();
             seq = 7;
             Timing timing = Timing.standard(service, 500);
-            follow((call, head) -> {
-                if (head.contains("stream=1")) {
-                    call.watch(); // and nothing more, whatever there is to tell
-                } else {
-                    answer(call, head);
-                }
-            }, timing);
+            follow(
+                    (call, head) -> {
+                        if (head.contains("stream=1")) {
+                            call.watch(); // and nothing more, whatever there is to tell
+                        } else {
+                            answer(call, head);
+                        }
+                    },
+                    timing);
             double fromMs = agent.nowMs();
             seq = 8;
             agent.advance(6000);
             assertEquals(8, heard.get(1).seq());
-            assertTrue(heardMs - fromMs <= timing.silenceEndsMs() + 10 && heardMs - fromMs < Timing.SILENCE_COUNTS_MS, service + ": after " + heardMs);
+            assertTrue(
+                    heardMs - fromMs <= timing.silenceEndsMs() + 10 && heardMs - fromMs < Timing.SILENCE_COUNTS_MS,
+                    service + ": after " + heardMs);
             agent.close();
         }
     }
@@ -161,7 +174,10 @@
         int before = agent.calls.size();
         watch.close();
         agent.advance(60);
-        assertEquals(before + 1, agent.calls.size(), "begun anew after the first pause, as after any break of what was well");
+        assertEquals(
+                before + 1,
+                agent.calls.size(),
+                "begun anew after the first pause, as after any break of what was well");
     }
 
     /** What the agent gets when discovery is back counts at once, and drains have their grace and no more. */
@@ -197,8 +213,9 @@
     void aListMayComeIndentedAndCutAnywhere() throws Exception {
         follow(this::answer, Timing.standard(false, 500));
         SetClockAgent.Call watch = agent.calls.get(0);
-        String indented = "\n{\n  \"seq\": %d,\r\n\t\"whole\": false,\n  \"hosts\": [\n    {\n      \"host\": \"b\",\n\n"
-                + "      \"dial\": \"127.0.0.1:1\",\n      \"health\": \"Terminating\"\n    }\n  ]\n}\n\n";
+        String indented =
+                "\n{\n  \"seq\": %d,\r\n\t\"whole\": false,\n  \"hosts\": [\n    {\n      \"host\": \"b\",\n\n"
+                        + "      \"dial\": \"127.0.0.1:1\",\n      \"health\": \"Terminating\"\n    }\n  ]\n}\n\n";
         for (int cut = 1; cut < indented.length(); cut++) {
             String next = indented.formatted(100 + cut);
             watch.piece(next.substring(0, cut));
@@ -207,7 +224,8 @@
             agent.settle();
             assertEquals(100 + cut, heard.get(heard.size() - 1).seq(), "cut at " + cut);
         }
-        watch.piece(indented.formatted(900) + indented.formatted(901) + "{\"seq\":902,\"hosts\":[]}{\"seq\":903,\"hosts\":[]}");
+        watch.piece(indented.formatted(900) + indented.formatted(901)
+                + "{\"seq\":902,\"hosts\":[]}{\"seq\":903,\"hosts\":[]}");
         agent.settle();
         assertEquals(903, heard.get(heard.size() - 1).seq(), "several in one piece, also with nothing between them");
         assertTrue(watch.open());
@@ -223,8 +241,15 @@
         assertFalse(watch.open());
         agent.advance(60);
         assertEquals("GET /registry/instances", asked.get(2));
-        String line = log.toString().lines().filter(each -> each.contains("can't be read")).findFirst().orElse("");
-        assertTrue(line.contains("the watch from version 7, at byte ") && line.contains("going on with the list of version 7"), log.toString());
+        String line = log.toString()
+                .lines()
+                .filter(each -> each.contains("can't be read"))
+                .findFirst()
+                .orElse("");
+        assertTrue(
+                line.contains("the watch from version 7, at byte ")
+                        && line.contains("going on with the list of version 7"),
+                log.toString());
     }
 
     @Test
--- a/src/test/java/ivybank/discovery/OutNodesTest.java
+++ b/src/test/java/ivybank/discovery/OutNodesTest.java
@@ -5,12 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.Balancer.Upstream;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.Balancer.Upstream;
 import org.junit.jupiter.api.Test;
 
 /** What the module is told of nodes that operators take out, over all that discovery says meanwhile. */
@@ -18,11 +17,14 @@
 
     private static final Map<String, Double> OUT = Map.of("a", 1000.0);
 
-    private final Directory directory = new Directory(List.of("z"), List.of("k"), node -> { });
+    private final Directory directory = new Directory(List.of("z"), List.of("k"), node -> {});
 
     private List<Upstream> says(boolean whole, String host, Status status, double bornMs) {
-        return directory.apply(new HostUpdate(1, whole, List.of(new HostUpdate.Entry(host,
-                new InetSocketAddress("127.0.0.1", 7070), status, bornMs, "z", "k", 0, 1))));
+        return directory.apply(new HostUpdate(
+                1,
+                whole,
+                List.of(new HostUpdate.Entry(
+                        host, new InetSocketAddress("127.0.0.1", 7070), status, bornMs, "z", "k", 0, 1))));
     }
 
     @Test
@@ -31,9 +33,11 @@
         assertEquals(List.of(new Upstream(ready.id(), Status.DRAINING, 0, 0, 0, 0, 1)), directory.takeOut(OUT, 1000));
         assertFalse(directory.node(ready.id()).ready);
         assertEquals(Status.DRAINING, says(false, "a", Status.GONE, 0).get(0).status());
-        assertEquals(Status.DRAINING, says(false, "a", Status.READY, 3000).get(0).status());
+        assertEquals(
+                Status.DRAINING, says(false, "a", Status.READY, 3000).get(0).status());
         assertEquals(List.of(), directory.takeOut(OUT, 4000), "out already");
-        assertEquals(List.of(new Upstream(ready.id(), Status.READY, 3000, 0, 0, 0, 1)), directory.takeOut(Map.of(), 5000));
+        assertEquals(
+                List.of(new Upstream(ready.id(), Status.READY, 3000, 0, 0, 0, 1)), directory.takeOut(Map.of(), 5000));
         assertTrue(directory.node(ready.id()).ready);
     }
 
@@ -52,7 +56,9 @@
         int id = says(false, "a", Status.READY, 0).get(0).id();
         directory.takeOut(OUT, 1000);
         List<Upstream> told = says(true, "b", Status.READY, 0);
-        assertEquals(List.of(Status.READY, Status.DRAINING), told.stream().map(Upstream::status).toList());
+        assertEquals(
+                List.of(Status.READY, Status.DRAINING),
+                told.stream().map(Upstream::status).toList());
         assertTrue(directory.knows("a"));
         assertEquals(Status.GONE, directory.takeOut(Map.of(), 5000).get(0).status());
         assertNull(directory.node(id));
--- a/src/test/java/ivybank/emulator/NodeModelTest.java
+++ b/src/test/java/ivybank/emulator/NodeModelTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 /** The model of a node against what is known of queues. */
@@ -28,10 +27,12 @@
             at -= Math.log(1 - random.nextDouble()) * workMs / (load * spec.cores());
             double begun = at;
             double work = -Math.log(1 - random.nextDouble()) * workMs;
-            simulation.at(at, () -> node.request(work, 0, () -> {
-                sum[0] += simulation.nowMs() - begun;
-                done[0]++;
-            }));
+            simulation.at(
+                    at,
+                    () -> node.request(work, 0, () -> {
+                        sum[0] += simulation.nowMs() - begun;
+                        done[0]++;
+                    }));
         }
         simulation.runUntil(at + 100_000);
         assertEquals(requests, done[0]);
@@ -90,7 +91,7 @@
         Simulation simulation = new Simulation();
         NodeModel node = new NodeModel(1, new NodeSpec(2, 1, 100, 100, 1, 0, 0, 10, 0, 4, 3, 5000), 0, simulation);
         for (int i = 0; i < 40; i++) {
-            node.request(1000, 0, () -> { });
+            node.request(1000, 0, () -> {});
         }
         simulation.runUntil(4000);
         assertEquals(1, node.choked);
--- a/src/test/java/ivybank/emulator/ViewScriptsTest.java
+++ b/src/test/java/ivybank/emulator/ViewScriptsTest.java
@@ -1,11 +1,10 @@
 package ivybank.emulator;
 
+import ivybank.fleet.FleetTiming;
+import ivybank.fleet.ViewSnapshot;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
-import ivybank.fleet.FleetTiming;
-import ivybank.fleet.ViewSnapshot;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -20,15 +19,32 @@
     /** After the last fault, with 30% loss or without: the bound for a long partition. */
     private static final double SETTLED_MS = 15_000;
 
-    enum What { START, KILL, LEAVE, FREEZE, THAW, CUT, CUT_ONE_WAY, HEAL, LOSSY, CALM, WAIT }
-
-    record Step(What what, int seat, int other, int ms) {
+    enum What {
+        START,
+        KILL,
+        LEAVE,
+        FREEZE,
+        THAW,
+        CUT,
+        CUT_ONE_WAY,
+        HEAL,
+        LOSSY,
+        CALM,
+        WAIT
     }
 
+    record Step(What what, int seat, int other, int ms) {}
+
     @Provide
     Arbitrary<List<Step>> scripts() {
-        return Combinators.combine(Arbitraries.of(What.class), Arbitraries.integers().between(0, SEATS - 1),
-                Arbitraries.integers().between(1, SEATS - 1), Arbitraries.integers().between(0, 6000)).as(Step::new).list().ofMinSize(20)
+        return Combinators.combine(
+                        Arbitraries.of(What.class),
+                        Arbitraries.integers().between(0, SEATS - 1),
+                        Arbitraries.integers().between(1, SEATS - 1),
+                        Arbitraries.integers().between(0, 6000))
+                .as(Step::new)
+                .list()
+                .ofMinSize(20)
                 .ofMaxSize(60);
     }
 
@@ -51,12 +67,16 @@
                 own.put(by, life);
                 for (ViewSnapshot.Seen seen : world.view(by).members()) {
                     int key = (int) (seated[by] * 1000 + by * 10 + seen.seat());
-                    check(seen.life() >= highest.getOrDefault(key, 0L), "the life of " + seen.seat() + " falls at " + by);
+                    check(
+                            seen.life() >= highest.getOrDefault(key, 0L),
+                            "the life of " + seen.seat() + " falls at " + by);
                     highest.put(key, seen.life());
                     if (!seen.standing().lives()) {
                         ended.merge(key, seen.life(), Math::max);
                     } else {
-                        check(seen.life() > ended.getOrDefault(key, 0L), seen.seat() + " is back at " + by + " with its old life");
+                        check(
+                                seen.life() > ended.getOrDefault(key, 0L),
+                                seen.seat() + " is back at " + by + " with its old life");
                     }
                 }
             }
--- a/src/test/java/ivybank/emulator/ViewWorldTest.java
+++ b/src/test/java/ivybank/emulator/ViewWorldTest.java
@@ -4,16 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.function.ToDoubleFunction;
-
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.Message;
 import ivybank.fleet.Standing;
 import ivybank.fleet.ViewSnapshot;
 import ivybank.fleet.Word;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
 import org.junit.jupiter.api.Test;
 
 /** The hard cases of a view, with the real code on a simulated clock. */
@@ -21,6 +20,7 @@
 
     /** {@code -Dviews.seeds=20} plays as many as the tables of docs/design/fleet-view.md have. */
     private static final int SEEDS = Integer.getInteger("views.seeds", 8);
+
     private static final double LONG_MS = 60_000;
 
     private static ViewWorld started(int seats, long seed, ViewNetwork network) {
@@ -44,7 +44,10 @@
     }
 
     private static ViewSnapshot.Seen seen(ViewWorld world, int by, int seat) {
-        return world.view(by).members().stream().filter(member -> member.seat() == seat).findFirst().orElseThrow();
+        return world.view(by).members().stream()
+                .filter(member -> member.seat() == seat)
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -79,7 +82,9 @@
                 long before = world.life(0);
                 world.cut((from, to) -> from < small != to < small);
                 world.run(20_000);
-                assertTrue(world.settled(seat -> seat < small) && world.settled(seat -> seat >= small), "each side sees itself");
+                assertTrue(
+                        world.settled(seat -> seat < small) && world.settled(seat -> seat >= small),
+                        "each side sees itself");
                 world.cut((from, to) -> false);
                 double took = world.untilSettled(LONG_MS);
                 assertTrue(world.life(0) > before, "it was given up, and is back with a higher life");
@@ -94,7 +99,10 @@
         ViewWorld world = started(20, 3, ViewNetwork.CALM);
         world.cut((from, to) -> from < 8 != to < 8);
         world.run(11 * 60_000);
-        assertTrue(world.view(0).members().stream().allMatch(member -> member.standing().lives()), "who is gone for so long is not listed");
+        assertTrue(
+                world.view(0).members().stream()
+                        .allMatch(member -> member.standing().lives()),
+                "who is gone for so long is not listed");
         world.cut((from, to) -> false);
         assertTrue(world.untilSettled(LONG_MS) <= 15_000);
     }
@@ -242,8 +250,16 @@
             for (int to = 0; to < 7; to++) {
                 if (to != victim) {
                     ViewSnapshot.Seen now = seen(world, to, victim);
-                    world.forge(7, to, lie(world, 7, to, 1_000_000 + i, Message.Kind.WORDS,
-                            Word.suspect(victim, now.life(), now.turn(), 7)));
+                    world.forge(
+                            7,
+                            to,
+                            lie(
+                                    world,
+                                    7,
+                                    to,
+                                    1_000_000 + i,
+                                    Message.Kind.WORDS,
+                                    Word.suspect(victim, now.life(), now.turn(), 7)));
                 }
             }
             world.run(200);
@@ -261,15 +277,36 @@
         ViewWorld world = started(8, 6, ViewNetwork.CALM);
         for (int i = 0; i < 60; i++) {
             ViewSnapshot.Seen now = seen(world, 0, 3);
-            world.forge(7, 0, lie(world, 7, 0, 1_000_000 + 4 * i, Message.Kind.WORDS, Word.gaveUp(3, now.life(), now.turn(), Standing.GONE, 7)));
-            world.forge(7, 0, lie(world, 7, 0, 1_000_001 + 4 * i, Message.Kind.WORDS,
-                    new Word(Word.Kind.STATEMENT, 3, now.life(), now.turn() + 3, Standing.LEFT, "n3", "", -1)));
-            world.forge(7, 0, lie(world, 7, 0, 1_000_002 + 4 * i, Message.Kind.WORDS, Word.suspect(2, world.life(2), 60_000, 0)));
+            world.forge(
+                    7,
+                    0,
+                    lie(
+                            world,
+                            7,
+                            0,
+                            1_000_000 + 4 * i,
+                            Message.Kind.WORDS,
+                            Word.gaveUp(3, now.life(), now.turn(), Standing.GONE, 7)));
+            world.forge(
+                    7,
+                    0,
+                    lie(
+                            world,
+                            7,
+                            0,
+                            1_000_001 + 4 * i,
+                            Message.Kind.WORDS,
+                            new Word(Word.Kind.STATEMENT, 3, now.life(), now.turn() + 3, Standing.LEFT, "n3", "", -1)));
+            world.forge(
+                    7,
+                    0,
+                    lie(world, 7, 0, 1_000_002 + 4 * i, Message.Kind.WORDS, Word.suspect(2, world.life(2), 60_000, 0)));
             world.forge(7, 0, lie(world, 4, 0, 1_000_003 + 4 * i, Message.Kind.WORDS)); // as seat 4, from 7's address
             world.run(100);
             assertTrue(seen(world, 0, 3).standing().lives());
         }
-        assertTrue(world.view(0).counts().forged() >= 60 && world.view(0).counts().unknown() >= 60);
+        assertTrue(
+                world.view(0).counts().forged() >= 60 && world.view(0).counts().unknown() >= 60);
         assertEquals(0, world.falselyGivenUp());
         world.kill(7);
         assertTrue(world.untilSettled(LONG_MS) <= 10_000);
@@ -307,7 +344,9 @@
             world.run(20_000);
             double each = (world.datagrams() - datagrams) / 20.0 / seats;
             double bytes = (world.octets() - octets) / 20.0 / seats;
-            assertTrue(each <= 5 && bytes <= 1500, seats + " seats: " + each + " datagrams and " + bytes + " bytes a second");
+            assertTrue(
+                    each <= 5 && bytes <= 1500,
+                    seats + " seats: " + each + " datagrams and " + bytes + " bytes a second");
         }
     }
 }
--- a/src/test/java/ivybank/fleet/MessageCodecTest.java
+++ b/src/test/java/ivybank/fleet/MessageCodecTest.java
@@ -8,22 +8,48 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
-
 import org.junit.jupiter.api.Test;
 
 class MessageCodecTest {
 
-    private static final Word SELF = new Word(Word.Kind.STATEMENT, 7, 1_700_000_000_123L, 65_535, Standing.READY, "n7", "sanjuan", -1);
-    private static final Message FULL = new Message(Message.Kind.ASK, SELF, 65_000, FleetView.HIGHEST_LIFE - 1, 77, -3, 5, 12, new int[0],
-            List.of(Word.suspect(3, 9, 1, 7), Word.gaveUp(4, 10, 2, Standing.LEFT, 6),
+    private static final Word SELF =
+            new Word(Word.Kind.STATEMENT, 7, 1_700_000_000_123L, 65_535, Standing.READY, "n7", "sanjuan", -1);
+    private static final Message FULL = new Message(
+            Message.Kind.ASK,
+            SELF,
+            65_000,
+            FleetView.HIGHEST_LIFE - 1,
+            77,
+            -3,
+            5,
+            12,
+            new int[0],
+            List.of(
+                    Word.suspect(3, 9, 1, 7),
+                    Word.gaveUp(4, 10, 2, Standing.LEFT, 6),
                     new Word(Word.Kind.STATEMENT, 5, 11, 0, Standing.DRAINING, "n5", "", -1)));
 
     private static void assertSame(Message wanted, Message read) {
         assertArrayEquals(wanted.buckets(), read.buckets());
         assertEquals(wanted.words(), read.words());
         assertEquals(wanted.self(), read.self());
-        assertEquals(List.of(wanted.kind(), wanted.to(), wanted.toLife(), wanted.counter(), wanted.digest(), wanted.probe(), wanted.subject()),
-                List.of(read.kind(), read.to(), read.toLife(), read.counter(), read.digest(), read.probe(), read.subject()));
+        assertEquals(
+                List.of(
+                        wanted.kind(),
+                        wanted.to(),
+                        wanted.toLife(),
+                        wanted.counter(),
+                        wanted.digest(),
+                        wanted.probe(),
+                        wanted.subject()),
+                List.of(
+                        read.kind(),
+                        read.to(),
+                        read.toLife(),
+                        read.counter(),
+                        read.digest(),
+                        read.probe(),
+                        read.subject()));
     }
 
     @Test
@@ -32,14 +58,22 @@
         assertSame(FULL, MessageCodec.read(bytes));
         assertEquals(9, MessageCodec.key(bytes));
         assertEquals(MessageCodec.fleet("cuyo"), MessageCodec.fleetOf(bytes));
-        Message sync = new Message(Message.Kind.SYNC, SELF, 1, 2, 3, 4, 0, -1, new int[MessageCodec.BUCKETS], List.of());
+        Message sync =
+                new Message(Message.Kind.SYNC, SELF, 1, 2, 3, 4, 0, -1, new int[MessageCodec.BUCKETS], List.of());
         assertSame(sync, MessageCodec.read(MessageCodec.write(sync, 1, 0)));
     }
 
     @Test
     void theFullestDatagramWithTheLongestNamesFits() {
-        Word longest = new Word(Word.Kind.STATEMENT, 1, 2, 3, Standing.READY, "x".repeat(MessageCodec.LONGEST_NAME),
-                "y".repeat(MessageCodec.LONGEST_ZONE), -1);
+        Word longest = new Word(
+                Word.Kind.STATEMENT,
+                1,
+                2,
+                3,
+                Standing.READY,
+                "x".repeat(MessageCodec.LONGEST_NAME),
+                "y".repeat(MessageCodec.LONGEST_ZONE),
+                -1);
         Rumours rumours = new Rumours();
         for (int i = 0; i < 40; i++) {
             rumours.tell(Word.suspect(i, 1, 1, 2));
@@ -49,8 +83,20 @@
             List<Word> words = new java.util.ArrayList<>();
             rumours.take(MessageCodec.room(longest, sync), 8, words);
             assertTrue(!words.isEmpty());
-            byte[] bytes = MessageCodec.write(new Message(Message.Kind.SYNC, longest, 1, 2, 3, 4, 0, -1,
-                    new int[sync ? MessageCodec.BUCKETS : 0], words), 1, 0);
+            byte[] bytes = MessageCodec.write(
+                    new Message(
+                            Message.Kind.SYNC,
+                            longest,
+                            1,
+                            2,
+                            3,
+                            4,
+                            0,
+                            -1,
+                            new int[sync ? MessageCodec.BUCKETS : 0],
+                            words),
+                    1,
+                    0);
             assertTrue(bytes.length + MessageCodec.SIGNATURE <= MessageCodec.LONGEST, bytes.length + " bytes");
         }
     }
@@ -76,7 +122,8 @@
     void anotherMajorVersionIsSaidToBeOne() {
         byte[] bytes = MessageCodec.write(FULL, 1, 0);
         bytes[0] = 2;
-        assertTrue(assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.read(bytes)).otherVersion());
+        assertTrue(assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.read(bytes))
+                .otherVersion());
     }
 
     @Test
--- a/src/test/java/ivybank/handover/MemoryTest.java
+++ b/src/test/java/ivybank/handover/MemoryTest.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import java.util.zip.CRC32C;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -23,9 +22,20 @@
     private static final double NOW_MS = 1.7e12;
 
     private static Memory memory(double writtenMs) {
-        return new Memory(writtenMs, 7, 90, new Learned<>(0.5, 3, List.of(new Learned.OfClass(300, 250, 90)),
-                Map.of("s-1", new Learned.OfNode(0, 0.25, 0.4, 17.5, 3, false),
-                        "s-2", new Learned.OfNode(NOW_MS - 5000, 0.75, 0.6, 2, 0, true)), Map.of(0, 0.05, 2, 0.01)));
+        return new Memory(
+                writtenMs,
+                7,
+                90,
+                new Learned<>(
+                        0.5,
+                        3,
+                        List.of(new Learned.OfClass(300, 250, 90)),
+                        Map.of(
+                                "s-1",
+                                new Learned.OfNode(0, 0.25, 0.4, 17.5, 3, false),
+                                "s-2",
+                                new Learned.OfNode(NOW_MS - 5000, 0.75, 0.6, 2, 0, true)),
+                        Map.of(0, 0.05, 2, 0.01)));
     }
 
     @Test
@@ -72,7 +82,9 @@
     void anotherVersionIsToldFromDamage() {
         byte[] other = MemoryCodec.write(memory(NOW_MS));
         other[5]++;
-        assertTrue(assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(other)).getMessage().contains("version 2"));
+        assertTrue(assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(other))
+                .getMessage()
+                .contains("version 2"));
     }
 
     @Test
@@ -115,7 +127,9 @@
         assertEquals(List.of(), files.others(NOW_MS));
         assertEquals(4, said.size(), said.toString());
         try (Stream<Path> left = Files.list(folder)) {
-            assertEquals(List.of("ivybank-7.memory.next"), left.map(file -> file.getFileName().toString()).toList());
+            assertEquals(
+                    List.of("ivybank-7.memory.next"),
+                    left.map(file -> file.getFileName().toString()).toList());
         }
     }
 }
--- a/src/test/java/ivybank/peers/PeerFleetTest.java
+++ b/src/test/java/ivybank/peers/PeerFleetTest.java
@@ -5,6 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import ivybank.common.Clock;
+import ivybank.common.Json;
+import ivybank.common.Log;
+import ivybank.fleet.Message;
+import ivybank.fleet.MessageCodec;
+import ivybank.fleet.Standing;
+import ivybank.fleet.Word;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -19,17 +29,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.BooleanSupplier;
-
-import com.fasterxml.jackson.databind.JsonNode;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import ivybank.common.Clock;
-import ivybank.common.Json;
-import ivybank.common.Log;
-import ivybank.fleet.Message;
-import ivybank.fleet.MessageCodec;
-import ivybank.fleet.Standing;
-import ivybank.fleet.Word;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -71,8 +70,17 @@
         Files.writeString(keys(seat), key);
         ByteArrayOutputStream said = new ByteArrayOutputStream();
         logs.add(said);
-        PeerFleet one = new PeerFleet(new PeerSettings(keys(seat), fleet, "", "", List.of(), null), "n" + seat, addresses.get(seat), addresses,
-                seat, 3, group.next(), clock, new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock), count -> { });
+        PeerFleet one = new PeerFleet(
+                new PeerSettings(keys(seat), fleet, "", "", List.of(), null),
+                "n" + seat,
+                addresses.get(seat),
+                addresses,
+                seat,
+                3,
+                group.next(),
+                clock,
+                new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock),
+                count -> {});
         one.open(false);
         one.ready();
         fleets.add(one);
@@ -86,7 +94,10 @@
         for (int i = 0; i < 3; i++) {
             start(i, OLD, "one");
         }
-        await("all see all", () -> fleets.stream().allMatch(fleet -> view(fleet).path("peers").asInt() == 2));
+        await(
+                "all see all",
+                () -> fleets.stream()
+                        .allMatch(fleet -> view(fleet).path("peers").asInt() == 2));
     }
 
     private static JsonNode view(PeerFleet fleet) {
@@ -117,7 +128,9 @@
     @Test
     void keysAreChangedOnOneAfterTheOtherAndNobodyLosesSight() throws Exception {
         three();
-        long[] lives = fleets.stream().mapToLong(fleet -> view(fleet).path("life").asLong()).toArray();
+        long[] lives = fleets.stream()
+                .mapToLong(fleet -> view(fleet).path("life").asLong())
+                .toArray();
         for (String keys : List.of(OLD + "\n" + NEW, NEW + "\n" + OLD, NEW)) { // know it, use it, forget the old one
             for (int seat = 0; seat < 3; seat++) {
                 Files.writeString(keys(seat), "# keys of the fleet\n" + keys + "\n");
@@ -140,32 +153,53 @@
         three();
         Files.writeString(keys(2), NEW);
         fleets.get(2).reload();
-        await("they part", () -> view(fleets.get(0)).path("peers").asInt() == 1 && view(fleets.get(2)).path("peers").asInt() == 0);
+        await(
+                "they part",
+                () -> view(fleets.get(0)).path("peers").asInt() == 1
+                        && view(fleets.get(2)).path("peers").asInt() == 0);
         assertTrue(count(fleets.get(0), "unsigned") > 0);
         assertTrue(logs.get(0).toString(StandardCharsets.UTF_8).contains("datagrams passed over as unsigned"));
         Files.writeString(keys(2), NEW + "\n" + OLD);
         fleets.get(2).reload();
-        await("and are together again", () -> fleets.stream().allMatch(fleet -> view(fleet).path("peers").asInt() == 2));
+        await(
+                "and are together again",
+                () -> fleets.stream()
+                        .allMatch(fleet -> view(fleet).path("peers").asInt() == 2));
         Files.writeString(keys(1), "no key");
         fleets.get(1).reload();
-        await("it goes on", () -> logs.get(1).toString(StandardCharsets.UTF_8).contains("going on with the keys of before: " + keys(1) + ", line 1"));
+        await(
+                "it goes on",
+                () -> logs.get(1)
+                        .toString(StandardCharsets.UTF_8)
+                        .contains("going on with the keys of before: " + keys(1) + ", line 1"));
         assertEquals(2, view(fleets.get(1)).path("peers").asInt());
     }
 
     @Test
     void whatIsForgedCutOffTooLongOrOfOthersIsCountedAndChangesNothing() throws Exception {
         three();
-        InetSocketAddress nobody = addresses.get(3); // in the list, and free: what comes from there passes for a sidecar's
+        InetSocketAddress nobody =
+                addresses.get(3); // in the list, and free: what comes from there passes for a sidecar's
         JsonNode before = view(fleets.get(0));
         Word self = new Word(Word.Kind.STATEMENT, 3, 1_900_000_000_000L, 0, Standing.READY, "n3", "", -1);
-        Message message = new Message(Message.Kind.WORDS, self, 0, before.path("life").asLong(), 1, 0, 0, -1, new int[0],
+        Message message = new Message(
+                Message.Kind.WORDS,
+                self,
+                0,
+                before.path("life").asLong(),
+                1,
+                0,
+                0,
+                -1,
+                new int[0],
                 List.of(Word.gaveUp(1, 1_900_000_000_000L, 0, Standing.GONE, 3)));
         PeerKeys good = PeerKeys.read(keys(0), MessageCodec.SIGNATURE);
         Path other = Files.writeString(dir.resolve("other"), NEW);
         byte[] bytes = MessageCodec.write(message, MessageCodec.fleet("one"), good.mark());
         byte[] newer = bytes.clone();
         newer[0] = 2;
-        try (DatagramSocket socket = new DatagramSocket(nobody); DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+        try (DatagramSocket socket = new DatagramSocket(nobody);
+                DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             send(socket, bytes); // no signature
             send(socket, PeerKeys.read(other, MessageCodec.SIGNATURE).sign(bytes, 0));
             send(socket, Arrays.copyOf(good.sign(bytes, 0), 40)); // cut off
@@ -176,14 +210,20 @@
             send(socket, good.sign(Arrays.copyOf(bytes, 50), 0)); // signed, and makes no sense
             send(stranger, good.sign(bytes, 0));
         }
-        await("all were counted", () -> count(fleets.get(0), "unsigned") >= 4 && count(fleets.get(0), "too_long") == 1
-                && count(fleets.get(0), "other_fleet") == 1 && count(fleets.get(0), "other_version") == 1
-                && count(fleets.get(0), "malformed") == 1 && count(fleets.get(0), "unknown_address") == 1);
+        await(
+                "all were counted",
+                () -> count(fleets.get(0), "unsigned") >= 4
+                        && count(fleets.get(0), "too_long") == 1
+                        && count(fleets.get(0), "other_fleet") == 1
+                        && count(fleets.get(0), "other_version") == 1
+                        && count(fleets.get(0), "malformed") == 1
+                        && count(fleets.get(0), "unknown_address") == 1);
         JsonNode after = view(fleets.get(0));
         assertEquals(before.path("digest"), after.path("digest"));
         assertEquals(before.path("life"), after.path("life"));
         String said = logs.get(0).toString(StandardCharsets.UTF_8);
-        assertEquals(1, said.lines().filter(line -> line.contains("unsigned")).count(), "one line, however many: " + said);
+        assertEquals(
+                1, said.lines().filter(line -> line.contains("unsigned")).count(), "one line, however many: " + said);
         assertFalse(said.contains("Exception"), said);
     }
 
@@ -194,8 +234,11 @@
     @Test
     void aSecondOneOfThatAddressDoesNotStartAndSaysWhy() throws Exception {
         three();
-        String message = assertThrows(IOException.class, () -> start(1, OLD, "one")).getMessage();
-        assertTrue(message.contains("cannot listen for peers on") && message.contains("another process of this name"), message);
+        String message =
+                assertThrows(IOException.class, () -> start(1, OLD, "one")).getMessage();
+        assertTrue(
+                message.contains("cannot listen for peers on") && message.contains("another process of this name"),
+                message);
     }
 
     @Test
