--- a/src/test/java/ivybank/policy/DeparturesTest.java
+++ b/src/test/java/ivybank/policy/DeparturesTest.java
@@ -5,9 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.Group;
 import ivybank.policy.Balancer.Limits;
@@ -16,6 +13,8 @@
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Status;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Each departure from the ordinary path: that it acts on its condition, and that it ends. */
@@ -53,7 +52,9 @@
     }
 
     private static long sentTo(Sidecar sidecar, int upstream, double sinceMs) {
-        return sidecar.sent.stream().filter(s -> s.upstream == upstream && s.atMs >= sinceMs).count();
+        return sidecar.sent.stream()
+                .filter(s -> s.upstream == upstream && s.atMs >= sinceMs)
+                .count();
     }
 
     private static Sidecar sidecar(int upstreams) {
@@ -65,8 +66,8 @@
 
     /** Eight sidecars have room for one attempt each at a slow server. */
     private static Sidecar oneOfEight(int upstreams) {
-        Sidecar sidecar = new Sidecar(Samples.settings(8, LIMITS, false, List.of(),
-                Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(8, LIMITS, false, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
         sidecar.ready(upstreams);
         play(sidecar, 5000, 10, SOUND);
         return sidecar;
@@ -109,15 +110,21 @@
 
     @Test
     void unsafeRequestsAreNotRiskedOnTrials() {
-        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(Effect.UNSAFE, Group.ALL, 1),
-                Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(
+                        Samples.requestClass(Effect.UNSAFE, Group.ALL, 1),
+                        Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                5);
         sidecar.ready(5);
         play(sidecar, 5000, 10, SOUND);
         play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> null));
         double later = sidecar.now;
         play(sidecar, 5000, 10, one(2, (attempt, ageMs) -> null));
-        assertTrue(sidecar.sent.stream().filter(s -> s.upstream == 2 && s.atMs >= later)
-                .noneMatch(s -> s.request % 2 == 1), "requests of odd number are unsafe");
+        assertTrue(
+                sidecar.sent.stream()
+                        .filter(s -> s.upstream == 2 && s.atMs >= later)
+                        .noneMatch(s -> s.request % 2 == 1),
+                "requests of odd number are unsafe");
         assertTrue(sentTo(sidecar, 2, later) > 0, "safe ones try it");
         assertEquals(List.of(), sidecar.breaches);
     }
@@ -140,8 +147,17 @@
     /** Settings of sidecars that are told by probes what servers hold. */
     private static Sidecar probing(double price) {
         Settings plain = Samples.settings(Samples.requestClass(Effect.UNSAFE, Group.ALL, 1));
-        Settings settings = new Settings(plain.classes(), List.of(), 1, false, true, 1, 1,
-                List.of("waiting", "active"), new Limits(4, true, true, true, 0), plain.contract(),
+        Settings settings = new Settings(
+                plain.classes(),
+                List.of(),
+                1,
+                false,
+                true,
+                1,
+                1,
+                List.of("waiting", "active"),
+                new Limits(4, true, true, true, 0),
+                plain.contract(),
                 new Balancer.Goal(1, 0, 0, price));
         Sidecar sidecar = new Sidecar(settings, 5);
         sidecar.ready(8);
@@ -158,8 +174,8 @@
             sidecar.probed.clear();
             assertEquals(5, probed.stream().distinct().count());
             int idle = probed.get(round % 5);
-            probed.forEach(id -> sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1,
-                    new double[] {0, id == idle ? 0 : 2}));
+            probed.forEach(id ->
+                    sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1, new double[] {0, id == idle ? 0 : 2}));
             assertEquals(idle, sidecar.last().upstream);
             sidecar.end(sidecar.last(), Outcome.OK);
         }
@@ -171,8 +187,8 @@
         // All members held more than could be served within the aim, and were sent ever more.
         Sidecar sidecar = probing(0.002);
         int request = sidecar.request(0);
-        List.copyOf(sidecar.probed).forEach(id -> sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1,
-                new double[] {8, 9}));
+        List.copyOf(sidecar.probed)
+                .forEach(id -> sidecar.balancer.probeEnded(sidecar.now, id, Outcome.OK, 1, new double[] {8, 9}));
         sidecar.pass(1000);
         assertTrue(sidecar.ended(request));
         assertEquals(0, sidecar.attemptsOf(request).size());
@@ -202,21 +218,29 @@
         play(sidecar, 10_000, 20, (attempt, ageMs) -> Outcome.ERROR);
         double from = sidecar.now;
         play(sidecar, 3000, 20, SOUND);
-        assertTrue(sidecar.sent.stream().filter(s -> s.atMs >= from && s.outcome == Outcome.OK).count() > 20);
+        assertTrue(sidecar.sent.stream()
+                        .filter(s -> s.atMs >= from && s.outcome == Outcome.OK)
+                        .count()
+                > 20);
         assertEquals(List.of(), sidecar.breaches);
     }
 
     @Test
     void aStuckAttemptIsCopiedOnlyWhereAllowed() {
         for (boolean copies : new boolean[] {true, false}) {
-            Sidecar sidecar = new Sidecar(Samples.settings(1, new Limits(4, copies, true, false, 0), false,
-                    List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)), 5);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(
+                            1,
+                            new Limits(4, copies, true, false, 0),
+                            false,
+                            List.of(),
+                            Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    5);
             sidecar.ready(5);
             play(sidecar, 5000, 10, SOUND);
             double from = sidecar.now;
             play(sidecar, 2000, 10, one(2, (attempt, ageMs) -> null));
-            boolean copied = sidecar.sent.stream().anyMatch(s -> s.atMs >= from && s.number > 0
-                    && s.atMs < from + 500);
+            boolean copied = sidecar.sent.stream().anyMatch(s -> s.atMs >= from && s.number > 0 && s.atMs < from + 500);
             assertEquals(copies, copied);
             assertEquals(List.of(), sidecar.breaches);
         }
@@ -238,7 +262,9 @@
     void slowServersGetFewerAttemptsAtATimeAndRecover() {
         Sidecar sidecar = oneOfEight(5);
         play(sidecar, 10_000, 10, (attempt, ageMs) -> ageMs >= 400 ? Outcome.OK : null);
-        assertTrue(sidecar.out().size() <= 10, "few out at slow servers: " + sidecar.out().size());
+        assertTrue(
+                sidecar.out().size() <= 10,
+                "few out at slow servers: " + sidecar.out().size());
         assertTrue(sidecar.refused > 0);
         play(sidecar, 20_000, 10, SOUND);
         int refused = sidecar.refused;
@@ -265,15 +291,16 @@
                 sidecar.end(attempt, Outcome.OK);
             }
         }
-        assertTrue(part(sidecar, first) > 2 * part(sidecar, repeats), part(sidecar, first) + ", "
-                + part(sidecar, repeats));
+        assertTrue(
+                part(sidecar, first) > 2 * part(sidecar, repeats),
+                part(sidecar, first) + ", " + part(sidecar, repeats));
     }
 
     @Test
     void aSparseSidecarShedsTheLeastWorthyWhenAttemptsAreLateAndAdmitsAllAgain() {
         // With two requests a second no window ever fills; only the lateness of all attempts shows a jam.
-        Settings settings = Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-                Samples.requestClass(Effect.SAFE, Group.ALL, 5));
+        Settings settings = Samples.settings(
+                Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.requestClass(Effect.SAFE, Group.ALL, 5));
         Sidecar sidecar = new Sidecar(settings, 5);
         sidecar.ready(10);
         play(sidecar, 10_000, 500, SOUND);
@@ -305,14 +332,16 @@
     }
 
     private static double part(Sidecar sidecar, List<Integer> requests) {
-        return requests.stream().filter(id -> sidecar.attemptsOf(id).stream()
-                .anyMatch(s -> s.outcome == Outcome.OK)).count() / (double) requests.size();
+        return requests.stream()
+                        .filter(id -> sidecar.attemptsOf(id).stream().anyMatch(s -> s.outcome == Outcome.OK))
+                        .count()
+                / (double) requests.size();
     }
 
     @Test
     void theWorthierClassIsServedFirstUnderOverload() {
-        Settings settings = Samples.settings(Samples.requestClass(Effect.SAFE, Group.ALL, 1),
-                Samples.requestClass(Effect.SAFE, Group.ALL, 5));
+        Settings settings = Samples.settings(
+                Samples.requestClass(Effect.SAFE, Group.ALL, 1), Samples.requestClass(Effect.SAFE, Group.ALL, 5));
         Sidecar sidecar = new Sidecar(settings, 5);
         sidecar.ready(2);
         play(sidecar, 5000, 20, SOUND);
@@ -327,8 +356,8 @@
     void aColdServerGetsItsPartAndSidecarsTogetherStayInTheBudget() {
         List<Sidecar> sidecars = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            Settings settings = Samples.settings(3, LIMITS, false, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1));
+            Settings settings =
+                    Samples.settings(3, LIMITS, false, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1));
             Sidecar sidecar = new Sidecar(settings, i);
             sidecar.ready(5);
             play(sidecar, 5000, 10, SOUND);
@@ -374,8 +403,8 @@
         int sent = 0;
         int offered = 0;
         for (int i = 0; i < 45; i++) {
-            Sidecar sidecar = new Sidecar(Samples.settings(45, LIMITS, false, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), i);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(45, LIMITS, false, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)), i);
             sidecar.ready(9);
             play(sidecar, 5000, 50, SOUND);
             play(sidecar, 3000, 50, (attempt, ageMs) -> ageMs >= 20 ? Outcome.REJECTED : null);
@@ -391,7 +420,7 @@
 
     /** Plays so many requests in each tick, more than there is room for. */
     private static void flood(Sidecar sidecar, double ms, int inTick, boolean repeats, Fleet fleet) {
-        for (double until = sidecar.now + ms; sidecar.now < until;) {
+        for (double until = sidecar.now + ms; sidecar.now < until; ) {
             for (int i = 0; i < inTick; i++) {
                 sidecar.request(0, 0, 4000, repeats);
             }
@@ -408,7 +437,9 @@
     /** Answers in 50 ms; where more than four are out at one server, in so much more. */
     private static Fleet fourAtOnce(Sidecar sidecar) {
         return (attempt, ageMs) -> {
-            long out = sidecar.out().stream().filter(other -> other.upstream == attempt.upstream).count();
+            long out = sidecar.out().stream()
+                    .filter(other -> other.upstream == attempt.upstream)
+                    .count();
             return ageMs >= 50 * Math.max(1, out / 4.0) ? Outcome.OK : null;
         };
     }
@@ -437,18 +468,22 @@
 
     @Test
     void aServerThatFailsAtOnceHasNoMoreRoomThanOneThatAnswers() {
-        // Its window was free again at once: where the others were full it drew what they had no room for, and failed it.
+        // Its window was free again at once: where the others were full it drew what they had no room for, and failed
+        // it.
         Sidecar sidecar = new Sidecar(Samples.safe(), 5);
         sidecar.ready(4);
         play(sidecar, 10_000, 5, fourAtOnce(sidecar));
         double from = sidecar.now;
         int[] answers = {0};
         Fleet sound = fourAtOnce(sidecar);
-        Fleet fleet = (attempt, ageMs) -> attempt.upstream != 1 ? sound.answer(attempt, ageMs)
+        Fleet fleet = (attempt, ageMs) -> attempt.upstream != 1
+                ? sound.answer(attempt, ageMs)
                 : ageMs < 1 ? null : ++answers[0] % 3 == 0 ? Outcome.OK : Outcome.ERROR; // never three in a row
         flood(sidecar, 3000, 4, false, fleet);
-        assertTrue(sentTo(sidecar, 1, from) < 1.5 * sentTo(sidecar, 2, from), sentTo(sidecar, 1, from) + " to the one that"
-                + " fails, " + sentTo(sidecar, 2, from) + " to one that answers");
+        assertTrue(
+                sentTo(sidecar, 1, from) < 1.5 * sentTo(sidecar, 2, from),
+                sentTo(sidecar, 1, from) + " to the one that" + " fails, " + sentTo(sidecar, 2, from)
+                        + " to one that answers");
     }
 
     @Test
@@ -508,8 +543,9 @@
     void anAskingSidecarSubscribesAndDoesSoAgainAtPacedRandomTimes() {
         List<Double> delays = new ArrayList<>();
         for (int seed = 0; seed < 20; seed++) {
-            Sidecar sidecar = new Sidecar(Samples.settings(20, LIMITS, true, List.of(),
-                    Samples.requestClass(Effect.SAFE, Group.ALL, 1)), seed);
+            Sidecar sidecar = new Sidecar(
+                    Samples.settings(20, LIMITS, true, List.of(), Samples.requestClass(Effect.SAFE, Group.ALL, 1)),
+                    seed);
             assertEquals(1, sidecar.subscriptions);
             sidecar.list(ListKind.FAILED);
             sidecar.list(ListKind.FAILED);
--- a/src/test/java/ivybank/policy/HandoverTest.java
+++ b/src/test/java/ivybank/policy/HandoverTest.java
@@ -3,13 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-import java.util.Map;
-
 import ivybank.handover.Learned;
 import ivybank.policy.Balancer.ListKind;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.policy.Balancer.Status;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** What a module that takes over begins with. */
@@ -17,7 +16,7 @@
 
     /** Serves at this pace for a while, upstream 1 four times as slowly as the others. */
     private static void play(Sidecar sidecar, double ms) {
-        for (double until = sidecar.now + ms; sidecar.now < until;) {
+        for (double until = sidecar.now + ms; sidecar.now < until; ) {
             for (int i = 0; i < 6; i++) {
                 sidecar.request(0);
             }
@@ -52,7 +51,11 @@
         Learned<Integer> taken = next.balancer.learned();
         learned.nodes().forEach((id, node) -> {
             assertEquals(node.share(), taken.nodes().get(id).share(), 1e-9, "upstream " + id);
-            assertEquals(node.window(), node.share() > 0 ? taken.nodes().get(id).window() : node.window(), 1e-9, "upstream " + id);
+            assertEquals(
+                    node.window(),
+                    node.share() > 0 ? taken.nodes().get(id).window() : node.window(),
+                    1e-9,
+                    "upstream " + id);
         });
         assertEquals(learned.classes(), taken.classes());
         assertEquals(learned.carried(), taken.carried());
@@ -80,8 +83,11 @@
         next.now = old.now;
         next.ready(14);
         double fresh = 8 * 14 / 10.0;
-        int restarted = old.balancer.learned().nodes().entrySet().stream().filter(node -> node.getValue().window() > fresh + 2)
-                .mapToInt(Map.Entry::getKey).findFirst().orElseThrow();
+        int restarted = old.balancer.learned().nodes().entrySet().stream()
+                .filter(node -> node.getValue().window() > fresh + 2)
+                .mapToInt(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
         next.list(ListKind.DELTA, Sidecar.upstream(restarted, Status.READY, next.now));
         next.balancer.recall(old.balancer.learned(), 1);
         assertEquals(fresh, next.balancer.learned().nodes().get(restarted).window(), "a fresh one");
--- a/src/test/java/ivybank/policy/IdleBalancer.java
+++ b/src/test/java/ivybank/policy/IdleBalancer.java
@@ -6,34 +6,26 @@
 public class IdleBalancer implements Balancer {
 
     @Override
-    public void start(double nowMs) {
-    }
+    public void start(double nowMs) {}
 
     @Override
-    public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {
-    }
+    public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {}
 
     @Override
-    public void request(double nowMs, Request request) {
-    }
+    public void request(double nowMs, Request request) {}
 
     @Override
-    public void arrived(double nowMs, int request, double timeoutMs) {
-    }
+    public void arrived(double nowMs, int request, double timeoutMs) {}
 
     @Override
-    public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {
-    }
+    public void streamStarted(double nowMs, int request, int attempt, double elapsedMs) {}
 
     @Override
-    public void attemptEnded(double nowMs, AttemptEnd end) {
-    }
+    public void attemptEnded(double nowMs, AttemptEnd end) {}
 
     @Override
-    public void clientLeft(double nowMs, int request) {
-    }
+    public void clientLeft(double nowMs, int request) {}
 
     @Override
-    public void timer(double nowMs, int token) {
-    }
+    public void timer(double nowMs, int token) {}
 }
--- a/src/test/java/ivybank/policy/RulesTest.java
+++ b/src/test/java/ivybank/policy/RulesTest.java
@@ -4,11 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Random;
-import java.util.stream.Stream;
-
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.Group;
 import ivybank.policy.Balancer.Limits;
@@ -17,6 +12,10 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Status;
 import ivybank.policy.Balancer.Upstream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -45,8 +44,8 @@
     @MethodSource("worlds")
     void generatedEventsBreakNoRule(Effect effect, Group group, Limits limits) {
         for (int seed = 0; seed < 8; seed++) {
-            Settings settings = Samples.settings(3, limits, seed % 2 == 0, List.of(),
-                    Samples.requestClass(effect, group, 1));
+            Settings settings =
+                    Samples.settings(3, limits, seed % 2 == 0, List.of(), Samples.requestClass(effect, group, 1));
             Sidecar sidecar = new Sidecar(settings, seed);
             play(sidecar, new Random(seed), 1500);
             assertEquals(List.of(), sidecar.breaches, "seed " + seed);
@@ -76,8 +75,7 @@
                     double startedMs = random.nextBoolean() ? 0 : sidecar.now - random.nextInt(12_000);
                     entries.add(Sidecar.upstream(id, statuses[random.nextInt(3)], startedMs));
                 }
-                sidecar.list(random.nextInt(4) == 0 ? ListKind.FULL : ListKind.DELTA,
-                        entries.toArray(new Upstream[0]));
+                sidecar.list(random.nextInt(4) == 0 ? ListKind.FULL : ListKind.DELTA, entries.toArray(new Upstream[0]));
             } else if (dice < 74) {
                 sidecar.list(ListKind.FAILED);
             } else if (dice < 76 && newest > 0 && !sidecar.ended(newest)) {
@@ -119,11 +117,14 @@
     }
 
     private static void assertCaught(String rule, Effect effect, Misdeed misdeed) {
-        Sidecar sidecar = new Sidecar(Samples.settings(Samples.requestClass(effect, Group.ZONE, 1)), 1,
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(Samples.requestClass(effect, Group.ZONE, 1)),
+                1,
                 (settings, seed, actions) -> new IdleBalancer());
         sidecar.ready(3);
         misdeed.commit(sidecar, sidecar.request(0));
-        assertTrue(sidecar.breaches.stream().anyMatch(breach -> breach.startsWith(rule)),
+        assertTrue(
+                sidecar.breaches.stream().anyMatch(breach -> breach.startsWith(rule)),
                 rule + " not in " + sidecar.breaches);
     }
 
@@ -139,8 +140,8 @@
         sidecar.end(attempt, Outcome.ERROR);
         sidecar.balancer.clientLeft(sidecar.now, request);
         sidecar.balancer.clientLeft(sidecar.now, 999);
-        sidecar.balancer.attemptEnded(sidecar.now, new Balancer.AttemptEnd(999, 0, 1, Outcome.OK, 1, true,
-                new double[0]));
+        sidecar.balancer.attemptEnded(
+                sidecar.now, new Balancer.AttemptEnd(999, 0, 1, Outcome.OK, 1, true, new double[0]));
         sidecar.balancer.streamStarted(sidecar.now, 999, 0, 1);
         sidecar.balancer.probeEnded(sidecar.now, 999, Outcome.OK, 1, new double[0]);
         sidecar.balancer.peerMessage(sidecar.now, 1, new byte[3]);
@@ -151,8 +152,10 @@
     @Test
     void theKeyedWindowCountsFromTheFirstAttemptEvenIfThatProvesNotToHaveRun() {
         // A copy was out when the first attempt's connection failed late; a third went out after the window.
-        Sidecar sidecar = new Sidecar(Samples.settings(new Balancer.RequestClass("keyed", 4000, 8000, 1, 0.5,
-                Effect.KEYED, Group.ALL, 600, false)), 3);
+        Sidecar sidecar = new Sidecar(
+                Samples.settings(
+                        new Balancer.RequestClass("keyed", 4000, 8000, 1, 0.5, Effect.KEYED, Group.ALL, 600, false)),
+                3);
         sidecar.ready(10);
         for (int i = 0; i < 300; i++) {
             sidecar.request(0);
@@ -164,7 +167,9 @@
         for (int i = 0; i < 100 && sidecar.attemptsOf(request).size() == 1; i++) {
             sidecar.request(0);
             sidecar.pass(5);
-            sidecar.out().stream().filter(s -> s.upstream != first.upstream && s.request != request).toList()
+            sidecar.out().stream()
+                    .filter(s -> s.upstream != first.upstream && s.request != request)
+                    .toList()
                     .forEach(s -> sidecar.end(s, Outcome.OK));
         }
         assertEquals(2, sidecar.attemptsOf(request).size(), "a copy was sent");
@@ -185,8 +190,8 @@
 
     @Test
     void aStartedStreamIsNeitherCancelledNorSentAgain() {
-        Settings settings = Samples.settings(new Balancer.RequestClass("stream", 1000, 4000, 1, 0, Effect.SAFE,
-                Group.ALL, 0, true));
+        Settings settings = Samples.settings(
+                new Balancer.RequestClass("stream", 1000, 4000, 1, 0, Effect.SAFE, Group.ALL, 0, true));
         Sidecar sidecar = new Sidecar(settings, 3);
         sidecar.ready(3);
         int request = sidecar.request(0);
--- a/src/test/java/ivybank/policy/SharesTest.java
+++ b/src/test/java/ivybank/policy/SharesTest.java
@@ -4,14 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.policy.Balancer.ListKind;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.policy.Balancer.Status;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
-
-import ivybank.policy.Balancer.ListKind;
-import ivybank.policy.Balancer.Outcome;
-import ivybank.policy.Balancer.Status;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path: draws follow shares, and shares follow the design's step. */
@@ -29,8 +28,16 @@
             Sidecar.Sent attempt = sidecar.last();
             double tookMs = latencyMs.getOrDefault(attempt.upstream, 100.0);
             attempt.outcome = tookMs == NEVER_SENT ? Outcome.NOT_SENT : Outcome.OK;
-            sidecar.balancer.attemptEnded(sidecar.now, new Balancer.AttemptEnd(attempt.request, attempt.number,
-                    attempt.upstream, attempt.outcome, tookMs, true, new double[0]));
+            sidecar.balancer.attemptEnded(
+                    sidecar.now,
+                    new Balancer.AttemptEnd(
+                            attempt.request,
+                            attempt.number,
+                            attempt.upstream,
+                            attempt.outcome,
+                            tookMs,
+                            true,
+                            new double[0]));
             parts.merge(attempt.upstream, 1.0 / draws, Double::sum);
         }
         return parts;
@@ -151,7 +158,9 @@
                 grown[i] = Sidecar.upstream(21 + i, Status.READY, 0);
             }
             sidecar.list(ListKind.DELTA, grown);
-            held += draw(sidecar, 300, Map.of()).keySet().stream().filter(id -> id > 20).count();
+            held += draw(sidecar, 300, Map.of()).keySet().stream()
+                    .filter(id -> id > 20)
+                    .count();
         }
         assertEquals(5.0, held / 200.0, 0.5, "new members of ten");
     }
@@ -166,8 +175,8 @@
         Map<Integer, Double> after = draw(sidecar, DRAWS, Map.of());
         assertEquals(10, after.size());
         assertFalse(after.containsKey(drained));
-        List<Integer> fresh = after.keySet().stream().filter(id -> !before.containsKey(id))
-                .collect(Collectors.toList());
+        List<Integer> fresh =
+                after.keySet().stream().filter(id -> !before.containsKey(id)).collect(Collectors.toList());
         assertEquals(1, fresh.size());
         assertEquals(0.1, after.get(fresh.get(0)), CHANCE);
     }
--- a/src/test/java/ivybank/policy/Sidecar.java
+++ b/src/test/java/ivybank/policy/Sidecar.java
@@ -1,12 +1,5 @@
 package ivybank.policy;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.TreeMap;
-
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.Group;
@@ -17,6 +10,12 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Status;
 import ivybank.policy.Balancer.Upstream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
 
 /**
  * Stands in for a sidecar: passes events to a balancer, carries its timers and time-outs out, and checks every action
@@ -66,8 +65,7 @@
         }
     }
 
-    private record Timer(double atMs, int token) {
-    }
+    private record Timer(double atMs, int token) {}
 
     final Settings settings;
     final Balancer balancer;
@@ -147,8 +145,16 @@
             served++;
             done = true;
         }
-        balancer.attemptEnded(now, new AttemptEnd(attempt.request, attempt.number, attempt.upstream, outcome,
-                now - attempt.atMs, done, new double[0]));
+        balancer.attemptEnded(
+                now,
+                new AttemptEnd(
+                        attempt.request,
+                        attempt.number,
+                        attempt.upstream,
+                        outcome,
+                        now - attempt.atMs,
+                        done,
+                        new double[0]));
     }
 
     void clientLeaves(int request) {
@@ -234,8 +240,9 @@
             if (spec.effect() == Effect.UNSAFE) {
                 breaches.add("repeat: unsafe request sent again");
             }
-            if (spec.effect() == Effect.KEYED && (now - before.atMs >= spec.windowMs()
-                    || !sameGroup(spec.group(), listed.get(before.upstream), listed.get(upstream)))) {
+            if (spec.effect() == Effect.KEYED
+                    && (now - before.atMs >= spec.windowMs()
+                            || !sameGroup(spec.group(), listed.get(before.upstream), listed.get(upstream)))) {
                 breaches.add("repeat: keyed request sent outside its group or window");
             }
         }
@@ -254,7 +261,8 @@
         if (open == null) {
             return;
         }
-        boolean harmless = open.spec.effect() == Effect.SAFE || !open.mayHaveRun()
+        boolean harmless = open.spec.effect() == Effect.SAFE
+                || !open.mayHaveRun()
                 || open.spec.effect() == Effect.KEYED && open.spec.group() == Group.ALL;
         if (!harmless) {
             breaches.add("repeat: refused what may have run");
--- a/src/test/java/ivybank/promises/OnRecordTest.java
+++ b/src/test/java/ivybank/promises/OnRecordTest.java
@@ -3,6 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.handler.codec.http.HttpMethod;
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.exchange.Answer;
+import ivybank.exchange.ClientRequest;
+import ivybank.exchange.RequestHandler;
+import ivybank.settings.SettingsText;
+import ivybank.store.Disk;
+import ivybank.store.Limits;
+import ivybank.store.RealDisk;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -19,17 +29,6 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-
-import io.netty.handler.codec.http.HttpMethod;
-import ivybank.common.Clock;
-import ivybank.common.Log;
-import ivybank.exchange.Answer;
-import ivybank.exchange.ClientRequest;
-import ivybank.exchange.RequestHandler;
-import ivybank.settings.SettingsText;
-import ivybank.store.Disk;
-import ivybank.store.Limits;
-import ivybank.store.RealDisk;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -159,8 +158,7 @@
         }
 
         @Override
-        public void arrived(int number) {
-        }
+        public void arrived(int number) {}
 
         @Override
         public void clientLeft(int number) {
@@ -170,6 +168,7 @@
 
     @TempDir
     Path dir;
+
     private final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
     private final HandDriver driver = new HandDriver();
     private final List<String> told = new ArrayList<>();
@@ -186,7 +185,9 @@
     private void open(boolean letThrough) throws Exception {
         disk = new GatedDisk(RealDisk.take(dir));
         Clock clock = Clock.system();
-        keeper = new PromiseKeeper(new PromiseSettings("X-Event", 60_000, 20_000, letThrough), SettingsText.parse("""
+        keeper = new PromiseKeeper(
+                new PromiseSettings("X-Event", 60_000, 20_000, letThrough),
+                SettingsText.parse("""
                 lanes.count=1
                 lanes.0.name=submit
                 lanes.0.aimMs=1000
@@ -195,7 +196,12 @@
                 lanes.0.worth=5
                 limits.maxAttempts=6
                 limits.maxRetryAfterMs=1500
-                """), disk, LIMITS, false, loop, clock,
+                """),
+                disk,
+                LIMITS,
+                false,
+                loop,
+                clock,
                 new Log(new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8), clock));
         keeper.driver(driver);
         disk.permits.drainPermits();
@@ -207,9 +213,21 @@
     }
 
     private void ask(String event, double budgetMs) throws Exception {
-        onLoop(() -> keeper.request(new ClientRequest(HttpMethod.POST, "/submit", "c", null, new byte[0], 0, 0, false,
-                Clock.system().nowMs(), budgetMs, event, null), answer -> told.add(answer.status() + " "
-                        + new String(answer.body(), StandardCharsets.UTF_8).strip())));
+        onLoop(() -> keeper.request(
+                new ClientRequest(
+                        HttpMethod.POST,
+                        "/submit",
+                        "c",
+                        null,
+                        new byte[0],
+                        0,
+                        0,
+                        false,
+                        Clock.system().nowMs(),
+                        budgetMs,
+                        event,
+                        null),
+                answer -> told.add(answer.status() + " " + new String(answer.body(), StandardCharsets.UTF_8).strip())));
     }
 
     /** Waits until the disk is asked to force something. */
@@ -231,10 +249,15 @@
     private CountDownLatch record(int request) throws Exception {
         CountDownLatch out = new CountDownLatch(1);
         onLoop(() -> {
-            driver.requests.get(request).record().record(() -> {
-                driver.requests.get(request).record().sending();
-                out.countDown();
-            }, () -> driver.clients.get(request).accept(Answer.refused(100)));
+            driver.requests
+                    .get(request)
+                    .record()
+                    .record(
+                            () -> {
+                                driver.requests.get(request).record().sending();
+                                out.countDown();
+                            },
+                            () -> driver.clients.get(request).accept(Answer.refused(100)));
             return null;
         });
         return out;
--- a/src/test/java/ivybank/promises/PromisesTest.java
+++ b/src/test/java/ivybank/promises/PromisesTest.java
@@ -4,11 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import ivybank.promises.Promises.Decision;
 import ivybank.promises.Promises.State;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class PromisesTest {
--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -6,6 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.rehearsal.scenario.Plan;
+import ivybank.rehearsal.scenario.ScenarioReader;
+import ivybank.rehearsal.stand.Day;
+import ivybank.testing.LoadedClasses;
+import ivybank.testing.ShortNight;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -14,12 +19,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
-
-import ivybank.rehearsal.scenario.Plan;
-import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.rehearsal.stand.Day;
-import ivybank.testing.LoadedClasses;
-import ivybank.testing.ShortNight;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,8 +44,12 @@
 
     private Day.Result playedOnce(String name, String command, String toml) throws Exception {
         Path state = Files.createDirectories(dir.resolve(name));
-        try (Day day = new Day(Plan.draw(ScenarioReader.read(name, toml), 1), command, Path.of("").toAbsolutePath(), state,
-                line -> { })) {
+        try (Day day = new Day(
+                Plan.draw(ScenarioReader.read(name, toml), 1),
+                command,
+                Path.of("").toAbsolutePath(),
+                state,
+                line -> {})) {
             return day.play();
         }
     }
@@ -57,8 +60,10 @@
 
     @Test
     void aNodeThatIsReplacedAtItsAddressWhileItIsSilentAndSlowIsFollowedByAColdOneUnderANewName() throws Exception {
-        Day.Result day = night("replaced", ShortNight.program("") + "serve", ShortNight.TOML.replace("length_s = 2", "length_s = 6")
-                .replace("work_ms = 5", "work_ms = 30") + """
+        Day.Result day = night(
+                "replaced",
+                ShortNight.program("") + "serve",
+                ShortNight.TOML.replace("length_s = 2", "length_s = 6").replace("work_ms = 5", "work_ms = 30") + """
                 [roster]
                 notice_ms = 600
                 [[fault]]
@@ -80,11 +85,21 @@
                 like = 1
                 """);
         assertEquals(List.of(), Verdict.of(day).reasons());
-        List<String> old = day.states().stream().filter(state -> !state.host().endsWith("r") && day.states().stream()
-                .anyMatch(next -> next.host().equals(state.host() + "r"))).map(Day.NodeState::state).toList();
+        List<String> old = day.states().stream()
+                .filter(state -> !state.host().endsWith("r")
+                        && day.states().stream().anyMatch(next -> next.host().equals(state.host() + "r")))
+                .map(Day.NodeState::state)
+                .toList();
         assertEquals("ready", old.get(0));
-        assertEquals(List.of("silent", "down", "down", "down"), old.subList(2, 6), "the worst that is wrong with it, at each change");
-        String successor = day.states().stream().map(Day.NodeState::host).filter(host -> host.endsWith("r")).findFirst().orElseThrow();
+        assertEquals(
+                List.of("silent", "down", "down", "down"),
+                old.subList(2, 6),
+                "the worst that is wrong with it, at each change");
+        String successor = day.states().stream()
+                .map(Day.NodeState::host)
+                .filter(host -> host.endsWith("r"))
+                .findFirst()
+                .orElseThrow();
         assertTrue(day.attemptsOf().getOrDefault(successor, 0L) > 0, "it takes requests at the old address");
     }
 
@@ -99,40 +114,65 @@
                 """;
         Day.Result day = night("broken", ShortNight.program("") + "serve", toml);
         assertEquals(List.of(), Verdict.of(day).reasons());
-        assertTrue(day.service().figure() < 0.95, "many were broken: " + day.service().figure());
+        assertTrue(
+                day.service().figure() < 0.95,
+                "many were broken: " + day.service().figure());
     }
 
     @Test
     void aSidecarIsKilledWithAHundredRequestsInHand() throws Exception {
-        Day.Result day = night("hands-full", ShortNight.program("") + "serve", ShortNight.TOML.replace("length_s = 2", "length_s = 6")
-                .replace("rate = 50", "rate = 450").replace("work_ms = 5", "work_ms = 5\nwait_ms = 450").replace("safe", "unsafe") + """
+        Day.Result day = night(
+                "hands-full",
+                ShortNight.program("") + "serve",
+                ShortNight.TOML
+                                .replace("length_s = 2", "length_s = 6")
+                                .replace("rate = 50", "rate = 450")
+                                .replace("work_ms = 5", "work_ms = 5\nwait_ms = 450")
+                                .replace("safe", "unsafe")
+                        + """
                 [[fault]]
                 kind = "kill"
                 at_s = 3
                 away_s = 0.1
                 """);
         assertEquals(List.of(), Verdict.of(day).reasons(), () -> day.referee().examples() + "\n" + day.events());
-        String killed = day.events().stream().map(Day.Event::what).filter(what -> what.contains("is killed with")).findFirst().orElseThrow();
+        String killed = day.events().stream()
+                .map(Day.Event::what)
+                .filter(what -> what.contains("is killed with"))
+                .findFirst()
+                .orElseThrow();
         assertTrue(Integer.parseInt(killed.replaceAll(".* with ([0-9]+) calls open", "$1")) >= 100, killed);
     }
 
     @Test
     void killsUnderLoadDoubleNothingAndLoseNoAnswerWherePromisesAreKept() throws Exception {
-        // In the night's own folder, which is another one each time it is played: the same requests find nothing on record.
+        // In the night's own folder, which is another one each time it is played: the same requests find nothing on
+        // record.
         Path store = dir.resolve("promises").resolve("kept");
-        Path operator = Files.writeString(dir.resolve("operator.toml"), "[store]\nfolder = \"" + store + "\"\nfirst_start = \"make\"\n");
+        Path operator = Files.writeString(
+                dir.resolve("operator.toml"), "[store]\nfolder = \"" + store + "\"\nfirst_start = \"make\"\n");
         StringBuilder kills = new StringBuilder();
         int count = Integer.getInteger("promises.kills", 2);
         for (int i = 0; i < count; i++) {
-            kills.append("[[fault]]\nkind = \"kill\"\nat_s = ").append(2 + 3 * i).append("\naway_s = 0.1\n");
+            kills.append("[[fault]]\nkind = \"kill\"\nat_s = ")
+                    .append(2 + 3 * i)
+                    .append("\naway_s = 0.1\n");
         }
-        String toml = ShortNight.TOML.replace("length_s = 2", "length_s = " + (6 + 3 * count)).replace("rate = 50", "rate = 150")
-                .replace("work_ms = 5", "work_ms = 5\nwait_ms = 60").replace("safe", "unsafe")
+        String toml = ShortNight.TOML
+                        .replace("length_s = 2", "length_s = " + (6 + 3 * count))
+                        .replace("rate = 50", "rate = 150")
+                        .replace("work_ms = 5", "work_ms = 5\nwait_ms = 60")
+                        .replace("safe", "unsafe")
                 + "[clients]\nretries = 4\nbackoff_ms = 500\nnamed = true\nask_again = 0.3\n" + kills;
         Day.Result day = night("promises", ShortNight.program("") + "serve --operator " + operator, toml);
-        assertEquals(List.of(), Verdict.of(day).reasons(), () -> day.referee().examples().toString());
+        assertEquals(
+                List.of(),
+                Verdict.of(day).reasons(),
+                () -> day.referee().examples().toString());
         String log = Files.readString(dir.resolve("promises/sidecar-0/sidecar.log"));
-        List<String> starts = log.lines().filter(line -> line.startsWith("promises: ") && line.contains("from before")).toList();
+        List<String> starts = log.lines()
+                .filter(line -> line.startsWith("promises: ") && line.contains("from before"))
+                .toList();
         assertEquals(count + 1, starts.size(), log);
         assertTrue(starts.stream().skip(1).noneMatch(line -> line.contains(" 0 acked")), starts.toString());
         assertTrue(starts.stream().anyMatch(line -> !line.contains(" 0 in doubt")), "requests were in hand: " + starts);
@@ -140,11 +180,16 @@
 
     @Test
     void memoryAndDescriptorsAreHeldToTheLimits() throws Exception {
-        Day.Result greedy = night("greedy", ShortNight.program("-Xms300m -Xmx300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
-        assertTrue(greedy.events().stream().anyMatch(event -> event.what().contains("MB of memory, 192 are allowed: it is killed")),
+        Day.Result greedy =
+                night("greedy", ShortNight.program("-Xms300m -Xmx300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
+        assertTrue(
+                greedy.events().stream()
+                        .anyMatch(event -> event.what().contains("MB of memory, 192 are allowed: it is killed")),
                 greedy.events().toString());
         assertTrue(Verdict.of(greedy).reasons().contains("rule crash broken 1 times"));
-        Day.Result held = night("held", "test \"$(ulimit -n)\" = 100 || exit 9; " + ShortNight.program("") + "serve",
+        Day.Result held = night(
+                "held",
+                "test \"$(ulimit -n)\" = 100 || exit 9; " + ShortNight.program("") + "serve",
                 ShortNight.TOML + "[limits]\nsockets = 100\n");
         assertTrue(held.service().figure() > 0.9, "it was started with so many");
     }
@@ -154,13 +199,20 @@
         Path good = Files.writeString(dir.resolve("good.toml"), "[discovery]\nsilence_ms = 2500\n");
         Path bad = Files.writeString(dir.resolve("bad.toml"), "[discovery]\nsilence = 2500\n");
         Path loaded = dir.resolve("operator.log");
-        assertEquals(List.of(), Verdict.of(night("good", ShortNight.program("-Xlog:class+load:file=" + loaded) + "serve --operator "
-                + good, ShortNight.TOML)).reasons());
+        assertEquals(
+                List.of(),
+                Verdict.of(night(
+                                "good",
+                                ShortNight.program("-Xlog:class+load:file=" + loaded) + "serve --operator " + good,
+                                ShortNight.TOML))
+                        .reasons());
         assertTrue(Files.readString(loaded).contains("ivybank.operator.OperatorFile"));
-        IOException e = assertThrows(IOException.class, () -> night("bad", ShortNight.program("") + "serve --operator " + bad,
-                ShortNight.TOML));
+        IOException e = assertThrows(
+                IOException.class,
+                () -> night("bad", ShortNight.program("") + "serve --operator " + bad, ShortNight.TOML));
         assertTrue(e.getMessage().contains("was not ready"), e.getMessage());
-        assertTrue(Files.readString(dir.resolve("bad/sidecar-0/sidecar.log")).contains("bad.toml: discovery.silence is not known here"));
+        assertTrue(Files.readString(dir.resolve("bad/sidecar-0/sidecar.log"))
+                .contains("bad.toml: discovery.silence is not known here"));
     }
 
     @Test
@@ -187,10 +239,19 @@
     @ParameterizedTest
     @ValueSource(strings = {"KILL", "HUP"})
     void aKitThatIsKilledLeavesNoSidecarBehind(String signal) throws Exception {
-        Path file = Files.writeString(dir.resolve("long.toml"), ShortNight.TOML.replace("length_s = 2", "length_s = 60"));
+        Path file =
+                Files.writeString(dir.resolve("long.toml"), ShortNight.TOML.replace("length_s = 2", "length_s = 60"));
         String mark = "mark-" + ProcessHandle.current().pid() + "-" + System.nanoTime();
-        Process kit = new ProcessBuilder("setsid", "env", "--default-signal=HUP", "/bin/sh", "-c", ShortNight.program("-Xmx512m") + "rehearse run " + file + " --state "
-                + dir.resolve("killed") + " --sidecar \"" + ShortNight.program("-Dmark=" + mark) + "serve\"").redirectErrorStream(true).start();
+        Process kit = new ProcessBuilder(
+                        "setsid",
+                        "env",
+                        "--default-signal=HUP",
+                        "/bin/sh",
+                        "-c",
+                        ShortNight.program("-Xmx512m") + "rehearse run " + file + " --state " + dir.resolve("killed")
+                                + " --sidecar \"" + ShortNight.program("-Dmark=" + mark) + "serve\"")
+                .redirectErrorStream(true)
+                .start();
         BufferedReader said = new BufferedReader(new InputStreamReader(kit.getInputStream()));
         String line = said.readLine();
         while (line != null && !line.contains(" of 60 s")) {
@@ -199,7 +260,9 @@
         assertNotNull(line, "it has begun");
         List<ProcessHandle> sidecars = marked(mark);
         assertFalse(sidecars.isEmpty());
-        new ProcessBuilder("kill", "-" + signal, "--", (signal.equals("HUP") ? "-" : "") + kit.pid()).start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, "--", (signal.equals("HUP") ? "-" : "") + kit.pid())
+                .start()
+                .waitFor();
         kit.waitFor();
         for (ProcessHandle sidecar : sidecars) {
             sidecar.onExit().get();
@@ -208,8 +271,11 @@
 
     private static List<ProcessHandle> marked(String mark) {
         try (Stream<ProcessHandle> all = ProcessHandle.allProcesses()) {
-            return all.filter(each -> each.info().arguments().map(arguments -> List.of(arguments).contains("-Dmark=" + mark))
-                    .orElse(false)).toList();
+            return all.filter(each -> each.info()
+                            .arguments()
+                            .map(arguments -> List.of(arguments).contains("-Dmark=" + mark))
+                            .orElse(false))
+                    .toList();
         }
     }
 }
--- a/src/test/java/ivybank/rehearsal/referee/RefereeTest.java
+++ b/src/test/java/ivybank/rehearsal/referee/RefereeTest.java
@@ -3,13 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Map;
-
 import ivybank.rehearsal.referee.Referee.Attempt;
 import ivybank.rehearsal.referee.Referee.Ending;
 import ivybank.rehearsal.referee.Referee.Rule;
 import ivybank.rehearsal.scenario.Scenario.Effect;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class RefereeTest {
--- a/src/test/java/ivybank/rehearsal/referee/ReturnsTest.java
+++ b/src/test/java/ivybank/rehearsal/referee/ReturnsTest.java
@@ -18,8 +18,11 @@
         returns.served(0, 1900);
         returns.called(0, 2500);
         returns.started(0, 3000);
-        assertEquals(new Returns.Start(0, 1000, 100, 500, 600, 900), returns.starts().get(0));
-        assertEquals(new Returns.Start(0, 3000, Double.NaN, Double.NaN, Double.NaN, Double.NaN), returns.starts().get(1));
+        assertEquals(
+                new Returns.Start(0, 1000, 100, 500, 600, 900), returns.starts().get(0));
+        assertEquals(
+                new Returns.Start(0, 3000, Double.NaN, Double.NaN, Double.NaN, Double.NaN),
+                returns.starts().get(1));
     }
 
     @Test
--- a/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
+++ b/src/test/java/ivybank/rehearsal/scenario/ScenarioTest.java
@@ -5,11 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-
 import ivybank.rehearsal.Scenarios;
 import ivybank.rehearsal.scenario.Plan.Arrival;
 import ivybank.toml.InputException;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,23 +42,27 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "length_s = 5 | length_s = -1 | f.toml: length_s is -1: a number from 1 to 3600 is allowed",
-        "length_s = 5 | length_s = \"5\" | f.toml: length_s is \"5\": a number from 1 to 3600 is allowed",
-        "length_s = 5 | lenght_s = 5 | f.toml: length_s is missing: a number from 1 to 3600 is allowed",
-        "rate = 100 | rates = 100 | f.toml: traffic.rates is not known here: allowed are [rate, sidecars, skew, swing]",
-        "\"silent\" | \"silence\" | f.toml: fault[0].kind is \"silence\": one of [silent, slow, deploy, die, vanish, spoil, "
-                + "break, replace, kill, term, roster-silent, roster-odd, roster-hush, roster-old, roster-move, partition, link, freeze, join, lose, "
-                + "twice, storm] is allowed",
-        "[traffic] | [[class]];;name = \"c\";;aim_ms = 1;;deadline_ms = 2;;effect = \"safe\";;[traffic] | f.toml: class has two of the name \"c\"",
-        "\"silent\" | \"partition\" | f.toml: fault of kind \"partition\" needs peers.on = true",
-        "part = 0.2 | members = [12] | f.toml: fault of kind \"silent\" names 12: 0 to 11 are there",
-        "aim_ms = 100 | aim_ms = 500 | f.toml: class[0].aim_ms is 500: a number from 1 to 400 is allowed",
-        "[[kind]] | [kinds] | f.toml: kind is missing: a scenario needs a [[kind]] of node at least",
-        "name = \"x\" | name = x | f.toml, line 1",
-        "rate = 100 | rate = [3, 1] | f.toml: traffic.rate is [3,1]: a number from 1 to 20000 is allowed"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "length_s = 5 | length_s = -1 | f.toml: length_s is -1: a number from 1 to 3600 is allowed",
+                "length_s = 5 | length_s = \"5\" | f.toml: length_s is \"5\": a number from 1 to 3600 is allowed",
+                "length_s = 5 | lenght_s = 5 | f.toml: length_s is missing: a number from 1 to 3600 is allowed",
+                "rate = 100 | rates = 100 | f.toml: traffic.rates is not known here: allowed are [rate, sidecars, skew, swing]",
+                "\"silent\" | \"silence\" | f.toml: fault[0].kind is \"silence\": one of [silent, slow, deploy, die, vanish, spoil, "
+                        + "break, replace, kill, term, roster-silent, roster-odd, roster-hush, roster-old, roster-move, partition, link, freeze, join, lose, "
+                        + "twice, storm] is allowed",
+                "[traffic] | [[class]];;name = \"c\";;aim_ms = 1;;deadline_ms = 2;;effect = \"safe\";;[traffic] | f.toml: class has two of the name \"c\"",
+                "\"silent\" | \"partition\" | f.toml: fault of kind \"partition\" needs peers.on = true",
+                "part = 0.2 | members = [12] | f.toml: fault of kind \"silent\" names 12: 0 to 11 are there",
+                "aim_ms = 100 | aim_ms = 500 | f.toml: class[0].aim_ms is 500: a number from 1 to 400 is allowed",
+                "[[kind]] | [kinds] | f.toml: kind is missing: a scenario needs a [[kind]] of node at least",
+                "name = \"x\" | name = x | f.toml, line 1",
+                "rate = 100 | rate = [3, 1] | f.toml: traffic.rate is [3,1]: a number from 1 to 20000 is allowed"
+            })
     void whatIsWrongIsSaidInOneLineWithThePlaceAndWhatIsAllowed(String from, String to, String message) {
-        InputException e = assertThrows(InputException.class, () -> ScenarioReader.read("f.toml", GOOD.replace(from, to.replace(";;", "\n"))));
+        InputException e = assertThrows(
+                InputException.class, () -> ScenarioReader.read("f.toml", GOOD.replace(from, to.replace(";;", "\n"))));
         assertTrue(e.getMessage().startsWith(message), e.getMessage());
         assertEquals(1, e.getMessage().lines().count());
     }
--- a/src/test/java/ivybank/rehearsal/stand/NodeModelTest.java
+++ b/src/test/java/ivybank/rehearsal/stand/NodeModelTest.java
@@ -4,12 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
-
 import ivybank.rehearsal.scenario.Scenario.Choke;
 import ivybank.rehearsal.scenario.Scenario.Cold;
 import ivybank.rehearsal.scenario.Scenario.Kind;
 import ivybank.rehearsal.stand.NodeModel.Job;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class NodeModelTest {
@@ -19,7 +18,8 @@
     private static final Choke CHOKE = new Choke(2, 1, 3, 2);
 
     private static NodeModel node(int cores, double speed, double bornMs) {
-        return new NodeModel(new Kind("k", 1, cores, new double[] {speed, speed}, 2, 10, 1), speed, COLD, CHOKE, bornMs);
+        return new NodeModel(
+                new Kind("k", 1, cores, new double[] {speed, speed}, 2, 10, 1), speed, COLD, CHOKE, bornMs);
     }
 
     private static List<Object> tags(List<Job> jobs) {
--- a/src/test/java/ivybank/rehearsal/stand/RelaysTest.java
+++ b/src/test/java/ivybank/rehearsal/stand/RelaysTest.java
@@ -5,6 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import ivybank.common.Addresses;
+import ivybank.common.Clock;
+import ivybank.rehearsal.scenario.Scenario.Quality;
+import ivybank.rehearsal.scenario.Scenario.Ways;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -17,13 +23,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import ivybank.common.Addresses;
-import ivybank.common.Clock;
-import ivybank.rehearsal.scenario.Scenario.Quality;
-import ivybank.rehearsal.scenario.Scenario.Ways;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -53,8 +52,19 @@
             sockets.add(new DatagramSocket(0, InetAddress.getByName("127." + NET + ".1." + (1 + i))));
             servers.add(new ServerSocket(0, 10, InetAddress.getByName("127." + NET + ".1." + (1 + i))));
         }
-        peers = new PeerRelay(world, sockets.stream().map(socket -> (InetSocketAddress) socket.getLocalSocketAddress()).toList(), faults, 1);
-        links = new LinkRelay(world, servers.stream().map(server -> (InetSocketAddress) server.getLocalSocketAddress()).toList(), faults);
+        peers = new PeerRelay(
+                world,
+                sockets.stream()
+                        .map(socket -> (InetSocketAddress) socket.getLocalSocketAddress())
+                        .toList(),
+                faults,
+                1);
+        links = new LinkRelay(
+                world,
+                servers.stream()
+                        .map(server -> (InetSocketAddress) server.getLocalSocketAddress())
+                        .toList(),
+                faults);
     }
 
     @AfterEach
@@ -122,15 +132,19 @@
         over(cut);
         send(0, 1, (byte) 3);
         assertArrayEquals(new byte[] {3}, bytes(1));
-        Ways doubled = fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 1, 0, Double.POSITIVE_INFINITY, 0, 0));
+        Ways doubled =
+                fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 1, 0, Double.POSITIVE_INFINITY, 0, 0));
         send(1, 0, (byte) 4);
         assertArrayEquals(bytes(0), bytes(0));
         over(doubled);
-        Ways late = fault(0, 1, false, new Quality(false, 0, new double[] {300, 300}, 0, 0, Double.POSITIVE_INFINITY, 0, 0));
+        Ways late = fault(
+                0, 1, false, new Quality(false, 0, new double[] {300, 300}, 0, 0, Double.POSITIVE_INFINITY, 0, 0));
         long sent = System.nanoTime();
         send(0, 1, (byte) 5);
         assertArrayEquals(new byte[] {5}, bytes(1));
-        assertTrue(System.nanoTime() - sent >= TimeUnit.MILLISECONDS.toNanos(300), "never early, however busy the machine is");
+        assertTrue(
+                System.nanoTime() - sent >= TimeUnit.MILLISECONDS.toNanos(300),
+                "never early, however busy the machine is");
         over(late);
         Ways slow = fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 0, 0, 0.2, 0, 0));
         long since = System.nanoTime();
@@ -143,14 +157,16 @@
         byte[] like = new byte[60]; // a header of 32 bytes and a sender's word
         like[3] = 32;
         like[32] = 20;
-        Ways forged = fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 1, 0));
+        Ways forged =
+                fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 1, 0));
         send(0, 1, like);
         byte[] first = bytes(1);
         byte[] second = bytes(1);
         byte[] forgery = Arrays.equals(first, like) ? second : first;
         assertEquals(3, forgery[33], "says that its sender leaves");
         over(forged);
-        Ways replayed = fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 1));
+        Ways replayed =
+                fault(0, 1, false, new Quality(false, 0, new double[] {0, 0}, 0, 0, Double.POSITIVE_INFINITY, 0, 1));
         send(0, 1, (byte) 6);
         assertArrayEquals(new byte[] {6}, bytes(1)); // it has met the fault by now, which only then is over
         over(replayed);
@@ -170,7 +186,8 @@
 
     @Test
     void whatALinkCarriesIsHeldWhileItIsCutAndComesWholeAndInOrder() throws IOException {
-        try (Socket from = link(0, 1); Socket to = servers.get(1).accept()) {
+        try (Socket from = link(0, 1);
+                Socket to = servers.get(1).accept()) {
             to.setSoTimeout(LONG_MS);
             from.getOutputStream().write(1);
             assertEquals(1, to.getInputStream().read());
@@ -182,7 +199,8 @@
             assertThrows(SocketTimeoutException.class, () -> to.getInputStream().read());
             to.setSoTimeout(LONG_MS);
             over(cut);
-            Ways late = fault(0, 1, false, new Quality(false, 0.5, new double[] {0, 40}, 0, 0, Double.POSITIVE_INFINITY, 0, 0));
+            Ways late = fault(
+                    0, 1, false, new Quality(false, 0.5, new double[] {0, 40}, 0, 0, Double.POSITIVE_INFINITY, 0, 0));
             for (int i = 4; i < 20; i++) {
                 from.getOutputStream().write(i);
                 from.getOutputStream().flush();
@@ -209,7 +227,8 @@
                 Ways again = fault(0, 2, false, Quality.CUT);
                 from.shutdownOutput();
                 to.setSoTimeout(SILENCE_MS);
-                assertThrows(SocketTimeoutException.class, () -> to.getInputStream().read());
+                assertThrows(
+                        SocketTimeoutException.class, () -> to.getInputStream().read());
                 over(again);
                 to.setSoTimeout(LONG_MS);
                 assertEquals(-1, to.getInputStream().read());
--- a/src/test/java/ivybank/roster/SubsetSizeTest.java
+++ b/src/test/java/ivybank/roster/SubsetSizeTest.java
@@ -54,7 +54,8 @@
 
     @Test
     void oneOfLittleTrafficDoesNotGrowHoweverFullItsMembersAre() {
-        assertEquals(10, without(3, 60, 14).size(), "three in hand fit on ten nodes: what is full there is others' doing");
+        assertEquals(
+                10, without(3, 60, 14).size(), "three in hand fit on ten nodes: what is full there is others' doing");
         assertEquals(60, without(100, 60, 14).size(), "a hundred need all");
         int some = without(20, 60, 14).size();
         assertTrue(some >= 20 && some <= 35, "twenty, with room for chance: " + some);
@@ -188,7 +189,9 @@
     void growsByHalfOnceThoseAddedLastWereFoundIdle() {
         meetTheFirst(1);
         report(0, 1, 1);
-        for (int sample = 0; sample < 3; sample++) { // its own members are busy by its own doing: what counts is who is met anew
+        for (int sample = 0;
+                sample < 3;
+                sample++) { // its own members are busy by its own doing: what counts is who is met anew
             subset.added(100 + sample);
             subset.reported(100 + sample, true, new double[] {0.1}, 0);
         }
@@ -214,7 +217,9 @@
                 one.stepsToAll(1, 110);
                 pairs += one.subset.size();
             }
-            assertTrue(pairs <= 2 * SubsetSize.USUAL * sidecars, sidecars + " sidecars have " + pairs + " pairs after 10 s");
+            assertTrue(
+                    pairs <= 2 * SubsetSize.USUAL * sidecars,
+                    sidecars + " sidecars have " + pairs + " pairs after 10 s");
         }
     }
 
--- a/src/test/java/ivybank/simhost/SimHostTest.java
+++ b/src/test/java/ivybank/simhost/SimHostTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ivybank.policy.IdleBalancer;
+import ivybank.policy.LoadShiftingBalancer;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -19,9 +21,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-
-import ivybank.policy.IdleBalancer;
-import ivybank.policy.LoadShiftingBalancer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -52,15 +51,23 @@
 
         Frame spawn(long seed, String settings) {
             byte[] text = settings.getBytes(StandardCharsets.UTF_8);
-            return put(1, 12 + text.length, b -> b.putLong(seed).putInt(text.length).put(text));
+            return put(
+                    1,
+                    12 + text.length,
+                    b -> b.putLong(seed).putInt(text.length).put(text));
         }
 
         Frame inventory(int bank, int... upstreams) {
             return put(11, 5 + 22 * upstreams.length, b -> {
                 b.put((byte) bank).putInt(upstreams.length);
                 for (int upstream : upstreams) {
-                    b.putDouble(0).putShort((short) 0).put((byte) 0).putShort((short) 0).putInt(upstream)
-                            .putFloat(1).put((byte) 1);
+                    b.putDouble(0)
+                            .putShort((short) 0)
+                            .put((byte) 0)
+                            .putShort((short) 0)
+                            .putInt(upstream)
+                            .putFloat(1)
+                            .put((byte) 1);
                 }
             });
         }
@@ -70,17 +77,33 @@
         }
 
         Frame call(int id) {
-            return put(3, 35, b -> b.putInt(id).put((byte) 0).putLong(0).putShort((short) 0).putDouble(4000)
-                    .putInt(0).putDouble(0));
+            return put(
+                    3,
+                    35,
+                    b -> b.putInt(id)
+                            .put((byte) 0)
+                            .putLong(0)
+                            .putShort((short) 0)
+                            .putDouble(4000)
+                            .putInt(0)
+                            .putDouble(0));
         }
 
         Frame verdict(int id, int upstream, int leg, int code, boolean complete) {
-            return put(5, 20, b -> b.putInt(id).putDouble(20).put((byte) (complete ? 1 : 0)).putInt(upstream)
-                    .put((byte) leg).put((byte) code).put((byte) 0));
+            return put(
+                    5,
+                    20,
+                    b -> b.putInt(id)
+                            .putDouble(20)
+                            .put((byte) (complete ? 1 : 0))
+                            .putInt(upstream)
+                            .put((byte) leg)
+                            .put((byte) code)
+                            .put((byte) 0));
         }
 
         Frame teardown() {
-            return put(10, 0, b -> { });
+            return put(10, 0, b -> {});
         }
 
         Frame put(int code, int bytes, Consumer<ByteBuffer> fields) {
@@ -140,7 +163,11 @@
                 actions.fetchList();
             }
         };
-        byte[] input = new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(77)).bytes(1, 12);
+        byte[] input = new Frame()
+                .at(3)
+                .spawn(1, SETTINGS)
+                .put(7, 4, b -> b.putInt(77))
+                .bytes(1, 12);
         String expected = "0c000000" + "0d000300"
                 + "0100c4913a5d0000000000005440074a1203"
                 + "04000700000002"
@@ -159,9 +186,20 @@
 
     @Test
     void aRequestIsSentAndReusedListNumbersAreTakenInOrder() throws IOException {
-        byte[] input = new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0)
-                .at(1).spawn(2, SETTINGS).inventory(0, 42).membership(2, 0)
-                .at(0).call(1).at(1).call(1).bytes(100, 1);
+        byte[] input = new Frame()
+                .at(0)
+                .spawn(1, SETTINGS)
+                .inventory(0, 41)
+                .membership(2, 0)
+                .at(1)
+                .spawn(2, SETTINGS)
+                .inventory(0, 42)
+                .membership(2, 0)
+                .at(0)
+                .call(1)
+                .at(1)
+                .call(1)
+                .bytes(100, 1);
         String reply = HexFormat.of().formatHex(run(input));
         assertTrue(reply.contains("29000000") && reply.contains("2a000000"), reply);
         int first = reply.indexOf("010001000000");
@@ -202,7 +240,7 @@
         while (in.hasRemaining()) {
             int end = in.getInt(in.position()) + 4 + in.position();
             int speaker = -1;
-            for (int at = in.position() + 8; at < end;) {
+            for (int at = in.position() + 8; at < end; ) {
                 int code = in.getShort(at);
                 int size = sizes[code] + (code == 9 || code == 10 ? in.getShort(at + 2) : 0);
                 if (code == 13) {
@@ -219,7 +257,13 @@
 
     @Test
     void eventsAfterATeardownAreIgnoredAndAFreshStartKnowsNothing() throws IOException {
-        byte[] input = new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0).teardown().call(1)
+        byte[] input = new Frame()
+                .at(0)
+                .spawn(1, SETTINGS)
+                .inventory(0, 41)
+                .membership(2, 0)
+                .teardown()
+                .call(1)
                 .bytes(100, 1);
         assertEquals("0400000001000000", HexFormat.of().formatHex(run(input)));
     }
@@ -232,18 +276,21 @@
                 throw new IllegalStateException("boom");
             }
         };
-        byte[] input = new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(1)).bytes(1, 1);
+        byte[] input =
+                new Frame().at(3).spawn(1, SETTINGS).put(7, 4, b -> b.putInt(1)).bytes(1, 1);
         assertTrue(HexFormat.of().formatHex(run(factory, input)).endsWith("0d000300" + "0a000400" + "626f6f6d"));
     }
 
     @Test
     void missingOrUnreadableSettingsPanicInPlainWords() throws IOException {
-        for (String settings : List.of("", "lanes.count=1\n", "lanes.count=one\n",
-                SETTINGS.replace("4000.0", "soon"))) {
-            String reply = new String(run(new Frame().at(0).spawn(1, settings).bytes(1, 1)),
-                    StandardCharsets.UTF_8);
-            assertTrue(reply.contains("class is needed") || reply.contains("is missing")
-                    || reply.contains("is not a number"), reply);
+        for (String settings :
+                List.of("", "lanes.count=1\n", "lanes.count=one\n", SETTINGS.replace("4000.0", "soon"))) {
+            String reply = new String(run(new Frame().at(0).spawn(1, settings).bytes(1, 1)), StandardCharsets.UTF_8);
+            assertTrue(
+                    reply.contains("class is needed")
+                            || reply.contains("is missing")
+                            || reply.contains("is not a number"),
+                    reply);
         }
     }
 
@@ -258,13 +305,15 @@
         byte[] huge = good.clone();
         huge[11] = 0x7f;
         assertMalformed("length field", huge);
-        assertMalformed("unknown event code 99", new Frame().at(0).put(99, 0, b -> { }).bytes(1, 1));
+        assertMalformed(
+                "unknown event code 99", new Frame().at(0).put(99, 0, b -> {}).bytes(1, 1));
         assertMalformed("before any instance", new Frame().call(1).bytes(1, 1));
         byte[] fewer = new Frame().at(0).call(1).bytes(1, 1);
         fewer[12] = 1;
         assertMalformed("follow the last record", fewer);
         assertMalformed("outcome 9", new Frame().at(0).verdict(1, 1, 0, 9, true).bytes(1, 1));
-        assertMalformed("past the end",
+        assertMalformed(
+                "past the end",
                 new Frame().at(0).put(11, 5, b -> b.put((byte) 0).putInt(-1)).bytes(1, 1));
     }
 
@@ -275,7 +324,14 @@
 
     @Test
     void theMainClassRunsOverRealStreams(@TempDir Path dir) throws Exception {
-        byte[] good = join(new Frame().at(0).spawn(1, SETTINGS).inventory(0, 41).membership(2, 0).call(1).bytes(5, 1),
+        byte[] good = join(
+                new Frame()
+                        .at(0)
+                        .spawn(1, SETTINGS)
+                        .inventory(0, 41)
+                        .membership(2, 0)
+                        .call(1)
+                        .bytes(5, 1),
                 new Frame().bytes(10, 2));
         Result fine = launch(dir, good);
         assertEquals(0, fine.exit);
@@ -287,16 +343,22 @@
         assertEquals("ivybank: input ends after 3 of 20 header bytes", cut.err.trim());
     }
 
-    private record Result(int exit, byte[] out, String err) {
-    }
+    private record Result(int exit, byte[] out, String err) {}
 
     private static Result launch(Path dir, byte[] input) throws Exception {
         Path in = Files.write(dir.resolve("in"), input);
         Path out = dir.resolve("out");
         Path err = dir.resolve("err");
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", "target/classes", "ivybank.Main", "simhost")
-                .redirectInput(in.toFile()).redirectOutput(out.toFile()).redirectError(err.toFile()).start();
+        Process process = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        "target/classes",
+                        "ivybank.Main",
+                        "simhost")
+                .redirectInput(in.toFile())
+                .redirectOutput(out.toFile())
+                .redirectError(err.toFile())
+                .start();
         assertTrue(process.waitFor(60, TimeUnit.SECONDS));
         return new Result(process.exitValue(), Files.readAllBytes(out), Files.readString(err));
     }
--- a/src/test/java/ivybank/store/ModelTest.java
+++ b/src/test/java/ivybank/store/ModelTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -27,13 +26,16 @@
     private static final Limits LIMITS = new Limits(1 << 20, 4096, 2048, 1 << 16);
 
     /** One step, by its kind and a number for what it needs. */
-    record Step(int kind, int number) {
-    }
+    record Step(int kind, int number) {}
 
     @Provide
     Arbitrary<List<Step>> scripts() {
-        return Arbitraries.integers().between(0, 19).flatMap(kind -> Arbitraries.integers().between(0, 10_000)
-                .map(number -> new Step(kind, number))).list().ofMinSize(1).ofMaxSize(260);
+        return Arbitraries.integers()
+                .between(0, 19)
+                .flatMap(kind -> Arbitraries.integers().between(0, 10_000).map(number -> new Step(kind, number)))
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(260);
     }
 
     @Property(tries = 900, seed = "20261201", edgeCases = net.jqwik.api.EdgeCasesMode.NONE)
@@ -127,7 +129,9 @@
         List<Op> batch = new ArrayList<>();
         for (int i = 0; i <= number % 3; i++) {
             byte[] key = ("k" + (number + i * 7) % 23).getBytes(StandardCharsets.UTF_8);
-            batch.add(new Op(new Key(key), number % 5 == 0 ? null : (number + "y".repeat(number % 600)).getBytes(StandardCharsets.UTF_8)));
+            batch.add(new Op(
+                    new Key(key),
+                    number % 5 == 0 ? null : (number + "y".repeat(number % 600)).getBytes(StandardCharsets.UTF_8)));
         }
         return batch;
     }
@@ -145,7 +149,8 @@
 
     private static Map<String, String> content(SegmentLog log) throws IOException {
         Map<String, String> all = new TreeMap<>();
-        log.forEach((key, value) -> all.put(new String(key, StandardCharsets.UTF_8), new String(value, StandardCharsets.UTF_8)));
+        log.forEach((key, value) ->
+                all.put(new String(key, StandardCharsets.UTF_8), new String(value, StandardCharsets.UTF_8)));
         return all;
     }
 }
--- a/src/test/java/ivybank/store/PowerCutDisk.java
+++ b/src/test/java/ivybank/store/PowerCutDisk.java
@@ -36,8 +36,7 @@
     }
 
     /** A change of the names: a new one, one in another's place, or one less. */
-    private record Naming(String name, Content content, String from) {
-    }
+    private record Naming(String name, Content content, String from) {}
 
     private final Map<String, Content> forcedNames = new LinkedHashMap<>();
     private final Map<String, Content> names = new LinkedHashMap<>();
@@ -121,7 +120,8 @@
                     }
                 }
             } else { // up to any byte
-                bytes = new Change(change.at, Arrays.copyOf(change.bytes, random.nextInt(change.bytes.length + 1))).on(bytes);
+                bytes = new Change(change.at, Arrays.copyOf(change.bytes, random.nextInt(change.bytes.length + 1)))
+                        .on(bytes);
             }
         }
         Content copy = new Content();
--- a/src/test/java/ivybank/store/SegmentLogTest.java
+++ b/src/test/java/ivybank/store/SegmentLogTest.java
@@ -14,7 +14,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -25,12 +24,15 @@
     private static final Limits LIMITS = new Limits(1 << 20, 4096, 1024, 1 << 16);
 
     private static Op op(String key, String value) {
-        return new Op(new Key(key.getBytes(StandardCharsets.UTF_8)), value == null ? null : value.getBytes(StandardCharsets.UTF_8));
+        return new Op(
+                new Key(key.getBytes(StandardCharsets.UTF_8)),
+                value == null ? null : value.getBytes(StandardCharsets.UTF_8));
     }
 
     private static Map<String, String> content(SegmentLog log) throws IOException {
         Map<String, String> all = new TreeMap<>();
-        log.forEach((key, value) -> all.put(new String(key, StandardCharsets.UTF_8), new String(value, StandardCharsets.UTF_8)));
+        log.forEach((key, value) ->
+                all.put(new String(key, StandardCharsets.UTF_8), new String(value, StandardCharsets.UTF_8)));
         return all;
     }
 
@@ -59,15 +61,17 @@
 
         /** Whether these are the first changes in their order, at least all that was confirmed when the file had this size. */
         boolean isPrefix(Map<String, String> found, String file, int size) {
-            int confirmed = written.stream().filter(each -> !each.file.equals(file) || each.size <= size).mapToInt(Written::ops)
-                    .max().orElse(0);
+            int confirmed = written.stream()
+                    .filter(each -> !each.file.equals(file) || each.size <= size)
+                    .mapToInt(Written::ops)
+                    .max()
+                    .orElse(0);
             return after.subList(confirmed, after.size()).contains(found);
         }
     }
 
     /** A batch: the file that it went to, its size then, and all changes up to its end. */
-    private record Written(String file, int size, int ops) {
-    }
+    private record Written(String file, int size, int ops) {}
 
     private static Story story(int seed) throws IOException {
         SplittableRandom random = new SplittableRandom(seed);
@@ -126,7 +130,9 @@
                     }
                 } catch (StoreException e) {
                     refused++;
-                    assertTrue(name.startsWith("segment-") || name.equals(Manifest.NAME), name + " cut at " + length + ": " + e.getMessage());
+                    assertTrue(
+                            name.startsWith("segment-") || name.equals(Manifest.NAME),
+                            name + " cut at " + length + ": " + e.getMessage());
                 }
             }
         }
@@ -159,7 +165,10 @@
                         assertEquals(full, found, name + " flipped at " + at);
                     }
                 } catch (StoreException e) {
-                    assertTrue(e.getMessage().contains("can't be read") || e.getMessage().contains("format"), e.getMessage());
+                    assertTrue(
+                            e.getMessage().contains("can't be read")
+                                    || e.getMessage().contains("format"),
+                            e.getMessage());
                 }
             }
         }
@@ -218,28 +227,37 @@
         for (int i = 0; i < 60; i++) {
             log.append(List.of(op("k" + i, "v".repeat(200))));
         }
-        String first = disk.names().stream().filter(name -> name.startsWith("segment-")).findFirst().orElseThrow();
+        String first = disk.names().stream()
+                .filter(name -> name.startsWith("segment-"))
+                .findFirst()
+                .orElseThrow();
         disk.delete(first.replace("segment", "checkpoint"));
         byte[] bytes = disk.bytes(first).clone();
         bytes[1000] ^= 4;
         disk.set(first, bytes);
         PowerCutDisk refusedOn = disk.copy();
         StoreException refused = assertThrows(StoreException.class, () -> Recovery.run(refusedOn, LIMITS, false));
-        assertTrue(refused.getMessage().contains(first + ": bytes ") && refused.getMessage().contains("nothing is changed"),
+        assertTrue(
+                refused.getMessage().contains(first + ": bytes ")
+                        && refused.getMessage().contains("nothing is changed"),
                 refused.getMessage());
         assertArrayEquals(bytes, refusedOn.bytes(first));
         PowerCutDisk degraded = disk.copy();
         Recovery.Recovered recovered = Recovery.run(degraded, LIMITS, true);
         assertEquals(59, content(recovered.log()).size(), "all but the one that was hit");
         assertEquals(1, recovered.report().damage().size());
-        assertArrayEquals(bytes, degraded.bytes(first.replace("segment", "quarantine")), "what is damaged is kept to be looked at");
+        assertArrayEquals(
+                bytes,
+                degraded.bytes(first.replace("segment", "quarantine")),
+                "what is damaged is kept to be looked at");
         recovered.log().append(List.of(op("new", "1")));
         Recovery.Recovered again = Recovery.run(degraded.copy(), LIMITS, false);
         assertEquals(60, content(again.log()).size());
         assertEquals(List.of(), again.report().damage(), "told once, and put aside");
         PowerCutDisk missing = disk.copy();
         missing.delete(first);
-        assertTrue(assertThrows(StoreException.class, () -> Recovery.run(missing, LIMITS, false)).getMessage()
+        assertTrue(assertThrows(StoreException.class, () -> Recovery.run(missing, LIMITS, false))
+                .getMessage()
                 .contains(first + " is missing"));
     }
 
--- a/src/test/java/ivybank/store/StoreBenchmark.java
+++ b/src/test/java/ivybank/store/StoreBenchmark.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-
 import org.HdrHistogram.Histogram;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
@@ -36,11 +35,11 @@
     private static final Limits LIMITS = new Limits(4L << 30, 8 << 20, 1 << 16, 16 << 20);
 
     /** Records a second, and the time to confirm one in ms. */
-    private record Row(double rate, double p50, double p99) {
-    }
+    private record Row(double rate, double p50, double p99) {}
 
     @TempDir
     Path dir;
+
     private final StringBuilder table = new StringBuilder();
 
     private static byte[] key(long number) {
@@ -55,7 +54,8 @@
         Histogram times = new Histogram(3);
         long count = 0;
         long from = System.nanoTime();
-        try (FileChannel file = FileChannel.open(fresh("bare").resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+        try (FileChannel file =
+                FileChannel.open(fresh("bare").resolve("log"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             byte[] record = new byte[Records.size(key(0), new byte[VALUE])];
             while (System.nanoTime() - from < ROUND_NANOS) {
                 long began = System.nanoTime();
@@ -76,11 +76,14 @@
     }
 
     private static Row row(long count, long from, Histogram times) {
-        return new Row(count * 1e9 / (System.nanoTime() - from), times.getValueAtPercentile(50) / 1e6, times.getValueAtPercentile(99) / 1e6);
+        return new Row(
+                count * 1e9 / (System.nanoTime() - from),
+                times.getValueAtPercentile(50) / 1e6,
+                times.getValueAtPercentile(99) / 1e6);
     }
 
     private Store open(Path folder) throws IOException {
-        return Store.open(RealDisk.take(folder), LIMITS, false, (key, value) -> { }, Thread::new);
+        return Store.open(RealDisk.take(folder), LIMITS, false, (key, value) -> {}, Thread::new);
     }
 
     /** {@code keys}: how many different ones; few of them leave much to compact. */
@@ -100,7 +103,14 @@
         }
     }
 
-    private static void putNext(Store store, AtomicLong next, long keys, byte[] value, Histogram times, long from, AtomicInteger out,
+    private static void putNext(
+            Store store,
+            AtomicLong next,
+            long keys,
+            byte[] value,
+            Histogram times,
+            long from,
+            AtomicInteger out,
             CountDownLatch over) {
         long began = System.nanoTime();
         store.put(key(next.getAndIncrement() % keys), value, outcome -> {
@@ -120,7 +130,10 @@
         Histogram times = new Histogram(3);
         long count = 0;
         long from = System.nanoTime();
-        try (MVStore store = new MVStore.Builder().fileName(fresh("mv").resolve("mv").toString()).autoCommitDisabled().open()) {
+        try (MVStore store = new MVStore.Builder()
+                .fileName(fresh("mv").resolve("mv").toString())
+                .autoCommitDisabled()
+                .open()) {
             MVMap<String, byte[]> map = store.openMap("promises");
             while (System.nanoTime() - from < ROUND_NANOS) {
                 long began = System.nanoTime();
@@ -146,11 +159,13 @@
 
     @Test
     void againstABareAppendAndMvStore() throws Exception {
-        table.append("| waiting | bare/s | p50, p99 ms | store/s | p50, p99 ms | store against bare | MVStore/s | p50, p99 ms |\n"
-                + "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+        table.append(
+                "| waiting | bare/s | p50, p99 ms | store/s | p50, p99 ms | store against bare | MVStore/s | p50, p99 ms |\n"
+                        + "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
         store(16, Long.MAX_VALUE); // warm
         for (int waiting : new int[] {1, 16, 256}) {
-            List<Play> plays = List.of(() -> bare(waiting), () -> store(waiting, Long.MAX_VALUE), () -> mvstore(waiting));
+            List<Play> plays =
+                    List.of(() -> bare(waiting), () -> store(waiting, Long.MAX_VALUE), () -> mvstore(waiting));
             List<List<Row>> rows = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
             for (int round = 0; round < ROUNDS; round++) {
                 for (int i = 0; i < plays.size(); i++) {
@@ -160,13 +175,28 @@
             Row bare = median(rows.get(0));
             Row store = median(rows.get(1));
             Row mv = median(rows.get(2));
-            table.append(String.format(Locale.ROOT, "| %d | %.0f | %.2f, %.2f | %.0f | %.2f, %.2f | %.2f | %.0f | %.2f, %.2f |%n", waiting,
-                    bare.rate, bare.p50, bare.p99, store.rate, store.p50, store.p99, bare.rate / store.rate, mv.rate, mv.p50, mv.p99));
+            table.append(String.format(
+                    Locale.ROOT,
+                    "| %d | %.0f | %.2f, %.2f | %.0f | %.2f, %.2f | %.2f | %.0f | %.2f, %.2f |%n",
+                    waiting,
+                    bare.rate,
+                    bare.p50,
+                    bare.p99,
+                    store.rate,
+                    store.p50,
+                    store.p99,
+                    bare.rate / store.rate,
+                    mv.rate,
+                    mv.p50,
+                    mv.p99));
         }
         Row without = store(16, Long.MAX_VALUE);
         Row with = store(16, 5000);
-        table.append(String.format(Locale.ROOT, "%n16 waiting, p99: %.2f ms with nothing to compact, %.2f ms with 5,000 keys written over and over%n",
-                without.p99, with.p99));
+        table.append(String.format(
+                Locale.ROOT,
+                "%n16 waiting, p99: %.2f ms with nothing to compact, %.2f ms with 5,000 keys written over and over%n",
+                without.p99,
+                with.p99));
         million();
         Files.writeString(Path.of("target/store-benchmark.md"), table);
         System.out.println(table);
@@ -187,21 +217,32 @@
                 });
             }
             all.await();
-            table.append("\n1,000,000 records").append(busy.get() > 0 ? ", " + busy + " of them turned away" : "").append(": ");
+            table.append("\n1,000,000 records")
+                    .append(busy.get() > 0 ? ", " + busy + " of them turned away" : "")
+                    .append(": ");
         }
         long before = used();
         long from = System.nanoTime();
         Recovery.Recovered recovered = Recovery.run(RealDisk.take(folder), LIMITS, false);
         double tookMs = (System.nanoTime() - from) / 1e6;
         long memory = used() - before;
-        table.append(String.format(Locale.ROOT, "recovered by checkpoints in %.0f ms, %d MB of memory for the index", tookMs, memory >> 20));
+        table.append(String.format(
+                Locale.ROOT,
+                "recovered by checkpoints in %.0f ms, %d MB of memory for the index",
+                tookMs,
+                memory >> 20));
         recovered.log().abandon();
-        for (Path file : Files.list(folder).filter(each -> each.getFileName().toString().startsWith("checkpoint")).toList()) {
+        for (Path file : Files.list(folder)
+                .filter(each -> each.getFileName().toString().startsWith("checkpoint"))
+                .toList()) {
             Files.delete(file);
         }
         from = System.nanoTime();
         recovered = Recovery.run(RealDisk.take(folder), LIMITS, false);
-        table.append(String.format(Locale.ROOT, "; without them in %.0f ms (%d keys)%n", (System.nanoTime() - from) / 1e6,
+        table.append(String.format(
+                Locale.ROOT,
+                "; without them in %.0f ms (%d keys)%n",
+                (System.nanoTime() - from) / 1e6,
                 recovered.report().keys()));
         recovered.log().abandon();
     }
--- a/src/test/java/ivybank/store/StoreIdentityTest.java
+++ b/src/test/java/ivybank/store/StoreIdentityTest.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-
 import org.junit.jupiter.api.Test;
 
 /** A store that is missing, lost, damaged or another's is told apart from one that is new. */
@@ -26,14 +25,15 @@
 
     private static PowerCutDisk made(String owner) throws IOException {
         PowerCutDisk disk = new PowerCutDisk();
-        StoreIdentity.take(disk, owner, true, () -> "first", line -> { });
+        StoreIdentity.take(disk, owner, true, () -> "first", line -> {});
         Recovery.run(disk, LIMITS, false);
         return disk;
     }
 
     private String refused(Disk disk, String owner, boolean mayMake) throws IOException {
         List<String> before = disk.names();
-        String message = assertThrows(StoreException.class, () -> take(disk, owner, mayMake)).getMessage();
+        String message = assertThrows(StoreException.class, () -> take(disk, owner, mayMake))
+                .getMessage();
         assertEquals(before, disk.names(), "nothing is changed");
         assertEquals(1, message.lines().count());
         return message;
@@ -117,14 +117,19 @@
                 for (int start = 0; start < 4; start++) {
                     disk.cutAfter(step);
                     try {
-                        life = Math.max(life, StoreIdentity.take(disk, "n0", true, () -> "one", line -> { }).life());
+                        life = Math.max(
+                                life,
+                                StoreIdentity.take(disk, "n0", true, () -> "one", line -> {})
+                                        .life());
                         Recovery.run(disk, LIMITS, false);
                     } catch (PowerCutDisk.PowerCut e) {
                         // It comes back as below.
                     }
                     disk = disk.cut(new SplittableRandom(seed * 1000L + start));
                     StoreIdentity kept = StoreIdentity.of(disk);
-                    assertTrue(life == 0 || kept != null && kept.life() >= life, "seed " + seed + ", step " + step + ": " + life + ", then " + kept);
+                    assertTrue(
+                            life == 0 || kept != null && kept.life() >= life,
+                            "seed " + seed + ", step " + step + ": " + life + ", then " + kept);
                 }
             }
         }
--- a/src/test/java/ivybank/tally/FleetSumTest.java
+++ b/src/test/java/ivybank/tally/FleetSumTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.stream.Collectors;
-
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -37,8 +36,12 @@
                 tally.answered();
                 tally.called();
                 tally.listed(second < 3 ? 7 : 8);
-                log.append(0.1 * second).append(' ').append(tally.end(START_MS + 1000 * second + 5 * i, i).line()).append('\n');
-                log.append("given up within 1000 ms: {ROOM=2, ATTEMPTS=1}; admitting 90%; of 10 members 5 full, 0 cold, 1 set aside\n");
+                log.append(0.1 * second)
+                        .append(' ')
+                        .append(tally.end(START_MS + 1000 * second + 5 * i, i).line())
+                        .append('\n');
+                log.append(
+                        "given up within 1000 ms: {ROOM=2, ATTEMPTS=1}; admitting 90%; of 10 members 5 full, 0 cold, 1 set aside\n");
             }
             Files.writeString(folder.resolve("n" + i + ".log"), log);
         }
@@ -89,7 +92,10 @@
         FleetSum now = LogFolder.sum(logs("now", 50, 4));
         assertTrue(before.against(before).isEmpty());
         String worst = now.against(before).get(0);
-        assertTrue(now.against(before).stream().anyMatch(line -> line.startsWith("connections begun at one node in its worst second: 200.000 from 50.000, 4.0 times")),
+        assertTrue(
+                now.against(before).stream()
+                        .anyMatch(line -> line.startsWith(
+                                "connections begun at one node in its worst second: 200.000 from 50.000, 4.0 times")),
                 now.against(before).toString());
         assertTrue(worst.contains("4.0 times"), worst);
         assertTrue(now.against(before).stream().noneMatch(line -> line.startsWith("requests taken")));
@@ -110,8 +116,11 @@
         flipped[40] = (byte) 0xff;
         Files.write(folder.resolve("n0.log"), flipped);
         LogFolder.sum(folder);
-        Files.write(folder.resolve("n0.log"), new String(whole, StandardCharsets.UTF_8).replace("at=18000000", "at=99000000")
-                .getBytes(StandardCharsets.UTF_8));
+        Files.write(
+                folder.resolve("n0.log"),
+                new String(whole, StandardCharsets.UTF_8)
+                        .replace("at=18000000", "at=99000000")
+                        .getBytes(StandardCharsets.UTF_8));
         FleetSum sum = LogFolder.sum(folder);
         assertTrue(sum.seconds().size() <= 4, sum.seconds().keySet().toString());
         assertTrue(sum.leftOut() > 0);
--- a/src/test/java/ivybank/tally/SecondTallyTest.java
+++ b/src/test/java/ivybank/tally/SecondTallyTest.java
@@ -29,8 +29,10 @@
         tally.timedOut("s-2");
         tally.notUp("s-3");
         Second second = tally.end(1_800_000_000_500.0, 7);
-        assertEquals(new Second.OfNode(1, 1, 0, 0, 1, 0, 0, 0, 0), second.nodes().get("s-1"));
-        assertEquals(new Second.OfNode(0, 0, 0, 0, 0, 1, 1, 1, 1), second.nodes().get("s-2"));
+        assertEquals(
+                new Second.OfNode(1, 1, 0, 0, 1, 0, 0, 0, 0), second.nodes().get("s-1"));
+        assertEquals(
+                new Second.OfNode(0, 0, 0, 0, 0, 1, 1, 1, 1), second.nodes().get("s-2"));
         assertEquals(second, Second.parse(second.line()), second.line());
         assertEquals(second, Second.parse("13.655 " + second.line()), "behind what a collector of logs puts before it");
     }
@@ -40,7 +42,9 @@
         tally.begun("s-1");
         tally.held("s-1", 1);
         tally.end(1000, 0);
-        assertEquals(new Second.OfNode(0, 1, 0, 0, 0, 0, 0, 0, 0), tally.end(2000, 0).nodes().get("s-1"));
+        assertEquals(
+                new Second.OfNode(0, 1, 0, 0, 0, 0, 0, 0, 0),
+                tally.end(2000, 0).nodes().get("s-1"));
         tally.held("s-1", -1);
         assertNull(tally.end(3000, 0), "nothing left, nothing said");
     }
@@ -53,7 +57,9 @@
         tally.sent("node-4999", Tally.Age.WARM);
         Second second = tally.end(1000, 0);
         assertEquals(SecondTally.MOST_NODES, second.nodes().size());
-        assertEquals(5001, second.nodes().values().stream().mapToInt(Second.OfNode::sent).sum());
+        assertEquals(
+                5001,
+                second.nodes().values().stream().mapToInt(Second.OfNode::sent).sum());
         assertEquals(2, second.nodes().get("node-4999").sent(), "the busiest have a place of their own");
         for (int node = 0; node < 5000; node++) {
             tally.sent("other-" + node, Tally.Age.WARM);
@@ -78,7 +84,9 @@
         }
         Second second = tally.end(1000, 0);
         assertTrue(second.callsFailed().size() <= 9, second.callsFailed().toString());
-        assertEquals(900, second.callsFailed().values().stream().mapToInt(count -> count).sum());
+        assertEquals(
+                900,
+                second.callsFailed().values().stream().mapToInt(count -> count).sum());
     }
 
     @Test
--- a/src/test/java/ivybank/testing/FakeServer.java
+++ b/src/test/java/ivybank/testing/FakeServer.java
@@ -52,7 +52,8 @@
             int length = 0;
             for (String line : text.split("\r\n")) {
                 if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
-                    length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+                    length = Integer.parseInt(
+                            line.substring(line.indexOf(':') + 1).trim());
                 }
             }
             text += new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
--- a/src/test/java/ivybank/testing/LoadedClasses.java
+++ b/src/test/java/ivybank/testing/LoadedClasses.java
@@ -11,17 +11,29 @@
 /** What a sidecar without an operator file may load, read from the log of {@code -Xlog:class+load}. */
 public final class LoadedClasses {
 
-    private static final List<String> OFF = List.of("ivybank.rehearsal", "ivybank.cli.", "ivybank.operator",
-            "ivybank.toml.StrictTable", "ivybank.store", "ivybank.fleet", "ivybank.peers", "ivybank.promises", "picocli", "ivybank.control.ControlDoor", "org.HdrHistogram", "dataformat.toml");
+    private static final List<String> OFF = List.of(
+            "ivybank.rehearsal",
+            "ivybank.cli.",
+            "ivybank.operator",
+            "ivybank.toml.StrictTable",
+            "ivybank.store",
+            "ivybank.fleet",
+            "ivybank.peers",
+            "ivybank.promises",
+            "picocli",
+            "ivybank.control.ControlDoor",
+            "org.HdrHistogram",
+            "dataformat.toml");
 
-    private LoadedClasses() {
-    }
+    private LoadedClasses() {}
 
     public static void assertServeAlone(Path log) throws IOException {
         List<String> classes = Files.readAllLines(log);
         assertTrue(classes.stream().anyMatch(line -> line.contains("ivybank.daemon.Sidecar")));
         for (String part : OFF) {
-            assertEquals(List.of(), classes.stream().filter(line -> line.contains(part)).toList());
+            assertEquals(
+                    List.of(),
+                    classes.stream().filter(line -> line.contains(part)).toList());
         }
     }
 }
--- a/src/test/java/ivybank/testing/SetClockAgent.java
+++ b/src/test/java/ivybank/testing/SetClockAgent.java
@@ -1,5 +1,14 @@
 package ivybank.testing;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ManualIoEventLoop;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -14,16 +23,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.EventLoop;
-import io.netty.channel.ManualIoEventLoop;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.concurrent.MockTicker;
-import io.netty.util.concurrent.Ticker;
-
 /**
  * A discovery on real sockets and an event loop beside it, both moved on by the test's own thread and clock: whatever one side
  * writes the other has read before the clock goes on, so that times are exact and the same each time.
@@ -98,12 +97,14 @@
 
     public final List<Call> calls = new ArrayList<>();
     private final MockTicker ticker = Ticker.newMockTicker();
-    private final ManualIoEventLoop loop = new ManualIoEventLoop(null, Thread.currentThread(), NioIoHandler.newFactory(), ticker);
+    private final ManualIoEventLoop loop =
+            new ManualIoEventLoop(null, Thread.currentThread(), NioIoHandler.newFactory(), ticker);
     private final ServerSocketChannel listener = ServerSocketChannel.open();
     private final Answers answers;
     private double nowMs;
     /** Connections begun and come up; and bytes that the other side has written, or this one, and that are not read yet. */
     private int connects;
+
     private int up;
     private long toRead;
     private long toTake;
--- a/src/test/java/ivybank/testing/ShortNight.java
+++ b/src/test/java/ivybank/testing/ShortNight.java
@@ -24,8 +24,7 @@
             sidecars = 1
             """;
 
-    private ShortNight() {
-    }
+    private ShortNight() {}
 
     /**
      * The program of this class path, with the heap of a deployed sidecar unless these options of the Java runtime say otherwise:
@@ -33,6 +32,7 @@
      */
     public static String program(String options) {
         return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
-                + " -XX:TieredStopAtLevel=1 -Xms48m -Xmx48m " + options + " -cp '" + System.getProperty("java.class.path") + "' ivybank.Main ";
+                + " -XX:TieredStopAtLevel=1 -Xms48m -Xmx48m " + options + " -cp '"
+                + System.getProperty("java.class.path") + "' ivybank.Main ";
     }
 }
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -7,16 +7,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.Log;
@@ -28,18 +25,17 @@
 import ivybank.testing.FakeServer;
 import ivybank.testing.LateListener;
 import ivybank.upstream.UpstreamAttempt.Ending;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpMethod;
-
 /** What becomes of an attempt on a real socket, ending by ending, by the table of the protocol. */
 @Timeout(20)
 class UpstreamPoolTest {
@@ -59,9 +55,14 @@
     }
 
     private UpstreamPool pool(int connections, double idleMs) {
-        return new UpstreamPool(loop, clock, new UpstreamPool.Limits(connections, 250, idleMs), descriptors,
+        return new UpstreamPool(
+                loop,
+                clock,
+                new UpstreamPool.Limits(connections, 250, idleMs),
+                descriptors,
                 new LoadReport(List.of("rps", "cpu")),
-                new Bootstrap().channel(NioSocketChannel.class), log);
+                new Bootstrap().channel(NioSocketChannel.class),
+                log);
     }
 
     private static Node node(InetSocketAddress address) {
@@ -72,7 +73,8 @@
     }
 
     private static ClientRequest request(HttpMethod method, byte[] body) {
-        return new ClientRequest(method, "/report-read?obj=a%20b&x=1", "c1", null, body, 0, 0, false, 0, 6000, null, null);
+        return new ClientRequest(
+                method, "/report-read?obj=a%20b&x=1", "c1", null, body, 0, 0, false, 0, 6000, null, null);
     }
 
     private Sent send(Node node, double timeoutMs) {
@@ -163,8 +165,9 @@
         assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\n\r\nbody"), "no end was announced");
         assertEquals(Outcome.RESET, outcomeOfBroken(""));
         assertEquals(Outcome.RESET, outcomeOfBroken("no such thing\r\n\r\n"));
-        assertEquals(Outcome.RESET, outcomeOfBroken("HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n"
-                + "x".repeat(70_000)));
+        assertEquals(
+                Outcome.RESET,
+                outcomeOfBroken("HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n" + "x".repeat(70_000)));
     }
 
     private Outcome outcomeOfBroken(String part) throws Exception {
@@ -179,10 +182,17 @@
 
     @Test
     void anAnswerWhoseEndIsNotClearFailsAtOnceAndMayHaveRun() throws Exception {
-        for (String head : List.of("Content-Length: 4\r\nContent-Length: 4", "Content-Length: 4\r\nContent-Length: 5",
-                "Content-Length: 4\r\nTransfer-Encoding: chunked", "Content-Length: -4", "Content-Length: 4x",
-                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked",
-                "Content-Length: 3000000000", "X-Other: 1", "no colon here\r\nContent-Length: 4",
+        for (String head : List.of(
+                "Content-Length: 4\r\nContent-Length: 4",
+                "Content-Length: 4\r\nContent-Length: 5",
+                "Content-Length: 4\r\nTransfer-Encoding: chunked",
+                "Content-Length: -4",
+                "Content-Length: 4x",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Content-Length: 3000000000",
+                "X-Other: 1",
+                "no colon here\r\nContent-Length: 4",
                 "X-Other : 1\r\nContent-Length: 4")) {
             // The connection stays open: only what was read can end the attempt before its time-out.
             assertEquals(Outcome.RESET, outcomeOf("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\nbody"), head);
@@ -193,7 +203,8 @@
 
     @Test
     void whatComesRightBehindAnAnswerIsNotTheNextRequestsAnswer() throws Exception {
-        for (String surplus : List.of(FakeServer.OK.replace("body", "evil"), "HTTP/1.1 200", "noise", "\r\n\r\nnoise")) {
+        for (String surplus :
+                List.of(FakeServer.OK.replace("body", "evil"), "HTTP/1.1 200", "noise", "\r\n\r\nnoise")) {
             try (FakeServer server = new FakeServer(connection -> {
                 connection.read();
                 connection.write(FakeServer.OK + surplus);
@@ -246,12 +257,13 @@
     @Test
     void aConnectionToAnAddressThatTheNodeHasLeftIsNotUsedAgain() throws Exception {
         try (FakeServer old = new FakeServer(connection -> {
-            connection.read();
-            connection.requests.take();
-            connection.requests.take();
-            connection.write(FakeServer.OK);
-            connection.read();
-        }); FakeServer next = FakeServer.answering(FakeServer.OK)) {
+                    connection.read();
+                    connection.requests.take();
+                    connection.requests.take();
+                    connection.write(FakeServer.OK);
+                    connection.read();
+                });
+                FakeServer next = FakeServer.answering(FakeServer.OK)) {
             Node node = node(old.address());
             Sent sent = send(node, LONG_MS);
             onLoop(() -> node.address = next.address());
@@ -266,8 +278,15 @@
     void aReportThatNoLoadCanBeIsNone() {
         LoadReport reports = new LoadReport(List.of("rps", "cpu"));
         assertArrayEquals(new double[] {7.5, 0.25}, reports.read(List.of("TEXT cpu=0.25, rps=7.5, other=x")));
-        for (String text : List.of("TEXT rps=NaN, cpu=1", "TEXT rps=Infinity, cpu=1", "TEXT rps=-1, cpu=1",
-                "TEXT rps=1, rps=1, cpu=1", "TEXT rps=1", "TEXT rps=1, cpu=", "JSON rps=1, cpu=1", "")) {
+        for (String text : List.of(
+                "TEXT rps=NaN, cpu=1",
+                "TEXT rps=Infinity, cpu=1",
+                "TEXT rps=-1, cpu=1",
+                "TEXT rps=1, rps=1, cpu=1",
+                "TEXT rps=1",
+                "TEXT rps=1, cpu=",
+                "JSON rps=1, cpu=1",
+                "")) {
             assertEquals(0, reports.read(List.of(text)).length, text);
         }
         assertEquals(0, reports.read(List.of("TEXT rps=1, cpu=1", "TEXT rps=1, cpu=1")).length);
@@ -291,8 +310,10 @@
             Thread.sleep(100);
             connection.reset();
         })) {
-            assertEquals(Outcome.CONNECT_FAILED,
-                    send(node(server.address()), LONG_MS, request(HttpMethod.POST, body)).outcome());
+            assertEquals(
+                    Outcome.CONNECT_FAILED,
+                    send(node(server.address()), LONG_MS, request(HttpMethod.POST, body))
+                            .outcome());
         }
     }
 
@@ -300,21 +321,25 @@
     void aTimeOutBeforeTheLastByteProvesThatNothingRan() throws Exception {
         byte[] body = new byte[32 << 20];
         try (FakeServer server = new FakeServer(connection -> Thread.sleep(10_000))) {
-            assertEquals(Outcome.CONNECT_FAILED,
-                    send(node(server.address()), 150, request(HttpMethod.POST, body)).outcome());
+            assertEquals(
+                    Outcome.CONNECT_FAILED,
+                    send(node(server.address()), 150, request(HttpMethod.POST, body))
+                            .outcome());
         }
     }
 
     @Test
     void aRefusedConnectionHasNotRun() throws Exception {
-        assertEquals(Outcome.CONNECT_FAILED, send(node(FakeServer.nobody()), LONG_MS).outcome());
+        assertEquals(
+                Outcome.CONNECT_FAILED, send(node(FakeServer.nobody()), LONG_MS).outcome());
     }
 
     @Test
     void aConnectionThatNeverComesUpEndsWithoutTheRequest() throws Exception {
         try (LateListener full = new LateListener()) {
             long startedNs = System.nanoTime();
-            assertEquals(Outcome.CONNECT_FAILED, send(node(full.address()), LONG_MS).outcome());
+            assertEquals(
+                    Outcome.CONNECT_FAILED, send(node(full.address()), LONG_MS).outcome());
             assertTrue(System.nanoTime() - startedNs < TimeUnit.MILLISECONDS.toNanos(3000), "the connect time-out");
             assertEquals(Outcome.CONNECT_FAILED, send(node(full.address()), 50).outcome(), "its own time-out");
         }
@@ -374,7 +399,8 @@
 
     @Test
     void aConnectionThatTheUpstreamEndsIsNotUsedAgain() throws Exception {
-        try (FakeServer server = FakeServer.answering(FakeServer.OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"))) {
+        try (FakeServer server =
+                FakeServer.answering(FakeServer.OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"))) {
             Node node = node(server.address());
             assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
             assertEquals(Outcome.OK, send(node, LONG_MS).outcome());
@@ -419,8 +445,8 @@
             Node node = node(server.address());
             Sent sent = onLoop(() -> {
                 Sent started = new Sent();
-                started.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[0]), LONG_MS,
-                        started.ending::complete);
+                started.attempt = new UpstreamAttempt(
+                        node, request(HttpMethod.POST, new byte[0]), LONG_MS, started.ending::complete);
                 pool.send(started.attempt);
                 node.ready = false;
                 return started;
@@ -453,7 +479,8 @@
                 loop.execute(() -> pool.send(first.attempt));
                 assertEquals(Outcome.OK, first.outcome());
                 assertEquals(Outcome.OK, second.outcome());
-                assertEquals("body", new String(second.ending.get().body(), StandardCharsets.UTF_8), lateMs + " ms late");
+                assertEquals(
+                        "body", new String(second.ending.get().body(), StandardCharsets.UTF_8), lateMs + " ms late");
                 assertEquals(2, server.accepted.size(), "the one that answers twice is left");
             }
         }
@@ -491,7 +518,8 @@
 
     @Test
     void aNodeThatMovesWhileAConnectionComesUpIsSentToWhereItIsNow() throws Exception {
-        try (FakeServer old = FakeServer.answering(FakeServer.OK); FakeServer next = FakeServer.answering(FakeServer.OK)) {
+        try (FakeServer old = FakeServer.answering(FakeServer.OK);
+                FakeServer next = FakeServer.answering(FakeServer.OK)) {
             Node node = node(old.address());
             Sent sent = onLoop(() -> {
                 Sent started = new Sent();
@@ -509,8 +537,14 @@
     /** No other time runs for it any more: without this its client would wait for ever. */
     @Test
     void aLongAnswerThatStandsStillWhileItIsPassedOnEndsBroken() throws Exception {
-        pool = new UpstreamPool(loop, clock, new UpstreamPool.Limits(10, 250, 10_000, 30, 300), descriptors, new LoadReport(List.of()),
-                new Bootstrap().channel(NioSocketChannel.class), log);
+        pool = new UpstreamPool(
+                loop,
+                clock,
+                new UpstreamPool.Limits(10, 250, 10_000, 30, 300),
+                descriptors,
+                new LoadReport(List.of()),
+                new Bootstrap().channel(NioSocketChannel.class),
+                log);
         try (FakeServer server = new FakeServer(connection -> {
             connection.read();
             connection.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + "x".repeat(200_000));
@@ -518,27 +552,28 @@
         })) {
             Sent sent = new Sent();
             CompletableFuture<Boolean> rest = new CompletableFuture<>();
-            sent.attempt = new UpstreamAttempt(node(server.address()), request(HttpMethod.GET, new byte[0]), 200, new UpstreamAttempt.Listener() {
-                @Override
-                public void began(Answer answer) {
-                    answer.rest().take(new BodyPipe.Sink() {
+            sent.attempt = new UpstreamAttempt(
+                    node(server.address()), request(HttpMethod.GET, new byte[0]), 200, new UpstreamAttempt.Listener() {
                         @Override
-                        public void part(ByteBuf part) {
-                            part.release();
+                        public void began(Answer answer) {
+                            answer.rest().take(new BodyPipe.Sink() {
+                                @Override
+                                public void part(ByteBuf part) {
+                                    part.release();
+                                }
+
+                                @Override
+                                public void ended(boolean whole) {
+                                    rest.complete(whole);
+                                }
+                            });
                         }
 
                         @Override
-                        public void ended(boolean whole) {
-                            rest.complete(whole);
+                        public void ended(Ending ending) {
+                            sent.ending.complete(ending);
                         }
                     });
-                }
-
-                @Override
-                public void ended(Ending ending) {
-                    sent.ending.complete(ending);
-                }
-            });
             loop.execute(() -> pool.send(sent.attempt));
             assertEquals(Outcome.RESET, sent.outcome());
             assertFalse(rest.get(1, TimeUnit.SECONDS), "the client can tell that it is not whole");
