Each package says what it is for in its package-info

A newcomer finds each package's job in its documentation, and the linter can hold new packages to it.

--- /dev/null
+++ b/src/main/java/ivybank/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Commands beside the sidecar and the simulator host. */
+package ivybank.cli;
--- /dev/null
+++ b/src/main/java/ivybank/client/package-info.java
@@ -0,0 +1,2 @@
+/** The client side: connections, reading requests, writing answers. */
+package ivybank.client;
--- /dev/null
+++ b/src/main/java/ivybank/control/package-info.java
@@ -0,0 +1,2 @@
+/** The admin endpoint and the orders kept on file. */
+package ivybank.control;
--- /dev/null
+++ b/src/main/java/ivybank/discovery/package-info.java
@@ -0,0 +1,2 @@
+/** The list of nodes and how it is followed. */
+package ivybank.discovery;
--- a/src/main/java/ivybank/emulator/package-info.java
+++ b/src/main/java/ivybank/emulator/package-info.java
@@ -1,5 +1,2 @@
-/**
- * Whole fleets in one process and on one simulated clock: the real decision code, once for each sidecar, between models of
- * nodes, of their connections and of clients. Nothing of it is loaded by {@code serve}.
- */
+/** Whole fleets on one simulated clock, with the real decision module; no input or output. */
 package ivybank.emulator;
--- /dev/null
+++ b/src/main/java/ivybank/operations/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' orders and what follows from them; no input, output or clock. */
+package ivybank.operations;
--- /dev/null
+++ b/src/main/java/ivybank/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator file. */
+package ivybank.operator;
--- /dev/null
+++ b/src/main/java/ivybank/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of the program. */
+package ivybank;
--- /dev/null
+++ b/src/main/java/ivybank/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Datagrams between sidecars: socket, keys and counters. */
+package ivybank.peers;
--- /dev/null
+++ b/src/main/java/ivybank/promises/package-info.java
@@ -0,0 +1,2 @@
+/** Records of requests that must not run twice, which outlast a restart. */
+package ivybank.promises;
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios played on this machine, with verdicts and reports. */
+package ivybank.rehearsal;
--- /dev/null
+++ b/src/main/java/ivybank/rehearsal/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Scenario files, and the plans drawn from them; no input or output beyond text. */
+package ivybank.rehearsal.scenario;
--- /dev/null
+++ b/src/main/java/ivybank/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the settings. */
+package ivybank.settings;
--- /dev/null
+++ b/src/main/java/ivybank/simhost/package-info.java
@@ -0,0 +1,2 @@
+/** The decision module on the simulator's wire. */
+package ivybank.simhost;
--- /dev/null
+++ b/src/main/java/ivybank/toml/package-info.java
@@ -0,0 +1,2 @@
+/** Strict reading of TOML files. */
+package ivybank.toml;
--- /dev/null
+++ b/src/main/java/ivybank/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The upstream side: connections to nodes, attempts, reading answers. */
+package ivybank.upstream;
