--- a/src/main/java/ivybank/policy/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The decision module: which server, which retry, which refusal; no input, output or clock. */
-package ivybank.policy;
