rehearse overhead measures from outside with a generator on a thread of its own

Cause of that lateness, in a trial on a busy machine with each delay over 3 ms printed: one event loop was client, nodes, discovery and referee; its lateness was the most since its start, and nearly all of that came with the first requests (a pass that scheduled all 800 requests took 25 ms, loading and interpreting the code of the first ones up to 459 ms), which no warm-up left out; timers were whole ms.

Change: ivybank.rehearsal.latency. Arrivals are drawn ahead (Poisson, in pairs of one direct and one through); one thread polls its sockets while anything is out or due and sleeps otherwise, allocating nothing for a request; times count from when a request was due. The generator's lateness in sending and reading is kept for each request, and a run in which its p99 exceeds a tenth of the budget is void and has no result.

No run on idle cores yet.

--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -10,7 +10,6 @@
 import ivybank.rehearsal.scenario.Storm;
 import ivybank.rehearsal.stand.Ceiling;
 import ivybank.rehearsal.stand.Day;
-import ivybank.rehearsal.stand.Overhead;
 import ivybank.toml.InputException;
 import ivybank.toml.StrictTable;
 import java.io.IOException;
@@ -31,7 +30,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {
             RehearseCommand.Run.class,
-            RehearseCommand.Cost.class,
+            OverheadCommand.class,
             RehearseCommand.Highest.class,
             RehearseCommand.Smaller.class
         },
@@ -175,74 +174,6 @@
         }
     }
 
-    /** {@code rehearse overhead}. */
-    @Command(
-            name = "overhead",
-            mixinStandardHelpOptions = true,
-            description = "Measures what a sidecar costs: direct against through it, in the same run.")
-    static final class Cost implements Callable<Integer> {
-
-        private static final double HELD = 0.99; // of the requests served in time: the rate is held
-
-        @Option(
-                names = "--rate",
-                paramLabel = "N",
-                defaultValue = "200,1000",
-                split = ",",
-                description = "requests a second, half of them each way (default ${DEFAULT-VALUE})")
-        private List<Double> rates;
-
-        @Option(
-                names = "--most",
-                paramLabel = "N",
-                defaultValue = "0",
-                description =
-                        "goes on from the last rate by steps of a quarter, up to this one or the last that is held")
-        private double most;
-
-        @Option(names = "--seconds", paramLabel = "N", defaultValue = "8", description = "for each rate")
-        private double seconds;
-
-        @Option(names = "--sidecar", paramLabel = "COMMAND", description = "as with run")
-        private String command;
-
-        @Override
-        public Integer call() throws InputException, IOException, InterruptedException {
-            Path folder = Files.createTempDirectory("ivybank-overhead");
-            Scenario scenario = Scenarios.find("calm");
-            System.out.println(
-                    "rate/s  direct p50, p99 ms   through p50, p99 ms  sidecar CPU ms/request  in time   kit late ms");
-            try (Overhead overhead =
-                    new Overhead(scenario, sidecar(command), Path.of("").toAbsolutePath(), folder, 231)) {
-                overhead.play(rates.get(0), 4); // warm
-                for (double rate : rates) {
-                    print(overhead.play(rate, seconds));
-                }
-                double rate = rates.get(rates.size() - 1);
-                for (boolean held = true; held && rate * 1.25 <= most; ) {
-                    rate *= 1.25;
-                    held = print(overhead.play(rate, seconds)) >= HELD;
-                }
-            }
-            remove(folder);
-            return 0;
-        }
-
-        private static double print(Overhead.Row row) {
-            System.out.printf(
-                    "%6.0f  %9.3f %9.3f  %9.3f %9.3f  %22.3f  %6.2f%%  %12.0f%n",
-                    row.rate(),
-                    row.directMs()[0],
-                    row.directMs()[1],
-                    row.throughMs()[0],
-                    row.throughMs()[1],
-                    row.cpuMs(),
-                    100 * row.servedPart(),
-                    row.latenessMs());
-            return row.servedPart();
-        }
-    }
-
     /** {@code rehearse ceiling}. */
     @Command(
             name = "ceiling",
@@ -291,7 +222,7 @@
     }
 
     /** The command that starts a sidecar: as given, as deployed from this folder, or this program's own. */
-    private static String sidecar(String given) throws InputException, IOException {
+    static String sidecar(String given) throws InputException, IOException {
         Path deployed = Path.of("deploy", "balancer.toml");
         if (given != null) {
             return given;
@@ -305,7 +236,7 @@
                 + "' ivybank.Main serve";
     }
 
-    private static void remove(Path folder) throws IOException {
+    static void remove(Path folder) throws IOException {
         List<Path> all;
         try (var files = Files.walk(folder)) {
             all = files.sorted(Comparator.reverseOrder()).toList();
--- a/src/main/java/ivybank/rehearsal/stand/Overhead.java
+++ b/src/main/java/ivybank/rehearsal/stand/Overhead.java
@@ -1,162 +1,184 @@
 package ivybank.rehearsal.stand;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import ivybank.common.Addresses;
 import ivybank.common.Clock;
+import ivybank.rehearsal.latency.ArrivalSchedule;
+import ivybank.rehearsal.latency.Disturbance;
+import ivybank.rehearsal.latency.EchoNodes;
+import ivybank.rehearsal.latency.LoadGenerator;
+import ivybank.rehearsal.latency.NodeFaults;
+import ivybank.rehearsal.latency.Observations;
+import ivybank.rehearsal.latency.OverheadRun;
+import ivybank.rehearsal.latency.RunSummary;
+import ivybank.rehearsal.latency.VoidRule;
+import ivybank.rehearsal.latency.WarmUpRule;
 import ivybank.rehearsal.referee.Referee;
-import ivybank.rehearsal.referee.Service;
-import ivybank.rehearsal.scenario.Plan;
-import ivybank.rehearsal.scenario.Plan.Arrival;
-import ivybank.rehearsal.scenario.Plan.NodeSpec;
 import ivybank.rehearsal.scenario.Scenario;
+import ivybank.rehearsal.scenario.Scenario.RequestClass;
 import ivybank.rehearsal.stand.RosterServer.Entry;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
- * What a sidecar costs: the same requests to the same nodes, every other one through the sidecar and the rest past it, in
- * the same seconds of the same run, so that what the machine does meets both alike. Nodes answer at once.
+ * What a sidecar adds to the time of a call: a real sidecar between a {@link LoadGenerator} and {@link EchoNodes}, with
+ * discovery beside it. Generator, nodes and discovery each have a thread of their own.
  */
 public final class Overhead implements AutoCloseable {
 
-    /** One rate: times to answer in ms, direct and through; CPU of the sidecar for each request through it, in ms. */
-    public record Row(
-            double rate, double[] directMs, double[] throughMs, double cpuMs, double servedPart, double latenessMs) {}
+    /**
+     * What is set up.
+     *
+     * @param scenario brings kinds, the first safe class and limits; nothing of its traffic or faults is played
+     * @param command starts a sidecar in {@code folder}
+     * @param state for the sidecar's configuration and log
+     * @param net 1 to 254, the second part of all addresses
+     */
+    public record Setup(
+            Scenario scenario, String command, Path folder, Path state, int net, int nodes, Disturbance disturbance) {}
 
-    /** The percentiles of a row. */
-    static final double[] PERCENTILES = {50, 99};
+    /**
+     * How long each run is.
+     *
+     * @param seconds that are measured, after the warm-up
+     * @param seed of the arrivals; each run draws others
+     */
+    public record Length(WarmUpRule warmUp, double seconds, long seed) {}
 
     private static final long READY_MS = 30_000;
-    private static final int NODES = 8;
-    private static final int DIRECT = 1; // the number of "another sidecar" for the referee
-    private static final double MICROS_IN_MS = 1000;
+    private static final int HANGING = 0; // the number of the node that hangs
+    private static final double NANOS_IN_S = 1e9;
+    private static final double MS_IN_S = 1000;
+    private static final int CPU_S = 2; // in what usage() gives
 
-    private final Scenario scenario;
+    private final Setup setup;
     private final MultiThreadIoEventLoopGroup acceptor = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
-    private final List<NodeServer> nodes = new ArrayList<>();
-    private final World world;
+    private final MultiThreadIoEventLoopGroup rosters = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EchoNodes nodes;
+    private final RosterServer roster;
     private final SidecarProcess sidecar;
+    private final LoadGenerator generator;
+    private final OverheadDisturber disturber;
+    private int runs;
 
-    /** Starts nodes and a sidecar; the scenario brings kinds, classes and limits, and nothing goes wrong. */
-    public Overhead(Scenario scenario, String command, Path folder, Path state, int net)
-            throws IOException, InterruptedException {
-        this.scenario = scenario;
-        world = new World(scenario, acceptor, loop, Clock.system(), new Referee(2, 1e9, 0), net);
-        RosterServer roster = loop.submit(() -> {
+    /** Starts nodes, discovery and a sidecar, and waits until it is ready. */
+    public Overhead(Setup setup) throws IOException, InterruptedException {
+        this.setup = setup;
+        World world =
+                new World(setup.scenario, acceptor, rosters.next(), Clock.system(), new Referee(1, 1e9, 0), setup.net);
+        nodes = new EchoNodes(addresses(), faults());
+        List<Entry> listed = entries(0, setup.nodes, "n-", "Ready");
+        roster = world.loop
+                .submit(() -> {
                     RosterServer made = new RosterServer(world, 0);
-                    for (NodeSpec spec : Plan.draw(scenario, 1).nodes().subList(0, NODES)) {
-                        NodeModel model = new NodeModel(
-                                spec.kind(), spec.speed(), scenario.cold(), scenario.choke(), Double.NEGATIVE_INFINITY);
-                        NodeServer node = new NodeServer(
-                                world,
-                                spec.host(),
-                                spec.site(),
-                                model,
-                                spec.kind().connections(),
-                                0,
-                                NodeServer.address(net, nodes.size()),
-                                false,
-                                1);
-                        nodes.add(node);
-                        made.change(new Entry(
-                                spec.host(),
-                                node.dial(),
-                                spec.site(),
-                                spec.kind().name(),
-                                "Ready",
-                                0));
-                    }
+                    made.change(listed);
                     return made;
                 })
                 .sync()
                 .getNow();
-        sidecar = new SidecarProcess(scenario, 0, command, folder, state, Loopback.forSidecar(net, 0), 1);
+        InetSocketAddress listen = Loopback.forSidecar(setup.net, 0);
+        sidecar = new SidecarProcess(setup.scenario, 0, setup.command, setup.folder, setup.state, listen, 1);
         sidecar.configure(roster.address(), roster.known());
         sidecar.start();
-        loop.submit(world::begin).sync();
         if (!sidecar.awaitReady(READY_MS)) {
-            sidecar.kill();
-            throw new IOException("the sidecar was not ready within " + READY_MS / 1000 + " s: see " + state);
+            close();
+            throw new IOException("the sidecar was not ready within " + READY_MS / 1000 + " s: see " + setup.state);
         }
+        RequestClass safe = setup.scenario.classes().get(0);
+        generator = new LoadGenerator(listen, yardsticks(), safe.name(), (long) safe.deadlineMs());
+        disturber = new OverheadDisturber(setup.disturbance, sidecar, this::changeList);
     }
 
-    /** Plays so many requests a second, half of them each way, for so long. */
-    public Row play(double rate, double seconds) throws InterruptedException {
-        Service direct = new Service(scenario.classes(), seconds);
-        Service through = new Service(scenario.classes(), seconds);
-        // One for each node: alone it would meet the connections that one node bears.
-        List<ClientApp> past = nodes.stream()
-                .map(node -> new ClientApp(world, DIRECT, Addresses.parse(node.dial()), 128, direct, atMs -> false))
-                .toList();
-        ClientApp via = new ClientApp(world, 0, sidecar.listen(), 128, through, atMs -> false);
-        int count = (int) (rate * seconds);
-        double[] before = sidecar.usage();
-        loop.submit(() -> {
-                    double fromMs = world.nowMs();
-                    for (int i = 0; i < count; i++) {
-                        double atMs = fromMs + i * 1000 / rate;
-                        Arrival arrival = new Arrival(
-                                i,
-                                atMs,
-                                0,
-                                0,
-                                Integer.toHexString(i),
-                                0,
-                                0,
-                                scenario.classes().get(0).deadlineMs(),
-                                0,
-                                false);
-                        ClientApp client = i % 2 == 0 ? past.get(i / 2 % past.size()) : via;
-                        world.at(atMs, () -> client.arrive(arrival));
-                    }
-                })
-                .sync();
-        Thread.sleep((long) (seconds * 1000));
-        while (loop.submit(() -> via.openTries()
-                                + past.stream().mapToInt(ClientApp::openTries).sum())
-                        .sync()
-                        .getNow()
-                > 0) {
-            Thread.sleep(20);
+    /** The nodes' addresses, and those of the nodes that a change of the list brings. */
+    private List<InetSocketAddress> addresses() {
+        int count = setup.nodes + (setup.disturbance == Disturbance.LIST_CHANGE ? Disturbance.CHANGED_NODES : 0);
+        List<InetSocketAddress> wanted = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            wanted.add(NodeServer.address(setup.net, i));
+        }
+        return wanted;
+    }
+
+    private NodeFaults faults() {
+        return setup.disturbance == Disturbance.BAD_ANSWERS
+                ? new NodeFaults(Disturbance.BAD_PART, Disturbance.BAD_PART, 1)
+                : NodeFaults.none();
+    }
+
+    private List<Entry> entries(int from, int until, String prefix, String health) {
+        List<Entry> entries = new ArrayList<>();
+        for (int i = from; i < until; i++) {
+            String dial = Addresses.text(nodes.addresses().get(i));
+            String site = "site-" + i % setup.scenario.fleet().sites();
+            String kind = setup.scenario.kinds().get(0).name();
+            entries.add(new Entry(prefix + i, dial, site, kind, health, 0));
         }
-        double[] after = sidecar.usage();
-        return new Row(
-                rate,
-                percentiles(direct),
-                percentiles(through),
-                1000 * (after[2] - before[2]) / (count / 2.0),
-                served(through) / (count / 2.0),
-                world.latenessMs());
+        return entries;
     }
 
-    private static int served(Service service) {
-        int served = 0;
-        for (int[] row : service.results()) {
-            served += row[Service.Result.IN_TIME.ordinal()];
+    /** The nodes that direct requests go to: all that answer. */
+    private List<InetSocketAddress> yardsticks() {
+        int from = setup.disturbance == Disturbance.HANGING_NODE ? HANGING + 1 : 0;
+        return nodes.addresses().subList(from, setup.nodes);
+    }
+
+    /** Discovery tells of many nodes that have come, under names of their own, or that are gone. */
+    private void changeList(int round) {
+        boolean come = round % 2 == 0;
+        String prefix = "extra-" + round / 2 + "-";
+        List<Entry> changed = entries(setup.nodes, nodes.addresses().size(), prefix, come ? "Ready" : "Gone");
+        rosters.next().execute(() -> roster.change(changed));
+    }
+
+    /**
+     * Plays one run on the thread that calls: a warm-up, then what is measured.
+     *
+     * @param ratePerS requests a second through the sidecar, and as many direct ones
+     */
+    public OverheadRun play(double ratePerS, Length length) throws IOException {
+        runs++;
+        if (setup.disturbance == Disturbance.HANGING_NODE) {
+            nodes.hang(HANGING);
         }
-        return served;
+        double warmUpS = length.warmUp.seconds(ratePerS);
+        ArrivalSchedule schedule = ArrivalSchedule.draw(ratePerS, warmUpS + length.seconds, length.seed + runs);
+        double cpuBeforeS = cpuS();
+        disturber.begin(warmUpS);
+        Observations seen = generator.play(schedule);
+        disturber.end();
+        double cpuMs = MS_IN_S * (cpuS() - cpuBeforeS) / schedule.pairCount();
+        long measuredNs = (long) (warmUpS * NANOS_IN_S);
+        RunSummary warmUp = RunSummary.of(seen, 0, measuredNs);
+        RunSummary measured = RunSummary.of(seen, measuredNs, Long.MAX_VALUE);
+        Optional<String> reason = VoidRule.STANDARD.reason(measured);
+        return new OverheadRun(runs, warmUpS, warmUp, measured, cpuMs, reason);
     }
 
-    private static double[] percentiles(Service service) {
-        double[] values = new double[PERCENTILES.length];
-        for (int i = 0; i < values.length; i++) {
-            values[i] = service.fine().getValueAtPercentile(PERCENTILES[i]) / MICROS_IN_MS;
+    private double cpuS() throws IOException {
+        double[] usage = sidecar.usage();
+        if (usage == null) {
+            throw new IOException("the sidecar has ended: see " + setup.state);
         }
-        return values;
+        return usage[CPU_S];
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
+        if (disturber != null) {
+            disturber.close();
+        }
+        if (generator != null) {
+            generator.close();
+        }
         sidecar.kill();
-        loop.execute(() -> nodes.forEach(NodeServer::end));
+        nodes.close();
         acceptor.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        rosters.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -104,8 +104,13 @@
 
     /** A change has come to the agent. */
     void change(Entry entry) {
+        change(List.of(entry));
+    }
+
+    /** Changes have come to the agent at once: it tells them in one line. */
+    void change(List<Entry> entries) {
         if (silent) {
-            whenBack.add(() -> change(entry)); // discovery is down: the change comes when it is back
+            whenBack.add(() -> change(entries)); // discovery is down: the changes come when it is back
             return;
         }
         snapshots.addLast(new Snapshot(world.nowMs(), seq, Map.copyOf(list)));
@@ -113,25 +118,31 @@
             snapshots.removeFirst();
         }
         seq++;
-        if (entry.health().equals("Gone")) {
-            list.remove(entry.host());
-            gone.add(entry);
-        } else {
-            list.put(entry.host(), entry);
-        }
+        entries.forEach(this::enter);
         if (behind == null && !watches.isEmpty()) {
-            toWatches(list(false, Json.MAPPER.createArrayNode().add(entry.json())) + "\n");
-            told(entry);
+            ArrayNode changed = Json.MAPPER.createArrayNode();
+            entries.forEach(entry -> changed.add(entry.json()));
+            toWatches(list(false, changed) + "\n");
+            entries.forEach(this::told);
         }
         double toldMs = world.scenario.roster().toldMs();
         double leftMs = Double.isNaN(hushedMs) ? toldMs : Math.max(0, hushedMs + toldMs - world.nowMs());
         world.after(leftMs, () -> {
             if (!silent && behind == null) {
-                told(entry);
+                entries.forEach(this::told);
             }
         });
     }
 
+    private void enter(Entry entry) {
+        if (entry.health().equals("Gone")) {
+            list.remove(entry.host());
+            gone.add(entry);
+        } else {
+            list.put(entry.host(), entry);
+        }
+    }
+
     /** What it has to say of this node counts as told from now on. */
     void told(Entry entry) {
         if (!entry.health().equals("Ready")) {
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -231,6 +231,19 @@
         }
     }
 
+    /** Has it do a full garbage collection, by the JDK's own tool, and waits until that is over. */
+    void collectGarbage() throws IOException {
+        String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+        Process asked = new ProcessBuilder(jcmd, String.valueOf(process.pid()), "GC.run")
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        int exitCode = asked.onExit().join().exitValue();
+        if (exitCode != 0) {
+            throw new IOException(jcmd + " ended with " + exitCode);
+        }
+    }
+
     /** From now on its end is no crash. */
     void expectEnd() {
         expected = true;
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -206,6 +206,23 @@
                 .check(PROGRAM);
     }
 
+    @Test
+    void whatTheOverheadsFiguresComeFromIsComputedWithoutSocketsAndClock() {
+        noClasses()
+                .that()
+                .resideInAPackage("ivybank.rehearsal.latency..")
+                .and()
+                .haveNameMatching(
+                        ".*\\.(ArrivalSchedule|Distribution|Observations|Overhead(Run|Cell)|RunSummary|VoidRule"
+                                + "|WarmUpRule|Disturbance|NodeFaults|ResponseReader|RequestTemplate)")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.channels..")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .check(PROGRAM);
+    }
+
     @Test
     void theStoreKnowsNothingOfRequestsAndThePromisesDecideWithoutInputAndOutput() {
         noClasses()
