A spare connection instead of the wait for one that rests

The rest itself has to stay: nothing tells the very first second answer of a node from the answer to the next request.

ConnectionReusePolicy decides, with the clock handed in, whether an attempt reuses a connection, waits for the rest of one, opens one, or opens a spare one and goes out on whichever can be used first. Spare connections are bounded: 0.05 of one for each attempt, ten saved at most, eight at a node, none for a node that is cold or refused something in the last 10 s, none beyond three quarters of the connections allowed. A spare one that doesn't come up costs its attempt nothing; where a node turns something away its idle spare ones are closed.

Before a request is written the socket is read once more (UpstreamSocketChannel): a second answer, a part of one or an end that the event loop has not read yet ends that connection, where the rest alone was no guard after a hold-up of the loop. A 200 that comes before the last byte of its request is not served: a node begins with the last byte.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -38,6 +38,7 @@
 import ivybank.toml.InputException;
 import ivybank.upstream.LoadReport;
 import ivybank.upstream.UpstreamPool;
+import ivybank.upstream.UpstreamSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -185,23 +186,22 @@
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
         int clients = Math.max(1, (int) (sockets * CLIENT_PART));
         int refused = Math.max(1, (int) (clients * REFUSED_PART));
-        UpstreamPool.Limits limits = new UpstreamPool.Limits(
+        UpstreamPool.Limits limits = UpstreamPool.Limits.usual(
                 upstreams,
                 (int) config.connectTimeoutMs(),
-                Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()));
+                Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()),
+                config.settings().contract().coldMs());
         buffers =
                 new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
-        Bootstrap base = new Bootstrap()
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, buffers)
-                .option(ChannelOption.TCP_NODELAY, true);
+        Bootstrap base =
+                new Bootstrap().option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true);
         pool = new UpstreamPool(
                 loop,
                 clock,
                 limits,
                 descriptors,
                 new LoadReport(config.settings().reportFields()),
-                base.clone(),
+                base.clone().channel(UpstreamSocketChannel.class),
                 log);
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         driver = new Driver(
@@ -219,7 +219,7 @@
                 log);
         discovery = new Discovery(
                 loop,
-                base.clone(),
+                base.clone().channel(NioSocketChannel.class),
                 config.discovery(),
                 file::changedDiscovery,
                 config.known().resumeFrom(config.settings().askForList()),
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -100,7 +100,7 @@
         UpstreamPool pool = new UpstreamPool(
                 loop,
                 clock,
-                new UpstreamPool.Limits(CONNECTIONS, 1000, IDLE_MS, 0, IDLE_MS),
+                UpstreamPool.Limits.withoutRest(CONNECTIONS, 1000, IDLE_MS),
                 descriptors,
                 new LoadReport(settings.reportFields()),
                 new Bootstrap().channel(LocalChannel.class),
--- /dev/null
+++ b/src/main/java/ivybank/upstream/IdleConnections.java
@@ -0,0 +1,102 @@
+package ivybank.upstream;
+
+import ivybank.discovery.Node;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+
+/** The connections that carry no request, by node. For use by one thread. */
+final class IdleConnections {
+
+    private static final Comparator<UpstreamConnection> BY_LAST_USE =
+            Comparator.comparingDouble(connection -> connection.idleSinceMs);
+    private static final Comparator<UpstreamConnection> BY_ANSWER =
+            Comparator.comparingDouble(connection -> connection.answeredMs);
+
+    private final Map<Node, List<UpstreamConnection>> byNode = new HashMap<>();
+
+    void add(UpstreamConnection connection) {
+        byNode.computeIfAbsent(connection.node, node -> new ArrayList<>()).add(connection);
+    }
+
+    void remove(UpstreamConnection connection) {
+        List<UpstreamConnection> connections = byNode.get(connection.node);
+        if (connections != null) {
+            connections.remove(connection);
+        }
+    }
+
+    int count(Node node) {
+        return byNode.getOrDefault(node, List.of()).size();
+    }
+
+    void countEach(BiConsumer<Node, Integer> counts) {
+        byNode.forEach((node, connections) -> counts.accept(node, connections.size()));
+    }
+
+    /**
+     * Takes out the connection that was used last of those that have rested, so that what is not needed stays unused and is
+     * closed; else the one that rests since longest; null if none is there.
+     */
+    UpstreamConnection take(Node node, Predicate<UpstreamConnection> hasRested) {
+        List<UpstreamConnection> connections = byNode.get(node);
+        if (connections == null) {
+            return null;
+        }
+        connections.removeIf(connection -> !connection.active()); // their end is about to be told
+        UpstreamConnection chosen = connections.stream()
+                .filter(hasRested)
+                .max(BY_LAST_USE)
+                .or(() -> connections.stream().min(BY_ANSWER))
+                .orElse(null);
+        connections.remove(chosen);
+        return chosen;
+    }
+
+    void close(Node node) {
+        List<UpstreamConnection> connections = byNode.remove(node);
+        if (connections != null) {
+            connections.forEach(UpstreamConnection::close);
+        }
+    }
+
+    void closeAll() {
+        for (Node node : byNode.keySet().toArray(Node[]::new)) {
+            close(node);
+        }
+    }
+
+    /** Closes those to a node that fit the condition. */
+    void closeIf(Node node, Predicate<UpstreamConnection> condition) {
+        List<UpstreamConnection> closing = new ArrayList<>(byNode.getOrDefault(node, List.of()));
+        closing.removeIf(condition.negate());
+        closing.forEach(connection -> {
+            remove(connection);
+            connection.close();
+        });
+    }
+
+    /** Closes those that have been idle since before an instant, and forgets the nodes that have none left. */
+    void closeIdleSince(double beforeMs) {
+        for (Node node : byNode.keySet().toArray(Node[]::new)) {
+            closeIf(node, connection -> connection.idleSinceMs < beforeMs);
+        }
+        byNode.values().removeIf(List::isEmpty);
+    }
+
+    /** Closes the one that has been idle longest; false if there is none. */
+    boolean closeLongestIdle() {
+        UpstreamConnection oldest =
+                byNode.values().stream().flatMap(List::stream).min(BY_LAST_USE).orElse(null);
+        if (oldest == null) {
+            return false;
+        }
+        remove(oldest);
+        oldest.close();
+        return true;
+    }
+}
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -29,6 +29,7 @@
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.upstream.UpstreamAttempt.Ending;
+import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -58,6 +59,8 @@
     final Node node;
     /** Where it leads; its node may have moved since. */
     final SocketAddress address;
+    /** Whether it was opened to spare an attempt a wait. */
+    final boolean spare;
     /** When it was last handed back, by the module's clock. */
     double idleSinceMs;
     /** When its last answer came, by the module's clock. */
@@ -90,8 +93,9 @@
 
     private boolean reusable;
 
-    UpstreamConnection(Node node, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
+    UpstreamConnection(Node node, boolean spare, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
         this.node = node;
+        this.spare = spare;
         this.address = node.address;
         this.decoder = decoder;
         this.pool = pool;
@@ -116,6 +120,11 @@
         channel.close();
     }
 
+    /** What stands unread; the connection has to be closed unless there is nothing. */
+    UnreadInput unreadInput() {
+        return channel instanceof UpstreamSocketChannel socket ? socket.unreadInput() : UnreadInput.NONE;
+    }
+
     void send(UpstreamAttempt next) {
         attempt = next;
         written = false;
@@ -259,7 +268,10 @@
         boolean bounded = HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response)
                 || !HttpUtil.isKeepAlive(response);
-        if (!Framing.isClear(response) || !interim && !bounded) {
+        if (!written && response.status().code() == SERVED) {
+            pool.spoilt(node, "came before its request had left");
+            finish(Ending.of(Outcome.CONNECT_FAILED), false); // a node begins with the last byte, so it has not run
+        } else if (!Framing.isClear(response) || !interim && !bounded) {
             spoilt("doesn't tell where it ends");
         } else if (Framing.isTooLong(response)) {
             spoilt("is too long");
@@ -413,8 +425,12 @@
         body = null;
         whole = null;
         answeredMs = pool.nowMs();
+        boolean turnedAway = ending.outcome() == Outcome.REJECTED;
+        if (turnedAway) {
+            pool.turnedAway(node);
+        }
         // First the connection: the end of this attempt may bring the next one for it.
-        if (useAgain) {
+        if (useAgain && !(turnedAway && spare)) {
             pool.handBack(this);
         } else {
             close();
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -15,28 +15,48 @@
 import ivybank.discovery.Node;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Tally;
+import ivybank.upstream.ConnectionReusePolicy.NodeState;
 import ivybank.upstream.UpstreamAttempt.Ending;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
 
     /**
-     * How many connections in all, how long one may take to come up, how long it may stand idle, how long it rests after
-     * an answer, and how long nothing may come of an answer that is being passed on.
+     * @param connections how many may be open in all
+     * @param connectTimeoutMs how long one may take to come up
+     * @param idleMs how long one may stand idle
+     * @param stallMs how long nothing may come of an answer that is being passed on
+     * @param reuse when an idle connection is used again, and when a spare one is opened
      */
-    public record Limits(int connections, int connectTimeoutMs, double idleMs, double restMs, double stallMs) {
+    public record Limits(
+            int connections, int connectTimeoutMs, double idleMs, double stallMs, ConnectionReusePolicy.Limits reuse) {
+
+        /** The usual limits; {@code coldMs} is how long after its start a node is still warming up. */
+        public static Limits usual(int connections, int connectTimeoutMs, double idleMs, double coldMs) {
+            return new Limits(
+                    connections,
+                    connectTimeoutMs,
+                    idleMs,
+                    LONGEST_STALL_MS,
+                    ConnectionReusePolicy.Limits.usual(REST_MS, coldMs));
+        }
 
-        public Limits(int connections, int connectTimeoutMs, double idleMs) {
-            this(connections, connectTimeoutMs, idleMs, REST_MS, LONGEST_STALL_MS);
+        /** Limits under which a connection can be used again at once, for nodes that are known to answer once. */
+        public static Limits withoutRest(int connections, int connectTimeoutMs, double idleMs) {
+            return new Limits(
+                    connections, connectTimeoutMs, idleMs, LONGEST_STALL_MS, ConnectionReusePolicy.Limits.usual(0, 0));
         }
     }
 
     private static final long SWEEP_MS = 500;
+    private static final double MICROS_IN_MS = 1000;
+    /** Of the connections allowed: so many are never taken by spare ones. */
+    private static final double ROOM_KEPT_PART = 0.25;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
      * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
@@ -53,7 +73,11 @@
     private final LoadReport reports;
     private final Log log;
     private final Bootstrap bootstrap;
-    private final Map<Node, Deque<UpstreamConnection>> idle = new HashMap<>();
+    private final ConnectionReusePolicy reuse;
+    private final IdleConnections idle = new IdleConnections();
+    /** How many connections each node has that were opened to spare an attempt a wait. */
+    private final Map<Node, Integer> spares = new HashMap<>();
+
     private int open;
     private Tally tally = Tally.NONE;
     private HeldUp heldUp = HeldUp.NEVER;
@@ -76,6 +100,7 @@
         this.descriptors = descriptors;
         this.reports = reports;
         this.log = log;
+        this.reuse = new ConnectionReusePolicy(limits.reuse());
         this.bootstrap = base.group(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
         loop.scheduleWithFixedDelay(this::closeLongIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -92,7 +117,7 @@
 
     /** Tells what is idle now. */
     public void countIdle() {
-        idle.forEach((node, connections) -> tally.idle(node.host, connections.size()));
+        idle.countEach((node, count) -> tally.idle(node.host, count));
     }
 
     /** Notes an answer that is none, for the next report. */
@@ -134,21 +159,36 @@
         if (!attempt.request.arriving()) {
             attempt.startTimer(loop);
         }
+        reuse.attemptBegan();
         begin(attempt);
     }
 
-    /** Finds a connection for an attempt: one that has rested, else one that soon will have, else a new one. */
+    /** Sends an attempt on a connection that has rested, else on the one that can be used first. */
     private void begin(UpstreamAttempt attempt) {
-        UpstreamConnection connection = attempt.node.ready ? takeIdle(attempt.node) : null;
-        if (!attempt.node.ready) { // discovery may have said so while it waited
+        Node node = attempt.node;
+        if (!node.ready) { // discovery may have said so while it waited
             attempt.end(Ending.of(Outcome.NOT_SENT));
-        } else if (connection != null && restMs(connection) <= 0) {
-            send(connection, attempt);
-        } else if (connection != null) {
-            loop.schedule(
-                    () -> rested(connection, attempt), (long) Math.ceil(restMs(connection)), TimeUnit.MILLISECONDS);
-        } else if (open < limits.connections() && !descriptors.full() || evictOldest()) {
-            connect(attempt);
+            return;
+        }
+        double nowMs = clock.nowMs();
+        UpstreamConnection idleOne = idle.take(node, connection -> restLeftMs(connection, nowMs) <= 0);
+        double restLeftMs = idleOne == null ? Double.POSITIVE_INFINITY : restLeftMs(idleOne, nowMs);
+        NodeState state = new NodeState(node.host, nowMs - node.startedMs(), spares.getOrDefault(node, 0));
+        switch (reuse.choose(state, restLeftMs, hasRoomForSpares(), nowMs)) {
+            case REUSE -> send(idleOne, attempt);
+            case WAIT -> new Wait(attempt).forRest(idleOne, restLeftMs);
+            case OPEN_AND_WAIT -> {
+                Wait wait = new Wait(attempt);
+                wait.forRest(idleOne, restLeftMs);
+                wait.forNew(true);
+            }
+            case OPEN -> open(attempt);
+        }
+    }
+
+    private void open(UpstreamAttempt attempt) {
+        if (open < limits.connections() && !descriptors.full() || idle.closeLongestIdle()) {
+            new Wait(attempt).forNew(false);
         } else {
             log.line("all " + open + " connections to upstreams are busy and there may be no more: nothing sent to "
                     + attempt.node);
@@ -156,14 +196,94 @@
         }
     }
 
-    private double restMs(UpstreamConnection connection) {
-        return connection.answeredMs + limits.restMs() - clock.nowMs();
+    /** A spare connection must never be the reason why another one can't be opened, here or on the client's side. */
+    private boolean hasRoomForSpares() {
+        int kept = (int) (ROOM_KEPT_PART * limits.connections());
+        return open < limits.connections() - kept && descriptors.room() > kept;
     }
 
-    /** The connection that an attempt has waited for has rested, or has gone meanwhile. */
-    private void rested(UpstreamConnection connection, UpstreamAttempt attempt) {
-        if (isStillWanted(connection, attempt)) {
-            send(connection, attempt);
+    private double restLeftMs(UpstreamConnection connection, double nowMs) {
+        return reuse.restLeftMs(connection.answeredMs, nowMs);
+    }
+
+    /** An attempt that waits for a connection that rests, for a new one, or for whichever of the two can be used first. */
+    private final class Wait {
+        private final UpstreamAttempt attempt;
+        /** The connection that rests and is kept for this attempt, else null. */
+        private UpstreamConnection resting;
+
+        private boolean comingUp;
+        /** Whether the attempt has been sent on, or has ended. */
+        private boolean over;
+
+        Wait(UpstreamAttempt attempt) {
+            this.attempt = attempt;
+        }
+
+        void forRest(UpstreamConnection connection, double restLeftMs) {
+            resting = connection;
+            loop.schedule(this::rested, (long) Math.ceil(restLeftMs * MICROS_IN_MS), TimeUnit.MICROSECONDS);
+        }
+
+        void forNew(boolean spare) {
+            comingUp = true;
+            connect(attempt.node, spare, this::connected);
+        }
+
+        private void rested() {
+            if (resting == null) {
+                return;
+            }
+            UpstreamConnection connection = resting;
+            resting = null;
+            if (attempt.ended()) { // its request was called off meanwhile; the next one finds the connection
+                keep(connection);
+            } else if (isOfUse(connection)) {
+                over = true;
+                send(connection, attempt);
+            } else { // discovery may have said so
+                connection.close();
+                lost();
+            }
+        }
+
+        /** @param connection that has come up, or null if it has not */
+        private void connected(UpstreamConnection connection) {
+            comingUp = false;
+            if (connection == null) {
+                failed();
+            } else if (over || attempt.ended()) {
+                keep(connection); // the next request finds it up
+            } else if (leadsToItsNode(connection)) {
+                over = true;
+                handBackResting();
+                send(connection, attempt);
+            } else { // discovery may have said so while it came up
+                connection.close();
+                lost();
+            }
+        }
+
+        private void failed() {
+            if (!over && resting == null) {
+                over = true;
+                attempt.end(Ending.of(Outcome.CONNECT_FAILED));
+            }
+        }
+
+        /** One of the connections is of no use any more: goes on with the other one, or begins anew. */
+        private void lost() {
+            if (!over && resting == null && !comingUp) {
+                over = true;
+                begin(attempt);
+            }
+        }
+
+        private void handBackResting() {
+            if (resting != null) {
+                keep(resting);
+                resting = null;
+            }
         }
     }
 
@@ -175,18 +295,35 @@
         if (heldUp.ofLate(clock.nowMs())) {
             OneMorePass.then(loop, () -> {
                 if (isStillWanted(connection, attempt)) {
-                    connection.send(attempt);
+                    write(connection, attempt);
                 }
             });
         } else {
+            write(connection, attempt);
+        }
+    }
+
+    /**
+     * Writes a request on a connection on which nothing stands unread. Guards against an answer that the event loop has not
+     * read yet: it came before the request, and would be taken for the request's own.
+     */
+    private void write(UpstreamConnection connection, UpstreamAttempt attempt) {
+        UnreadInput unread = connection.unreadInput();
+        if (unread == UnreadInput.NONE) {
             connection.send(attempt);
+            return;
         }
+        if (unread == UnreadInput.BYTES) {
+            surplus(connection);
+        }
+        connection.close();
+        begin(attempt);
     }
 
     /** Whether an attempt may go on the connection that it has waited for; else that is seen to. */
     private boolean isStillWanted(UpstreamConnection connection, UpstreamAttempt attempt) {
         if (attempt.ended()) { // its request was called off meanwhile; the next one finds the connection
-            handBack(connection);
+            keep(connection);
             return false;
         }
         if (!isOfUse(connection)) { // discovery may have said so
@@ -197,24 +334,6 @@
         return true;
     }
 
-    /** The idle connection that was used last of those that have rested; else the one that has rested longest. */
-    private UpstreamConnection takeIdle(Node node) {
-        Deque<UpstreamConnection> connections = idle.get(node);
-        if (connections == null) {
-            return null;
-        }
-        connections.removeIf(connection -> !connection.active()); // those died idle, and their end is about to be told
-        UpstreamConnection chosen = connections.peekLast();
-        for (UpstreamConnection connection : connections) {
-            if (restMs(connection) <= 0) {
-                chosen = connection;
-                break;
-            }
-        }
-        connections.remove(chosen);
-        return chosen;
-    }
-
     /** Whether it leads to where its node is; one that has moved is another machine. */
     private static boolean leadsToItsNode(UpstreamConnection connection) {
         return connection.node.ready && connection.address.equals(connection.node.address);
@@ -224,15 +343,12 @@
         return leadsToItsNode(connection) && connection.active();
     }
 
-    private void connect(UpstreamAttempt attempt) {
-        Node node = attempt.node;
+    /** Opens a connection, and hands it on once it is up; null if it doesn't come up. */
+    private void connect(Node node, boolean spare, Consumer<UpstreamConnection> receiver) {
         AnswerDecoder decoder = new AnswerDecoder();
-        UpstreamConnection connection = new UpstreamConnection(node, decoder, this, reports);
-        descriptors.take();
-        open++;
-        opened++;
-        tally.begun(node.host);
-        tally.held(node.host, 1);
+        UpstreamConnection connection = new UpstreamConnection(node, spare, decoder, this, reports);
+        double begunMs = clock.nowMs();
+        begun(node, spare);
         ChannelFuture connected = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
@@ -242,49 +358,70 @@
                     }
                 })
                 .connect(node.address);
-        connected.channel().closeFuture().addListener(closed -> {
-            descriptors.release();
-            open--;
-            tally.held(node.host, -1);
-            remove(connection);
-        });
+        connected.channel().closeFuture().addListener(closed -> ended(connection));
         connected.addListener(up -> {
-            if (!up.isSuccess()) {
-                tally.notUp(node.host);
-                attempt.end(Ending.of(Outcome.CONNECT_FAILED));
-            } else if (attempt.ended()) {
-                handBack(connection); // its request was called off meanwhile; the next one finds it up
-            } else if (!leadsToItsNode(connection)) { // discovery may have said so while it came up
-                connection.close();
-                begin(attempt);
+            double nowMs = clock.nowMs();
+            if (up.isSuccess()) {
+                reuse.cameUp(nowMs - begunMs);
+                connection.idleSinceMs = nowMs;
+                receiver.accept(connection);
             } else {
-                send(connection, attempt);
+                tally.notUp(node.host);
+                reuse.refused(node.host, nowMs);
+                receiver.accept(null);
             }
         });
     }
 
-    /** Takes back a connection that is free again. */
+    private void begun(Node node, boolean spare) {
+        descriptors.take();
+        open++;
+        opened++;
+        if (spare) {
+            spares.merge(node, 1, Integer::sum);
+        }
+        tally.begun(node.host);
+        tally.held(node.host, 1);
+    }
+
+    private void ended(UpstreamConnection connection) {
+        descriptors.release();
+        open--;
+        if (connection.spare) {
+            spares.computeIfPresent(connection.node, (node, count) -> count == 1 ? null : count - 1);
+        }
+        tally.held(connection.node.host, -1);
+        idle.remove(connection);
+    }
+
+    /** A node has turned a request away, perhaps because it has too many connections: it is left those opened to spare. */
+    void turnedAway(Node node) {
+        reuse.refused(node.host, clock.nowMs());
+        idle.closeIf(node, connection -> connection.spare);
+    }
+
+    /** Takes back a connection whose request has been answered. */
     void handBack(UpstreamConnection connection) {
+        connection.idleSinceMs = clock.nowMs();
+        keep(connection);
+    }
+
+    /** Keeps a connection that nothing needs at the moment for the next request. */
+    private void keep(UpstreamConnection connection) {
         if (keepsNoneIdle || !isOfUse(connection)) {
             connection.close();
-            return;
+        } else {
+            idle.add(connection);
         }
-        connection.idleSinceMs = clock.nowMs();
-        idle.computeIfAbsent(connection.node, node -> new ArrayDeque<>()).addFirst(connection);
     }
 
     /** Closes the idle connections to a node. */
     public void closeIdle(Node node) {
-        Deque<UpstreamConnection> connections = idle.remove(node);
-        if (connections != null) {
-            connections.forEach(UpstreamConnection::close);
-        }
+        idle.close(node);
     }
 
     public void closeAllIdle() {
-        for (Node node : idle.keySet().toArray(Node[]::new)) {
-            closeIdle(node);
-        }
+        idle.closeAll();
     }
 
     /** From now on a connection is closed when it is free: another process needs the descriptors. */
@@ -294,35 +431,8 @@
     }
 
     private void closeLongIdle() {
-        double oldestMs = clock.nowMs() - limits.idleMs();
-        for (Deque<UpstreamConnection> connections : idle.values()) {
-            while (!connections.isEmpty() && connections.peekLast().idleSinceMs < oldestMs) {
-                connections.pollLast().close();
-            }
-        }
-        idle.values().removeIf(Deque::isEmpty); // nodes come and go
-    }
-
-    /** Closes the connection that has stood idle longest; false if none is idle. */
-    boolean evictOldest() {
-        UpstreamConnection oldest = null;
-        for (Deque<UpstreamConnection> connections : idle.values()) {
-            UpstreamConnection last = connections.peekLast();
-            if (last != null && (oldest == null || last.idleSinceMs < oldest.idleSinceMs)) {
-                oldest = last;
-            }
-        }
-        if (oldest != null) {
-            remove(oldest);
-            oldest.close();
-        }
-        return oldest != null;
-    }
-
-    private void remove(UpstreamConnection connection) {
-        Deque<UpstreamConnection> connections = idle.get(connection.node);
-        if (connections != null) {
-            connections.remove(connection);
-        }
+        double nowMs = clock.nowMs();
+        idle.closeIdleSince(nowMs - limits.idleMs());
+        reuse.sweep(nowMs);
     }
 }
--- a/src/test/java/ivybank/daemon/DriverTest.java
+++ b/src/test/java/ivybank/daemon/DriverTest.java
@@ -65,7 +65,7 @@
             UpstreamPool pool = new UpstreamPool(
                     loop,
                     clock,
-                    new UpstreamPool.Limits(10, 250, 10_000),
+                    UpstreamPool.Limits.usual(10, 250, 10_000, 0),
                     new Descriptors(20),
                     new LoadReport(List.of()),
                     new Bootstrap().channel(NioSocketChannel.class),
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
@@ -27,10 +26,16 @@
 import ivybank.upstream.UpstreamAttempt.Ending;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -59,10 +64,10 @@
         return new UpstreamPool(
                 loop,
                 clock,
-                new UpstreamPool.Limits(connections, 250, idleMs),
+                UpstreamPool.Limits.usual(connections, 250, idleMs, 0),
                 descriptors,
                 new LoadReport(List.of("rps", "cpu")),
-                new Bootstrap().channel(NioSocketChannel.class),
+                new Bootstrap().channel(UpstreamSocketChannel.class),
                 log);
     }
 
@@ -498,6 +503,274 @@
         }
     }
 
+    /** Spare connections as soon as one is of use; what rests would be waited for until the test's end. */
+    private UpstreamPool poolWithSpares(int connections, double restMs, int mostSpares) {
+        ConnectionReusePolicy.Limits reuse = new ConnectionReusePolicy.Limits(restMs, 1, mostSpares, 60_000, 0);
+        return new UpstreamPool(
+                loop,
+                clock,
+                new UpstreamPool.Limits(connections, 250, 60_000, 5000, reuse),
+                descriptors,
+                new LoadReport(List.of()),
+                new Bootstrap().channel(UpstreamSocketChannel.class),
+                log);
+    }
+
+    /** Sends the second request as soon as the first one is answered, as the module may do. */
+    private List<Sent> sendInTurn(Node node, double timeoutMs) {
+        Sent second = new Sent();
+        second.attempt =
+                new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), timeoutMs, second.ending::complete);
+        Sent first = new Sent();
+        first.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
+            pool.send(second.attempt);
+            first.ending.complete(ending);
+        });
+        loop.execute(() -> pool.send(first.attempt));
+        return List.of(first, second);
+    }
+
+    private static void assertBody(Sent sent, String why) throws Exception {
+        assertEquals(Outcome.OK, sent.outcome(), why);
+        assertEquals("body", new String(sent.ending.get().body(), StandardCharsets.UTF_8), why);
+    }
+
+    @Test
+    void aSpareConnectionIsOpenedRatherThanALongRestWaitedForAndNotMoreThanAllowed() throws Exception {
+        pool = poolWithSpares(100, LONG_MS, 1);
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            for (Sent sent : sendInTurn(node, LONG_MS)) {
+                assertBody(sent, "on a connection of its own");
+            }
+            assertEquals(2, server.accepted.size());
+            assertEquals(Outcome.CONNECT_FAILED, send(node, 100).outcome(), "both rest, and there may be no more");
+            assertEquals(2, server.accepted.size());
+        }
+    }
+
+    @Test
+    void whatARequestDidNotNeedInTheEndIsUsedByTheNext() throws Exception {
+        pool = poolWithSpares(100, 30, 8);
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            for (int i = 0; i < 10; i++) {
+                for (Sent sent : sendInTurn(node, LONG_MS)) {
+                    assertBody(sent, "pair " + i);
+                }
+                Thread.sleep(35);
+            }
+            assertEquals(2, server.accepted.size());
+        }
+    }
+
+    @Test
+    void aSecondAnswerIsNeverTheNextRequestsWhereSpareConnectionsAreOpened() throws Exception {
+        for (int lateMs : new int[] {0, 1, 10, 24, 29}) {
+            pool = poolWithSpares(100, 30, 8);
+            try (FakeServer server = new FakeServer(connection -> {
+                for (int i = 0; connection.read() != null; i++) {
+                    connection.write(FakeServer.OK);
+                    Thread.sleep(lateMs);
+                    connection.write(i == 0 ? FakeServer.OK.replace("body", "evil") : "");
+                }
+            })) {
+                for (Sent sent : sendInTurn(node(server.address()), LONG_MS)) {
+                    assertBody(sent, lateMs + " ms late");
+                }
+                assertEquals(2, server.accepted.size(), "a spare one was opened");
+            }
+        }
+    }
+
+    /**
+     * The event loop is held up until the connection has rested and the second answer, or a part of it, stands in its socket:
+     * the rest alone is no guard then.
+     */
+    @Test
+    void aSecondAnswerThatNobodyHasReadIsFoundBeforeTheNextRequestIsWritten() throws Exception {
+        String evil = FakeServer.OK.replace("body", "evil");
+        for (int lateMs : new int[] {0, 1, 10, 24, 29}) {
+            for (int cutAt : new int[] {1, evil.length() / 2, evil.length()}) {
+                CountDownLatch answered = new CountDownLatch(1);
+                CountDownLatch late = new CountDownLatch(1);
+                try (FakeServer server = new FakeServer(connection -> {
+                    if (connection.read() == null) {
+                        return;
+                    }
+                    connection.write(FakeServer.OK);
+                    boolean first = late.getCount() > 0;
+                    if (first) {
+                        answered.await();
+                        Thread.sleep(lateMs);
+                        connection.write(evil.substring(0, cutAt));
+                        late.countDown();
+                    }
+                    connection.read();
+                    connection.write(evil.substring(cutAt));
+                })) {
+                    Node node = node(server.address());
+                    Sent second = new Sent();
+                    second.attempt = attempt(node, second);
+                    Sent first = new Sent();
+                    first.attempt =
+                            new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
+                                first.ending.complete(ending);
+                                loop.execute(
+                                        () -> { // behind this read, in the same pass over the sockets
+                                            answered.countDown();
+                                            holdUp(late, 40);
+                                            pool.send(second.attempt);
+                                        });
+                            });
+                    loop.execute(() -> pool.send(first.attempt));
+                    assertBody(first, "the first");
+                    assertBody(second, lateMs + " ms late, cut at " + cutAt);
+                    assertEquals(2, server.accepted.size(), "the one that answers twice is left");
+                }
+            }
+        }
+    }
+
+    private static void holdUp(CountDownLatch until, long leastMs) {
+        try {
+            assertTrue(until.await(10, TimeUnit.SECONDS));
+            Thread.sleep(leastMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The next request must not go out on a connection that its node has ended, though nobody has read that yet. */
+    @Test
+    void anEndThatNobodyHasReadIsFoundBeforeTheNextRequestIsWritten() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write(FakeServer.OK);
+            if (ended.getCount() > 0) {
+                connection.socket.close();
+                ended.countDown();
+            }
+        })) {
+            Node node = node(server.address());
+            Sent second = new Sent();
+            second.attempt = attempt(node, second);
+            Sent first = new Sent();
+            first.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
+                first.ending.complete(ending);
+                loop.execute(() -> {
+                    holdUp(ended, 40);
+                    pool.send(second.attempt);
+                });
+            });
+            loop.execute(() -> pool.send(first.attempt));
+            assertBody(first, "the first");
+            assertBody(second, "on a new connection");
+        }
+    }
+
+    @Test
+    void atANodeThatRefusesFurtherConnectionsTheRestIsWaitedFor() throws Exception {
+        pool = poolWithSpares(100, 30, 8);
+        ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Node node = node((InetSocketAddress) listener.getLocalSocketAddress());
+        List<Sent> both = sendInTurn(node, LONG_MS);
+        try (Socket only = listener.accept()) {
+            listener.close(); // from now on nobody accepts
+            FakeServer.Connection connection = new FakeServer.Connection(only, new LinkedBlockingQueue<>());
+            for (Sent sent : both) {
+                assertNotNull(connection.read());
+                connection.write(FakeServer.OK);
+                assertBody(sent, "on the one connection that there is");
+            }
+            assertEquals(2, onLoop(pool::opened), "a spare one was tried");
+        }
+    }
+
+    /** The node's table has one place left: what is opened beyond it costs one attempt, and then no other. */
+    @Test
+    void aNodeThatTurnsAwayIsLeftItsSpareConnections() throws Exception {
+        pool = poolWithSpares(100, 30, 8);
+        AtomicInteger accepted = new AtomicInteger();
+        try (FakeServer server = new FakeServer(connection -> {
+            boolean first = accepted.getAndIncrement() == 0;
+            while (connection.read() != null) {
+                connection.write(first ? FakeServer.OK : FakeServer.REJECTED);
+            }
+        })) {
+            Node node = node(server.address());
+            List<Sent> both = sendInTurn(node, LONG_MS);
+            assertBody(both.get(0), "the first");
+            assertEquals(Outcome.REJECTED, both.get(1).outcome());
+            for (int i = 0; i < 5; i++) {
+                for (Sent sent : sendInTurn(node, LONG_MS)) {
+                    assertBody(sent, "no spare one was opened again");
+                }
+            }
+            assertEquals(2, server.accepted.size());
+            assertEquals(1, onLoop(pool::open), "and the one that was is closed");
+        }
+    }
+
+    @Test
+    void withoutRoomForSpareConnectionsTheRestIsWaitedFor() throws Exception {
+        pool = poolWithSpares(1, 30, 8);
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            for (Sent sent : sendInTurn(node(server.address()), LONG_MS)) {
+                assertBody(sent, "on the one connection that is allowed");
+            }
+            assertEquals(1, server.accepted.size());
+        }
+    }
+
+    @Test
+    void ofABurstEachRequestGetsItsOwnAnswer() throws Exception {
+        pool = poolWithSpares(100, 30, 8);
+        try (FakeServer server = new FakeServer(connection -> {
+            for (String request = connection.read(); request != null; request = connection.read()) {
+                String id = request.replaceAll("(?s).*X-Call-Id: (\\w+).*", "$1");
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + id.length() + "\r\n\r\n" + id);
+            }
+        })) {
+            Node node = node(server.address());
+            for (int burst = 0; burst < 3; burst++) {
+                List<Sent> all = new ArrayList<>();
+                for (int i = 0; i < 20; i++) {
+                    Sent sent = new Sent();
+                    sent.attempt =
+                            new UpstreamAttempt(node, named("r" + burst + "x" + i), LONG_MS, sent.ending::complete);
+                    all.add(sent);
+                }
+                loop.execute(() -> all.forEach(sent -> pool.send(sent.attempt)));
+                for (Sent sent : all) {
+                    assertEquals(Outcome.OK, sent.outcome());
+                    assertEquals(
+                            sent.attempt.request.callId(),
+                            new String(sent.ending.get().body(), StandardCharsets.UTF_8));
+                }
+            }
+            assertTrue(onLoop(pool::opened) <= 20 + 8, "opened: " + onLoop(pool::opened));
+        }
+    }
+
+    private static ClientRequest named(String id) {
+        return new ClientRequest(HttpMethod.GET, "/r", id, null, new byte[0], 0, 0, false, 0, 6000, null, null);
+    }
+
+    /** A node begins with the last byte: what answers before that is no answer to this request. */
+    @Test
+    void anAnswerBeforeItsRequestHasLeftIsNotServed() throws Exception {
+        byte[] body = new byte[32 << 20]; // more than the buffers of both sides hold
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.write(FakeServer.OK);
+            Thread.sleep(10_000);
+        })) {
+            Sent sent = send(node(server.address()), LONG_MS, request(HttpMethod.POST, body));
+            assertEquals(Outcome.CONNECT_FAILED, sent.outcome());
+        }
+    }
+
     @Test
     void whatWaitsForAConnectionThatRestsEndsWithItsNodesDrainOrItsOwnTime() throws Exception {
         try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
@@ -541,10 +814,10 @@
         pool = new UpstreamPool(
                 loop,
                 clock,
-                new UpstreamPool.Limits(10, 250, 10_000, 30, 300),
+                new UpstreamPool.Limits(10, 250, 10_000, 300, ConnectionReusePolicy.Limits.usual(30, 0)),
                 descriptors,
                 new LoadReport(List.of()),
-                new Bootstrap().channel(NioSocketChannel.class),
+                new Bootstrap().channel(UpstreamSocketChannel.class),
                 log);
         try (FakeServer server = new FakeServer(connection -> {
             connection.read();
