--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -27,6 +27,8 @@
 public final class UpstreamPool {
 
     /**
+     * What bounds the pool.
+     *
      * @param connections how many may be open in all
      * @param connectTimeoutMs how long one may take to come up
      * @param idleMs how long one may stand idle
