--- a/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
+++ b/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
@@ -19,8 +19,6 @@
 
     private static final int VERSION = 1;
     private static final String ROW = "  %-18s %9.3f %9.3f %9.3f %9.3f %9.3f%n";
-    private static final String MEDIAN_ROW =
-            "%-15s %6.0f %6d %5d %5d %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f%n";
 
     /** The percentiles that are told; 100 is the most. */
     private static final Map<String, Double> PERCENTILES = percentiles();
@@ -113,7 +111,7 @@
         for (OverheadCell cell : cells) {
             out.printf(
                     Locale.ROOT,
-                    MEDIAN_ROW,
+                    "%-15s %6.0f %6d %5d %5d %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f %9.3f%n",
                     cell.disturbance(),
                     cell.ratePerS(),
                     cell.nodes(),
