Nothing is sent on more than 0.1 s after its client left, also after short hold-ups

The event loop noticed hold-ups of more than 200 ms alone, so that one of 110 ms let an answer or a request be found before the client's end.

Now a hold-up of more than 40 ms is noticed before sends (a look each 20 ms). Twice that may go by, where the end comes right behind one look at the sockets and is found last in the next: 80 ms. The time that requests have goes by the former, longer bound in an instance of its own, for on a slow machine short hold-ups follow one another without a gap.

Measured: HeldUpLoopTest with hold-ups of 110 ms beside those of 700 ms.

--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -68,7 +68,7 @@
     private final Map<String, Integer> tenantOfName = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
-    private HeldUp heldUp = HeldUp.NEVER;
+    private List<HeldUp> heldUp = List.of();
     /** How many connections a pass over the sockets accepts. */
     private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
 
@@ -147,8 +147,8 @@
         return bound;
     }
 
-    /** From now on tells this of each connection that is accepted. */
-    public void mind(HeldUp loops) {
+    /** From now on tells these of each connection that is accepted. */
+    public void mind(List<HeldUp> loops) {
         heldUp = loops;
     }
 
@@ -177,7 +177,7 @@
 
     void opened(ClientConnection connection) {
         accepted++;
-        heldUp.accepted();
+        heldUp.forEach(HeldUp::accepted);
         connections.add(connection);
         descriptors.take();
         evict(1);
--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -12,12 +12,20 @@
     /** One that never is. */
     public static final HeldUp NEVER = new HeldUp(0, Double.POSITIVE_INFINITY);
 
-    /** Of a drain's grace, in which what was told must have been seen: two such times may go by unnoticed. */
-    private static final double PERIOD_PART = 0.2;
+    /** A hold-up is noticed that is longer than so many periods. */
+    private static final double NOTICED_PERIODS = 2;
+
+    /** Of a drain's grace, in which what was told must have been seen: four such times may go by unnoticed. */
+    private static final double PERIOD_PART = 0.1;
 
     private static final double LEAST_PERIOD_MS = 10;
-    /** Of the 300 ms in which a client that left must have been seen. */
-    private static final double LONGEST_PERIOD_MS = 100;
+    /**
+     * Of the 100 ms after which nothing is sent on for a client that left. Its end may come right behind one look at the sockets
+     * and be found late in the next, and both times may be just too short to be noticed: four periods.
+     */
+    private static final double LONGEST_PERIOD_MS = 20;
+    /** Where requests' times are concerned, which have more room. */
+    private static final double REQUESTS_PERIOD_MS = 100;
     /** For so long at most what is accepted counts as having stood in the backlog. */
     private static final double LONGEST_MS = 2000;
 
@@ -29,14 +37,22 @@
     private double latestMs;
 
     /**
-     * Looks often enough for the grace of a drain.
+     * One that notices what matters before something is sent on: that clients left and that nodes drain.
      *
      * @param graceMs for how long a node may be sent to that was told to drain
      */
-    public static HeldUp within(double graceMs, double nowMs) {
+    public static HeldUp beforeSends(double graceMs, double nowMs) {
         return new HeldUp(Math.max(LEAST_PERIOD_MS, Math.min(PERIOD_PART * graceMs, LONGEST_PERIOD_MS)), nowMs);
     }
 
+    /**
+     * One that notices what matters for the time that requests have: much longer hold-ups. On a slow machine the shorter ones
+     * follow one another without a gap, and requests would count as having come long ago.
+     */
+    public static HeldUp ofRequests(double nowMs) {
+        return new HeldUp(REQUESTS_PERIOD_MS, nowMs);
+    }
+
     private HeldUp(double periodMs, double nowMs) {
         this.periodMs = periodMs;
         this.lookedMs = nowMs;
@@ -88,6 +104,6 @@
     }
 
     private boolean isLate(double nowMs) {
-        return nowMs - lookedMs > 2 * periodMs;
+        return nowMs - lookedMs > NOTICED_PERIODS * periodMs;
     }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -43,6 +43,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -401,20 +402,13 @@
         pool.countIn(tally);
         driver.countIn(tally);
         discovery.countIn(tally);
-        HeldUp heldUp = HeldUp.within(config.drainGraceMs(), clock.nowMs());
-        pool.mind(heldUp);
-        server.mind(heldUp);
-        driver.mind(heldUp);
-        long lookMs = (long) heldUp.periodMs();
-        loop.scheduleWithFixedDelay(
-                () -> {
-                    if (heldUp.look(clock.nowMs())) {
-                        settle(heldUp);
-                    }
-                },
-                lookMs,
-                lookMs,
-                TimeUnit.MILLISECONDS);
+        HeldUp beforeSends = HeldUp.beforeSends(config.drainGraceMs(), clock.nowMs());
+        HeldUp ofRequests = HeldUp.ofRequests(clock.nowMs());
+        pool.mind(beforeSends);
+        driver.mind(ofRequests);
+        server.mind(List.of(beforeSends, ofRequests));
+        look(beforeSends);
+        look(ofRequests);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of "
                 + config.known().entries().size() + " nodes; limits: " + config.limits());
         driver.start(config.known());
@@ -429,6 +423,17 @@
         loop.scheduleAtFixedRate(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
     }
 
+    /** Looks from now on whether the event loop was held up, as often as is needed to notice it. */
+    private void look(HeldUp heldUp) {
+        long periodMs = (long) heldUp.periodMs();
+        Runnable look = () -> {
+            if (heldUp.look(clock.nowMs())) {
+                settle(heldUp);
+            }
+        };
+        loop.scheduleWithFixedDelay(look, periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+
     private void settle(HeldUp heldUp) {
         OneMorePass.then(loop, () -> {
             if (heldUp.passed(clock.nowMs())) {
--- a/src/test/java/ivybank/daemon/HeldUpLoopTest.java
+++ b/src/test/java/ivybank/daemon/HeldUpLoopTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * The event loop stands still (a process that is stopped, a machine that is moved or overloaded) while clients leave and nodes
@@ -33,7 +33,9 @@
 @Timeout(30)
 class HeldUpLoopTest {
 
-    private static final int HELD_UP_MS = 700; // more than the 300 ms of a client that left and the 500 ms of a drain
+    /** More than the 500 ms of a drain; for clients that leave also a little more than the 100 ms after which nothing is sent on. */
+    private static final int HELD_UP_MS = 700;
+
     private static final int SETTLED_MS = 500;
 
     @TempDir
@@ -54,7 +56,11 @@
     }
 
     private void goOn() throws InterruptedException {
-        Thread.sleep(HELD_UP_MS);
+        goOnAfter(HELD_UP_MS);
+    }
+
+    private void goOnAfter(int heldUpMs) throws InterruptedException {
+        Thread.sleep(heldUpMs);
         go.countDown();
     }
 
@@ -79,8 +85,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void whoAskedAndLeftMeanwhileIsNotSentOn(boolean cancel) throws Exception {
+    @CsvSource({"true, 110", "false, 110", "true, 700", "false, 700"})
+    void whoAskedAndLeftMeanwhileIsNotSentOn(boolean cancel, int heldUpMs) throws Exception {
         options.cancel = cancel;
         FakeServer node = FakeServer.answering(FakeServer.OK);
         try (node;
@@ -96,7 +102,7 @@
                 rig.client().write(SidecarRig.read("c" + i)).close();
             }
             Client stays = rig.client().write(SidecarRig.read("stays"));
-            goOn();
+            goOnAfter(heldUpMs);
             assertTrue(stays.read().endsWith("body"));
             Thread.sleep(SETTLED_MS);
             assertEquals(
@@ -110,8 +116,8 @@
 
     /** The node's word is found before the client's end: the next attempt has to wait for the rest. */
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void whoLeftWhileItsAttemptWasTurnedAwayIsNotTriedAgain(boolean cancel) throws Exception {
+    @CsvSource({"true, 110", "false, 110", "true, 700", "false, 700"})
+    void whoLeftWhileItsAttemptWasTurnedAwayIsNotTriedAgain(boolean cancel, int heldUpMs) throws Exception {
         options.cancel = cancel;
         CountDownLatch rejects = new CountDownLatch(1);
         CountDownLatch rejected = new CountDownLatch(1);
@@ -142,15 +148,15 @@
             rejected.await();
             Thread.sleep(20); // the answer is there before the end
             client.close();
-            goOn();
+            goOnAfter(heldUpMs);
             Thread.sleep(SETTLED_MS);
             assertEquals(1, one.requests.size() + two.requests.size(), "it was sent again");
         }
     }
 
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void whoLeftWhileItsConnectionCameUpIsNotSentOn(boolean cancel) throws Exception {
+    @CsvSource({"true, 110", "false, 110", "true, 700", "false, 700"})
+    void whoLeftWhileItsConnectionCameUpIsNotSentOn(boolean cancel, int heldUpMs) throws Exception {
         options.cancel = cancel;
         try (LateListener node = new LateListener();
                 SidecarRig rig = new SidecarRig(
@@ -164,7 +170,7 @@
             Socket late = node.next(4000);
             assertNotNull(late);
             client.close();
-            goOn();
+            goOnAfter(heldUpMs);
             late.setSoTimeout(SETTLED_MS);
             try {
                 assertEquals(-1, late.getInputStream().read(), "something was sent on");
