Queues by rank and means of samples leave the decision module

Queues whose ranks the module sets decide nothing by themselves: they are now generic, ivybank.queue.RankedQueues, with tests of their own. So is the mean of a tick's latencies, ivybank.room.Mean. What is ranked how, offered when and refused stays in the module.

--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -4,6 +4,7 @@
 
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
+import ivybank.room.Mean;
 import ivybank.room.Window;
 import ivybank.warming.Allowance;
 
@@ -20,8 +21,7 @@
     /** Its part of the draw at hand: the share, or 0 where it is out of it. */
     double weight;
     /** Latencies of this tick, each over the typical one of its class. */
-    double latencySum;
-    int samples;
+    final Mean latencies = new Mean();
     /** What may be out there at once, and what is. */
     final Window window = new Window();
     /** Whether a probe is out, and how many requests it was last known to hold, with those sent since. */
@@ -46,20 +46,6 @@
         this.listed = listed;
     }
 
-    void sample(double latency) {
-        latencySum += latency;
-        samples++;
-    }
-
-    double meanSample() {
-        return samples == 0 ? 0 : latencySum / samples;
-    }
-
-    void clearSamples() {
-        latencySum = 0;
-        samples = 0;
-    }
-
     boolean ready() {
         return listed.status() == Balancer.Status.READY;
     }
--- a/src/main/java/ivybank/policy/HostList.java
+++ b/src/main/java/ivybank/policy/HostList.java
@@ -77,7 +77,7 @@
 
     /** The members with latencies in this tick. */
     Stream<Host> sampled() {
-        return members.stream().filter(host -> host.samples > 0);
+        return members.stream().filter(host -> host.latencies.count() > 0);
     }
 
     /** Scales the members' shares to a sum of 1. */
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -11,6 +11,7 @@
 
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
+import ivybank.queue.RankedQueues;
 import ivybank.roster.SubsetSize;
 import ivybank.warming.Carried;
 
@@ -56,7 +57,7 @@
     private final HostList list = new HostList();
     private final List<Host> members = list.members;
     private final Map<Integer, Call> calls = new HashMap<>();
-    private final WaitingRoom waiting;
+    private final RankedQueues<Call> waiting;
     private final List<Call> asking = new ArrayList<>();
     private final int heldField;
     private final int busyField;
@@ -83,8 +84,8 @@
         subset = new SubsetSize(() -> actions.sidecars(settings.sidecars()));
         this.random = new SplittableRandom(seed);
         settings.classes().forEach(spec -> classes.add(new ClassView(spec, spec.aimMs() / FIRST_TYPICAL)));
-        waiting = new WaitingRoom(classes.size());
-        offered = new double[waiting.order().length];
+        waiting = new RankedQueues<>(classes.size());
+        offered = new double[waiting.count()];
         refusedPart = new double[offered.length];
         heldField = settings.reportFields().indexOf("active");
         busyField = settings.reportFields().indexOf("cpu");
@@ -149,7 +150,7 @@
             asking.add(call);
         } else if ((!waiting.isEmpty() || !dispatch(nowMs, call)) && !shed(nowMs, call)) {
             call.waitingSinceMs = nowMs;
-            waiting.add(call);
+            waiting.add(call.queue, call);
         }
     }
 
@@ -252,18 +253,18 @@
         for (Host host : members) {
             // A hung server answers nothing: what is out for longer than usual counts by its age.
             host.attempts.stream().mapToDouble(attempt -> attempt.age(nowMs) / attempt.call.view.typicalMs())
-                    .filter(ratio -> ratio > 1).forEach(host::sample);
+                    .filter(ratio -> ratio > 1).forEach(host.latencies::add);
         }
-        dense = list.sampled().mapToDouble(host -> host.samples).sum() >= STREAK * members.size();
-        double mean = list.sampled().mapToDouble(Host::meanSample).average().orElse(1);
+        dense = list.sampled().mapToDouble(host -> host.latencies.count()).sum() >= STREAK * members.size();
+        double mean = list.sampled().mapToDouble(host -> host.latencies.mean()).average().orElse(1);
         for (Host host : members) {
-            if (host.samples > 0 && mean > 0) { // else 0 / 0 would make every share NaN
-                double deviation = (host.meanSample() - mean) / mean;
-                double trust = host.samples / (host.samples + HALF_TRUST);
+            if (host.latencies.count() > 0 && mean > 0) { // else 0 / 0 would make every share NaN
+                double deviation = (host.latencies.mean() - mean) / mean;
+                double trust = host.latencies.count() / (host.latencies.count() + HALF_TRUST);
                 double factor = 1 - STEP * trust * Math.min(MOST_DEVIATION, deviation);
                 host.share = Math.max(host.share * factor, LEAST_SHARE / members.size());
             }
-            host.clearSamples();
+            host.latencies.clear();
         }
         list.normalise();
     }
@@ -392,7 +393,7 @@
             }
             note(nowMs, host, false);
         }
-        host.sample(latencyMs / view.typicalMs());
+        host.latencies.add(latencyMs / view.typicalMs());
         // Room: guards against queues, and against servers that jam. Acts when a member's window is full.
         host.window.answered(nowMs, latencyMs, view.quietMs(), view.typicalMs(), subset.leastWindow(list.hosts.size()));
         if (outcome != Outcome.OK) {
@@ -446,7 +447,7 @@
     public void clientLeft(double nowMs, int request) {
         Call call = calls.get(request);
         if (call != null && !call.done) {
-            waiting.remove(call);
+            waiting.remove(call.queue, call);
             asking.remove(call);
             finish(call);
         }
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -61,6 +61,8 @@
                 .definedBy("ivybank.roster..")
                 .layer("room")
                 .definedBy("ivybank.room..")
+                .layer("queue")
+                .definedBy("ivybank.queue..")
                 .layer("handover")
                 .definedBy("ivybank.handover..")
                 .layer("tally")
@@ -94,6 +96,8 @@
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("room")
                 .mayOnlyBeAccessedByLayers("policy")
+                .whereLayer("queue")
+                .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("handover")
                 .mayOnlyBeAccessedByLayers("policy", "room", "daemon", "emulator")
                 .whereLayer("warming")
@@ -166,7 +170,12 @@
     void roomAndWhatIsHandedOverAreDecidedWithoutInputAndOutput() {
         noClasses()
                 .that()
-                .resideInAnyPackage("ivybank.room..", "ivybank.roster..", "ivybank.handover..", "ivybank.fleet..")
+                .resideInAnyPackage(
+                        "ivybank.room..",
+                        "ivybank.roster..",
+                        "ivybank.queue..",
+                        "ivybank.handover..",
+                        "ivybank.fleet..")
                 .and()
                 .doNotHaveFullyQualifiedName("ivybank.handover.MemoryFiles")
                 .should()
@@ -252,6 +261,7 @@
                         "ivybank.warming..",
                         "ivybank.room..",
                         "ivybank.roster..",
+                        "ivybank.queue..",
                         "ivybank.handover..",
                         "ivybank.tally..",
                         "ivybank.emulator..",
