--- a/src/main/java/ivybank/policy/Attempt.java
+++ b/src/main/java/ivybank/policy/Attempt.java
@@ -8,6 +8,7 @@
     final Host host;
     /** The list entry at the time: it names the group that drops repeats. */
     final Balancer.Upstream sentTo;
+
     double sentMs;
     final double timeoutMs;
     private boolean loads;
--- a/src/main/java/ivybank/policy/Balancer.java
+++ b/src/main/java/ivybank/policy/Balancer.java
@@ -1,10 +1,9 @@
 package ivybank.policy;
 
+import ivybank.handover.Heir;
 import java.util.List;
 import java.util.Objects;
 
-import ivybank.handover.Heir;
-
 /**
  * The decisions of one sidecar: what happens is told by the methods below, in the order in which it happened; what is
  * to be done comes back through {@link Actions}, during the call. An instance is used by one thread at a time, reads no
@@ -40,12 +39,10 @@
     void timer(double nowMs, int token);
 
     /** A health probe has ended; of no concern to a balancer that asks for none. */
-    default void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {
-    }
+    default void probeEnded(double nowMs, int upstream, Outcome outcome, double elapsedMs, double[] report) {}
 
     /** Another sidecar has sent a message; of no concern to a balancer that shares nothing. */
-    default void peerMessage(double nowMs, int sender, byte[] message) {
-    }
+    default void peerMessage(double nowMs, int sender, byte[] message) {}
 
     /** What a balancer may ask of its sidecar. */
     interface Actions {
@@ -99,7 +96,11 @@
     }
 
     /** What discovery says of an upstream. */
-    enum Status { DRAINING, READY, GONE }
+    enum Status {
+        DRAINING,
+        READY,
+        GONE
+    }
 
     /** How an attempt or a probe ended. */
     enum Outcome {
@@ -143,7 +144,11 @@
     }
 
     /** The upstreams that drop the repeats of a {@link Effect#KEYED} request. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** One upstream as discovery lists it; {@code startedMs} 0 means long ago. */
     record Upstream(int id, Status status, double startedMs, int zone, int kind, int cell, double weight) {
@@ -164,8 +169,14 @@
     }
 
     /** The end of one attempt; {@code requestDone} where the client has its final answer. */
-    record AttemptEnd(int request, int attempt, int upstream, Outcome outcome, double elapsedMs, boolean requestDone,
-                      double[] report) {
+    record AttemptEnd(
+            int request,
+            int attempt,
+            int upstream,
+            Outcome outcome,
+            double elapsedMs,
+            boolean requestDone,
+            double[] report) {
         public AttemptEnd {
             Objects.requireNonNull(outcome, "outcome");
             Objects.requireNonNull(report, "report");
@@ -173,8 +184,16 @@
     }
 
     /** A class of requests; {@code lateWorth} is the part of its worth that an answer after the aim still has. */
-    record RequestClass(String name, double aimMs, double deadlineMs, double worth, double lateWorth, Effect effect,
-                        Group group, double windowMs, boolean streamed) {
+    record RequestClass(
+            String name,
+            double aimMs,
+            double deadlineMs,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            Group group,
+            double windowMs,
+            boolean streamed) {
         public RequestClass {
             Objects.requireNonNull(effect, "effect");
             Objects.requireNonNull(group, "group");
@@ -214,9 +233,18 @@
     }
 
     /** All that a balancer is told at the start. */
-    record Settings(List<RequestClass> classes, List<Tenant> tenants, int sidecars, boolean askForList,
-                    boolean repeatsMarked, double tickMs, double overShareWorth, List<String> reportFields,
-                    Limits limits, Contract contract, Goal goal) {
+    record Settings(
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            int sidecars,
+            boolean askForList,
+            boolean repeatsMarked,
+            double tickMs,
+            double overShareWorth,
+            List<String> reportFields,
+            Limits limits,
+            Contract contract,
+            Goal goal) {
         public Settings {
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
--- a/src/main/java/ivybank/policy/Call.java
+++ b/src/main/java/ivybank/policy/Call.java
@@ -12,19 +12,24 @@
     final int queue;
     /** Whether the client has tried before. */
     final boolean repeat;
+
     double usefulUntilMs;
     /** Whether its last byte is still to come. */
     boolean arriving;
+
     final List<Attempt> attempts = new ArrayList<>(2);
     /** The servers asked what they hold, in the order in which they were drawn, and when. */
     final List<Host> asked = new ArrayList<>(0);
+
     double askedMs;
     /** Since when it waits for room; far off until it does. */
     double waitingSinceMs = Double.MAX_VALUE;
+
     int out;
     boolean done;
     /** Whether it had its one chance to go to a cold server. */
     boolean coldAsked;
+
     boolean streaming;
 
     Call(int id, ClassView view, int queue, boolean repeat, double usefulUntilMs) {
--- a/src/main/java/ivybank/policy/ClassView.java
+++ b/src/main/java/ivybank/policy/ClassView.java
@@ -8,6 +8,7 @@
     final Balancer.RequestClass spec;
     /** Requests that came and requests served, older ones counting less. */
     double offered;
+
     double served;
     /** The longest that a client of this class was seen to wait. */
     double longestTryMs;
--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -1,12 +1,11 @@
 package ivybank.policy;
 
-import java.util.ArrayDeque;
-
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
 import ivybank.room.Mean;
 import ivybank.room.Window;
 import ivybank.warming.Allowance;
+import java.util.ArrayDeque;
 
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
 final class Host {
@@ -26,15 +25,18 @@
     final Window window = new Window();
     /** Whether a probe is out, and how many requests it was last known to hold, with those sent since. */
     boolean probing;
+
     double held;
     /** Attempts still out, oldest first, but for started streams. */
     final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
     /** What it may be sent beside its part of the draw while it is cold. */
     final Allowance allowance = new Allowance();
+
     double heardMs;
     int failures;
     /** Why it is set aside; null while it is not. */
     String setAside;
+
     double trialAtMs;
     double trialGapMs;
     /** Whether staff were told that it is set aside. */
@@ -64,7 +66,8 @@
     }
 
     Learned.OfNode learned(boolean member) {
-        return new Learned.OfNode(listed.startedMs(), rank, member ? share : 0, window.size(), window.out(), setAside != null);
+        return new Learned.OfNode(
+                listed.startedMs(), rank, member ? share : 0, window.size(), window.out(), setAside != null);
     }
 
     /** Keeps its place in the random order also over a restart, the rest only within one life. */
--- a/src/main/java/ivybank/policy/HostList.java
+++ b/src/main/java/ivybank/policy/HostList.java
@@ -1,5 +1,8 @@
 package ivybank.policy;
 
+import ivybank.policy.Balancer.ListKind;
+import ivybank.policy.Balancer.Status;
+import ivybank.policy.Balancer.Upstream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -7,10 +10,6 @@
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
 
-import ivybank.policy.Balancer.ListKind;
-import ivybank.policy.Balancer.Status;
-import ivybank.policy.Balancer.Upstream;
-
 /** The upstreams that discovery has named, in the order in which they came, and the subset that is drawn from. */
 final class HostList {
 
@@ -88,7 +87,7 @@
 
     private static void markGone(Host host) {
         Upstream old = host.listed;
-        host.listed = new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(), old.cell(),
-                old.weight());
+        host.listed =
+                new Upstream(old.id(), Status.GONE, old.startedMs(), old.zone(), old.kind(), old.cell(), old.weight());
     }
 }
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -1,5 +1,10 @@
 package ivybank.policy;
 
+import ivybank.handover.Learned;
+import ivybank.handover.Trust;
+import ivybank.queue.RankedQueues;
+import ivybank.roster.SubsetSize;
+import ivybank.warming.Carried;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -9,12 +14,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-import ivybank.handover.Learned;
-import ivybank.handover.Trust;
-import ivybank.queue.RankedQueues;
-import ivybank.roster.SubsetSize;
-import ivybank.warming.Carried;
-
 /** Load shifting by latency-equalising shares, behind {@code Balancer.java}: first the ordinary path. */
 public final class LoadShiftingBalancer implements Balancer {
 
@@ -47,7 +46,12 @@
     private static final int SUBSCRIBE_TIMER = 2;
 
     /** Why a request is given up: more than is admitted, no room or no time left, or its attempts failed. */
-    private enum Cause { ADMISSION, ROOM, TIME, ATTEMPTS }
+    private enum Cause {
+        ADMISSION,
+        ROOM,
+        TIME,
+        ATTEMPTS
+    }
 
     private final Settings settings;
     private final Actions actions;
@@ -89,8 +93,10 @@
         refusedPart = new double[offered.length];
         heldField = settings.reportFields().indexOf("active");
         busyField = settings.reportFields().indexOf("cpu");
-        probes = !settings.limits().probes() || heldField < 0 ? 0
-                : (int) Math.min(SubsetSize.USUAL / 2, PROBES_WORTH / settings.goal().probePrice());
+        probes = !settings.limits().probes() || heldField < 0
+                ? 0
+                : (int) Math.min(
+                        SubsetSize.USUAL / 2, PROBES_WORTH / settings.goal().probePrice());
         controlMs = Math.max(settings.tickMs(), settings.shortestAimMs() / TICKS_IN_AIM);
     }
 
@@ -169,10 +175,13 @@
         Host host = coldHost(nowMs, call);
         if (host == null) {
             weigh(nowMs, call, false);
-            host = call.asked.isEmpty() ? list.at(random.nextDouble())
-                    : call.asked.stream().filter(asked -> asked.weight > 0 && members.contains(asked))
+            host = call.asked.isEmpty()
+                    ? list.at(random.nextDouble())
+                    : call.asked.stream()
+                            .filter(asked -> asked.weight > 0 && members.contains(asked))
                             .filter(asked -> asked.held * call.view.quietMs() < call.usefulUntilMs - nowMs)
-                            .min(Comparator.comparingDouble(asked -> asked.held)).orElse(null);
+                            .min(Comparator.comparingDouble(asked -> asked.held))
+                            .orElse(null);
         }
         subset.offered(host != null);
         if (host == null && call.asked.isEmpty()) { // what the warm ones have no room for
@@ -185,10 +194,14 @@
     private void weigh(double nowMs, Call call, boolean cold) {
         boolean allTried = members.stream().allMatch(call::tried);
         // Never most of the subset: that many are not all at fault.
-        boolean avoid = 2 * members.stream().filter(host -> host.setAside != null).count() <= members.size();
+        boolean avoid =
+                2 * members.stream().filter(host -> host.setAside != null).count() <= members.size();
         for (Host host : members) {
-            boolean out = avoid && host.setAside != null || !allTried && call.tried(host)
-                    || (cold ? !host.allowance.has(nowMs, carried.mayBeSent(host.listed.kind(), coldPart(nowMs, host, call)))
+            boolean out = avoid && host.setAside != null
+                    || !allTried && call.tried(host)
+                    || (cold
+                            ? !host.allowance.has(
+                                    nowMs, carried.mayBeSent(host.listed.kind(), coldPart(nowMs, host, call)))
                             : host.isCold(nowMs, settings.contract()))
                     || !call.mayGoTo(host, nowMs)
                     || host.window.isFull(nowMs);
@@ -252,11 +265,16 @@
     private void shiftShares(double nowMs) {
         for (Host host : members) {
             // A hung server answers nothing: what is out for longer than usual counts by its age.
-            host.attempts.stream().mapToDouble(attempt -> attempt.age(nowMs) / attempt.call.view.typicalMs())
-                    .filter(ratio -> ratio > 1).forEach(host.latencies::add);
+            host.attempts.stream()
+                    .mapToDouble(attempt -> attempt.age(nowMs) / attempt.call.view.typicalMs())
+                    .filter(ratio -> ratio > 1)
+                    .forEach(host.latencies::add);
         }
         dense = list.sampled().mapToDouble(host -> host.latencies.count()).sum() >= STREAK * members.size();
-        double mean = list.sampled().mapToDouble(host -> host.latencies.mean()).average().orElse(1);
+        double mean = list.sampled()
+                .mapToDouble(host -> host.latencies.mean())
+                .average()
+                .orElse(1);
         for (Host host : members) {
             if (host.latencies.count() > 0 && mean > 0) { // else 0 / 0 would make every share NaN
                 double deviation = (host.latencies.mean() - mean) / mean;
@@ -276,7 +294,10 @@
         ready.sort(Comparator.comparingDouble(host -> host.rank));
         List<Host> chosen = ready.subList(0, subset.of(ready.size()));
         members.removeIf(host -> !chosen.contains(host));
-        double meanWeight = chosen.stream().mapToDouble(host -> host.listed.weight()).average().orElse(0);
+        double meanWeight = chosen.stream()
+                .mapToDouble(host -> host.listed.weight())
+                .average()
+                .orElse(0);
         double meanShare = members.isEmpty() ? 1 : 1.0 / members.size();
         for (Host host : chosen) {
             if (!members.contains(host)) {
@@ -294,7 +315,8 @@
         nextShareTickMs = nowMs + TICK_MS;
         shiftShares(nowMs);
         classes.forEach(view -> view.tick(1 - FADE, SMOOTHING, FORGET));
-        if (subset.tick(members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0, list.hosts.size())) {
+        if (subset.tick(
+                members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0, list.hosts.size())) {
             fillSubset();
         }
         tellGivenUp(nowMs);
@@ -303,8 +325,11 @@
     /** Explains the gaps of a tick: why so many requests were given up, and how much room the members had. */
     private void tellGivenUp(double nowMs) {
         if (!givenUp.isEmpty()) {
-            long full = members.stream().filter(host -> host.window.isFull(nowMs)).count();
-            long cold = members.stream().filter(host -> host.isCold(nowMs, settings.contract())).count();
+            long full =
+                    members.stream().filter(host -> host.window.isFull(nowMs)).count();
+            long cold = members.stream()
+                    .filter(host -> host.isCold(nowMs, settings.contract()))
+                    .count();
             long aside = members.stream().filter(host -> host.setAside != null).count();
             actions.log("given up within " + Math.round(TICK_MS) + " ms: " + givenUp + "; admitting "
                     + Math.round(100 * admit) + "%; of " + members.size() + " members " + full
@@ -319,7 +344,8 @@
     public Learned<Integer> learned() {
         Map<Integer, Learned.OfNode> nodes = new HashMap<>();
         list.hosts.forEach(host -> nodes.put(host.id, host.learned(members.contains(host))));
-        return new Learned<>(admit, extra, classes.stream().map(ClassView::learned).toList(), nodes, carried.most());
+        return new Learned<>(
+                admit, extra, classes.stream().map(ClassView::learned).toList(), nodes, carried.most());
     }
 
     @Override
@@ -330,8 +356,10 @@
             classes.forEach(view -> view.recall(other.classes().get(classes.indexOf(view)), trust));
             carried.recall(other.carried(), trust);
         }
-        list.hosts.forEach(host -> host.recall(other.nodes().get(host.id), 0)); // the order first: it says who is drawn from
-        subset.recall((int) other.nodes().values().stream().filter(node -> node.share() > 0).count());
+        list.hosts.forEach(
+                host -> host.recall(other.nodes().get(host.id), 0)); // the order first: it says who is drawn from
+        subset.recall((int)
+                other.nodes().values().stream().filter(node -> node.share() > 0).count());
         fillSubset();
         members.forEach(host -> host.recall(other.nodes().get(host.id), trust));
         list.normalise();
@@ -380,8 +408,7 @@
             }
             view.served++;
             view.answered(latencyMs, MEDIAN_STEP);
-        } else if (outcome == Outcome.NOT_SENT
-                || outcome == Outcome.CANCELLED && elapsedMs < view.typicalMs()) {
+        } else if (outcome == Outcome.NOT_SENT || outcome == Outcome.CANCELLED && elapsedMs < view.typicalMs()) {
             return;
         } else if (outcome != Outcome.CANCELLED) {
             // A failure counts at its time-out: else an upstream that fails at once would draw load.
@@ -402,7 +429,8 @@
     }
 
     private boolean mayResend(double nowMs, Call call) {
-        return extra >= 1 && call.attempts.size() < settings.limits().maxAttempts()
+        return extra >= 1
+                && call.attempts.size() < settings.limits().maxAttempts()
                 && call.usefulUntilMs - nowMs >= call.view.typicalMs()
                 && (call.view.spec.effect() != Effect.UNSAFE || call.provenNotRun());
     }
@@ -427,7 +455,8 @@
     }
 
     private void cancelOthers(Call call, Attempt kept) {
-        call.attempts.stream().filter(a -> a != kept && a.outcome == null && settings.limits().cancel())
+        call.attempts.stream()
+                .filter(a -> a != kept && a.outcome == null && settings.limits().cancel())
                 .forEach(a -> actions.cancel(call.id, a.number));
     }
 
@@ -475,7 +504,9 @@
         double warmth = host.warmth(nowMs, settings.contract());
         // A request that takes the inverse of the warm part longer must still make its aim.
         boolean inTime = call.view.quietMs() < warmth * (call.usefulUntilMs - nowMs);
-        return warmth < 1 && inTime && host.setAside == null ? warmth * COLD_PART * settings.contract().overloadFactor() : 0;
+        return warmth < 1 && inTime && host.setAside == null
+                ? warmth * COLD_PART * settings.contract().overloadFactor()
+                : 0;
     }
 
     // ---- Waiting and shedding. Guards against overload. Requests wait while all members are full: worthiest
@@ -493,8 +524,11 @@
 
     /** Ranks the queues by what an answer adds to the goal: to the whole, and to the class served worst. */
     private void rankQueues() {
-        double worth = Double.MIN_NORMAL + classes.stream().mapToDouble(ClassView::worthOffered).sum();
-        ClassView worst = classes.stream().min(Comparator.comparingDouble(ClassView::partServed)).get();
+        double worth = Double.MIN_NORMAL
+                + classes.stream().mapToDouble(ClassView::worthOffered).sum();
+        ClassView worst = classes.stream()
+                .min(Comparator.comparingDouble(ClassView::partServed))
+                .get();
         for (int i = 0; i < classes.size(); i++) {
             ClassView view = classes.get(i);
             double value = settings.goal().whole() * view.spec.worth() / worth
@@ -598,8 +632,11 @@
     /** A second copy of what is stuck there, as class, budget and room allow. */
     private void copy(double nowMs, Attempt stuck) {
         Call call = stuck.call;
-        boolean may = !call.done && call.out == 1 && settings.limits().secondCopies()
-                && stuck.age(nowMs) > call.view.typicalMs() && mayResend(nowMs, call);
+        boolean may = !call.done
+                && call.out == 1
+                && settings.limits().secondCopies()
+                && stuck.age(nowMs) > call.view.typicalMs()
+                && mayResend(nowMs, call);
         Host other = may ? pick(nowMs, call) : null;
         if (other != null && other != stuck.host) {
             extra -= 1;
