--- a/src/main/java/ivybank/emulator/ViewWorld.java
+++ b/src/main/java/ivybank/emulator/ViewWorld.java
@@ -1,11 +1,11 @@
 package ivybank.emulator;
 
-import ivybank.fleet.Change;
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.FleetView;
+import ivybank.fleet.MemberState;
+import ivybank.fleet.MembershipEvent;
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
-import ivybank.fleet.Standing;
 import ivybank.fleet.ViewSnapshot;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -26,17 +26,17 @@
 
     private static final double STARTED_MS = 1_700_000_000_000.0;
 
-    private final class Process implements FleetView.Out {
-        private final int seat;
+    private final class Process implements FleetView.Output {
+        private final int memberIndex;
         private final FleetView view;
         private boolean dead;
         private boolean frozen;
         private final Deque<Runnable> waiting = new ArrayDeque<>();
 
-        private Process(int seat, long life, String name) {
-            this.seat = seat;
-            this.view =
-                    new FleetView(seat, name, "", life, processes.length, timing, new Random(random.nextLong()), this);
+        private Process(int memberIndex, long incarnation, String name) {
+            this.memberIndex = memberIndex;
+            this.view = new FleetView(
+                    memberIndex, name, "", incarnation, processes.length, timing, new Random(random.nextLong()), this);
         }
 
         private void tick() {
@@ -51,31 +51,31 @@
 
         @Override
         public void send(int to, Message message) {
-            byte[] bytes = MessageCodec.write(message, 1, 0);
+            byte[] bytes = MessageCodec.encode(message, 1, 0);
             datagrams++;
-            octets += bytes.length + MessageCodec.SIGNATURE;
-            if (cut.test(seat, to)) {
+            octets += bytes.length + MessageCodec.SIGNATURE_BYTES;
+            if (cut.test(memberIndex, to)) {
                 return;
             }
             for (int copies = random.nextDouble() < network.doubled() ? 2 : 1; copies > 0; copies--) {
                 if (random.nextDouble() >= network.loss()) {
                     simulation.after(
                             network.leastMs() + random.nextDouble() * (network.mostMs() - network.leastMs()),
-                            () -> arrive(seat, to, bytes));
+                            () -> arrive(memberIndex, to, bytes));
                 }
             }
         }
 
         @Override
-        public void changed(Change change) {
-            Process of = processes[change.seat()];
+        public void changed(MembershipEvent change) {
+            Process of = processes[change.memberIndex()];
             if (change.what().startsWith("is given up")) {
-                if (of != null && !of.dead && !of.frozen && of.view.life() == change.life()) {
+                if (of != null && !of.dead && !of.frozen && of.view.incarnation() == change.incarnation()) {
                     falselyGivenUp++;
                 }
             }
             if (listener != null) {
-                listener.accept(seat, change);
+                listener.accept(memberIndex, change);
             }
         }
 
@@ -90,7 +90,7 @@
                 return;
             }
             try {
-                view.heard(simulation.nowMs(), from, MessageCodec.read(bytes));
+                view.receive(simulation.nowMs(), from, MessageCodec.decode(bytes));
             } catch (MessageCodec.MalformedException e) {
                 throw new IllegalStateException(e);
             }
@@ -99,7 +99,7 @@
 
     /** Hears what any member's view does. */
     public interface Listener {
-        void accept(int seat, Change change);
+        void accept(int memberIndex, MembershipEvent change);
     }
 
     private final Simulation simulation = new Simulation();
@@ -141,45 +141,45 @@
     }
 
     /** Starts a process whose wall clock gives it this life. */
-    public void start(int seat, long life) {
-        start(seat, life, "n" + seat);
+    public void start(int memberIndex, long incarnation) {
+        start(memberIndex, incarnation, "n" + memberIndex);
     }
 
     /** The same with another name than that of its seat. */
-    public void start(int seat, long life, String name) {
-        Process process = new Process(seat, life, name);
-        processes[seat] = process;
+    public void start(int memberIndex, long incarnation, String name) {
+        Process process = new Process(memberIndex, incarnation, name);
+        processes[memberIndex] = process;
         double nowMs = simulation.nowMs();
         process.view.start(nowMs);
         simulation.after(random.nextDouble() * timing.tickMs(), process::tick);
         simulation.after(300, () -> {
             if (!process.dead) {
-                process.view.stand(simulation.nowMs(), Standing.READY);
+                process.view.announceState(simulation.nowMs(), MemberState.READY);
             }
         });
     }
 
     /** Starts a process whose wall clock is right. */
-    public void start(int seat) {
-        start(seat, (long) simulation.nowMs());
+    public void start(int memberIndex) {
+        start(memberIndex, (long) simulation.nowMs());
     }
 
-    public void kill(int seat) {
-        processes[seat].dead = true;
+    public void kill(int memberIndex) {
+        processes[memberIndex].dead = true;
     }
 
-    public void leave(int seat) {
-        processes[seat].view.leave(simulation.nowMs());
-        processes[seat].dead = true;
+    public void leave(int memberIndex) {
+        processes[memberIndex].view.leave(simulation.nowMs());
+        processes[memberIndex].dead = true;
     }
 
-    public void freeze(int seat) {
-        processes[seat].frozen = true;
+    public void freeze(int memberIndex) {
+        processes[memberIndex].frozen = true;
     }
 
     /** Lets a stopped process go on: it finds what its socket has kept. */
-    public void thaw(int seat) {
-        Process process = processes[seat];
+    public void thaw(int memberIndex) {
+        Process process = processes[memberIndex];
         process.frozen = false;
         while (!process.waiting.isEmpty()) {
             process.waiting.poll().run();
@@ -188,7 +188,7 @@
 
     /** Hands a process a message, as if it had come from a seat. */
     public void forge(int from, int to, Message message) {
-        byte[] bytes = MessageCodec.write(message, 1, 0);
+        byte[] bytes = MessageCodec.encode(message, 1, 0);
         arrive(from, to, bytes);
     }
 
@@ -200,21 +200,21 @@
         return simulation.nowMs();
     }
 
-    public boolean lives(int seat) {
-        return processes[seat] != null && !processes[seat].dead;
+    public boolean lives(int memberIndex) {
+        return processes[memberIndex] != null && !processes[memberIndex].dead;
     }
 
-    public long life(int seat) {
-        return processes[seat].view.life();
+    public long incarnation(int memberIndex) {
+        return processes[memberIndex].view.incarnation();
     }
 
-    public ViewSnapshot view(int seat) {
-        return processes[seat].view.snapshot(simulation.nowMs());
+    public ViewSnapshot view(int memberIndex) {
+        return processes[memberIndex].view.snapshot(simulation.nowMs());
     }
 
     /** Whether all that live and run see just those that live, in their lives, and say so alike. */
     public boolean settled() {
-        return settled(seat -> true);
+        return settled(memberIndex -> true);
     }
 
     /** The same of one side of a partition, which is to see itself alone. */
@@ -222,13 +222,13 @@
         Long digest = null;
         int count = 0;
         for (Process each : processes) {
-            count += each != null && !each.dead && side.test(each.seat) ? 1 : 0;
+            count += each != null && !each.dead && side.test(each.memberIndex) ? 1 : 0;
         }
         for (Process each : processes) {
-            if (each == null || each.dead || !side.test(each.seat)) {
+            if (each == null || each.dead || !side.test(each.memberIndex)) {
                 continue;
             }
-            if (each.view.peers() != count - 1) {
+            if (each.view.aliveOthers() != count - 1) {
                 return false;
             }
             long own = each.view.digest();
@@ -242,10 +242,12 @@
 
     private boolean truthful(IntPredicate side) {
         for (Process each : processes) {
-            if (each != null && !each.dead && side.test(each.seat)) {
-                for (ViewSnapshot.Seen seen : view(each.seat).members()) {
-                    if (seen.standing().lives()
-                            && (!lives(seen.seat()) || life(seen.seat()) != seen.life() || !side.test(seen.seat()))) {
+            if (each != null && !each.dead && side.test(each.memberIndex)) {
+                for (ViewSnapshot.MemberSnapshot seen : view(each.memberIndex).members()) {
+                    if (seen.state().isAlive()
+                            && (!lives(seen.memberIndex())
+                                    || incarnation(seen.memberIndex()) != seen.incarnation()
+                                    || !side.test(seen.memberIndex()))) {
                         return false;
                     }
                 }
@@ -268,9 +270,9 @@
     }
 
     /** Runs until no live view holds a seat for living; the time that took, in ms. */
-    public double untilAllKnowTheEndOf(int seat, double mostMs) {
+    public double untilAllKnowTheEndOf(int memberIndex, double mostMs) {
         double fromMs = simulation.nowMs();
-        while (believed(seat)) {
+        while (believed(memberIndex)) {
             if (simulation.nowMs() - fromMs > mostMs) {
                 return Double.POSITIVE_INFINITY;
             }
@@ -279,9 +281,13 @@
         return simulation.nowMs() - fromMs;
     }
 
-    private boolean believed(int seat) {
+    private boolean believed(int memberIndex) {
         for (Process each : processes) {
-            if (each != null && !each.dead && !each.frozen && each.seat != seat && each.view.sees(seat)) {
+            if (each != null
+                    && !each.dead
+                    && !each.frozen
+                    && each.memberIndex != memberIndex
+                    && each.view.isAlive(memberIndex)) {
                 return true;
             }
         }
@@ -307,7 +313,7 @@
         List<Integer> running = new ArrayList<>();
         for (Process each : processes) {
             if (each != null && !each.dead) {
-                running.add(each.seat);
+                running.add(each.memberIndex);
             }
         }
         return running;
--- a/src/main/java/ivybank/fleet/Blame.java
+++ b/src/main/java/ivybank/fleet/AccusationCounters.java
@@ -9,53 +9,53 @@
  * wrongly, the network is to blame and nobody stands out. Only what a member says itself counts against it, not what others
  * say that it has said.
  */
-final class Blame {
+final class AccusationCounters {
 
     private static final double HALF_LIFE_MS = 30_000;
-    private static final double TOO_MUCH = 10;
-    private static final double BEYOND_OTHERS = 4;
-    private static final int MOST_NAMED = 1024;
+    private static final double TOLERATED_SCORE = 10;
+    private static final double TOLERATED_RATIO = 4;
+    private static final int MAX_COUNTERS = 1024;
 
     private static final class Mark {
-        private double points;
+        private double score;
         private double atMs;
         private boolean named;
 
         private double now(double nowMs) {
-            return points * Math.pow(0.5, Math.max(0, nowMs - atMs) / HALF_LIFE_MS);
+            return score * Math.pow(0.5, Math.max(0, nowMs - atMs) / HALF_LIFE_MS);
         }
     }
 
     private final Map<Integer, Mark> marks = new HashMap<>();
 
     /** Notes an accusation that was refuted, one of {@code others} members; true when its word ceases to count. */
-    boolean refuted(int accuser, double nowMs, int others) {
-        if (marks.size() >= MOST_NAMED) {
+    boolean recordRefuted(int accuser, double nowMs, int others) {
+        if (marks.size() >= MAX_COUNTERS) {
             marks.values().removeIf(mark -> mark.now(nowMs) < 0.5);
         }
-        Mark mark = marks.computeIfAbsent(accuser, seat -> new Mark());
-        mark.points = mark.now(nowMs) + 1;
+        Mark mark = marks.computeIfAbsent(accuser, memberIndex -> new Mark());
+        mark.score = mark.now(nowMs) + 1;
         mark.atMs = nowMs;
-        boolean first = !mark.named && !heeded(accuser, nowMs, others);
+        boolean first = !mark.named && !trusted(accuser, nowMs, others);
         mark.named |= first;
         return first;
     }
 
     /** Whether its word against others counts, as one of {@code others} members. */
-    boolean heeded(int accuser, double nowMs, int others) {
+    boolean trusted(int accuser, double nowMs, int others) {
         Mark mark = marks.get(accuser);
         if (mark == null) {
             return true;
         }
-        double points = mark.now(nowMs);
+        double score = mark.now(nowMs);
         double rest = 0;
-        if (points >= TOO_MUCH) {
+        if (score >= TOLERATED_SCORE) {
             for (Mark each : marks.values()) {
                 rest += each == mark ? 0 : each.now(nowMs);
             }
         }
-        boolean heeded = points < TOO_MUCH || points < BEYOND_OTHERS * rest / Math.max(1, others - 1);
-        mark.named &= !heeded;
-        return heeded;
+        boolean trusted = score < TOLERATED_SCORE || score < TOLERATED_RATIO * rest / Math.max(1, others - 1);
+        mark.named &= !trusted;
+        return trusted;
     }
 }
--- a/src/main/java/ivybank/fleet/Rumours.java
+++ b/src/main/java/ivybank/fleet/GossipQueue.java
@@ -8,86 +8,88 @@
 import java.util.PriorityQueue;
 
 /** What is to be passed on: each word a bounded number of times, those told least first. */
-final class Rumours {
+final class GossipQueue {
 
-    private static final int MOST = 4096;
+    private static final int MAX_ENTRIES = 4096;
 
-    private static final class Rumour {
+    private static final class QueuedUpdate {
         private final long key;
-        private final Word word;
+        private final MembershipUpdate update;
         private final long number;
         private int told;
         private boolean stale;
 
-        private Rumour(long key, Word word, long number) {
+        private QueuedUpdate(long key, MembershipUpdate update, long number) {
             this.key = key;
-            this.word = word;
+            this.update = update;
             this.number = number;
         }
     }
 
-    private final Map<Long, Rumour> byKey = new HashMap<>();
-    private final PriorityQueue<Rumour> queue = new PriorityQueue<>(Comparator.<Rumour>comparingInt(each -> each.told)
-            .thenComparing(Comparator.<Rumour>comparingLong(each -> each.number).reversed()));
+    private final Map<Long, QueuedUpdate> byKey = new HashMap<>();
+    private final PriorityQueue<QueuedUpdate> queue =
+            new PriorityQueue<>(Comparator.<QueuedUpdate>comparingInt(each -> each.told)
+                    .thenComparing(Comparator.<QueuedUpdate>comparingLong(each -> each.number)
+                            .reversed()));
     private long numbers;
 
-    private static long key(Word word) {
-        return (long) word.seat() << 20 | word.accuser() + 1;
+    private static long key(MembershipUpdate update) {
+        return (long) update.memberIndex() << 20 | update.accuser() + 1;
     }
 
     /** Begins to tell a word, in place of an older one of the same kind. */
-    void tell(Word word) {
-        Rumour before = byKey.get(key(word));
+    void notify(MembershipUpdate update) {
+        QueuedUpdate before = byKey.get(key(update));
         if (before != null) {
-            if (before.word.equals(word)) {
+            if (before.update.equals(update)) {
                 return;
             }
             before.stale = true;
-        } else if (byKey.size() >= MOST) {
+        } else if (byKey.size() >= MAX_ENTRIES) {
             return; // what is lost here is found again by comparing views
         }
-        Rumour rumour = new Rumour(key(word), word, numbers++);
-        byKey.put(rumour.key, rumour);
-        queue.add(rumour);
+        QueuedUpdate queued = new QueuedUpdate(key(update), update, numbers++);
+        byKey.put(queued.key, queued);
+        queue.add(queued);
     }
 
     /** Stops telling accusations of a member. */
-    void acquit(int seat, List<Integer> accusers) {
+    void clearWithCause(int memberIndex, List<Integer> accusers) {
         for (int accuser : accusers) {
-            Rumour rumour = byKey.remove((long) seat << 20 | accuser + 1);
-            if (rumour != null) {
-                rumour.stale = true;
+            QueuedUpdate queued = byKey.remove((long) memberIndex << 20 | accuser + 1);
+            if (queued != null) {
+                queued.stale = true;
             }
         }
     }
 
     /** Stops telling all that others know who hold the same view: doubts alone are left. */
     void known() {
-        byKey.values().removeIf(rumour -> rumour.stale |= rumour.word.kind() != Word.Kind.SUSPECT);
+        byKey.values().removeIf(queued -> queued.stale |= queued.update.kind() != MembershipUpdate.Kind.SUSPECT);
     }
 
     /** Takes words for one datagram into {@code into}, as far as there is room; each may be told {@code most} times. */
-    void take(int room, int most, List<Word> into) {
-        List<Rumour> again = new ArrayList<>();
+    void take(int room, int most, List<MembershipUpdate> into) {
+        List<QueuedUpdate> again = new ArrayList<>();
         int left = room;
         int misses = 0;
         while (!queue.isEmpty() && misses < 2) {
-            Rumour next = queue.poll();
+            QueuedUpdate next = queue.poll();
             if (next.stale) {
                 continue;
             }
-            if (into.contains(next.word)) {
+            if (into.contains(next.update)) {
                 again.add(next);
                 continue;
             }
-            int size = MessageCodec.size(next.word);
+            int size = MessageCodec.encodedSize(next.update);
             if (size > left) {
                 again.add(next);
                 misses++;
                 continue;
             }
             left -= size;
-            into.add(next.word);
+            into.add(next.update);
             next.told++;
             if (next.told >= most) {
                 byKey.remove(next.key);
--- a/src/main/java/ivybank/fleet/Standing.java
+++ b/src/main/java/ivybank/fleet/MemberState.java
@@ -1,7 +1,7 @@
 package ivybank.fleet;
 
 /** What a sidecar is to the fleet. The order is that of the layout on the wire. */
-public enum Standing {
+public enum MemberState {
     /** Started, not yet serving. */
     JOINING,
     /** Serving. */
@@ -11,10 +11,10 @@
     /** Ended, and has said so itself. */
     LEFT,
     /** Given up: it answers nobody. Back only with a higher life. */
-    GONE;
+    DEAD;
 
     /** Whether it is a process that runs. */
-    public boolean lives() {
+    public boolean isAlive() {
         return this == JOINING || this == READY || this == DRAINING;
     }
 }
--- a/src/main/java/ivybank/fleet/Suspicion.java
+++ b/src/main/java/ivybank/fleet/Suspicion.java
@@ -6,27 +6,27 @@
 /** Doubt about one member in one life and turn. Its time falls with each independent accuser. */
 final class Suspicion {
 
-    private static final int MOST_ACCUSERS = 8;
+    private static final int MAX_ACCUSERS = 8;
 
-    final int turn;
+    final int version;
     /** Whether it has said itself that it leaves, by word of others. */
     boolean left;
 
     private double sinceMs;
-    private boolean brief;
+    private boolean isShortened;
     private final List<Integer> accusers = new ArrayList<>();
 
-    Suspicion(int turn, double sinceMs) {
-        this.turn = turn;
+    Suspicion(int version, double sinceMs) {
+        this.version = version;
         this.sinceMs = sinceMs;
     }
 
     /** Notes an accuser; false if it is known already. */
-    boolean accuse(int seat) {
-        if (accusers.contains(seat) || accusers.size() >= MOST_ACCUSERS) {
+    boolean addAccuser(int memberIndex) {
+        if (accusers.contains(memberIndex) || accusers.size() >= MAX_ACCUSERS) {
             return false;
         }
-        accusers.add(seat);
+        accusers.add(memberIndex);
         return true;
     }
 
@@ -36,12 +36,12 @@
 
     /** Others have given it up already: the shortest time is left to it. */
     void shorten() {
-        brief = true;
+        isShortened = true;
     }
 
     /** Whether others have given it up. */
-    boolean brief() {
-        return brief;
+    boolean isShortened() {
+        return isShortened;
     }
 
     /** Time in which this process itself did not run does not count. */
@@ -54,12 +54,12 @@
      *
      * @param others members that could accuse it
      */
-    double dueMs(FleetTiming timing, int others) {
+    double deadlineMs(FleetTiming timing, int others) {
         int wanted = Math.min(3, others - 1); // beside the first
-        if (brief || wanted < 1) {
-            return sinceMs + timing.leastDoubtMs();
+        if (isShortened || wanted < 1) {
+            return sinceMs + timing.minSuspicionMs();
         }
         double part = Math.min(1, Math.log(accusers.size()) / Math.log(wanted + 1));
-        return sinceMs + timing.mostDoubtMs() - (timing.mostDoubtMs() - timing.leastDoubtMs()) * part;
+        return sinceMs + timing.maxSuspicionMs() - (timing.maxSuspicionMs() - timing.minSuspicionMs()) * part;
     }
 }
--- a/src/main/java/ivybank/fleet/Pace.java
+++ b/src/main/java/ivybank/fleet/TokenBucket.java
@@ -1,14 +1,14 @@
 package ivybank.fleet;
 
 /** So many a second, and so many at once after a rest. */
-final class Pace {
+final class TokenBucket {
 
     private final double perMs;
     private final double most;
     private double left;
     private double atMs = Double.NaN;
 
-    Pace(double perSecond, double most) {
+    TokenBucket(double perSecond, double most) {
         this.perMs = perSecond / 1000;
         this.most = most;
         this.left = most;
--- a/src/main/java/ivybank/fleet/ViewSnapshot.java
+++ b/src/main/java/ivybank/fleet/ViewSnapshot.java
@@ -5,34 +5,34 @@
 /**
  * A view at one instant.
  *
- * @param seat of the sidecar whose view it is, with its life
+ * @param memberIndex of the sidecar whose view it is, with its life
  * @param digest equal where views are equal
  * @param settledForMs since the view has changed last, or a peer's was last seen to differ
- * @param peers others that live, by this view
- * @param seats that the list of addresses names
+ * @param aliveOthers others that live, by this view
+ * @param addressCount that the list of addresses names
  * @param health 0 for good; more while it doubts itself
  */
 public record ViewSnapshot(
-        int seat,
-        long life,
+        int memberIndex,
+        long incarnation,
         long digest,
         double settledForMs,
-        int peers,
-        int seats,
+        int aliveOthers,
+        int addressCount,
         int health,
-        List<Seen> members,
+        List<MemberSnapshot> members,
         Counts counts) {
 
     /** One member; {@code accusers} are the seats of those who doubt it, empty for none. */
-    public record Seen(
-            int seat,
+    public record MemberSnapshot(
+            int memberIndex,
             String name,
-            long life,
-            int turn,
+            long incarnation,
+            int version,
             String zone,
-            Standing standing,
+            MemberState state,
             List<Integer> accusers,
-            boolean heeded) {}
+            boolean trusted) {}
 
     /** Sums since the start. {@code forged} counts accusations in this sidecar's name that it never made. */
     public record Counts(
@@ -42,8 +42,8 @@
             long stale,
             long unknown,
             long forged,
-            long givenUp,
-            long returns) {}
+            long declaredDead,
+            long rejoins) {}
 
     public ViewSnapshot {
         members = List.copyOf(members);
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -69,10 +69,10 @@
         }
         StrictTable peers = root.table("peers");
         String zone = peers.text("zone", "-");
-        if (!PeerSettings.canTell(zone)) {
+        if (!PeerSettings.isValidZone(zone)) {
             throw peers.error(
                     "zone",
-                    "is \"" + zone + "\": up to " + PeerSettings.LONGEST_ZONE
+                    "is \"" + zone + "\": up to " + PeerSettings.MAX_ZONE_LENGTH
                             + " letters, figures and signs without blanks are allowed");
         }
         String lives = peers.text("life_file", "-");
--- a/src/main/java/ivybank/peers/LifeFile.java
+++ b/src/main/java/ivybank/peers/IncarnationFile.java
@@ -7,9 +7,9 @@
 import java.nio.file.StandardCopyOption;
 
 /** Keeps a sidecar's life over a restart: a clock that was set back must not lower it. */
-final class LifeFile {
+final class IncarnationFile {
 
-    private LifeFile() {}
+    private IncarnationFile() {}
 
     /**
      * The life of a process that starts now, noted before it is used.
@@ -29,16 +29,16 @@
         } catch (IOException | NumberFormatException e) {
             said.accept("peers: " + file + " holds no life: going on with the clock's");
         }
-        long life = Math.max(clockMs, before + 1);
+        long incarnation = Math.max(clockMs, before + 1);
         try {
             Path part = file.resolveSibling(file.getFileName() + ".new");
-            Files.write(part, Long.toString(life).getBytes(StandardCharsets.US_ASCII));
+            Files.write(part, Long.toString(incarnation).getBytes(StandardCharsets.US_ASCII));
             Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         } catch (IOException e) {
             said.accept(
                     "peers: " + file
                             + " can't be written: a clock that is set back may lower this sidecar's life until peers correct it");
         }
-        return life;
+        return incarnation;
     }
 }
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -6,13 +6,13 @@
 import ivybank.common.Clock;
 import ivybank.common.Json;
 import ivybank.common.Log;
-import ivybank.fleet.Change;
 import ivybank.fleet.FleetCount;
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.FleetView;
+import ivybank.fleet.MemberState;
+import ivybank.fleet.MembershipEvent;
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
-import ivybank.fleet.Standing;
 import ivybank.fleet.ViewSnapshot;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -67,49 +67,49 @@
         this.listen = listen;
         this.sidecars = sidecars;
         this.count = new FleetCount(told, FleetTiming.STANDARD.holdMs());
-        int seat = addresses.indexOf(listen);
-        if (seat < 0) {
+        int memberIndex = addresses.indexOf(listen);
+        if (memberIndex < 0) {
             throw new IOException("peers: " + listen + " is not among the " + addresses.size()
                     + " addresses of sidecars; each list names its own sidecar too");
         }
-        if (!MessageCodec.carries(name, MessageCodec.LONGEST_NAME)) {
+        if (!MessageCodec.isPrintable(name, MessageCodec.MAX_NAME_LENGTH)) {
             throw new IOException("peers: the name \"" + name + "\" can't be told to others: up to "
-                    + MessageCodec.LONGEST_NAME + " letters, figures and signs without blanks are allowed");
+                    + MessageCodec.MAX_NAME_LENGTH + " letters, figures and signs without blanks are allowed");
         }
-        long life = LifeFile.next(settings.lives(), (long) clock.nowMs(), log::line);
+        long incarnation = IncarnationFile.next(settings.incarnationFile(), (long) clock.nowMs(), log::line);
         socket = new PeerSocket(
                 loop,
                 addresses,
-                MessageCodec.fleet(settings.fleet()),
-                PeerKeys.read(settings.keys(), MessageCodec.SIGNATURE),
+                MessageCodec.fleetHash(settings.fleet()),
+                PeerKeys.read(settings.keys(), MessageCodec.SIGNATURE_BYTES),
                 clock,
                 log);
         view = new FleetView(
-                seat,
+                memberIndex,
                 name,
                 settings.zone(),
-                life,
+                incarnation,
                 addresses.size(),
                 FleetTiming.STANDARD,
                 new Random(seed),
-                new FleetView.Out() {
+                new FleetView.Output() {
                     @Override
                     public void send(int to, Message message) {
                         socket.send(to, message);
                     }
 
                     @Override
-                    public void changed(Change change) {
+                    public void changed(MembershipEvent change) {
                         PeerFleet.this.changed(change);
                     }
                 });
-        log.line(
-                "peers: seat " + seat + " of " + addresses.size() + " in fleet " + settings.fleet() + ", life " + life);
+        log.line("peers: seat " + memberIndex + " of " + addresses.size() + " in fleet " + settings.fleet() + ", life "
+                + incarnation);
     }
 
     /** Listens, and begins to look for others. Not called on the event loop. */
     public void open(boolean shared) throws IOException {
-        socket.open(listen, shared, (seat, message) -> view.heard(clock.nowMs(), seat, message));
+        socket.open(listen, shared, (memberIndex, message) -> view.receive(clock.nowMs(), memberIndex, message));
         loop.execute(() -> view.start(clock.nowMs()));
         long tickMs = (long) FleetTiming.STANDARD.tickMs();
         loop.scheduleWithFixedDelay(
@@ -118,7 +118,7 @@
                     view.tick(nowMs);
                     if (nowMs >= countDueMs) {
                         countDueMs = nowMs + COUNT_EVERY_MS;
-                        sidecars.accept(count.seen(nowMs, view.peers() + 1));
+                        sidecars.accept(count.seen(nowMs, view.aliveOthers() + 1));
                     }
                 },
                 tickMs,
@@ -126,22 +126,22 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void changed(Change change) {
+    private void changed(MembershipEvent change) {
         // Doubts come and go; the door has them.
         if (!change.what().startsWith("is doubted")) {
-            log.line("peers: " + (change.name().isEmpty() ? "" : change.name() + ", ") + "seat " + change.seat()
-                    + ", life " + change.life() + " " + change.what());
+            log.line("peers: " + (change.name().isEmpty() ? "" : change.name() + ", ") + "seat " + change.memberIndex()
+                    + ", life " + change.incarnation() + " " + change.what());
         }
     }
 
     /** This sidecar serves now. */
     public void ready() {
-        loop.execute(() -> view.stand(clock.nowMs(), Standing.READY));
+        loop.execute(() -> view.announceState(clock.nowMs(), MemberState.READY));
     }
 
     /** This sidecar was told to end. On the event loop. */
     public void draining() {
-        view.stand(clock.nowMs(), Standing.DRAINING);
+        view.announceState(clock.nowMs(), MemberState.DRAINING);
     }
 
     /** This sidecar ends now: the others are told. On the event loop. */
@@ -161,13 +161,13 @@
                 hushed
                         ? "peers: another process of this sidecar speaks for it"
                         : "peers: this process speaks for the sidecar again");
-        view.hush(clock.nowMs(), hushed);
+        view.setStandby(clock.nowMs(), hushed);
     }
 
     /** Reads the keys again. Not called on the event loop. */
     public void reload() {
         try {
-            PeerKeys keys = PeerKeys.read(settings.keys(), MessageCodec.SIGNATURE);
+            PeerKeys keys = PeerKeys.read(settings.keys(), MessageCodec.SIGNATURE_BYTES);
             loop.execute(() -> {
                 socket.keys(keys);
                 log.line("peers: keys read again, " + keys.count());
@@ -186,27 +186,27 @@
         ViewSnapshot now = view.snapshot(clock.nowMs());
         ObjectNode root = Json.MAPPER
                 .createObjectNode()
-                .put("seat", now.seat())
-                .put("life", now.life())
+                .put("seat", now.memberIndex())
+                .put("life", now.incarnation())
                 .put("digest", digest(now.digest()))
                 .put("settled_ms", Math.round(now.settledForMs()))
-                .put("peers", now.peers())
-                .put("seats", now.seats())
+                .put("peers", now.aliveOthers())
+                .put("seats", now.addressCount())
                 .put("health", now.health());
         ArrayNode members = root.putArray("members");
-        for (ViewSnapshot.Seen seen : now.members()) {
+        for (ViewSnapshot.MemberSnapshot seen : now.members()) {
             ObjectNode each = members.addObject()
-                    .put("seat", seen.seat())
+                    .put("seat", seen.memberIndex())
                     .put("name", seen.name())
-                    .put("life", seen.life())
-                    .put("standing", seen.standing().name().toLowerCase(Locale.ROOT));
+                    .put("life", seen.incarnation())
+                    .put("standing", wireName(seen.state()));
             if (!seen.zone().isEmpty()) {
                 each.put("zone", seen.zone());
             }
             if (!seen.accusers().isEmpty()) {
                 seen.accusers().forEach(each.putArray("doubted_by")::add);
             }
-            if (!seen.heeded()) {
+            if (!seen.trusted()) {
                 each.put("heeded", false);
             }
         }
@@ -218,8 +218,8 @@
                 .put("stale", now.counts().stale())
                 .put("unknown", now.counts().unknown())
                 .put("forged", now.counts().forged())
-                .put("given_up", now.counts().givenUp())
-                .put("returns", now.counts().returns())
+                .put("given_up", now.counts().declaredDead())
+                .put("returns", now.counts().rejoins())
                 .put("dropped", socket.dropped());
         for (Map.Entry<PeerSocket.Refusal, Long> each : socket.refused().entrySet()) {
             counts.put(each.getKey().name().toLowerCase(Locale.ROOT), each.getValue());
@@ -227,22 +227,28 @@
         return root.toString();
     }
 
+    /** The name of a state at the operators' door; a dead member is called gone there. */
+    private static String wireName(MemberState state) {
+        return state == MemberState.DEAD ? "gone" : state.name().toLowerCase(Locale.ROOT);
+    }
+
     private static String digest(long digest) {
         return String.format(Locale.ROOT, "%016x", digest);
     }
 
     /** Its part of the line of counts of each second, from the event loop. */
     public String tally() {
-        return " peers=" + view.peers() + " starting=" + view.starting() + " view=" + digest(view.digest());
+        return " peers=" + view.aliveOthers() + " starting=" + view.joiningMembers() + " view=" + digest(view.digest());
     }
 
     /** Counts for a line of the log, from the event loop. */
     public String line() {
         ViewSnapshot now = view.snapshot(clock.nowMs());
-        return "peers: " + now.peers() + " live, " + view.starting() + " starting, health " + now.health() + ", view "
+        return "peers: " + now.aliveOthers() + " live, " + view.joiningMembers() + " starting, health " + now.health()
+                + ", view "
                 + digest(now.digest()) + " settled for " + Math.round(now.settledForMs()) + " ms; "
                 + now.counts().sent() + " sent, " + now.counts().received() + " received, "
-                + now.counts().givenUp() + " given up, "
-                + now.counts().returns() + " returns so far";
+                + now.counts().declaredDead() + " given up, "
+                + now.counts().rejoins() + " returns so far";
     }
 }
--- a/src/main/java/ivybank/peers/PeerSettings.java
+++ b/src/main/java/ivybank/peers/PeerSettings.java
@@ -12,16 +12,17 @@
  * @param zone told to the others; empty for none
  * @param listen empty: as the platform's configuration says
  * @param addresses one for each sidecar, in the same order at all; empty: as the platform's configuration says
- * @param lives file that keeps this sidecar's life over a restart; null for none
+ * @param incarnationFile file that keeps this sidecar's life over a restart; null for none
  */
-public record PeerSettings(Path keys, String fleet, String zone, String listen, List<String> addresses, Path lives) {
+public record PeerSettings(
+        Path keys, String fleet, String zone, String listen, List<String> addresses, Path incarnationFile) {
 
     /** The longest zone that can be told to the others. */
-    public static final int LONGEST_ZONE = MessageCodec.LONGEST_ZONE;
+    public static final int MAX_ZONE_LENGTH = MessageCodec.MAX_ZONE_LENGTH;
 
     /** Whether a zone can be told to the others. */
-    public static boolean canTell(String zone) {
-        return MessageCodec.carries(zone, LONGEST_ZONE);
+    public static boolean isValidZone(String zone) {
+        return MessageCodec.isPrintable(zone, MAX_ZONE_LENGTH);
     }
 
     public PeerSettings {
--- a/src/main/java/ivybank/peers/PeerSocket.java
+++ b/src/main/java/ivybank/peers/PeerSocket.java
@@ -32,7 +32,7 @@
 
     /** Takes what has come. */
     interface Receiver {
-        void received(int seat, Message message);
+        void received(int memberIndex, Message message);
     }
 
     /** Why a datagram was passed over. */
@@ -94,7 +94,9 @@
                 .option(ChannelOption.SO_RCVBUF, BUFFER)
                 .option(ChannelOption.SO_REUSEADDR, shared)
                 // One more than is allowed, so that what is too long is seen to be.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageCodec.LONGEST + 1))
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(MessageCodec.MAX_DATAGRAM_BYTES + 1))
                 .handler(new Incoming())
                 .bind(listen)
                 .awaitUninterruptibly();
@@ -111,25 +113,26 @@
         Arrays.fill(understood, NO_KEY);
     }
 
-    void send(int seat, Message message) {
+    void send(int memberIndex, Message message) {
         if (!channel.isWritable()) {
             dropped++;
             return;
         }
         byte[] signed = keys.sign(
-                MessageCodec.write(message, fleet, keys.mark()), keys.choose(preferred[seat], understood[seat]));
+                MessageCodec.encode(message, fleet, keys.mark()),
+                keys.choose(preferred[memberIndex], understood[memberIndex]));
         sentBytes += signed.length;
         channel.writeAndFlush(
-                new DatagramPacket(Unpooled.wrappedBuffer(signed), addresses.get(seat)), channel.voidPromise());
+                new DatagramPacket(Unpooled.wrappedBuffer(signed), addresses.get(memberIndex)), channel.voidPromise());
     }
 
     private void received(InetSocketAddress from, byte[] signed) {
-        Integer seat = seats.get(from);
-        if (seat == null) {
+        Integer memberIndex = seats.get(from);
+        if (memberIndex == null) {
             refuse(Refusal.UNKNOWN_ADDRESS, from, "");
             return;
         }
-        if (signed.length > MessageCodec.LONGEST) {
+        if (signed.length > MessageCodec.MAX_DATAGRAM_BYTES) {
             refuse(Refusal.TOO_LONG, from, "");
             return;
         }
@@ -138,16 +141,16 @@
             refuse(Refusal.UNSIGNED, from, "");
             return;
         }
-        byte[] bytes = Arrays.copyOf(signed, signed.length - MessageCodec.SIGNATURE);
+        byte[] bytes = Arrays.copyOf(signed, signed.length - MessageCodec.SIGNATURE_BYTES);
         try {
-            Message message = MessageCodec.read(bytes);
-            if (MessageCodec.fleetOf(bytes) != fleet) {
+            Message message = MessageCodec.decode(bytes);
+            if (MessageCodec.fleetHashOf(bytes) != fleet) {
                 refuse(Refusal.OTHER_FLEET, from, "");
                 return;
             }
-            preferred[seat] = MessageCodec.key(bytes);
-            understood[seat] = key;
-            receiver.received(seat, message);
+            preferred[memberIndex] = MessageCodec.preferredKeyOf(bytes);
+            understood[memberIndex] = key;
+            receiver.received(memberIndex, message);
         } catch (MessageCodec.MalformedException e) {
             refuse(e.otherVersion() ? Refusal.OTHER_VERSION : Refusal.MALFORMED, from, ", " + e.getMessage());
         }
--- a/src/test/java/ivybank/emulator/ViewScriptsTest.java
+++ b/src/test/java/ivybank/emulator/ViewScriptsTest.java
@@ -33,7 +33,7 @@
         WAIT
     }
 
-    record Step(What what, int seat, int other, int ms) {}
+    record Step(What what, int memberIndex, int other, int ms) {}
 
     @Provide
     Arbitrary<List<Step>> scripts() {
@@ -62,21 +62,21 @@
             take(world, step, frozen, seated);
             world.run(step.ms);
             for (int by : world.running()) {
-                long life = world.life(by);
-                check(life >= own.getOrDefault(by, 0L), "the life of " + by + " falls");
-                own.put(by, life);
-                for (ViewSnapshot.Seen seen : world.view(by).members()) {
-                    int key = (int) (seated[by] * 1000 + by * 10L + seen.seat());
+                long incarnation = world.incarnation(by);
+                check(incarnation >= own.getOrDefault(by, 0L), "the life of " + by + " falls");
+                own.put(by, incarnation);
+                for (ViewSnapshot.MemberSnapshot seen : world.view(by).members()) {
+                    int key = (int) (seated[by] * 1000 + by * 10L + seen.memberIndex());
                     check(
-                            seen.life() >= highest.getOrDefault(key, 0L),
-                            "the life of " + seen.seat() + " falls at " + by);
-                    highest.put(key, seen.life());
-                    if (!seen.standing().lives()) {
-                        ended.merge(key, seen.life(), Math::max);
+                            seen.incarnation() >= highest.getOrDefault(key, 0L),
+                            "the life of " + seen.memberIndex() + " falls at " + by);
+                    highest.put(key, seen.incarnation());
+                    if (!seen.state().isAlive()) {
+                        ended.merge(key, seen.incarnation(), Math::max);
                     } else {
                         check(
-                                seen.life() > ended.getOrDefault(key, 0L),
-                                seen.seat() + " is back at " + by + " with its old life");
+                                seen.incarnation() > ended.getOrDefault(key, 0L),
+                                seen.memberIndex() + " is back at " + by + " with its old life");
                     }
                 }
             }
@@ -92,41 +92,41 @@
     }
 
     private static void take(ViewWorld world, Step step, boolean[] frozen, long[] seated) {
-        int seat = step.seat;
-        int other = (seat + step.other) % SEATS;
-        boolean runs = world.lives(seat) && !frozen[seat];
+        int memberIndex = step.memberIndex;
+        int other = (memberIndex + step.other) % SEATS;
+        boolean runs = world.lives(memberIndex) && !frozen[memberIndex];
         switch (step.what) {
             case START -> {
-                if (!world.lives(seat)) {
-                    seated[seat]++;
-                    world.start(seat);
+                if (!world.lives(memberIndex)) {
+                    seated[memberIndex]++;
+                    world.start(memberIndex);
                 }
             }
             case KILL -> {
-                if (world.lives(seat)) {
-                    frozen[seat] = false;
-                    world.kill(seat);
+                if (world.lives(memberIndex)) {
+                    frozen[memberIndex] = false;
+                    world.kill(memberIndex);
                 }
             }
             case LEAVE -> {
                 if (runs) {
-                    world.leave(seat);
+                    world.leave(memberIndex);
                 }
             }
             case FREEZE -> {
                 if (runs) {
-                    frozen[seat] = true;
-                    world.freeze(seat);
+                    frozen[memberIndex] = true;
+                    world.freeze(memberIndex);
                 }
             }
             case THAW -> {
-                if (frozen[seat]) {
-                    frozen[seat] = false;
-                    world.thaw(seat);
+                if (frozen[memberIndex]) {
+                    frozen[memberIndex] = false;
+                    world.thaw(memberIndex);
                 }
             }
-            case CUT -> world.cut((from, to) -> from < seat != to < seat);
-            case CUT_ONE_WAY -> world.cut((from, to) -> from == seat && to == other);
+            case CUT -> world.cut((from, to) -> from < memberIndex != to < memberIndex);
+            case CUT_ONE_WAY -> world.cut((from, to) -> from == memberIndex && to == other);
             case HEAL -> world.cut((from, to) -> false);
             case LOSSY -> world.network(new ViewNetwork(0.3, 0.1, 0.3, 60));
             case CALM -> world.network(ViewNetwork.CALM);
--- a/src/test/java/ivybank/emulator/ViewWorldTest.java
+++ b/src/test/java/ivybank/emulator/ViewWorldTest.java
@@ -5,10 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.fleet.FleetTiming;
+import ivybank.fleet.MemberState;
+import ivybank.fleet.MembershipUpdate;
 import ivybank.fleet.Message;
-import ivybank.fleet.Standing;
 import ivybank.fleet.ViewSnapshot;
-import ivybank.fleet.Word;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -43,9 +43,9 @@
         return all;
     }
 
-    private static ViewSnapshot.Seen seen(ViewWorld world, int by, int seat) {
+    private static ViewSnapshot.MemberSnapshot seen(ViewWorld world, int by, int memberIndex) {
         return world.view(by).members().stream()
-                .filter(member -> member.seat() == seat)
+                .filter(member -> member.memberIndex() == memberIndex)
                 .findFirst()
                 .orElseThrow();
     }
@@ -68,7 +68,7 @@
         double[] ms = over(12, world -> {
             world.leave(3);
             double took = world.untilAllKnowTheEndOf(3, LONG_MS);
-            assertEquals(Standing.LEFT, seen(world, 0, 3).standing());
+            assertEquals(MemberState.LEFT, seen(world, 0, 3).state());
             return took;
         });
         assertTrue(ms[SEEDS - 1] <= 2500, Arrays.toString(ms));
@@ -79,15 +79,16 @@
         for (int seats : new int[] {12, 100}) {
             int small = seats * 2 / 5;
             double[] ms = over(seats, world -> {
-                long before = world.life(0);
+                long before = world.incarnation(0);
                 world.cut((from, to) -> from < small != to < small);
                 world.run(20_000);
                 assertTrue(
-                        world.settled(seat -> seat < small) && world.settled(seat -> seat >= small),
+                        world.settled(memberIndex -> memberIndex < small)
+                                && world.settled(memberIndex -> memberIndex >= small),
                         "each side sees itself");
                 world.cut((from, to) -> false);
                 double took = world.untilSettled(LONG_MS);
-                assertTrue(world.life(0) > before, "it was given up, and is back with a higher life");
+                assertTrue(world.incarnation(0) > before, "it was given up, and is back with a higher life");
                 return took;
             });
             assertTrue(ms[SEEDS - 1] <= 5000, seats + " seats: " + Arrays.toString(ms));
@@ -101,7 +102,7 @@
         world.run(11 * 60_000);
         assertTrue(
                 world.view(0).members().stream()
-                        .allMatch(member -> member.standing().lives()),
+                        .allMatch(member -> member.state().isAlive()),
                 "who is gone for so long is not listed");
         world.cut((from, to) -> false);
         assertTrue(world.untilSettled(LONG_MS) <= 15_000);
@@ -125,14 +126,14 @@
     @Test
     void whoStandsStillBrieflyKeepsItsLifeAndWhoDoesForLongComesBackWithAHigherOneAndAccusesNobody() {
         for (int seed = 0; seed < SEEDS; seed++) {
-            for (double pauseMs : new double[] {FleetTiming.STANDARD.leastDoubtMs(), 5000}) {
+            for (double pauseMs : new double[] {FleetTiming.STANDARD.minSuspicionMs(), 5000}) {
                 ViewWorld world = started(12, seed, ViewNetwork.CALM);
                 world.run(2000 + 41 * seed);
-                long before = world.life(4);
+                long before = world.incarnation(4);
                 List<String> doubts = new ArrayList<>();
-                world.listen((seat, change) -> {
+                world.listen((memberIndex, change) -> {
                     if (change.what().equals("is doubted by seat 4")) {
-                        doubts.add(seat + ": " + change);
+                        doubts.add(memberIndex + ": " + change);
                     }
                 });
                 world.freeze(4);
@@ -141,7 +142,7 @@
                 assertTrue(world.untilSettled(LONG_MS) <= 5000, "seed " + seed);
                 world.run(3000);
                 assertEquals(List.of(), doubts);
-                assertEquals(pauseMs > 4000, world.life(4) > before, "seed " + seed + ", " + pauseMs + " ms");
+                assertEquals(pauseMs > 4000, world.incarnation(4) > before, "seed " + seed + ", " + pauseMs + " ms");
                 assertEquals(0, world.falselyGivenUp());
             }
         }
@@ -190,13 +191,13 @@
     @Test
     void aClockSetBackAnHourBeforeAStartLowersNoLife() {
         ViewWorld world = started(6, 1, ViewNetwork.CALM);
-        long before = world.life(2);
+        long before = world.incarnation(2);
         world.kill(2);
         world.run(200);
         world.start(2, before - 3_600_000);
         assertTrue(world.untilSettled(LONG_MS) <= 5000);
-        assertTrue(world.life(2) > before);
-        assertEquals(world.life(2), seen(world, 0, 2).life());
+        assertTrue(world.incarnation(2) > before);
+        assertEquals(world.incarnation(2), seen(world, 0, 2).incarnation());
     }
 
     @Test
@@ -209,16 +210,16 @@
         world.kill(7);
         world.start(15);
         assertTrue(world.untilSettled(LONG_MS) <= 6000);
-        assertEquals(7, world.view(0).peers());
+        assertEquals(7, world.view(0).aliveOthers());
     }
 
     @Test
     void twoOfOneNameAtTwoSeatsBothSayIt() {
         ViewWorld world = new ViewWorld(4, 1, FleetTiming.STANDARD, ViewNetwork.CALM);
         List<Integer> said = new ArrayList<>();
-        world.listen((seat, change) -> {
+        world.listen((memberIndex, change) -> {
             if (change.what().startsWith("has this sidecar's name")) {
-                said.add(seat);
+                said.add(memberIndex);
             }
         });
         world.start(0);
@@ -227,29 +228,38 @@
         assertTrue(world.untilSettled(5000) <= 5000);
         said.sort(null);
         assertEquals(List.of(1, 2), said);
-        assertEquals(2, world.view(0).peers(), "they are two, and all see it");
+        assertEquals(2, world.view(0).aliveOthers(), "they are two, and all see it");
     }
 
-    private static Message lie(ViewWorld world, int from, int to, int counter, Message.Kind kind, Word... words) {
-        Word self = new Word(Word.Kind.STATEMENT, from, world.life(from), 1, Standing.READY, "n" + from, "", -1);
-        return new Message(kind, self, to, world.life(to), counter, 0, 0, -1, new int[0], List.of(words));
+    private static Message lie(
+            ViewWorld world, int from, int to, int counter, Message.Kind kind, MembershipUpdate... words) {
+        MembershipUpdate self = new MembershipUpdate(
+                MembershipUpdate.Kind.ANNOUNCEMENT,
+                from,
+                world.incarnation(from),
+                1,
+                MemberState.READY,
+                "n" + from,
+                "",
+                -1);
+        return new Message(kind, self, to, world.incarnation(to), counter, 0, 0, -1, new int[0], List.of(words));
     }
 
     @Test
     void aPeerThatAccusesAllTheTimeGetsNobodyGivenUpAndIsNamed() {
         ViewWorld world = started(8, 5, ViewNetwork.CALM);
         List<Integer> naming = new ArrayList<>();
-        world.listen((seat, change) -> {
+        world.listen((memberIndex, change) -> {
             if (change.what().contains("its word against others isn't taken")) {
-                assertEquals(7, change.seat());
-                naming.add(seat);
+                assertEquals(7, change.memberIndex());
+                naming.add(memberIndex);
             }
         });
         for (int i = 0; i < 300; i++) {
             int victim = i % 6;
             for (int to = 0; to < 7; to++) {
                 if (to != victim) {
-                    ViewSnapshot.Seen now = seen(world, to, victim);
+                    ViewSnapshot.MemberSnapshot now = seen(world, to, victim);
                     world.forge(
                             7,
                             to,
@@ -258,25 +268,25 @@
                                     7,
                                     to,
                                     1_000_000 + i,
-                                    Message.Kind.WORDS,
-                                    Word.suspect(victim, now.life(), now.turn(), 7)));
+                                    Message.Kind.GOSSIP,
+                                    MembershipUpdate.suspect(victim, now.incarnation(), now.version(), 7)));
                 }
             }
             world.run(200);
-            for (int seat = 0; seat < 7; seat++) {
-                assertTrue(seen(world, 6, seat).standing().lives(), "seat " + seat);
+            for (int memberIndex = 0; memberIndex < 7; memberIndex++) {
+                assertTrue(seen(world, 6, memberIndex).state().isAlive(), "seat " + memberIndex);
             }
         }
         assertTrue(naming.size() >= 6, naming.toString());
         assertEquals(0, world.falselyGivenUp());
-        assertFalse(seen(world, 0, 7).heeded());
+        assertFalse(seen(world, 0, 7).trusted());
     }
 
     @Test
     void aPeerThatGivesOthersUpSpeaksForOthersOrInventsSomeChangesNothingThatLasts() {
         ViewWorld world = started(8, 6, ViewNetwork.CALM);
         for (int i = 0; i < 60; i++) {
-            ViewSnapshot.Seen now = seen(world, 0, 3);
+            ViewSnapshot.MemberSnapshot now = seen(world, 0, 3);
             world.forge(
                     7,
                     0,
@@ -285,8 +295,8 @@
                             7,
                             0,
                             1_000_000 + 4 * i,
-                            Message.Kind.WORDS,
-                            Word.gaveUp(3, now.life(), now.turn(), Standing.GONE, 7)));
+                            Message.Kind.GOSSIP,
+                            MembershipUpdate.declaredDead(3, now.incarnation(), now.version(), MemberState.DEAD, 7)));
             world.forge(
                     7,
                     0,
@@ -295,15 +305,29 @@
                             7,
                             0,
                             1_000_001 + 4 * i,
-                            Message.Kind.WORDS,
-                            new Word(Word.Kind.STATEMENT, 3, now.life(), now.turn() + 3, Standing.LEFT, "n3", "", -1)));
+                            Message.Kind.GOSSIP,
+                            new MembershipUpdate(
+                                    MembershipUpdate.Kind.ANNOUNCEMENT,
+                                    3,
+                                    now.incarnation(),
+                                    now.version() + 3,
+                                    MemberState.LEFT,
+                                    "n3",
+                                    "",
+                                    -1)));
             world.forge(
                     7,
                     0,
-                    lie(world, 7, 0, 1_000_002 + 4 * i, Message.Kind.WORDS, Word.suspect(2, world.life(2), 60_000, 0)));
-            world.forge(7, 0, lie(world, 4, 0, 1_000_003 + 4 * i, Message.Kind.WORDS)); // as seat 4, from 7's address
+                    lie(
+                            world,
+                            7,
+                            0,
+                            1_000_002 + 4 * i,
+                            Message.Kind.GOSSIP,
+                            MembershipUpdate.suspect(2, world.incarnation(2), 60_000, 0)));
+            world.forge(7, 0, lie(world, 4, 0, 1_000_003 + 4 * i, Message.Kind.GOSSIP)); // as seat 4, from 7's address
             world.run(100);
-            assertTrue(seen(world, 0, 3).standing().lives());
+            assertTrue(seen(world, 0, 3).state().isAlive());
         }
         assertTrue(
                 world.view(0).counts().forged() >= 60 && world.view(0).counts().unknown() >= 60);
@@ -315,14 +339,14 @@
     @Test
     void whatWasRecordedBeforeChangesNothingAfterwards() {
         ViewWorld world = started(6, 7, ViewNetwork.CALM);
-        Message old = lie(world, 3, 0, 2_000_000, Message.Kind.WORDS);
+        Message old = lie(world, 3, 0, 2_000_000, Message.Kind.GOSSIP);
         world.forge(3, 0, old);
         world.forge(3, 0, old);
         assertEquals(1, world.view(0).counts().replayed());
         world.kill(3);
         world.untilAllKnowTheEndOf(3, LONG_MS);
         world.forge(3, 0, old);
-        assertEquals(Standing.GONE, seen(world, 0, 3).standing(), "of a life that has been given up");
+        assertEquals(MemberState.DEAD, seen(world, 0, 3).state(), "of a life that has been given up");
         world.kill(0);
         world.start(0);
         world.untilSettled(LONG_MS);
--- a/src/test/java/ivybank/fleet/MessageCodecTest.java
+++ b/src/test/java/ivybank/fleet/MessageCodecTest.java
@@ -12,32 +12,33 @@
 
 class MessageCodecTest {
 
-    private static final Word SELF =
-            new Word(Word.Kind.STATEMENT, 7, 1_700_000_000_123L, 65_535, Standing.READY, "n7", "sanjuan", -1);
+    private static final MembershipUpdate SELF = new MembershipUpdate(
+            MembershipUpdate.Kind.ANNOUNCEMENT, 7, 1_700_000_000_123L, 65_535, MemberState.READY, "n7", "sanjuan", -1);
     private static final Message FULL = new Message(
-            Message.Kind.ASK,
+            Message.Kind.PING_REQUEST,
             SELF,
             65_000,
-            FleetView.HIGHEST_LIFE - 1,
+            FleetView.INCARNATION_LIMIT - 1,
             77,
             -3,
             5,
             12,
             new int[0],
             List.of(
-                    Word.suspect(3, 9, 1, 7),
-                    Word.gaveUp(4, 10, 2, Standing.LEFT, 6),
-                    new Word(Word.Kind.STATEMENT, 5, 11, 0, Standing.DRAINING, "n5", "", -1)));
+                    MembershipUpdate.suspect(3, 9, 1, 7),
+                    MembershipUpdate.declaredDead(4, 10, 2, MemberState.LEFT, 6),
+                    new MembershipUpdate(
+                            MembershipUpdate.Kind.ANNOUNCEMENT, 5, 11, 0, MemberState.DRAINING, "n5", "", -1)));
 
     private static void assertSame(Message wanted, Message read) {
         assertArrayEquals(wanted.buckets(), read.buckets());
-        assertEquals(wanted.words(), read.words());
+        assertEquals(wanted.updates(), read.updates());
         assertEquals(wanted.self(), read.self());
         assertEquals(
                 List.of(
                         wanted.kind(),
                         wanted.to(),
-                        wanted.toLife(),
+                        wanted.receiverIncarnation(),
                         wanted.counter(),
                         wanted.digest(),
                         wanted.probe(),
@@ -45,7 +46,7 @@
                 List.of(
                         read.kind(),
                         read.to(),
-                        read.toLife(),
+                        read.receiverIncarnation(),
                         read.counter(),
                         read.digest(),
                         read.probe(),
@@ -54,36 +55,44 @@
 
     @Test
     void whatIsWrittenIsRead() throws Exception {
-        byte[] bytes = MessageCodec.write(FULL, MessageCodec.fleet("cuyo"), 9);
-        assertSame(FULL, MessageCodec.read(bytes));
-        assertEquals(9, MessageCodec.key(bytes));
-        assertEquals(MessageCodec.fleet("cuyo"), MessageCodec.fleetOf(bytes));
-        Message sync =
-                new Message(Message.Kind.SYNC, SELF, 1, 2, 3, 4, 0, -1, new int[MessageCodec.BUCKETS], List.of());
-        assertSame(sync, MessageCodec.read(MessageCodec.write(sync, 1, 0)));
+        byte[] bytes = MessageCodec.encode(FULL, MessageCodec.fleetHash("cuyo"), 9);
+        assertSame(FULL, MessageCodec.decode(bytes));
+        assertEquals(9, MessageCodec.preferredKeyOf(bytes));
+        assertEquals(MessageCodec.fleetHash("cuyo"), MessageCodec.fleetHashOf(bytes));
+        Message sync = new Message(
+                Message.Kind.SYNC, SELF, 1, 2, 3, 4, 0, -1, new int[MessageCodec.DIGEST_BUCKETS], List.of());
+        assertSame(sync, MessageCodec.decode(MessageCodec.encode(sync, 1, 0)));
     }
 
     @Test
     void theFullestDatagramWithTheLongestNamesFits() {
-        Word longest = new Word(
-                Word.Kind.STATEMENT,
+        MembershipUpdate longest = new MembershipUpdate(
+                MembershipUpdate.Kind.ANNOUNCEMENT,
                 1,
                 2,
                 3,
-                Standing.READY,
-                "x".repeat(MessageCodec.LONGEST_NAME),
-                "y".repeat(MessageCodec.LONGEST_ZONE),
+                MemberState.READY,
+                "x".repeat(MessageCodec.MAX_NAME_LENGTH),
+                "y".repeat(MessageCodec.MAX_ZONE_LENGTH),
                 -1);
-        Rumours rumours = new Rumours();
+        GossipQueue gossip = new GossipQueue();
         for (int i = 0; i < 40; i++) {
-            rumours.tell(Word.suspect(i, 1, 1, 2));
-            rumours.tell(new Word(Word.Kind.STATEMENT, i, 2, 3, Standing.READY, longest.name(), longest.zone(), -1));
+            gossip.notify(MembershipUpdate.suspect(i, 1, 1, 2));
+            gossip.notify(new MembershipUpdate(
+                    MembershipUpdate.Kind.ANNOUNCEMENT,
+                    i,
+                    2,
+                    3,
+                    MemberState.READY,
+                    longest.name(),
+                    longest.zone(),
+                    -1));
         }
         for (boolean sync : new boolean[] {false, true}) {
-            List<Word> words = new java.util.ArrayList<>();
-            rumours.take(MessageCodec.room(longest, sync), 8, words);
-            assertTrue(!words.isEmpty());
-            byte[] bytes = MessageCodec.write(
+            List<MembershipUpdate> updates = new java.util.ArrayList<>();
+            gossip.take(MessageCodec.availableBytes(longest, sync), 8, updates);
+            assertTrue(!updates.isEmpty());
+            byte[] bytes = MessageCodec.encode(
                     new Message(
                             Message.Kind.SYNC,
                             longest,
@@ -93,17 +102,19 @@
                             4,
                             0,
                             -1,
-                            new int[sync ? MessageCodec.BUCKETS : 0],
-                            words),
+                            new int[sync ? MessageCodec.DIGEST_BUCKETS : 0],
+                            updates),
                     1,
                     0);
-            assertTrue(bytes.length + MessageCodec.SIGNATURE <= MessageCodec.LONGEST, bytes.length + " bytes");
+            assertTrue(
+                    bytes.length + MessageCodec.SIGNATURE_BYTES <= MessageCodec.MAX_DATAGRAM_BYTES,
+                    bytes.length + " bytes");
         }
     }
 
     @Test
     void whatALaterMinorVersionAddsIsPassedOver() throws Exception {
-        byte[] bytes = MessageCodec.write(FULL, 1, 0);
+        byte[] bytes = MessageCodec.encode(FULL, 1, 0);
         int header = bytes[3];
         byte[] longer = new byte[bytes.length + 5];
         System.arraycopy(bytes, 0, longer, 0, header);
@@ -113,25 +124,25 @@
         int length = longer[self];
         System.arraycopy(longer, self + length, longer, self + length + 2, longer.length - 2 - self - length);
         longer[self] = (byte) (longer[self] + 2); // and two more of the sender's word
-        assertSame(FULL, MessageCodec.read(longer));
-        bytes[header + MessageCodec.size(SELF) + 1] = (byte) 0xf0; // a kind of word that nobody knows yet
-        assertEquals(FULL.words().subList(1, 3), MessageCodec.read(bytes).words());
+        assertSame(FULL, MessageCodec.decode(longer));
+        bytes[header + MessageCodec.encodedSize(SELF) + 1] = (byte) 0xf0; // a kind of word that nobody knows yet
+        assertEquals(FULL.updates().subList(1, 3), MessageCodec.decode(bytes).updates());
     }
 
     @Test
     void anotherMajorVersionIsSaidToBeOne() {
-        byte[] bytes = MessageCodec.write(FULL, 1, 0);
+        byte[] bytes = MessageCodec.encode(FULL, 1, 0);
         bytes[0] = 2;
-        assertTrue(assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.read(bytes))
+        assertTrue(assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.decode(bytes))
                 .otherVersion());
     }
 
     @Test
     void cutAnywhereFlippedAnywhereOrMadeUpItIsReadOrRefusedAndNothingElse() {
-        byte[] bytes = MessageCodec.write(FULL, 1, 0);
+        byte[] bytes = MessageCodec.encode(FULL, 1, 0);
         for (int length = 0; length < bytes.length; length++) {
             byte[] part = Arrays.copyOf(bytes, length);
-            assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.read(part));
+            assertThrows(MessageCodec.MalformedException.class, () -> MessageCodec.decode(part));
         }
         int refused = 0;
         for (int bit = 0; bit < 8 * bytes.length; bit++) {
@@ -141,10 +152,10 @@
         }
         Random random = new Random(1);
         for (int i = 0; i < 100_000; i++) {
-            byte[] any = new byte[random.nextInt(MessageCodec.LONGEST + 40)];
+            byte[] any = new byte[random.nextInt(MessageCodec.MAX_DATAGRAM_BYTES + 40)];
             random.nextBytes(any);
             if (any.length > 3) {
-                any[0] = MessageCodec.VERSION;
+                any[0] = MessageCodec.LAYOUT_VERSION;
                 any[1] = (byte) random.nextInt(6);
                 any[3] = 32;
             }
@@ -155,7 +166,7 @@
 
     private static int refused(byte[] bytes) {
         try {
-            MessageCodec.read(bytes);
+            MessageCodec.decode(bytes);
             return 0;
         } catch (MessageCodec.MalformedException e) {
             return 1;
--- a/src/test/java/ivybank/peers/PeerFleetTest.java
+++ b/src/test/java/ivybank/peers/PeerFleetTest.java
@@ -11,10 +11,10 @@
 import ivybank.common.Clock;
 import ivybank.common.Json;
 import ivybank.common.Log;
+import ivybank.fleet.MemberState;
+import ivybank.fleet.MembershipUpdate;
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
-import ivybank.fleet.Standing;
-import ivybank.fleet.Word;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -62,20 +62,20 @@
         }
     }
 
-    private Path keys(int seat) {
-        return dir.resolve("keys-" + seat);
+    private Path keys(int memberIndex) {
+        return dir.resolve("keys-" + memberIndex);
     }
 
-    private PeerFleet start(int seat, String key, String fleet) throws IOException {
-        Files.writeString(keys(seat), key);
+    private PeerFleet start(int memberIndex, String key, String fleet) throws IOException {
+        Files.writeString(keys(memberIndex), key);
         ByteArrayOutputStream said = new ByteArrayOutputStream();
         logs.add(said);
         PeerFleet one = new PeerFleet(
-                new PeerSettings(keys(seat), fleet, "", "", List.of(), null),
-                "n" + seat,
-                addresses.get(seat),
+                new PeerSettings(keys(memberIndex), fleet, "", "", List.of(), null),
+                "n" + memberIndex,
+                addresses.get(memberIndex),
                 addresses,
-                seat,
+                memberIndex,
                 3,
                 group.next(),
                 clock,
@@ -128,23 +128,23 @@
     @Test
     void keysAreChangedOnOneAfterTheOtherAndNobodyLosesSight() throws Exception {
         three();
-        long[] lives = fleets.stream()
+        long[] incarnationFile = fleets.stream()
                 .mapToLong(fleet -> view(fleet).path("life").asLong())
                 .toArray();
         for (String keys : List.of(OLD + "\n" + NEW, NEW + "\n" + OLD, NEW)) { // know it, use it, forget the old one
-            for (int seat = 0; seat < 3; seat++) {
-                Files.writeString(keys(seat), "# keys of the fleet\n" + keys + "\n");
-                fleets.get(seat).reload();
-                long received = count(fleets.get(seat), "received");
-                PeerFleet one = fleets.get(seat);
+            for (int memberIndex = 0; memberIndex < 3; memberIndex++) {
+                Files.writeString(keys(memberIndex), "# keys of the fleet\n" + keys + "\n");
+                fleets.get(memberIndex).reload();
+                long received = count(fleets.get(memberIndex), "received");
+                PeerFleet one = fleets.get(memberIndex);
                 await("it goes on hearing", () -> count(one, "received") > received + 2);
             }
         }
-        for (int seat = 0; seat < 3; seat++) {
-            JsonNode view = view(fleets.get(seat));
+        for (int memberIndex = 0; memberIndex < 3; memberIndex++) {
+            JsonNode view = view(fleets.get(memberIndex));
             assertEquals(2, view.path("peers").asInt(), view.toString());
             assertEquals(0, view.path("counts").path("given_up").asInt(), view.toString());
-            assertEquals(lives[seat], view.path("life").asLong(), "nobody was given up: " + view);
+            assertEquals(incarnationFile[memberIndex], view.path("life").asLong(), "nobody was given up: " + view);
         }
     }
 
@@ -181,9 +181,10 @@
         InetSocketAddress nobody =
                 addresses.get(3); // in the list, and free: what comes from there passes for a sidecar's
         JsonNode before = view(fleets.get(0));
-        Word self = new Word(Word.Kind.STATEMENT, 3, 1_900_000_000_000L, 0, Standing.READY, "n3", "", -1);
+        MembershipUpdate self = new MembershipUpdate(
+                MembershipUpdate.Kind.ANNOUNCEMENT, 3, 1_900_000_000_000L, 0, MemberState.READY, "n3", "", -1);
         Message message = new Message(
-                Message.Kind.WORDS,
+                Message.Kind.GOSSIP,
                 self,
                 0,
                 before.path("life").asLong(),
@@ -192,20 +193,20 @@
                 0,
                 -1,
                 new int[0],
-                List.of(Word.gaveUp(1, 1_900_000_000_000L, 0, Standing.GONE, 3)));
-        PeerKeys good = PeerKeys.read(keys(0), MessageCodec.SIGNATURE);
+                List.of(MembershipUpdate.declaredDead(1, 1_900_000_000_000L, 0, MemberState.DEAD, 3)));
+        PeerKeys good = PeerKeys.read(keys(0), MessageCodec.SIGNATURE_BYTES);
         Path other = Files.writeString(dir.resolve("other"), NEW);
-        byte[] bytes = MessageCodec.write(message, MessageCodec.fleet("one"), good.mark());
+        byte[] bytes = MessageCodec.encode(message, MessageCodec.fleetHash("one"), good.mark());
         byte[] newer = bytes.clone();
         newer[0] = 2;
         try (DatagramSocket socket = new DatagramSocket(nobody);
                 DatagramSocket stranger = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             send(socket, bytes); // no signature
-            send(socket, PeerKeys.read(other, MessageCodec.SIGNATURE).sign(bytes, 0));
+            send(socket, PeerKeys.read(other, MessageCodec.SIGNATURE_BYTES).sign(bytes, 0));
             send(socket, Arrays.copyOf(good.sign(bytes, 0), 40)); // cut off
             send(socket, new byte[0]);
             send(socket, new byte[2000]);
-            send(socket, good.sign(MessageCodec.write(message, MessageCodec.fleet("two"), 0), 0));
+            send(socket, good.sign(MessageCodec.encode(message, MessageCodec.fleetHash("two"), 0), 0));
             send(socket, good.sign(newer, 0));
             send(socket, good.sign(Arrays.copyOf(bytes, 50), 0)); // signed, and makes no sense
             send(stranger, good.sign(bytes, 0));
@@ -245,16 +246,16 @@
     void aLifeOnFileRisesWhateverTheClockSaysAndADamagedFileIsSaid() throws IOException {
         Path file = dir.resolve("life");
         List<String> said = new ArrayList<>();
-        assertEquals(1000, LifeFile.next(file, 1000, said::add));
-        assertEquals(1001, LifeFile.next(file, 400, said::add));
-        assertEquals(5000, LifeFile.next(file, 5000, said::add));
+        assertEquals(1000, IncarnationFile.next(file, 1000, said::add));
+        assertEquals(1001, IncarnationFile.next(file, 400, said::add));
+        assertEquals(5000, IncarnationFile.next(file, 5000, said::add));
         assertEquals(List.of(), said);
         Files.writeString(file, "rubbish");
-        assertEquals(6000, LifeFile.next(file, 6000, said::add));
+        assertEquals(6000, IncarnationFile.next(file, 6000, said::add));
         assertEquals(1, said.size());
-        assertEquals(6001, LifeFile.next(file, 1, said::add));
-        assertEquals(7, LifeFile.next(null, 7, said::add));
-        LifeFile.next(dir.resolve("no/such/folder/life"), 8, said::add);
+        assertEquals(6001, IncarnationFile.next(file, 1, said::add));
+        assertEquals(7, IncarnationFile.next(null, 7, said::add));
+        IncarnationFile.next(dir.resolve("no/such/folder/life"), 8, said::add);
         assertEquals(2, said.size());
     }
 }
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -148,12 +148,12 @@
                     List.of(
                             new Edit(
                                     "fleet/FleetView.java",
-                                    "        undoubt(member);\n    }\n\n    private boolean heeded",
-                                    "    }\n\n    private boolean heeded"),
+                                    "        clearSuspicion(member);\n    }\n\n    private boolean trusted",
+                                    "    }\n\n    private boolean trusted"),
                             // With its own ears first it would go on for as long as it hears the member.
                             new Edit(
                                     "fleet/FleetView.java",
-                                    "            if (nowMs - member.heardMs < timing.leastDoubtMs()) {",
+                                    "            if (nowMs - member.lastHeardMs < timing.minSuspicionMs()) {",
                                     "            if (false) {"))),
             new Mutant(
                     "gives up at the first miss",
@@ -161,8 +161,8 @@
                     List.of("gave up sidecar"),
                     List.of(new Edit(
                             "fleet/FleetView.java",
-                            "            suspect(nowMs, member, member.turn, self.seat, false, false, word);",
-                            "            end(nowMs, member, Standing.GONE, \"is given up\");"))),
+                            "            suspect(nowMs, member, member.version, self.index, false, false, update);",
+                            "            end(nowMs, member, MemberState.DEAD, \"is given up\");"))),
             new Mutant(
                     "doesn't seek those it gave up",
                     Night.SPLIT,
@@ -170,12 +170,13 @@
                     List.of(new Edit(
                             "fleet/FleetView.java",
                             "        if (!from.isEmpty()) {",
-                            "        if (!from.isEmpty() && members[from.get(0)].life == 0) {"))),
+                            "        if (!from.isEmpty() && members[from.get(0)].incarnation == 0) {"))),
             new Mutant(
                     "begins its life at 0",
                     Night.JOINT,
                     List.of("the life of sidecar"),
-                    List.of(new Edit("peers/LifeFile.java", "            return clockMs;", "            return 1;"))),
+                    List.of(new Edit(
+                            "peers/IncarnationFile.java", "            return clockMs;", "            return 1;"))),
             new Mutant(
                     "sends to a draining node",
                     Night.DEPLOY,
