FleetView divided by job: members, digest, suspicions, updates, anti-entropy, discovery, sending

Figures have names, comments say what and why in ordinary technical English. The mutants' patches are moved along.

--- a/src/main/java/ivybank/fleet/FailureDetector.java
+++ b/src/main/java/ivybank/fleet/FailureDetector.java
@@ -10,182 +10,212 @@
 import java.util.TreeMap;
 
 /**
- * Who is asked whether it is there, and when that has failed: one member a period in a shuffled order, repeated, then by way of
- * others; and what others ask this one to look at for them.
+ * Probes one live member a period, in a shuffled order: a ping, a second one, then pings by way of other members. A
+ * probe fails when the period ends without a sign of the member. Also probes members on behalf of others.
  */
 final class FailureDetector {
 
-    /** What is to be done. */
-    interface Output {
-        void send(int to, Kind kind, int probe, int subject);
-
-        /** A probe of a member that lives by the view has failed by every way. */
-        void failed(double nowMs, Member member);
+    /** Takes note of probes that failed. */
+    interface FailureListener {
+        /** A live member gave no sign by any way. */
+        void probeFailed(double nowMs, Member member);
     }
 
-    private static final int INDIRECT_PROBES = 3;
-    private static final int MAX_OPEN_PROBES = 8;
-    private static final int MAX_INDIRECT_PROBES = 64;
-    private static final int RELAY_DRAWS = 12;
+    private static final int RELAYS_PER_PROBE = 3;
+    private static final int MAX_RELAY_DRAWS = 12;
+    private static final int MAX_PROBES = 8;
+    private static final int MAX_RELAYED_PROBES = 64;
+    private static final int NO_SUBJECT = -1;
+    private static final int NO_MEMBER = -1;
+
+    private enum Stage {
+        PINGED,
+        PINGED_AGAIN,
+        RELAYED
+    }
 
     private static final class Probe {
-        private final int target;
+        private final int number;
+        private final Member target;
         private final long incarnation;
         private final double sentMs;
-        private final boolean discovery; // of a seat that nobody is known to have
-        private int tries = 1;
-        private int missingNacks; // relays that have said nothing
+        private final boolean discovery; // of an address where nobody is known to be alive
+        private Stage stage = Stage.PINGED;
+        private int missingNacks; // relays that have not answered at all
 
-        private Probe(int target, long incarnation, double sentMs, boolean discovery) {
+        private Probe(int number, Member target, double sentMs, boolean discovery) {
+            this.number = number;
             this.target = target;
-            this.incarnation = incarnation;
+            this.incarnation = target.incarnation;
             this.sentMs = sentMs;
             this.discovery = discovery;
         }
+
+        /** Whether the target has been heard meanwhile, or is no longer the member that was probed. */
+        private boolean isObsolete() {
+            boolean heard = target.lastHeardMs > sentMs;
+            return heard || !discovery && (!target.isAlive() || target.incarnation != incarnation);
+        }
     }
 
-    private record IndirectProbe(int forSeat, int forProbe, int subject, double deadlineMs) {}
+    /** A probe of {@code subject} on behalf of a member, by that member's number of it. */
+    private record RelayedProbe(int requester, int requesterProbe, int subject, double deadlineMs) {}
 
     private final FleetTiming timing;
     private final Random random;
     private final LocalHealth health;
-    private final List<Integer> alive; // the view's
-    private final Member[] members; // the view's
-    private final Output out;
-    private final List<Integer> order = new ArrayList<>();
+    private final MemberTable members;
+    private final MessageSender sender;
+    private FailureListener listener = (nowMs, member) -> {};
+    private final List<Integer> probeOrder = new ArrayList<>();
     private final Map<Integer, Probe> probes = new TreeMap<>();
-    private final Map<Integer, IndirectProbe> relayed = new TreeMap<>();
-    private int numbers;
-    private double nextMs;
+    private final Map<Integer, RelayedProbe> relayedProbes = new TreeMap<>();
+    private int lastNumber;
+    private double nextProbeMs;
+
+    FailureDetector(ViewState view, MessageSender sender) {
+        this.timing = view.timing;
+        this.random = view.random;
+        this.health = view.health;
+        this.members = view.members;
+        this.sender = sender;
+    }
 
-    FailureDetector(
-            FleetTiming timing, Random random, LocalHealth health, List<Integer> alive, Member[] members, Output out) {
-        this.timing = timing;
-        this.random = random;
-        this.health = health;
-        this.alive = alive;
-        this.members = members;
-        this.out = out;
+    void onFailure(FailureListener to) {
+        listener = to;
     }
 
-    /** Begins no round before then. */
+    /** Begins no period before then. */
     void postpone(double untilMs) {
-        nextMs = untilMs;
+        nextProbeMs = untilMs;
     }
 
-    /** What is open is void. */
+    /** Drops all open probes without a result. */
     void abandonAll() {
         probes.clear();
-        relayed.clear();
+        relayedProbes.clear();
     }
 
-    /** A member that lives now: it gets a place of its own in this round, so that not all probe it at once. */
-    void memberJoined(int memberIndex) {
-        order.add(random.nextInt(order.size() + 1), memberIndex);
+    /**
+     * Puts a member at a random place of the present round, so that a fleet does not probe a new member all at once.
+     */
+    void memberJoined(Member member) {
+        probeOrder.add(random.nextInt(probeOrder.size() + 1), member.index);
     }
 
     void tick(double nowMs) {
-        endProbes(nowMs);
-        for (Iterator<IndirectProbe> i = relayed.values().iterator(); i.hasNext(); ) {
-            IndirectProbe each = i.next();
-            if (nowMs >= each.deadlineMs) {
-                i.remove();
-                out.send(each.forSeat, Kind.NACK, each.forProbe, each.subject);
-            }
-        }
-        if (nowMs >= nextMs) {
-            nextMs = nowMs + timing.probePeriodMs() * health.multiplier();
-            int memberIndex = nextInOrder();
-            if (memberIndex >= 0) {
-                probe(nowMs, memberIndex, false);
+        advanceProbes(nowMs);
+        expireRelayedProbes(nowMs);
+        if (nowMs >= nextProbeMs) {
+            nextProbeMs = nowMs + timing.probePeriodMs() * health.multiplier();
+            int target = nextInOrder();
+            if (target != NO_MEMBER) {
+                probe(nowMs, target, false);
             }
         }
     }
 
     private int nextInOrder() {
-        while (!order.isEmpty()) {
-            int memberIndex = order.remove(order.size() - 1);
-            if (members[memberIndex].isAlive()) {
-                return memberIndex;
+        while (!probeOrder.isEmpty()) {
+            int index = probeOrder.remove(probeOrder.size() - 1);
+            if (members.get(index).isAlive()) {
+                return index;
             }
         }
-        order.addAll(alive);
-        Collections.shuffle(order, random);
-        return order.isEmpty() ? -1 : order.remove(order.size() - 1);
-    }
-
-    /** Asks a seat whether it is there, unless that has been asked already. */
-    void probe(double nowMs, int memberIndex, boolean discovery) {
-        if (probes.size() < MAX_OPEN_PROBES
-                && probes.values().stream().noneMatch(probe -> probe.target == memberIndex)) {
-            int number = ++numbers;
-            probes.put(number, new Probe(memberIndex, members[memberIndex].incarnation, nowMs, discovery));
-            out.send(memberIndex, Kind.PING, number, -1);
+        probeOrder.addAll(members.alive());
+        Collections.shuffle(probeOrder, random);
+        return probeOrder.isEmpty() ? NO_MEMBER : probeOrder.remove(probeOrder.size() - 1);
+    }
+
+    /**
+     * Probes a member, unless that is being done.
+     *
+     * @param discovery whether nobody is known to be alive there, so that silence is no failure
+     */
+    void probe(double nowMs, int target, boolean discovery) {
+        if (probes.size() < MAX_PROBES && probes.values().stream().noneMatch(probe -> probe.target.index == target)) {
+            Probe probe = new Probe(++lastNumber, members.get(target), nowMs, discovery);
+            probes.put(probe.number, probe);
+            sender.send(target, Kind.PING, probe.number, NO_SUBJECT);
         }
     }
 
-    private void endProbes(double nowMs) {
+    private void advanceProbes(double nowMs) {
         List<Probe> failed = new ArrayList<>();
-        for (Iterator<Map.Entry<Integer, Probe>> i = probes.entrySet().iterator(); i.hasNext(); ) {
-            Map.Entry<Integer, Probe> entry = i.next();
-            Probe probe = entry.getValue();
-            Member member = members[probe.target];
+        for (Iterator<Probe> i = probes.values().iterator(); i.hasNext(); ) {
+            Probe probe = i.next();
             double waitedMs = (nowMs - probe.sentMs) / health.multiplier();
-            if (member.lastHeardMs > probe.sentMs
-                    || !probe.discovery && (!member.isAlive() || member.incarnation != probe.incarnation)) {
+            double limitMs = probe.discovery ? timing.ackTimeoutMs() : timing.probePeriodMs();
+            if (probe.isObsolete()) {
                 i.remove();
-            } else if (probe.discovery) {
-                if (waitedMs >= timing.ackTimeoutMs()) {
-                    i.remove();
-                }
-            } else if (waitedMs >= timing.probePeriodMs()) {
+            } else if (waitedMs >= limitMs) {
                 i.remove();
-                failed.add(probe);
-            } else if (probe.tries < 2 && waitedMs >= timing.ackTimeoutMs()) {
-                probe.tries = 2;
-                out.send(probe.target, Kind.PING, entry.getKey(), -1); // a lost datagram is the likeliest cause
-            } else if (probe.tries < 3 && waitedMs >= 2 * timing.ackTimeoutMs()) {
-                probe.tries = 3;
-                for (int relay : relays(probe.target)) {
-                    probe.missingNacks++;
-                    out.send(relay, Kind.PING_REQUEST, entry.getKey(), probe.target);
+                if (!probe.discovery) {
+                    failed.add(probe);
                 }
+            } else if (!probe.discovery) {
+                advance(probe, waitedMs);
             }
         }
         for (Probe probe : failed) {
-            health.degrade(probe.missingNacks > 0 ? 1 : 0); // who was asked is not heard either
-            out.failed(nowMs, members[probe.target]);
+            if (probe.missingNacks > 0) {
+                health.degrade(1); // not even the relays are heard: the fault may be here
+            }
+            listener.probeFailed(nowMs, probe.target);
+        }
+    }
+
+    private void advance(Probe probe, double waitedMs) {
+        if (probe.stage == Stage.PINGED && waitedMs >= timing.ackTimeoutMs()) {
+            probe.stage = Stage.PINGED_AGAIN; // a lost datagram is the likeliest cause
+            sender.send(probe.target.index, Kind.PING, probe.number, NO_SUBJECT);
+        } else if (probe.stage != Stage.RELAYED && waitedMs >= 2 * timing.ackTimeoutMs()) {
+            probe.stage = Stage.RELAYED;
+            for (int relay : relaysTo(probe.target)) {
+                probe.missingNacks++;
+                sender.send(relay, Kind.PING_REQUEST, probe.number, probe.target.index);
+            }
         }
     }
 
-    /** By way of whom a member is asked: first the one that last brought news of it. */
-    private List<Integer> relays(int memberIndex) {
-        List<Integer> chosen = new ArrayList<>();
-        int by = members[memberIndex].by;
-        if (by >= 0 && by != memberIndex && members[by].isAlive()) {
-            chosen.add(by);
+    /** The member that last relayed news of the target comes first, then random ones. */
+    private List<Integer> relaysTo(Member target) {
+        List<Integer> relays = new ArrayList<>();
+        int last = target.lastRelay;
+        if (last >= 0 && last != target.index && members.get(last).isAlive()) {
+            relays.add(last);
         }
-        for (int i = 0; i < RELAY_DRAWS && chosen.size() < INDIRECT_PROBES && !alive.isEmpty(); i++) {
+        List<Integer> alive = members.alive();
+        for (int i = 0; i < MAX_RELAY_DRAWS && relays.size() < RELAYS_PER_PROBE && !alive.isEmpty(); i++) {
             int other = alive.get(random.nextInt(alive.size()));
-            if (other != memberIndex && !chosen.contains(other) && members[other].suspicion == null) {
-                chosen.add(other);
+            if (other != target.index && !relays.contains(other) && members.get(other).suspicion == null) {
+                relays.add(other);
             }
         }
-        return chosen;
+        return relays;
     }
 
-    /** Asks a seat for another member, which has not heard it. */
-    void probeFor(double nowMs, int forSeat, int forProbe, int subject) {
-        if (relayed.size() < MAX_INDIRECT_PROBES) {
-            int number = ++numbers;
-            relayed.put(
-                    number,
-                    new IndirectProbe(forSeat, forProbe, subject, nowMs + timing.ackTimeoutMs() * health.multiplier()));
-            out.send(subject, Kind.PING, number, -1);
+    /** Probes a member on behalf of another one that has not heard it. */
+    void probeFor(double nowMs, int requester, int requesterProbe, int subject) {
+        if (relayedProbes.size() < MAX_RELAYED_PROBES) {
+            int number = ++lastNumber;
+            double deadlineMs = nowMs + timing.ackTimeoutMs() * health.multiplier();
+            relayedProbes.put(number, new RelayedProbe(requester, requesterProbe, subject, deadlineMs));
+            sender.send(subject, Kind.PING, number, NO_SUBJECT);
+        }
+    }
+
+    private void expireRelayedProbes(double nowMs) {
+        for (Iterator<RelayedProbe> i = relayedProbes.values().iterator(); i.hasNext(); ) {
+            RelayedProbe relayed = i.next();
+            if (nowMs >= relayed.deadlineMs) {
+                i.remove();
+                sender.send(relayed.requester, Kind.NACK, relayed.requesterProbe, relayed.subject);
+            }
         }
     }
 
-    /** A relay is there, and has not heard the subject. */
+    /** A relay is there, and has not heard the member that it was to probe. */
     void nackReceived(int number) {
         Probe probe = probes.get(number);
         if (probe != null) {
@@ -193,21 +223,26 @@
         }
     }
 
-    /** An answer has come, from the member itself or, with {@code subject}, by way of another. */
+    /**
+     * A ping was acknowledged.
+     *
+     * @param subject the probed member where the acknowledgement came by a relay; -1 where it came from that member
+     *     itself
+     */
     void ackReceived(int from, int number, int subject) {
-        IndirectProbe asked = relayed.get(number);
-        if (asked != null && asked.subject == from) {
-            relayed.remove(number);
-            out.send(asked.forSeat, Kind.ACK, asked.forProbe, from);
+        RelayedProbe relayed = relayedProbes.get(number);
+        if (relayed != null && relayed.subject == from) {
+            relayedProbes.remove(number);
+            sender.send(relayed.requester, Kind.ACK, relayed.requesterProbe, from);
             return;
         }
         Probe probe = probes.get(number);
-        if (probe != null && subject < 0 && probe.target == from) {
+        if (probe != null && subject < 0 && probe.target.index == from) {
             probes.remove(number);
             health.improve();
-        } else if (probe != null && subject == probe.target) {
+        } else if (probe != null && subject == probe.target.index) {
             probes.remove(number);
-            members[probe.target].by = from;
+            probe.target.lastRelay = from;
         }
     }
 }
--- a/src/main/java/ivybank/fleet/FleetCount.java
+++ b/src/main/java/ivybank/fleet/FleetCount.java
@@ -1,11 +1,11 @@
 package ivybank.fleet;
 
 /**
- * How many sidecars there are, for what each does on account of the others' number. More than were configured are believed at
- * once. Fewer count only once that has been so for a while, for those who are out of hearing may still send to the same nodes: a
- * partition between sidecars must not make each side take the nodes for its own. It never falls under the configured number:
- * a joint restart would make each one the only one for a second, and what a small fleet gains from knowing that it is small was
- * measured and is less than nothing (docs/design/fleet-view.md).
+ * How many sidecars there are, for what each does on account of the others' number. More than were configured are
+ * believed at once. Fewer count only once that has been so for a while, for those who are out of hearing may still send
+ * to the same nodes: a partition between sidecars must not make each side take the nodes for its own. It never falls
+ * under the configured number: a joint restart would make each one the only one for a second, and what a small fleet
+ * gains from knowing that it is small was measured and is less than nothing (docs/design/fleet-view.md).
  */
 public final class FleetCount {
 
--- a/src/main/java/ivybank/fleet/FleetTiming.java
+++ b/src/main/java/ivybank/fleet/FleetTiming.java
@@ -1,17 +1,16 @@
 package ivybank.fleet;
 
 /**
- * The bounds of a view, in ms; docs/design/fleet-view.md says where they come from.
+ * The intervals and timeouts of a view, in ms; docs/design/fleet-view.md says where they come from.
  *
- * @param tickMs how often {@link FleetView#tick} is to be called
- * @param probePeriodMs between probes
- * @param ackTimeoutMs after which a probe without an answer is repeated, and as long after that goes on by way of others; all of it
- *        ends with the period
- * @param minSuspicionMs from a suspicion to giving up where several accuse independently; no shorter pause costs a life
+ * @param tickMs between two calls of {@link FleetView#tick}
+ * @param probePeriodMs between the beginnings of two probes; a probe fails after as long
+ * @param ackTimeoutMs after which a ping is repeated, and after twice of which relays are asked
+ * @param minSuspicionMs from a suspicion to the declaration of death with several independent accusers
  * @param maxSuspicionMs the same with one accuser alone
- * @param discoveryMs between looks at a seat that nobody is known to have
- * @param syncMs between requests for what differs
- * @param forgetMs after which who is gone is no longer listed
+ * @param discoveryMs between probes of addresses where nobody is known to be alive
+ * @param syncMs between two requests for differences
+ * @param forgetMs after which a dead member is no longer listed
  * @param holdMs for which a smaller number of sidecars must have been seen before it counts
  */
 public record FleetTiming(
@@ -25,5 +24,6 @@
         double forgetMs,
         double holdMs) {
 
+    /** The timing of all fleets. */
     public static final FleetTiming STANDARD = new FleetTiming(50, 600, 150, 1200, 4000, 1500, 400, 600_000, 120_000);
 }
--- a/src/main/java/ivybank/fleet/GossipQueue.java
+++ b/src/main/java/ivybank/fleet/GossipQueue.java
@@ -7,97 +7,113 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 
-/** What is to be passed on: each word a bounded number of times, those told least first. */
+/**
+ * The updates that are to be spread: each is sent a bounded number of times, those sent least often first, and the
+ * latest first among equals. Holds at most one announcement and one accusation by each accuser for a member.
+ */
 final class GossipQueue {
 
     private static final int MAX_ENTRIES = 4096;
+    /** Updates too large for what is left of a datagram after which no smaller one is looked for. */
+    private static final int MAX_MISFITS = 2;
+    /** Bits of a key that hold the accuser, raised by one. */
+    private static final int ACCUSER_BITS = 20;
 
     private static final class QueuedUpdate {
         private final long key;
         private final MembershipUpdate update;
-        private final long number;
-        private int told;
-        private boolean stale;
+        private final long sequence;
+        private int transmissions;
+        private boolean removed;
 
-        private QueuedUpdate(long key, MembershipUpdate update, long number) {
+        private QueuedUpdate(long key, MembershipUpdate update, long sequence) {
             this.key = key;
             this.update = update;
-            this.number = number;
+            this.sequence = sequence;
         }
     }
 
     private final Map<Long, QueuedUpdate> byKey = new HashMap<>();
     private final PriorityQueue<QueuedUpdate> queue =
-            new PriorityQueue<>(Comparator.<QueuedUpdate>comparingInt(each -> each.told)
-                    .thenComparing(Comparator.<QueuedUpdate>comparingLong(each -> each.number)
+            new PriorityQueue<>(Comparator.<QueuedUpdate>comparingInt(each -> each.transmissions)
+                    .thenComparing(Comparator.<QueuedUpdate>comparingLong(each -> each.sequence)
                             .reversed()));
-    private long numbers;
+    private long nextSequence;
 
-    private static long key(MembershipUpdate update) {
-        return (long) update.memberIndex() << 20 | update.accuser() + 1;
+    private static long key(int memberIndex, int accuser) {
+        return (long) memberIndex << ACCUSER_BITS | accuser + 1;
     }
 
-    /** Begins to tell a word, in place of an older one of the same kind. */
-    void notify(MembershipUpdate update) {
-        QueuedUpdate before = byKey.get(key(update));
-        if (before != null) {
-            if (before.update.equals(update)) {
+    /**
+     * Adds an update, in place of an older one of the same member and accuser. Dropped where the queue is full:
+     * comparing views finds it again.
+     */
+    void add(MembershipUpdate update) {
+        long key = key(update.memberIndex(), update.accuser());
+        QueuedUpdate previous = byKey.get(key);
+        if (previous != null) {
+            if (previous.update.equals(update)) {
                 return;
             }
-            before.stale = true;
+            previous.removed = true;
         } else if (byKey.size() >= MAX_ENTRIES) {
-            return; // what is lost here is found again by comparing views
+            return;
         }
-        QueuedUpdate queued = new QueuedUpdate(key(update), update, numbers++);
-        byKey.put(queued.key, queued);
+        QueuedUpdate queued = new QueuedUpdate(key, update, nextSequence++);
+        byKey.put(key, queued);
         queue.add(queued);
     }
 
-    /** Stops telling accusations of a member. */
-    void clearWithCause(int memberIndex, List<Integer> accusers) {
+    /** Removes the accusations of a member by these accusers. */
+    void removeAccusations(int memberIndex, List<Integer> accusers) {
         for (int accuser : accusers) {
-            QueuedUpdate queued = byKey.remove((long) memberIndex << 20 | accuser + 1);
+            QueuedUpdate queued = byKey.remove(key(memberIndex, accuser));
             if (queued != null) {
-                queued.stale = true;
+                queued.removed = true;
             }
         }
     }
 
-    /** Stops telling all that others know who hold the same view: doubts alone are left. */
-    void known() {
-        byKey.values().removeIf(queued -> queued.stale |= queued.update.kind() != MembershipUpdate.Kind.SUSPECT);
+    /** Removes all but suspicions: what the digests of the views cover, once those are equal. */
+    void retainSuspicions() {
+        byKey.values().removeIf(queued -> queued.removed |= queued.update.kind() != MembershipUpdate.Kind.SUSPECT);
     }
 
-    /** Takes words for one datagram into {@code into}, as far as there is room; each may be told {@code most} times. */
-    void take(int room, int most, List<MembershipUpdate> into) {
-        List<QueuedUpdate> again = new ArrayList<>();
-        int left = room;
-        int misses = 0;
-        while (!queue.isEmpty() && misses < 2) {
+    /**
+     * Takes updates for one datagram.
+     *
+     * @param maxTransmissions after which an update leaves the queue
+     * @param into gets the updates; those it holds already are not taken again
+     */
+    void take(int availableBytes, int maxTransmissions, List<MembershipUpdate> into) {
+        List<QueuedUpdate> kept = new ArrayList<>();
+        int bytesLeft = availableBytes;
+        int misfits = 0;
+        while (!queue.isEmpty() && misfits < MAX_MISFITS) {
             QueuedUpdate next = queue.poll();
-            if (next.stale) {
+            if (next.removed) {
                 continue;
             }
             if (into.contains(next.update)) {
-                again.add(next);
+                kept.add(next);
                 continue;
             }
-            int size = MessageCodec.encodedSize(next.update);
-            if (size > left) {
-                again.add(next);
-                misses++;
+            int bytes = MessageCodec.encodedSize(next.update);
+            if (bytes > bytesLeft) {
+                kept.add(next);
+                misfits++;
                 continue;
             }
-            left -= size;
+            bytesLeft -= bytes;
             into.add(next.update);
-            next.told++;
-            if (next.told >= most) {
+            next.transmissions++;
+            if (next.transmissions >= maxTransmissions) {
                 byKey.remove(next.key);
             } else {
-                again.add(next);
+                kept.add(next);
             }
         }
-        queue.addAll(again);
+        queue.addAll(kept);
     }
 
     boolean isEmpty() {
--- a/src/main/java/ivybank/fleet/Member.java
+++ b/src/main/java/ivybank/fleet/Member.java
@@ -3,28 +3,37 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** What is known of one seat. Kept as long as the process runs, so that no life falls. */
+/**
+ * What one view knows of the member at one index of the address list. Kept for as long as the process runs, also while
+ * nobody is there, so that the incarnation known of an index never falls.
+ */
 final class Member {
 
     final int index;
     String name = "";
     String zone = "";
-    long incarnation; // 0: nobody was ever known here
+    /** 0 while no member was ever known at this index. */
+    long incarnation;
+
     int version;
     MemberState state = MemberState.DEAD;
+    /** Null while nobody suspects the member. */
     Suspicion suspicion;
-    /** The life up to which it has been given up or has left. */
+    /** The incarnation up to which the member was declared dead or has left. */
     long deadIncarnation;
 
     double deadSinceMs = Double.NEGATIVE_INFINITY;
-    double lastHeardMs = Double.NEGATIVE_INFINITY; // by a datagram of its own
+    /** When a datagram of the member itself came last. */
+    double lastHeardMs = Double.NEGATIVE_INFINITY;
+    /** When somebody with an outdated incarnation of this member was last corrected. */
     double lastCorrectionMs = Double.NEGATIVE_INFINITY;
-    /** Who brought the last news of it: the way to it where the direct one is cut. */
-    int by = -1;
+    /** Index of the member that relayed the last news of this one: the first relay to try; -1 for none. */
+    int lastRelay = -1;
+    /** Counter of the datagrams sent to the member. */
+    int sentDatagrams;
 
-    int sent; // datagrams to it
     final ReplayWindow replayWindow = new ReplayWindow();
-    /** Who has accused it itself, in this turn: to be blamed if it lives. */
+    /** Members whose own datagrams accused this one in its present incarnation and version. */
     final Set<Integer> directAccusers = new HashSet<>();
 
     Member(int index) {
@@ -35,9 +44,13 @@
         return incarnation > 0 && state.isAlive();
     }
 
-    /** What it says of itself, as far as it is known here. */
+    /** What the member announces of itself, as far as this view knows it. */
     MembershipUpdate announcement() {
-        return new MembershipUpdate(
-                MembershipUpdate.Kind.ANNOUNCEMENT, index, incarnation, version, state, name, zone, -1);
+        return MembershipUpdate.announcement(index, incarnation, version, state, name, zone);
+    }
+
+    /** The declaration that the member's last known incarnation is dead, with the given member as its accuser. */
+    MembershipUpdate deathDeclaration(int accuser) {
+        return MembershipUpdate.declaredDead(index, deadIncarnation, version, state, accuser);
     }
 }
--- a/src/main/java/ivybank/fleet/MemberState.java
+++ b/src/main/java/ivybank/fleet/MemberState.java
@@ -1,6 +1,6 @@
 package ivybank.fleet;
 
-/** What a sidecar is to the fleet. The order is that of the layout on the wire. */
+/** The state of a member of the fleet, in the order of the wire format. */
 public enum MemberState {
     /** Started, not yet serving. */
     JOINING,
@@ -8,12 +8,12 @@
     READY,
     /** Told to end, finishing what it has. */
     DRAINING,
-    /** Ended, and has said so itself. */
+    /** Ended, as announced by the member itself. */
     LEFT,
-    /** Given up: it answers nobody. Back only with a higher life. */
+    /** Declared dead: it answered nobody. Comes back with a higher incarnation alone. */
     DEAD;
 
-    /** Whether it is a process that runs. */
+    /** Whether the member is a running process. */
     public boolean isAlive() {
         return this == JOINING || this == READY || this == DRAINING;
     }
--- a/src/main/java/ivybank/fleet/Message.java
+++ b/src/main/java/ivybank/fleet/Message.java
@@ -3,18 +3,20 @@
 import java.util.List;
 
 /**
- * One datagram's content.
+ * The content of one datagram.
  *
- * @param self what the sender says of itself
- * @param to the seat that it is for
- * @param receiverIncarnation the life in which the receiver was last known; 0 for none. Guards against replays: what was meant for an
- *        earlier process changes nothing
- * @param counter of the sender's datagrams to this seat
+ * @param self what the sender announces of itself
+ * @param to index of the receiver
+ * @param receiverIncarnation the receiver's incarnation as the sender knows it, 0 for none. A receiver that has not had
+ *     this incarnation itself believes nothing of the message, so that recorded datagrams change nothing after a
+ *     restart
+ * @param counter of the sender's datagrams to this receiver
  * @param digest of the sender's view
- * @param probe which probe it belongs to, or 0
- * @param subject the seat that is to be looked at, or was, for {@link Kind#PING_REQUEST}, {@link Kind#NACK} and an
- *        {@link Kind#ACK} by another; -1 otherwise
- * @param buckets sums of the sender's view, for {@link Kind#SYNC}; empty otherwise
+ * @param probe number of the probe that the message belongs to, or 0
+ * @param subject index of the member that a relay probes, for {@link Kind#PING_REQUEST}, {@link Kind#NACK} and an
+ *     {@link Kind#ACK} by a relay; -1 otherwise
+ * @param buckets the sums of the sender's digest, for {@link Kind#SYNC}; empty otherwise
+ * @param updates on members, gossip among them
  */
 public record Message(
         Kind kind,
@@ -28,19 +30,19 @@
         int[] buckets,
         List<MembershipUpdate> updates) {
 
-    /** What it is. The order is that of the layout on the wire. */
+    /** The kinds of messages, in the order of the wire format. */
     public enum Kind {
-        /** Are you there? */
+        /** Asks the receiver for an acknowledgement. */
         PING,
-        /** I am, or {@code subject} is. */
+        /** Acknowledges a ping; by a relay, on behalf of {@code subject}. */
         ACK,
-        /** Look at {@code subject} for me. */
+        /** Asks a relay to ping {@code subject}. */
         PING_REQUEST,
-        /** I am here, but {@code subject} has not answered me. */
+        /** Tells by a relay that {@code subject} has not acknowledged its ping. */
         NACK,
-        /** Words alone. */
+        /** Carries updates alone. */
         GOSSIP,
-        /** Tell me where your view differs from these sums. */
+        /** Asks for the members that differ from the sums of the digest. */
         SYNC
     }
 
--- a/src/main/java/ivybank/fleet/MessageCodec.java
+++ b/src/main/java/ivybank/fleet/MessageCodec.java
@@ -7,16 +7,17 @@
 import java.util.List;
 
 /**
- * Messages as bytes; docs/design/fleet-view.md has the layout. Header and words carry their lengths, so that a later minor
- * version may add to their ends what this one passes over; a layout of another major version is not read.
+ * The wire format of messages; docs/design/fleet-view.md has the layout. The header and each update carry their
+ * lengths, so that a later minor version may add to their ends what this one skips. Another major version is not
+ * decoded.
  */
 public final class MessageCodec {
 
-    /** The layout that is written and read. */
+    /** Version of the layout that is encoded and decoded. */
     public static final int LAYOUT_VERSION = 1;
-    /** What a datagram holds at most, with its signature. */
+    /** Length of the longest datagram, with its signature. */
     public static final int MAX_DATAGRAM_BYTES = 256;
-    /** Bytes that a signature takes at the end. */
+    /** Length of the signature at the end of a datagram. */
     public static final int SIGNATURE_BYTES = 16;
 
     public static final int MAX_NAME_LENGTH = 24;
@@ -25,13 +26,14 @@
     static final long MAX_INCARNATION = (1L << 48) - 1;
     static final int MAX_VERSION = 0xffff;
 
-    private static final int HEADER_BYTES = 32; // before the sender's word
-    private static final int UPDATE_HEADER_BYTES = 1 + 1 + 2 + 6 + 2; // length, kind and standing, seat, life, turn
+    private static final int HEADER_BYTES = 32; // before the sender's announcement
+    private static final int UPDATE_HEADER_BYTES =
+            1 + 1 + 2 + 6 + 2; // length, kind and state, member, incarnation, version
     private static final int KINDS = Message.Kind.values().length;
 
     private MessageCodec() {}
 
-    /** What can't be read. */
+    /** Says why bytes can't be decoded. */
     public static final class MalformedException extends Exception {
         private static final long serialVersionUID = 1;
         private final boolean otherVersion;
@@ -41,18 +43,20 @@
             this.otherVersion = otherVersion;
         }
 
-        /** Whether it is of a version that this program does not know. */
+        /** Whether they are of a version that this program does not know. */
         public boolean otherVersion() {
             return otherVersion;
         }
     }
 
-    /** Whether a text of so many signs at most can be a name or a zone: signs that are seen, since it goes into logs. */
+    /**
+     * Whether a text is short enough and of visible ASCII characters alone, so that it may go into datagrams and logs.
+     */
     public static boolean isPrintable(String text, int most) {
         return text.length() <= most && text.chars().allMatch(sign -> sign > ' ' && sign <= '~');
     }
 
-    /** Bytes that a word takes. */
+    /** Length of an encoded update. */
     static int encodedSize(MembershipUpdate update) {
         return UPDATE_HEADER_BYTES
                 + (update.isAccusation()
@@ -60,7 +64,7 @@
                         : 2 + update.name().length() + update.zone().length());
     }
 
-    /** Bytes left for words beside what a message of this kind has in any case. */
+    /** Bytes for updates beside the header, the sender's announcement and, where it has them, the sums of a message. */
     static int availableBytes(MembershipUpdate self, boolean buckets) {
         return MAX_DATAGRAM_BYTES
                 - SIGNATURE_BYTES
@@ -69,7 +73,12 @@
                 - (buckets ? 4 * DIGEST_BUCKETS : 0);
     }
 
-    /** Writes a message but for its signature. {@code key} tells which key the sender prefers. */
+    /**
+     * Encodes a message without its signature.
+     *
+     * @param fleet hash of the fleet's name
+     * @param key mark of the key that the sender prefers
+     */
     public static byte[] encode(Message message, int fleet, int key) {
         ByteBuffer out = ByteBuffer.allocate(MAX_DATAGRAM_BYTES - SIGNATURE_BYTES);
         out.put((byte) LAYOUT_VERSION).put((byte) message.kind().ordinal()).put((byte) key);
@@ -109,7 +118,7 @@
         out.put((byte) name.length).put(name).put((byte) zone.length).put(zone);
     }
 
-    /** The name of the fleet, as its datagrams carry it. */
+    /** The hash of a fleet's name that its datagrams carry. */
     public static int fleetHash(String name) {
         int hash = 0x811c9dc5; // FNV-1a: tells fleets apart, protects nothing
         for (byte each : name.getBytes(StandardCharsets.UTF_8)) {
@@ -118,24 +127,19 @@
         return hash;
     }
 
-    /** Which key the sender of these bytes prefers; they need not be whole. */
+    /** The mark of the key that the sender prefers; the bytes need not be a whole message. */
     public static int preferredKeyOf(byte[] bytes) {
         return bytes.length > 2 ? bytes[2] & 0xff : 0;
     }
 
-    /** Whose fleet these bytes belong to; 0 if they are too few to tell. */
+    /** The hash of the fleet's name in a datagram; 0 if it is too short. */
     public static int fleetHashOf(byte[] bytes) {
         return bytes.length >= HEADER_BYTES ? ByteBuffer.wrap(bytes).getInt(4) : 0;
     }
 
-    /** Reads a message without its signature. */
+    /** Decodes a message without its signature. */
     public static Message decode(byte[] bytes) throws MalformedException {
-        if (bytes.length < 4) {
-            throw new MalformedException("cut off", false);
-        }
-        if (bytes[0] != LAYOUT_VERSION) {
-            throw new MalformedException("version " + (bytes[0] & 0xff), true);
-        }
+        checkVersion(bytes);
         try {
             ByteBuffer in = ByteBuffer.wrap(bytes);
             int kind = in.get(1) & 0xff;
@@ -157,21 +161,8 @@
                 throw new MalformedException(buckets + " sums", false);
             }
             in.position(header);
-            MembershipUpdate self = getUpdate(in);
-            if (self == null || self.isAccusation()) {
-                throw new MalformedException("no sender", false);
-            }
-            int[] sums = new int[buckets];
-            for (int i = 0; i < buckets; i++) {
-                sums[i] = in.getInt();
-            }
-            List<MembershipUpdate> read = new ArrayList<>(updates);
-            for (int i = 0; i < updates; i++) {
-                MembershipUpdate update = getUpdate(in);
-                if (update != null) {
-                    read.add(update);
-                }
-            }
+            MembershipUpdate self = getSender(in);
+            int[] sums = getSums(in, buckets);
             return new Message(
                     Message.Kind.values()[kind],
                     self,
@@ -182,17 +173,53 @@
                     probe,
                     subject,
                     sums,
-                    read);
+                    getUpdates(in, updates));
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             throw new MalformedException("cut off", false);
         }
     }
 
+    private static void checkVersion(byte[] bytes) throws MalformedException {
+        if (bytes.length < 4) {
+            throw new MalformedException("cut off", false);
+        }
+        if (bytes[0] != LAYOUT_VERSION) {
+            throw new MalformedException("version " + (bytes[0] & 0xff), true);
+        }
+    }
+
+    private static MembershipUpdate getSender(ByteBuffer in) throws MalformedException {
+        MembershipUpdate self = getUpdate(in);
+        if (self == null || self.isAccusation()) {
+            throw new MalformedException("no sender", false);
+        }
+        return self;
+    }
+
+    private static int[] getSums(ByteBuffer in, int count) {
+        int[] sums = new int[count];
+        for (int i = 0; i < count; i++) {
+            sums[i] = in.getInt();
+        }
+        return sums;
+    }
+
+    private static List<MembershipUpdate> getUpdates(ByteBuffer in, int count) throws MalformedException {
+        List<MembershipUpdate> updates = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            MembershipUpdate update = getUpdate(in);
+            if (update != null) {
+                updates.add(update);
+            }
+        }
+        return updates;
+    }
+
     private static long getIncarnation(ByteBuffer in) {
         return (in.getShort() & 0xffffL) << 32 | in.getInt() & 0xffffffffL;
     }
 
-    /** Null for one of a kind that this version does not know. */
+    /** Null for an update of a kind that this version does not know. */
     private static MembershipUpdate getUpdate(ByteBuffer in) throws MalformedException {
         int from = in.position();
         int length = in.get() & 0xff;
--- a/src/main/java/ivybank/fleet/ReplayWindow.java
+++ b/src/main/java/ivybank/fleet/ReplayWindow.java
@@ -1,6 +1,8 @@
 package ivybank.fleet;
 
-/** Which of a sender's counted datagrams have come: each is taken once, and one that is far behind the latest never. */
+/**
+ * The counters of the datagrams of one sender that have come: each is accepted once, one far behind the latest never.
+ */
 final class ReplayWindow {
 
     private static final int WIDTH = 64;
@@ -8,8 +10,8 @@
     private int latest;
     private long seen; // bit i: latest - i has come
 
-    /** Notes one; false if it has come before, or may have. */
-    boolean take(int counter) {
+    /** Records a counter; false if it has come before, or may have. */
+    boolean accept(int counter) {
         int ahead = counter - latest;
         if (ahead > 0) {
             seen = ahead >= WIDTH ? 1 : seen << ahead | 1;
--- a/src/main/java/ivybank/fleet/Suspicion.java
+++ b/src/main/java/ivybank/fleet/Suspicion.java
@@ -3,17 +3,22 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Doubt about one member in one life and turn. Its time falls with each independent accuser. */
+/**
+ * The suspicion of one member in one incarnation and version. As in Lifeguard, its time falls with each independent
+ * accuser, by the logarithm.
+ */
 final class Suspicion {
 
     private static final int MAX_ACCUSERS = 8;
+    /** Accusers beside the first with whom the time is at its least. */
+    private static final int ENOUGH_CONFIRMATIONS = 3;
 
     final int version;
-    /** Whether it has said itself that it leaves, by word of others. */
+    /** Whether others say that the member has left by its own word. */
     boolean left;
 
     private double sinceMs;
-    private boolean isShortened;
+    private boolean shortened;
     private final List<Integer> accusers = new ArrayList<>();
 
     Suspicion(int version, double sinceMs) {
@@ -21,45 +26,50 @@
         this.sinceMs = sinceMs;
     }
 
-    /** Notes an accuser; false if it is known already. */
-    boolean addAccuser(int memberIndex) {
-        if (accusers.contains(memberIndex) || accusers.size() >= MAX_ACCUSERS) {
+    /** Adds an accuser; false if it is known already, or too many are. */
+    boolean addAccuser(int accuser) {
+        if (accusers.contains(accuser) || accusers.size() >= MAX_ACCUSERS) {
             return false;
         }
-        accusers.add(memberIndex);
+        accusers.add(accuser);
         return true;
     }
 
+    /** Indexes of the accusers, the first one first. */
     List<Integer> accusers() {
         return List.copyOf(accusers);
     }
 
-    /** Others have given it up already: the shortest time is left to it. */
+    /** Cuts the time down to its least: others have declared the member dead. */
     void shorten() {
-        isShortened = true;
+        shortened = true;
     }
 
-    /** Whether others have given it up. */
     boolean isShortened() {
-        return isShortened;
+        return shortened;
     }
 
-    /** Time in which this process itself did not run does not count. */
-    void shift(double byMs) {
+    /** Whether an announcement of the suspected incarnation clears the member. */
+    boolean isRefutedBy(MembershipUpdate announcement) {
+        return !shortened && announcement.version() > version;
+    }
+
+    /** Adds time. */
+    void extend(double byMs) {
         sinceMs += byMs;
     }
 
     /**
-     * When it is to be given up.
+     * When the member is to be declared dead.
      *
-     * @param others members that could accuse it
+     * @param others number of the other live members, each of which could accuse it
      */
     double deadlineMs(FleetTiming timing, int others) {
-        int wanted = Math.min(3, others - 1); // beside the first
-        if (isShortened || wanted < 1) {
+        int wantedConfirmations = Math.min(ENOUGH_CONFIRMATIONS, others - 1);
+        if (shortened || wantedConfirmations < 1) {
             return sinceMs + timing.minSuspicionMs();
         }
-        double part = Math.min(1, Math.log(accusers.size()) / Math.log(wanted + 1));
+        double part = Math.min(1, Math.log(accusers.size()) / Math.log(wantedConfirmations + 1));
         return sinceMs + timing.maxSuspicionMs() - (timing.maxSuspicionMs() - timing.minSuspicionMs()) * part;
     }
 }
--- a/src/main/java/ivybank/fleet/TokenBucket.java
+++ b/src/main/java/ivybank/fleet/TokenBucket.java
@@ -1,28 +1,29 @@
 package ivybank.fleet;
 
-/** So many a second, and so many at once after a rest. */
+/** Limits a rate, with bursts up to the bucket's capacity. Full at first. */
 final class TokenBucket {
 
-    private final double perMs;
-    private final double most;
-    private double left;
-    private double atMs = Double.NaN;
+    private final double tokensPerMs;
+    private final double capacity;
+    private double tokens;
+    private double filledMs = Double.NaN;
 
-    TokenBucket(double perSecond, double most) {
-        this.perMs = perSecond / 1000;
-        this.most = most;
-        this.left = most;
+    TokenBucket(double tokensPerSecond, double capacity) {
+        this.tokensPerMs = tokensPerSecond / 1000;
+        this.capacity = capacity;
+        this.tokens = capacity;
     }
 
-    boolean take(double nowMs) {
-        if (!Double.isNaN(atMs)) {
-            left = Math.min(most, left + Math.max(0, nowMs - atMs) * perMs);
+    /** Takes one token; false if there is none. */
+    boolean tryTake(double nowMs) {
+        if (!Double.isNaN(filledMs)) {
+            tokens = Math.min(capacity, tokens + Math.max(0, nowMs - filledMs) * tokensPerMs);
         }
-        atMs = nowMs;
-        if (left < 1) {
+        filledMs = nowMs;
+        if (tokens < 1) {
             return false;
         }
-        left--;
+        tokens--;
         return true;
     }
 }
--- a/src/main/java/ivybank/fleet/ViewSnapshot.java
+++ b/src/main/java/ivybank/fleet/ViewSnapshot.java
@@ -5,12 +5,13 @@
 /**
  * A view at one instant.
  *
- * @param memberIndex of the sidecar whose view it is, with its life
- * @param digest equal where views are equal
- * @param settledForMs since the view has changed last, or a peer's was last seen to differ
- * @param aliveOthers others that live, by this view
- * @param addressCount that the list of addresses names
- * @param health 0 for good; more while it doubts itself
+ * @param memberIndex index of the member whose view this is
+ * @param incarnation of that member
+ * @param digest equal where two views hold the same members for alive, in the same incarnations, versions and states
+ * @param settledForMs since the view last changed or last differed from a peer's
+ * @param aliveOthers number of the other members that are alive
+ * @param addressCount length of the list of addresses
+ * @param health score of {@link LocalHealth}: 0 for healthy, up to 4
  */
 public record ViewSnapshot(
         int memberIndex,
@@ -23,7 +24,12 @@
         List<MemberSnapshot> members,
         Counts counts) {
 
-    /** One member; {@code accusers} are the seats of those who doubt it, empty for none. */
+    /**
+     * One member as the view sees it.
+     *
+     * @param accusers indexes of the members that accuse it, empty where nobody suspects it
+     * @param trusted whether its accusations of others count
+     */
     public record MemberSnapshot(
             int memberIndex,
             String name,
@@ -34,7 +40,18 @@
             List<Integer> accusers,
             boolean trusted) {}
 
-    /** Sums since the start. {@code forged} counts accusations in this sidecar's name that it never made. */
+    /**
+     * Counts since the start.
+     *
+     * @param sent messages sent
+     * @param received messages received
+     * @param replayed messages that came a second time
+     * @param stale messages for or by an earlier incarnation
+     * @param unknown messages and updates by or on members that can't be
+     * @param forged accusations in this sidecar's name that it never made
+     * @param declaredDead members that this sidecar declared dead
+     * @param rejoins members that came back after they were declared dead or had left, this one among them
+     */
     public record Counts(
             long sent,
             long received,
--- a/src/test/java/ivybank/emulator/ViewWorldTest.java
+++ b/src/test/java/ivybank/emulator/ViewWorldTest.java
@@ -233,15 +233,8 @@
 
     private static Message lie(
             ViewWorld world, int from, int to, int counter, Message.Kind kind, MembershipUpdate... words) {
-        MembershipUpdate self = new MembershipUpdate(
-                MembershipUpdate.Kind.ANNOUNCEMENT,
-                from,
-                world.incarnation(from),
-                1,
-                MemberState.READY,
-                "n" + from,
-                "",
-                -1);
+        MembershipUpdate self =
+                MembershipUpdate.announcement(from, world.incarnation(from), 1, MemberState.READY, "n" + from, "");
         return new Message(kind, self, to, world.incarnation(to), counter, 0, 0, -1, new int[0], List.of(words));
     }
 
@@ -282,49 +275,25 @@
         assertFalse(seen(world, 0, 7).trusted());
     }
 
+    /** Hands process 0 a message with one update, as if process 7 had sent it. */
+    private static void gossipFromSeven(ViewWorld world, int counter, MembershipUpdate update) {
+        world.forge(7, 0, lie(world, 7, 0, counter, Message.Kind.GOSSIP, update));
+    }
+
     @Test
     void aPeerThatGivesOthersUpSpeaksForOthersOrInventsSomeChangesNothingThatLasts() {
         ViewWorld world = started(8, 6, ViewNetwork.CALM);
         for (int i = 0; i < 60; i++) {
             ViewSnapshot.MemberSnapshot now = seen(world, 0, 3);
-            world.forge(
-                    7,
-                    0,
-                    lie(
-                            world,
-                            7,
-                            0,
-                            1_000_000 + 4 * i,
-                            Message.Kind.GOSSIP,
-                            MembershipUpdate.declaredDead(3, now.incarnation(), now.version(), MemberState.DEAD, 7)));
-            world.forge(
-                    7,
-                    0,
-                    lie(
-                            world,
-                            7,
-                            0,
-                            1_000_001 + 4 * i,
-                            Message.Kind.GOSSIP,
-                            new MembershipUpdate(
-                                    MembershipUpdate.Kind.ANNOUNCEMENT,
-                                    3,
-                                    now.incarnation(),
-                                    now.version() + 3,
-                                    MemberState.LEFT,
-                                    "n3",
-                                    "",
-                                    -1)));
-            world.forge(
-                    7,
-                    0,
-                    lie(
-                            world,
-                            7,
-                            0,
-                            1_000_002 + 4 * i,
-                            Message.Kind.GOSSIP,
-                            MembershipUpdate.suspect(2, world.incarnation(2), 60_000, 0)));
+            gossipFromSeven(
+                    world,
+                    1_000_000 + 4 * i,
+                    MembershipUpdate.declaredDead(3, now.incarnation(), now.version(), MemberState.DEAD, 7));
+            gossipFromSeven(
+                    world,
+                    1_000_001 + 4 * i,
+                    MembershipUpdate.announcement(3, now.incarnation(), now.version() + 3, MemberState.LEFT, "n3", ""));
+            gossipFromSeven(world, 1_000_002 + 4 * i, MembershipUpdate.suspect(2, world.incarnation(2), 60_000, 0));
             world.forge(7, 0, lie(world, 4, 0, 1_000_003 + 4 * i, Message.Kind.GOSSIP)); // as seat 4, from 7's address
             world.run(100);
             assertTrue(seen(world, 0, 3).state().isAlive());
--- a/src/test/java/ivybank/fleet/MessageCodecTest.java
+++ b/src/test/java/ivybank/fleet/MessageCodecTest.java
@@ -12,13 +12,13 @@
 
 class MessageCodecTest {
 
-    private static final MembershipUpdate SELF = new MembershipUpdate(
-            MembershipUpdate.Kind.ANNOUNCEMENT, 7, 1_700_000_000_123L, 65_535, MemberState.READY, "n7", "sanjuan", -1);
+    private static final MembershipUpdate SELF =
+            MembershipUpdate.announcement(7, 1_700_000_000_123L, 65_535, MemberState.READY, "n7", "sanjuan");
     private static final Message FULL = new Message(
             Message.Kind.PING_REQUEST,
             SELF,
             65_000,
-            FleetView.INCARNATION_LIMIT - 1,
+            UpdateHandler.INCARNATION_LIMIT - 1,
             77,
             -3,
             5,
@@ -27,8 +27,7 @@
             List.of(
                     MembershipUpdate.suspect(3, 9, 1, 7),
                     MembershipUpdate.declaredDead(4, 10, 2, MemberState.LEFT, 6),
-                    new MembershipUpdate(
-                            MembershipUpdate.Kind.ANNOUNCEMENT, 5, 11, 0, MemberState.DRAINING, "n5", "", -1)));
+                    MembershipUpdate.announcement(5, 11, 0, MemberState.DRAINING, "n5", "")));
 
     private static void assertSame(Message wanted, Message read) {
         assertArrayEquals(wanted.buckets(), read.buckets());
@@ -66,27 +65,17 @@
 
     @Test
     void theFullestDatagramWithTheLongestNamesFits() {
-        MembershipUpdate longest = new MembershipUpdate(
-                MembershipUpdate.Kind.ANNOUNCEMENT,
+        MembershipUpdate longest = MembershipUpdate.announcement(
                 1,
                 2,
                 3,
                 MemberState.READY,
                 "x".repeat(MessageCodec.MAX_NAME_LENGTH),
-                "y".repeat(MessageCodec.MAX_ZONE_LENGTH),
-                -1);
+                "y".repeat(MessageCodec.MAX_ZONE_LENGTH));
         GossipQueue gossip = new GossipQueue();
         for (int i = 0; i < 40; i++) {
-            gossip.notify(MembershipUpdate.suspect(i, 1, 1, 2));
-            gossip.notify(new MembershipUpdate(
-                    MembershipUpdate.Kind.ANNOUNCEMENT,
-                    i,
-                    2,
-                    3,
-                    MemberState.READY,
-                    longest.name(),
-                    longest.zone(),
-                    -1));
+            gossip.add(MembershipUpdate.suspect(i, 1, 1, 2));
+            gossip.add(MembershipUpdate.announcement(i, 2, 3, MemberState.READY, longest.name(), longest.zone()));
         }
         for (boolean sync : new boolean[] {false, true}) {
             List<MembershipUpdate> updates = new java.util.ArrayList<>();
--- a/src/test/java/ivybank/peers/PeerFleetTest.java
+++ b/src/test/java/ivybank/peers/PeerFleetTest.java
@@ -181,8 +181,7 @@
         InetSocketAddress nobody =
                 addresses.get(3); // in the list, and free: what comes from there passes for a sidecar's
         JsonNode before = view(fleets.get(0));
-        MembershipUpdate self = new MembershipUpdate(
-                MembershipUpdate.Kind.ANNOUNCEMENT, 3, 1_900_000_000_000L, 0, MemberState.READY, "n3", "", -1);
+        MembershipUpdate self = MembershipUpdate.announcement(3, 1_900_000_000_000L, 0, MemberState.READY, "n3", "");
         Message message = new Message(
                 Message.Kind.GOSSIP,
                 self,
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -147,30 +147,32 @@
                     List.of("gave up sidecar", "views:"),
                     List.of(
                             new Edit(
-                                    "fleet/FleetView.java",
-                                    "        clearSuspicion(member);\n    }\n\n    private boolean trusted",
-                                    "    }\n\n    private boolean trusted"),
+                                    "fleet/SuspicionTracker.java",
+                                    "            clear(member);\n        }\n    }\n\n    /** Ends the suspicion",
+                                    "        }\n    }\n\n    /** Ends the suspicion"),
+                            new Edit("fleet/UpdateHandler.java", "            suspicions.clear(member);", ""),
                             // With its own ears first it would go on for as long as it hears the member.
                             new Edit(
-                                    "fleet/FleetView.java",
-                                    "            if (nowMs - member.lastHeardMs < timing.minSuspicionMs()) {",
+                                    "fleet/SuspicionTracker.java",
+                                    "            if (nowMs - member.lastHeardMs < view.timing.minSuspicionMs()) {",
                                     "            if (false) {"))),
             new Mutant(
                     "gives up at the first miss",
                     Night.LOSSY,
                     List.of("gave up sidecar"),
                     List.of(new Edit(
-                            "fleet/FleetView.java",
-                            "            suspect(nowMs, member, member.version, self.index, false, false, update);",
-                            "            end(nowMs, member, MemberState.DEAD, \"is given up\");"))),
+                            "fleet/SuspicionTracker.java",
+                            "        suspect(nowMs, member, member.version, accusation);",
+                            "        declareEnd(nowMs, member, MemberState.DEAD, \"is given up\");"))),
             new Mutant(
                     "doesn't seek those it gave up",
                     Night.SPLIT,
                     List.of("views: healed"),
-                    List.of(new Edit(
-                            "fleet/FleetView.java",
-                            "        if (!from.isEmpty()) {",
-                            "        if (!from.isEmpty() && members[from.get(0)].incarnation == 0) {"))),
+                    List.of(
+                            new Edit(
+                                    "fleet/MemberDiscovery.java",
+                                    "        if (!candidates.isEmpty()) {",
+                                    "        if (!candidates.isEmpty() && view.members.get(candidates.get(0)).incarnation == 0) {"))),
             new Mutant(
                     "begins its life at 0",
                     Night.JOINT,
