--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -9,7 +9,7 @@
 import ivybank.rehearsal.scenario.ScenarioWriter;
 import ivybank.rehearsal.scenario.Storm;
 import ivybank.rehearsal.stand.Ceiling;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.toml.InputException;
 import ivybank.toml.StrictTable;
 import java.io.IOException;
@@ -158,10 +158,10 @@
         /** What the first reason of a play's verdict is about, without its figures; empty if it passes or can't be judged. */
         private String reason(Scenario scenario, long drawn) throws InputException, IOException, InterruptedException {
             Path folder = Files.createTempDirectory("ivybank-shrink");
-            try (Day day = new Day(
+            try (ScenarioRun day = new ScenarioRun(
                     Plan.draw(scenario, drawn), sidecar(command), Path.of("").toAbsolutePath(), folder, line -> {})) {
                 Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
-                Verdict verdict = Verdict.of(day.play());
+                Verdict verdict = Verdict.of(day.run());
                 return verdict.kind() != Verdict.Kind.FAILED
                         ? ""
                         : verdict.reasons()
@@ -280,10 +280,10 @@
             Plan plan = Plan.draw(scenario, seed == null ? scenario.seed() : seed);
             boolean keep = state != null;
             Path folder = keep ? Files.createDirectories(state) : Files.createTempDirectory("ivybank-rehearsal");
-            Day.Result result;
-            try (Day day = new Day(plan, sidecar(command), Path.of("").toAbsolutePath(), folder, new Progress())) {
+            ScenarioRun.Result result;
+            try (ScenarioRun day = new ScenarioRun(plan, sidecar(command), Path.of("").toAbsolutePath(), folder, new Progress())) {
                 Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
-                result = day.play();
+                result = day.run();
             }
             Report report = new Report(result);
             report.print(System.out);
--- a/src/main/java/ivybank/rehearsal/HtmlReport.java
+++ b/src/main/java/ivybank/rehearsal/HtmlReport.java
@@ -1,7 +1,7 @@
 package ivybank.rehearsal;
 
 import ivybank.rehearsal.referee.Service;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -37,12 +37,12 @@
             "#9d4edd");
     private static final String[] LINES = {"#1d3557", "#b23a48", "#3a7d44", "#9d4edd", "#e07a5f", "#4c78a8"};
 
-    private final Day.Result day;
+    private final ScenarioRun.Result day;
     private final Verdict verdict;
     private final double lengthS;
     private final StringBuilder out = new StringBuilder();
 
-    HtmlReport(Day.Result day, Verdict verdict) {
+    HtmlReport(ScenarioRun.Result day, Verdict verdict) {
         this.day = day;
         this.verdict = verdict;
         this.lengthS = day.plan().scenario().lengthS();
@@ -99,8 +99,8 @@
         latency(service);
         borne();
         nodes();
-        usage("Memory of the sidecars, MB", Day.Usage::memoryMb);
-        usage("Descriptors of the sidecars", Day.Usage::descriptors);
+        usage("Memory of the sidecars, MB", ScenarioRun.Usage::memoryMb);
+        usage("Descriptors of the sidecars", ScenarioRun.Usage::descriptors);
         add("<h2>What happened</h2><table>");
         day.events().forEach(event -> add("<tr><td>%.2f s<td>%s</tr>", event.atMs() / 1000, escaped(event.what())));
         add("</table><h2>Rules</h2>");
@@ -136,7 +136,7 @@
         for (double s = 0; s <= lengthS; s += step) {
             add("<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%.0f s</text>", x(s), height + 16, s);
         }
-        for (Day.Event event : day.events()) {
+        for (ScenarioRun.Event event : day.events()) {
             add(
                     "<line x1=\"%1$.1f\" x2=\"%1$.1f\" y1=\"0\" y2=\"%2$d\" stroke=\"#999\" stroke-dasharray=\"3 3\"><title>%3$s"
                             + "</title></line>",
@@ -251,7 +251,7 @@
                 "<text x=\"%d\" y=\"%d\" text-anchor=\"end\">%s</text>",
                 LEFT - 6, lane * LANE + LANE - 3, escaped(host)));
         for (int i = 0; i < day.states().size(); i++) {
-            Day.NodeState state = day.states().get(i);
+            ScenarioRun.NodeState state = day.states().get(i);
             double until = lengthS * 1000;
             for (int j = i + 1; j < day.states().size(); j++) {
                 if (day.states().get(j).host().equals(state.host())) {
@@ -274,13 +274,13 @@
         key(new java.util.TreeMap<>(STATE_COLOURS).entrySet());
     }
 
-    private void usage(String title, java.util.function.ToDoubleFunction<Day.Usage> value) {
+    private void usage(String title, java.util.function.ToDoubleFunction<ScenarioRun.Usage> value) {
         double most = Math.max(1, day.usage().stream().mapToDouble(value).max().orElse(1));
         begin(title, HEIGHT);
         scale(most, "");
         for (int i = 0; i < day.plan().scenario().traffic().sidecars(); i++) {
             StringBuilder points = new StringBuilder();
-            for (Day.Usage each : day.usage()) {
+            for (ScenarioRun.Usage each : day.usage()) {
                 if (each.sidecar() == i && each.atMs() <= lengthS * 1000) {
                     points.append(String.format(
                             Locale.ROOT,
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -6,7 +6,7 @@
 import ivybank.common.Json;
 import ivybank.rehearsal.referee.Service;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -19,10 +19,10 @@
     private static final int VERSION = 1;
     private static final double[] PERCENTILES = {50, 90, 99, 99.9};
 
-    private final Day.Result day;
+    private final ScenarioRun.Result day;
     private final Verdict verdict;
 
-    public Report(Day.Result day) {
+    public Report(ScenarioRun.Result day) {
         this.day = day;
         this.verdict = Verdict.of(day);
     }
@@ -69,8 +69,8 @@
                 day.readyAfterMs().stream()
                         .map(ms -> String.valueOf(Math.round(ms)))
                         .toList(),
-                day.usage().stream().mapToDouble(Day.Usage::memoryMb).max().orElse(0),
-                day.usage().stream().mapToDouble(Day.Usage::descriptors).max().orElse(0));
+                day.usage().stream().mapToDouble(ScenarioRun.Usage::memoryMb).max().orElse(0),
+                day.usage().stream().mapToDouble(ScenarioRun.Usage::descriptors).max().orElse(0));
         out.printf(
                 Locale.ROOT,
                 "cold nodes: %.0f%% of what pushes one over, at most; the kit itself was up to %.0f ms late, a sidecar waited for a core up to %.0f ms of 500%n",
--- a/src/main/java/ivybank/rehearsal/ReturnTable.java
+++ b/src/main/java/ivybank/rehearsal/ReturnTable.java
@@ -6,7 +6,7 @@
 import ivybank.rehearsal.referee.Returns;
 import ivybank.rehearsal.referee.Service;
 import ivybank.rehearsal.scenario.Plan.Target;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,10 +19,10 @@
     /** A fault, the seconds to full service, and the most that others bore in a second from then to the next fault and in the 5 s before. */
     private record Row(double atS, String what, double fullS, Returns.Borne worst, Returns.Borne rest) {}
 
-    private final Day.Result day;
+    private final ScenarioRun.Result day;
     private final List<Row> rows = new ArrayList<>();
 
-    ReturnTable(Day.Result day) {
+    ReturnTable(ScenarioRun.Result day) {
         this.day = day;
         int seconds = day.service().results().length;
         List<Target> targets = day.plan().targets();
--- a/src/main/java/ivybank/rehearsal/Verdict.java
+++ b/src/main/java/ivybank/rehearsal/Verdict.java
@@ -1,8 +1,8 @@
 package ivybank.rehearsal;
 
 import ivybank.rehearsal.referee.Referee.Rule;
-import ivybank.rehearsal.stand.Day;
-import ivybank.rehearsal.stand.Day.Usage;
+import ivybank.rehearsal.stand.ScenarioRun;
+import ivybank.rehearsal.stand.ScenarioRun.Usage;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -31,7 +31,7 @@
     }
 
     /** Judges a day. */
-    public static Verdict of(Day.Result day) {
+    public static Verdict of(ScenarioRun.Result day) {
         List<String> reasons = new ArrayList<>();
         if (day.latenessMs() > MOST_LATE_MS) {
             return new Verdict(
@@ -88,7 +88,7 @@
     }
 
     /** Memory and descriptors: the last third of a process's day against the third before it. */
-    private static void growth(Day.Result day, int sidecar, List<String> reasons) {
+    private static void growth(ScenarioRun.Result day, int sidecar, List<String> reasons) {
         List<Usage> own =
                 day.usage().stream().filter(each -> each.sidecar() == sidecar).toList();
         int from = 0; // the samples of the last process
--- a/src/main/java/ivybank/rehearsal/stand/Day.java
+++ b/src/main/java/ivybank/rehearsal/stand/ScenarioRun.java
@@ -42,7 +42,7 @@
  * Plays one drawn day: starts nodes, roster and sidecars, sends the clients' requests, brings about the faults at their
  * times and ends all that it started. One instance plays once.
  */
-public final class Day implements AutoCloseable {
+public final class ScenarioRun implements AutoCloseable {
 
     /** What happened when, for people; times in ms of the day. */
     public record Event(double atMs, String what) {}
@@ -132,7 +132,7 @@
      * @param command starts a sidecar, by /bin/sh in {@code folder}
      * @param state an empty folder for configurations and logs
      */
-    public Day(Plan plan, String command, Path folder, Path state, Consumer<String> progress) {
+    public ScenarioRun(Plan plan, String command, Path folder, Path state, Consumer<String> progress) {
         this.plan = plan;
         this.scenario = plan.scenario();
         this.command = command;
@@ -157,8 +157,8 @@
         world = new World(scenario, acceptor, loop, Clock.system(), referee, 20 + NETS.getAndIncrement() % 200);
     }
 
-    /** Plays it. */
-    public Result play() throws IOException, InterruptedException {
+    /** Runs the scenario; returns when the last request is over. */
+    public Result run() throws IOException, InterruptedException {
         onLoop(this::startNodes);
         for (int i = 0; i < scenario.traffic().sidecars(); i++) {
             makeSidecar(i);
--- a/src/test/java/ivybank/JarIT.java
+++ b/src/test/java/ivybank/JarIT.java
@@ -5,7 +5,7 @@
 import ivybank.rehearsal.Verdict;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.testing.LoadedClasses;
 import ivybank.testing.ShortNight;
 import java.nio.file.Path;
@@ -26,13 +26,13 @@
         Path loaded = dir.resolve("loaded.log");
         String command = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
                 + "' -XX:+UseSerialGC -Xlog:class+load:file=" + loaded + " -jar target/ivybank.jar serve";
-        try (Day day = new Day(
+        try (ScenarioRun day = new ScenarioRun(
                 Plan.draw(ScenarioReader.read("jar", ShortNight.TOML), 1),
                 command,
                 Path.of("").toAbsolutePath(),
                 dir,
                 line -> {})) {
-            assertEquals(List.of(), Verdict.of(day.play()).reasons());
+            assertEquals(List.of(), Verdict.of(day.run()).reasons());
         }
         LoadedClasses.assertServeAlone(loaded);
     }
--- a/src/test/java/ivybank/rehearsal/DayTest.java
+++ b/src/test/java/ivybank/rehearsal/DayTest.java
@@ -8,7 +8,7 @@
 
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.testing.LoadedClasses;
 import ivybank.testing.ShortNight;
 import java.io.BufferedReader;
@@ -34,8 +34,8 @@
     Path dir;
 
     /** Plays a night; where the machine was too busy to tell, twice more. */
-    private Day.Result night(String name, String command, String toml) throws Exception {
-        Day.Result played = playedOnce(name, command, toml);
+    private ScenarioRun.Result night(String name, String command, String toml) throws Exception {
+        ScenarioRun.Result played = playedOnce(name, command, toml);
         for (int again = 0; again < 2 && Verdict.of(played).kind() == Verdict.Kind.NOT_JUDGED; again++) {
             Files.move(dir.resolve(name), dir.resolve(name + "-not-judged-" + again));
             played = playedOnce(name, command, toml);
@@ -43,15 +43,15 @@
         return played;
     }
 
-    private Day.Result playedOnce(String name, String command, String toml) throws Exception {
+    private ScenarioRun.Result playedOnce(String name, String command, String toml) throws Exception {
         Path state = Files.createDirectories(dir.resolve(name));
-        try (Day day = new Day(
+        try (ScenarioRun day = new ScenarioRun(
                 Plan.draw(ScenarioReader.read(name, toml), 1),
                 command,
                 Path.of("").toAbsolutePath(),
                 state,
                 line -> {})) {
-            return day.play();
+            return day.run();
         }
     }
 
@@ -61,7 +61,7 @@
 
     @Test
     void aNodeThatIsReplacedAtItsAddressWhileItIsSilentAndSlowIsFollowedByAColdOneUnderANewName() throws Exception {
-        Day.Result day = night(
+        ScenarioRun.Result day = night(
                 "replaced",
                 ShortNight.program("") + "serve",
                 ShortNight.TOML.replace("length_s = 2", "length_s = 6").replace("work_ms = 5", "work_ms = 30") + """
@@ -89,7 +89,7 @@
         List<String> old = day.states().stream()
                 .filter(state -> !state.host().endsWith("r")
                         && day.states().stream().anyMatch(next -> next.host().equals(state.host() + "r")))
-                .map(Day.NodeState::state)
+                .map(ScenarioRun.NodeState::state)
                 .toList();
         assertEquals("ready", old.get(0));
         assertEquals(
@@ -97,7 +97,7 @@
                 old.subList(2, 6),
                 "the worst that is wrong with it, at each change");
         String successor = day.states().stream()
-                .map(Day.NodeState::host)
+                .map(ScenarioRun.NodeState::host)
                 .filter(host -> host.endsWith("r"))
                 .findFirst()
                 .orElseThrow();
@@ -113,7 +113,7 @@
                 for_s = 3
                 share = 0.3
                 """;
-        Day.Result day = night("broken", ShortNight.program("") + "serve", toml);
+        ScenarioRun.Result day = night("broken", ShortNight.program("") + "serve", toml);
         assertEquals(List.of(), Verdict.of(day).reasons());
         assertTrue(
                 day.service().figure() < 0.95,
@@ -122,7 +122,7 @@
 
     @Test
     void aSidecarIsKilledWithAHundredRequestsInHand() throws Exception {
-        Day.Result day = night(
+        ScenarioRun.Result day = night(
                 "hands-full",
                 ShortNight.program("") + "serve",
                 ShortNight.TOML
@@ -138,7 +138,7 @@
                 """);
         assertEquals(List.of(), Verdict.of(day).reasons(), () -> day.referee().examples() + "\n" + day.events());
         String killed = day.events().stream()
-                .map(Day.Event::what)
+                .map(ScenarioRun.Event::what)
                 .filter(what -> what.contains("is killed with"))
                 .findFirst()
                 .orElseThrow();
@@ -165,7 +165,7 @@
                         .replace("work_ms = 5", "work_ms = 5\nwait_ms = 60")
                         .replace("safe", "unsafe")
                 + "[clients]\nretries = 4\nbackoff_ms = 500\nnamed = true\nask_again = 0.3\n" + kills;
-        Day.Result day = night("promises", ShortNight.program("") + "serve --operator " + operator, toml);
+        ScenarioRun.Result day = night("promises", ShortNight.program("") + "serve --operator " + operator, toml);
         assertEquals(
                 List.of(),
                 Verdict.of(day).reasons(),
@@ -181,14 +181,14 @@
 
     @Test
     void memoryAndDescriptorsAreHeldToTheLimits() throws Exception {
-        Day.Result greedy =
+        ScenarioRun.Result greedy =
                 night("greedy", ShortNight.program("-Xms300m -Xmx300m -XX:+AlwaysPreTouch") + "serve", ShortNight.TOML);
         assertTrue(
                 greedy.events().stream()
                         .anyMatch(event -> event.what().contains("MB of memory, 192 are allowed: it is killed")),
                 greedy.events().toString());
         assertTrue(Verdict.of(greedy).reasons().contains("rule crash broken 1 times"));
-        Day.Result held = night(
+        ScenarioRun.Result held = night(
                 "held",
                 "test \"$(ulimit -n)\" = 100 || exit 9; " + ShortNight.program("") + "serve",
                 ShortNight.TOML + "[limits]\nsockets = 100\n");
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -5,7 +5,7 @@
 
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.testing.ShortNight;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -416,8 +416,8 @@
             Path own = Files.createDirectories(state.resolve("try-" + i));
             Plan plan = Plan.draw(ScenarioReader.read(night.name(), night.toml), seed);
             Verdict verdict;
-            try (Day day = new Day(plan, command, Path.of("").toAbsolutePath(), own, line -> {})) {
-                verdict = Verdict.of(day.play());
+            try (ScenarioRun day = new ScenarioRun(plan, command, Path.of("").toAbsolutePath(), own, line -> {})) {
+                verdict = Verdict.of(day.run());
             }
             reasons = verdict.reasons();
             if (verdict.kind() != Verdict.Kind.NOT_JUDGED) {
--- a/src/test/java/ivybank/rehearsal/ViewsTest.java
+++ b/src/test/java/ivybank/rehearsal/ViewsTest.java
@@ -11,7 +11,7 @@
 import ivybank.rehearsal.scenario.ScenarioReader;
 import ivybank.rehearsal.scenario.ScenarioWriter;
 import ivybank.rehearsal.scenario.Storm;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.testing.ShortNight;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -60,14 +60,14 @@
                 at_s = 24
                 members = [3]
                 """;
-        Day.Result day;
-        try (Day played = new Day(
+        ScenarioRun.Result day;
+        try (ScenarioRun played = new ScenarioRun(
                 Plan.draw(ScenarioReader.read("views", toml), 1),
                 ShortNight.program("-Xmx48m") + "serve",
                 Path.of("").toAbsolutePath(),
                 dir,
                 line -> {})) {
-            day = played.play();
+            day = played.run();
         }
         assertEquals(
                 List.of(),
