ConnectionOpener counts what is open; the pool keeps to its length

DriverTest.aShortDeadlineIsKeptAndMostOfItIsTheNodes, which this doesn't touch, failed in two of four runs on a machine with 33 processes ready to run for 8 cores: it allows 9 ms between two steps. It is left as it is.

--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -1,12 +1,7 @@
 package ivybank.upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
@@ -18,10 +13,7 @@
 import ivybank.upstream.ConnectionReusePolicy.NodeState;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
@@ -57,8 +49,6 @@
 
     private static final long SWEEP_MS = 500;
     private static final double MICROS_IN_MS = 1000;
-    /** Of the connections allowed: so many are never taken by spare ones. */
-    private static final double ROOM_KEPT_PART = 0.25;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
      * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
@@ -71,20 +61,13 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Limits limits;
-    private final Descriptors descriptors;
-    private final LoadReport reports;
     private final Log log;
-    private final Bootstrap bootstrap;
     private final ConnectionReusePolicy reuse;
+    private final ConnectionOpener opener;
     private final IdleConnections idle = new IdleConnections();
-    /** How many connections each node has that were opened to spare an attempt a wait. */
-    private final Map<Node, Integer> spares = new HashMap<>();
-
-    private int open;
     private Tally tally = Tally.NONE;
     private HeldUp heldUp = HeldUp.NEVER;
     private boolean keepsNoneIdle;
-    private long opened;
     private long spoilt;
 
     /** {@code base} says what kind of channels to open, and with which options. */
@@ -99,17 +82,17 @@
         this.loop = loop;
         this.clock = clock;
         this.limits = limits;
-        this.descriptors = descriptors;
-        this.reports = reports;
         this.log = log;
         this.reuse = new ConnectionReusePolicy(limits.reuse());
-        this.bootstrap = base.group(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+        ConnectionOpener.Limits bounds = new ConnectionOpener.Limits(limits.connections(), limits.connectTimeoutMs());
+        this.opener = new ConnectionOpener(this, bounds, descriptors, reports, base.group(loop));
         loop.scheduleWithFixedDelay(this::closeLongIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** From now on tells this of what happens to connections. Before the first is begun. */
     public void countIn(Tally counts) {
         tally = counts;
+        opener.countIn(counts);
     }
 
     /** From now on minds whether the event loop was held up. */
@@ -148,12 +131,12 @@
     }
 
     public int open() {
-        return open;
+        return opener.open();
     }
 
     /** Connections opened since the start. */
     public long opened() {
-        return opened;
+        return opener.opened();
     }
 
     /** Sends an attempt; it may end before this returns. */
@@ -175,8 +158,8 @@
         double nowMs = clock.nowMs();
         UpstreamConnection idleOne = idle.take(node, connection -> restLeftMs(connection, nowMs) <= 0);
         double restLeftMs = idleOne == null ? Double.POSITIVE_INFINITY : restLeftMs(idleOne, nowMs);
-        NodeState state = new NodeState(node.host, nowMs - node.startedMs(), spares.getOrDefault(node, 0));
-        switch (reuse.choose(state, restLeftMs, hasRoomForSpares(), nowMs)) {
+        NodeState state = new NodeState(node.host, nowMs - node.startedMs(), opener.spares(node));
+        switch (reuse.choose(state, restLeftMs, opener.hasRoomForSpares(), nowMs)) {
             case REUSE -> send(idleOne, attempt);
             case WAIT -> new Wait(attempt).forRest(idleOne, restLeftMs);
             case OPEN_AND_WAIT -> {
@@ -189,21 +172,15 @@
     }
 
     private void open(UpstreamAttempt attempt) {
-        if (open < limits.connections() && !descriptors.full() || idle.closeLongestIdle()) {
+        if (!opener.isFull() || idle.closeLongestIdle()) {
             new Wait(attempt).forNew(false);
         } else {
-            log.line("all " + open + " connections to upstreams are busy and there may be no more: nothing sent to "
-                    + attempt.node);
+            log.line("all " + opener.open()
+                    + " connections to upstreams are busy and there may be no more: nothing sent to " + attempt.node);
             attempt.end(Ending.of(Outcome.NOT_SENT));
         }
     }
 
-    /** A spare connection must never be the reason why another one can't be opened, here or on the client's side. */
-    private boolean hasRoomForSpares() {
-        int kept = (int) (ROOM_KEPT_PART * limits.connections());
-        return open < limits.connections() - kept && descriptors.room() > kept;
-    }
-
     private double restLeftMs(UpstreamConnection connection, double nowMs) {
         return reuse.restLeftMs(connection.answeredMs, nowMs);
     }
@@ -229,7 +206,7 @@
 
         void forNew(boolean spare) {
             comingUp = true;
-            connect(attempt.node, spare, this::connected);
+            opener.open(attempt.node, spare, this::connected);
         }
 
         private void rested() {
@@ -345,54 +322,19 @@
         return leadsToItsNode(connection) && connection.active();
     }
 
-    /** Opens a connection, and hands it on once it is up; null if it doesn't come up. */
-    private void connect(Node node, boolean spare, Consumer<UpstreamConnection> receiver) {
-        AnswerDecoder decoder = new AnswerDecoder();
-        UpstreamConnection connection = new UpstreamConnection(node, spare, decoder, this, reports);
-        double begunMs = clock.nowMs();
-        begun(node, spare);
-        ChannelFuture connected = bootstrap
-                .clone()
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-                    }
-                })
-                .connect(node.address);
-        connected.channel().closeFuture().addListener(closed -> ended(connection));
-        connected.addListener(up -> {
-            double nowMs = clock.nowMs();
-            if (up.isSuccess()) {
-                reuse.cameUp(nowMs - begunMs);
-                connection.idleSinceMs = nowMs;
-                receiver.accept(connection);
-            } else {
-                tally.notUp(node.host);
-                reuse.refused(node.host, nowMs);
-                receiver.accept(null);
-            }
-        });
+    /** A connection has come up, this long after it was begun. */
+    void cameUp(UpstreamConnection connection, double tookMs) {
+        reuse.cameUp(tookMs);
+        connection.idleSinceMs = clock.nowMs();
     }
 
-    private void begun(Node node, boolean spare) {
-        descriptors.take();
-        open++;
-        opened++;
-        if (spare) {
-            spares.merge(node, 1, Integer::sum);
-        }
-        tally.begun(node.host);
-        tally.held(node.host, 1);
+    /** A connection was refused, or has not come up in its time. */
+    void notUp(Node node) {
+        reuse.refused(node.host, clock.nowMs());
     }
 
-    private void ended(UpstreamConnection connection) {
-        descriptors.release();
-        open--;
-        if (connection.spare) {
-            spares.computeIfPresent(connection.node, (node, count) -> count == 1 ? null : count - 1);
-        }
-        tally.held(connection.node.host, -1);
+    /** A connection has ended. */
+    void ended(UpstreamConnection connection) {
         idle.remove(connection);
     }
 
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -592,46 +592,50 @@
         String evil = FakeServer.OK.replace("body", "evil");
         for (int lateMs : new int[] {0, 1, 10, 24, 29}) {
             for (int cutAt : new int[] {1, evil.length() / 2, evil.length()}) {
-                CountDownLatch answered = new CountDownLatch(1);
-                CountDownLatch late = new CountDownLatch(1);
-                try (FakeServer server = new FakeServer(connection -> {
-                    if (connection.read() == null) {
-                        return;
-                    }
-                    connection.write(FakeServer.OK);
-                    boolean first = late.getCount() > 0;
-                    if (first) {
-                        answered.await();
-                        Thread.sleep(lateMs);
-                        connection.write(evil.substring(0, cutAt));
-                        late.countDown();
-                    }
-                    connection.read();
-                    connection.write(evil.substring(cutAt));
-                })) {
-                    Node node = node(server.address());
-                    Sent second = new Sent();
-                    second.attempt = attempt(node, second);
-                    Sent first = new Sent();
-                    first.attempt =
-                            new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
-                                first.ending.complete(ending);
-                                loop.execute(
-                                        () -> { // behind this read, in the same pass over the sockets
-                                            answered.countDown();
-                                            holdUp(late, 40);
-                                            pool.send(second.attempt);
-                                        });
-                            });
-                    loop.execute(() -> pool.send(first.attempt));
-                    assertBody(first, "the first");
-                    assertBody(second, lateMs + " ms late, cut at " + cutAt);
-                    assertEquals(2, server.accepted.size(), "the one that answers twice is left");
-                }
+                sendBehindAnUnreadAnswer(lateMs, evil.substring(0, cutAt), evil.substring(cutAt));
+            }
+        }
+    }
+
+    private void sendBehindAnUnreadAnswer(int lateMs, String before, String after) throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch late = new CountDownLatch(1);
+        try (FakeServer server = new FakeServer(connection -> {
+            connection.read();
+            connection.write(FakeServer.OK);
+            if (late.getCount() > 0) {
+                answered.await();
+                Thread.sleep(lateMs);
+                connection.write(before);
+                late.countDown();
             }
+            connection.read(); // the next request, or the end
+            connection.write(after);
+        })) {
+            List<Sent> both = sendAfterHoldUp(node(server.address()), answered, late);
+            assertBody(both.get(0), "the first");
+            assertBody(both.get(1), lateMs + " ms late, cut at " + before.length());
+            assertEquals(2, server.accepted.size(), "the one that answers twice is left");
         }
     }
 
+    /** Sends a second request after the first one's answer, in the same pass over the sockets, but longer after than any rest. */
+    private List<Sent> sendAfterHoldUp(Node node, CountDownLatch answered, CountDownLatch until) {
+        Sent second = new Sent();
+        second.attempt = attempt(node, second);
+        Sent first = new Sent();
+        first.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
+            first.ending.complete(ending);
+            loop.execute(() -> {
+                answered.countDown();
+                holdUp(until, 40);
+                pool.send(second.attempt);
+            });
+        });
+        loop.execute(() -> pool.send(first.attempt));
+        return List.of(first, second);
+    }
+
     private static void holdUp(CountDownLatch until, long leastMs) {
         try {
             assertTrue(until.await(10, TimeUnit.SECONDS));
@@ -653,20 +657,9 @@
                 ended.countDown();
             }
         })) {
-            Node node = node(server.address());
-            Sent second = new Sent();
-            second.attempt = attempt(node, second);
-            Sent first = new Sent();
-            first.attempt = new UpstreamAttempt(node, request(HttpMethod.POST, new byte[1]), LONG_MS, ending -> {
-                first.ending.complete(ending);
-                loop.execute(() -> {
-                    holdUp(ended, 40);
-                    pool.send(second.attempt);
-                });
-            });
-            loop.execute(() -> pool.send(first.attempt));
-            assertBody(first, "the first");
-            assertBody(second, "on a new connection");
+            List<Sent> both = sendAfterHoldUp(node(server.address()), new CountDownLatch(1), ended);
+            assertBody(both.get(0), "the first");
+            assertBody(both.get(1), "on a new connection");
         }
     }
 
