--- a/src/test/java/ivybank/rehearsal/latency/ArrivalScheduleTest.java
+++ b/src/test/java/ivybank/rehearsal/latency/ArrivalScheduleTest.java
@@ -33,7 +33,7 @@
                     "pair " + pair);
             Long first = firstDueNs.putIfAbsent(pair, SCHEDULE.dueNs(i));
             if (first != null) {
-                assertEquals(5e6, SCHEDULE.dueNs(i) - first, 1, "pair " + pair);
+                assertEquals(5e6, (double) (SCHEDULE.dueNs(i) - first), 1, "pair " + pair);
             }
         }
         assertEquals(SCHEDULE.pairCount(), routes.size());
