Scale run: how the costs of control grow with the fleet, measured and fitted

Nothing measured what a sidecar's control costs at a size. 'ivybank scale run FILE' grows lists, fleets and views on loopback: hollow sidecars are the real classes of discovery, directory, module's list, counts and view, many to a process; the stand-in discovery server is a process of its own; real sidecars of the jar follow the same list beside them. A point is left out by rule where an event loop was late.

Tried: discovery's patience for pushed lists. 8 sidecars that joined at once asked again after 150 ms and were sent 18.2 MB each in place of 0.78 MB at 6,200 entries; the run uses the patience for one service. A baseline of the heap before anything was loaded gave negative heaps. Leaving out every time with busy processors left nothing on a shared machine; lateness decides now.

--- a/src/main/java/ivybank/cli/Ivybank.java
+++ b/src/main/java/ivybank/cli/Ivybank.java
@@ -20,6 +20,7 @@
             StoreCommand.class,
             PromisesCommand.class,
             FleetCommand.class,
+            ScaleCommand.class,
             Ivybank.Serve.class,
             Ivybank.SimHost.class,
             HelpCommand.class
--- /dev/null
+++ b/src/main/java/ivybank/scale/worker/Worker.java
@@ -0,0 +1,105 @@
+package ivybank.scale.worker;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.OperatingSystemMXBean;
+import io.netty.channel.EventLoop;
+import ivybank.common.Json;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * A process of the scale run: reads commands from standard input, one JSON object a line, and answers each with one line on standard
+ * output. It ends with its input, so that it never outlives the run that started it.
+ */
+public final class Worker {
+
+    /** What a worker can be. */
+    public enum Kind {
+        /** The stand-in discovery server, a control machine's role. */
+        DISCOVERY,
+        /** Hollow sidecars that follow a list. */
+        SIDECARS,
+        /** Hollow sidecars that keep a view of one another. */
+        VIEWS
+    }
+
+    private static final double NANOS_IN_MS = 1e6;
+    private static final int COLLECTIONS = 3;
+    /** Between collections: references that one has cleared are handled by a thread of the runtime before the next. */
+    private static final long COLLECTION_PAUSE_MS = 50;
+
+    private final WorkerRole role;
+    private final Lateness lateness;
+
+    private Worker(WorkerRole role) {
+        this.role = role;
+        this.lateness = new Lateness(role.loop());
+    }
+
+    /** Runs until standard input ends. */
+    public static void run(Kind kind) throws IOException {
+        PrintStream answers = System.out;
+        System.setOut(System.err); // whatever else prints must not be taken for an answer
+        WorkerRole role = switch (kind) {
+            case DISCOVERY -> new DiscoveryRole();
+            case SIDECARS -> new SidecarsRole();
+            case VIEWS -> new ViewsRole();
+        };
+        new Worker(role).serve(answers);
+    }
+
+    private void serve(PrintStream answers) throws IOException {
+        role.loop().execute(lateness::start);
+        BufferedReader commands = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = commands.readLine(); line != null; line = commands.readLine()) {
+            answers.println(answer(line));
+            answers.flush();
+        }
+    }
+
+    private String answer(String line) {
+        try {
+            JsonNode command = Json.MAPPER.readTree(line);
+            boolean common = command.path("command").asText().equals("usage");
+            return (common ? usage(command.path("collect").asBoolean()) : role.execute(command)).toString();
+        } catch (Exception e) {
+            return Json.MAPPER.createObjectNode().put("error", e.toString()).toString();
+        }
+    }
+
+    /** What this process has used so far; with {@code collect} the heap is what is left after a garbage collection. */
+    private ObjectNode usage(boolean collect) throws Exception {
+        for (int i = 0; collect && i < COLLECTIONS; i++) {
+            System.gc();
+            Thread.sleep(COLLECTION_PAUSE_MS);
+        }
+        OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        AtomicReference<ObjectNode> late = new AtomicReference<>();
+        EventLoop loop = role.loop();
+        loop.submit(() -> late.set(lateness.takeSummary())).sync();
+        ObjectNode usage = late.get();
+        usage.put("at_ms", MonotonicTime.nowMs());
+        usage.put("cpu_ms", system.getProcessCpuTime() / NANOS_IN_MS);
+        usage.put(
+                "heap_bytes",
+                ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+        usage.put("allocated_bytes", allocatedBytes());
+        return usage;
+    }
+
+    /** By all threads that live. */
+    private static long allocatedBytes() {
+        com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long sum = 0;
+        for (long bytes : threads.getThreadAllocatedBytes(threads.getAllThreadIds())) {
+            sum += Math.max(0, bytes);
+        }
+        return sum;
+    }
+}
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -73,12 +73,16 @@
                 .definedBy("ivybank.fleet..")
                 .layer("peers")
                 .definedBy("ivybank.peers..")
+                .layer("scale")
+                .definedBy("ivybank.scale..")
+                .whereLayer("scale")
+                .mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("tally")
-                .mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli")
+                .mayOnlyBeAccessedByLayers("daemon", "upstream", "discovery", "cli", "scale")
                 .whereLayer("fleet")
                 .mayOnlyBeAccessedByLayers("emulator", "peers")
                 .whereLayer("peers")
-                .mayOnlyBeAccessedByLayers("daemon", "operator")
+                .mayOnlyBeAccessedByLayers("daemon", "operator", "scale")
                 .whereLayer("emulator")
                 .mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("policy")
@@ -91,7 +95,8 @@
                         "exchange",
                         "settings",
                         "promises",
-                        "emulator")
+                        "emulator",
+                        "scale")
                 .whereLayer("roster")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("room")
@@ -107,9 +112,9 @@
                 .whereLayer("cli")
                 .mayOnlyBeAccessedByLayers("main")
                 .whereLayer("rehearsal")
-                .mayOnlyBeAccessedByLayers("cli")
+                .mayOnlyBeAccessedByLayers("cli", "scale")
                 .whereLayer("toml")
-                .mayOnlyBeAccessedByLayers("main", "cli", "rehearsal", "operator", "daemon")
+                .mayOnlyBeAccessedByLayers("main", "cli", "rehearsal", "operator", "daemon", "scale")
                 .whereLayer("operator")
                 .mayOnlyBeAccessedByLayers("cli", "daemon")
                 .whereLayer("promises")
@@ -125,7 +130,7 @@
                 .whereLayer("upstream")
                 .mayOnlyBeAccessedByLayers("daemon")
                 .whereLayer("discovery")
-                .mayOnlyBeAccessedByLayers("daemon", "upstream", "operator")
+                .mayOnlyBeAccessedByLayers("daemon", "upstream", "operator", "scale")
                 .whereLayer("exchange")
                 .mayOnlyBeAccessedByLayers("daemon", "client", "upstream", "promises")
                 .whereLayer("control")
@@ -272,4 +277,17 @@
                 .callMethod(System.class, "currentTimeMillis")
                 .check(PROGRAM);
     }
+
+    @Test
+    void whatAScaleRunConcludesIsDecidedWithoutProcessesAndSockets() {
+        noClasses()
+                .that()
+                .haveFullyQualifiedName("ivybank.scale.result.MachineLimit")
+                .or()
+                .haveFullyQualifiedName("ivybank.scale.result.Slope")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "ivybank.scale.process..")
+                .check(PROGRAM);
+    }
 }
