Scale run: package pages; what is warmed up is waited for before the rest is measured

Allocation for one change read 5.5 KB at 6,200 entries where a trial on a less busy machine had read 58 KB: changes of the warm-up were still being applied while the rest was measured, and were taken off again.

--- /dev/null
+++ b/src/main/java/ivybank/scale/plan/package-info.java
@@ -0,0 +1,2 @@
+/** What a scale run measures, and the strict reader of its file. */
+package ivybank.scale.plan;
--- a/src/main/java/ivybank/scale/sweep/BesideDay.java
+++ b/src/main/java/ivybank/scale/sweep/BesideDay.java
@@ -18,7 +18,27 @@
     private static final int NODES = 12;
     private static final double CALLS_A_SIDECAR = 61.3;
     private static final long SEED = 1;
-    private static final String SCENARIO = """
+
+    private BesideDay() {}
+
+    static ScaleResult.BesideResult play(ScalePlan.Beside beside, String command, Path folder)
+            throws IOException, InputException, InterruptedException {
+        Plan plan = Plan.draw(ScenarioReader.read("beside", scenario(beside)), SEED);
+        Path state = Files.createDirectories(folder.resolve("beside"));
+        try (Day day = new Day(plan, command, Path.of("").toAbsolutePath(), state, line -> {})) {
+            Day.Result result = day.play();
+            Verdict verdict = Verdict.of(result);
+            return new ScaleResult.BesideResult(
+                    beside.sidecars(),
+                    verdict.kind().name().toLowerCase(Locale.ROOT),
+                    verdict.reasons(),
+                    result.service().figure());
+        }
+    }
+
+    private static String scenario(ScalePlan.Beside beside) {
+        double rate = CALLS_A_SIDECAR * beside.sidecars();
+        return String.format(Locale.ROOT, """
             name = "beside"
             length_s = %s
             [fleet]
@@ -42,24 +62,6 @@
             [traffic]
             rate = %s
             sidecars = %d
-            """;
-
-    private BesideDay() {}
-
-    static ScaleResult.BesideResult play(ScalePlan.Beside beside, String command, Path folder)
-            throws IOException, InputException, InterruptedException {
-        double rate = CALLS_A_SIDECAR * beside.sidecars();
-        String scenario = String.format(Locale.ROOT, SCENARIO, beside.lengthS(), NODES, rate, beside.sidecars());
-        Plan plan = Plan.draw(ScenarioReader.read("beside", scenario), SEED);
-        Path state = Files.createDirectories(folder.resolve("beside"));
-        try (Day day = new Day(plan, command, Path.of("").toAbsolutePath(), state, line -> {})) {
-            Day.Result result = day.play();
-            Verdict verdict = Verdict.of(result);
-            return new ScaleResult.BesideResult(
-                    beside.sidecars(),
-                    verdict.kind().name().toLowerCase(Locale.ROOT),
-                    verdict.reasons(),
-                    result.service().figure());
-        }
+            """, beside.lengthS(), NODES, rate, beside.sidecars());
     }
 }
--- a/src/main/java/ivybank/scale/sweep/FleetSweep.java
+++ b/src/main/java/ivybank/scale/sweep/FleetSweep.java
@@ -51,7 +51,8 @@
             }
             HollowFleet fleet = new HollowFleet(hosts);
             join(server, fleet, size, seed, points);
-            server.changes(WARM_RATE, WARM_CHANGES);
+            JsonNode warm = server.changes(WARM_RATE, WARM_CHANGES);
+            fleet.await(warm.path("version").asLong());
             double restCpu = rest(server, points);
             change(server, fleet, restCpu, points);
             zone(server, fleet, size, points);
--- a/src/main/java/ivybank/scale/sweep/ListSweep.java
+++ b/src/main/java/ivybank/scale/sweep/ListSweep.java
@@ -85,7 +85,9 @@
             alone.await(FIRST_VERSION);
             List<RealSidecar> real = workers.startSidecars(plan.list().realSidecars(), command, server.address());
             Followers followers = new Followers(server, shared, alone, real);
-            server.changes(WARM_RATE, WARM_CHANGES);
+            long warm = server.changes(WARM_RATE, WARM_CHANGES).path("version").asLong();
+            shared.await(warm); // else what is still to be done of it counts as rest
+            alone.await(warm);
             Rest rest = rest(followers, points);
             change(followers, rest, points);
             zone(followers, points);
--- a/src/main/java/ivybank/scale/sweep/ScaleRun.java
+++ b/src/main/java/ivybank/scale/sweep/ScaleRun.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -79,7 +80,7 @@
     private void sweep(Sweep sweep, List<Integer> sizes, long seed, Measurement measurement)
             throws InterruptedException {
         for (int size : sizes) {
-            String name = sweep.name().toLowerCase() + " of " + size + ", seed " + seed;
+            String name = sweep.name().toLowerCase(Locale.ROOT) + " of " + size + ", seed " + seed;
             if ((System.nanoTime() - startedNs) / NANOS_IN_MINUTE
                     > plan.bounds().minutes()) {
                 notes.add(name + ": not begun, the run's time was over");
--- a/src/main/java/ivybank/scale/sweep/Workers.java
+++ b/src/main/java/ivybank/scale/sweep/Workers.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 /** The processes of one point of a sweep: starts them, talks to several at once, and ends all that it started. */
 final class Workers implements AutoCloseable {
@@ -81,7 +82,8 @@
     void checkMemory() throws IOException {
         double residentMb = residentMb();
         if (residentMb > memoryMb) {
-            throw new IOException(String.format("the processes hold %.0f MB: %d is allowed", residentMb, memoryMb));
+            throw new IOException(
+                    String.format(Locale.ROOT, "the processes hold %.0f MB: %d is allowed", residentMb, memoryMb));
         }
     }
 
--- a/src/main/java/ivybank/scale/worker/SidecarsRole.java
+++ b/src/main/java/ivybank/scale/worker/SidecarsRole.java
@@ -12,6 +12,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +25,8 @@
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final Clock clock = Clock.system();
-    private final Log log = new Log(new PrintStream(OutputStream.nullOutputStream()), clock);
+    private final Log log =
+            new Log(new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8), clock);
     private final ChangeDelays delays = new ChangeDelays();
     private final List<HollowSidecar> sidecars = new ArrayList<>(); // on the event loop
 
--- a/src/main/java/ivybank/scale/worker/ViewsRole.java
+++ b/src/main/java/ivybank/scale/worker/ViewsRole.java
@@ -16,6 +16,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -31,7 +32,8 @@
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final Clock clock = Clock.system();
-    private final Log log = new Log(new PrintStream(OutputStream.nullOutputStream()), clock);
+    private final Log log =
+            new Log(new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8), clock);
     private final List<PeerFleet> views = new ArrayList<>();
 
     @Override
