--- a/src/main/java/ivybank/scale/sweep/BesideDay.java
+++ b/src/main/java/ivybank/scale/sweep/BesideDay.java
@@ -3,7 +3,7 @@
 import ivybank.rehearsal.Verdict;
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
-import ivybank.rehearsal.stand.Day;
+import ivybank.rehearsal.stand.ScenarioRun;
 import ivybank.scale.plan.ScalePlan;
 import ivybank.scale.result.ScaleResult;
 import ivybank.toml.InputException;
@@ -25,8 +25,8 @@
             throws IOException, InputException, InterruptedException {
         Plan plan = Plan.draw(ScenarioReader.read("beside", scenario(beside)), SEED);
         Path state = Files.createDirectories(folder.resolve("beside"));
-        try (Day day = new Day(plan, command, Path.of("").toAbsolutePath(), state, line -> {})) {
-            Day.Result result = day.play();
+        try (ScenarioRun day = new ScenarioRun(plan, command, Path.of("").toAbsolutePath(), state, line -> {})) {
+            ScenarioRun.Result result = day.run();
             Verdict verdict = Verdict.of(result);
             return new ScaleResult.BesideResult(
                     beside.sidecars(),
