--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -281,7 +281,8 @@
             boolean keep = state != null;
             Path folder = keep ? Files.createDirectories(state) : Files.createTempDirectory("ivybank-rehearsal");
             ScenarioRun.Result result;
-            try (ScenarioRun day = new ScenarioRun(plan, sidecar(command), Path.of("").toAbsolutePath(), folder, new Progress())) {
+            try (ScenarioRun day =
+                    new ScenarioRun(plan, sidecar(command), Path.of("").toAbsolutePath(), folder, new Progress())) {
                 Runtime.getRuntime().addShutdownHook(new Thread(day::close, "end what was started"));
                 result = day.run();
             }
--- a/src/main/java/ivybank/rehearsal/Report.java
+++ b/src/main/java/ivybank/rehearsal/Report.java
@@ -69,8 +69,14 @@
                 day.readyAfterMs().stream()
                         .map(ms -> String.valueOf(Math.round(ms)))
                         .toList(),
-                day.usage().stream().mapToDouble(ScenarioRun.Usage::memoryMb).max().orElse(0),
-                day.usage().stream().mapToDouble(ScenarioRun.Usage::descriptors).max().orElse(0));
+                day.usage().stream()
+                        .mapToDouble(ScenarioRun.Usage::memoryMb)
+                        .max()
+                        .orElse(0),
+                day.usage().stream()
+                        .mapToDouble(ScenarioRun.Usage::descriptors)
+                        .max()
+                        .orElse(0));
         out.printf(
                 Locale.ROOT,
                 "cold nodes: %.0f%% of what pushes one over, at most; the kit itself was up to %.0f ms late, a sidecar waited for a core up to %.0f ms of 500%n",
