Membership events say by a kind what has changed

Need: the log and the simulation told events apart by the beginning of a text.

Change: MembershipEvent.Kind; texts unchanged.

--- a/src/main/java/ivybank/emulator/ViewWorld.java
+++ b/src/main/java/ivybank/emulator/ViewWorld.java
@@ -67,15 +67,15 @@
         }
 
         @Override
-        public void changed(MembershipEvent change) {
-            Process of = processes[change.memberIndex()];
-            if (change.what().startsWith("is given up")) {
-                if (of != null && !of.dead && !of.frozen && of.view.incarnation() == change.incarnation()) {
+        public void changed(MembershipEvent event) {
+            Process of = processes[event.memberIndex()];
+            if (event.kind() == MembershipEvent.Kind.DECLARED_DEAD) {
+                if (of != null && !of.dead && !of.frozen && of.view.incarnation() == event.incarnation()) {
                     falselyGivenUp++;
                 }
             }
             if (listener != null) {
-                listener.accept(memberIndex, change);
+                listener.accept(memberIndex, event);
             }
         }
 
@@ -99,7 +99,7 @@
 
     /** Hears what any member's view does. */
     public interface Listener {
-        void accept(int memberIndex, MembershipEvent change);
+        void accept(int memberIndex, MembershipEvent event);
     }
 
     private final Simulation simulation = new Simulation();
--- a/src/main/java/ivybank/fleet/SuspicionTracker.java
+++ b/src/main/java/ivybank/fleet/SuspicionTracker.java
@@ -64,7 +64,7 @@
             view.gossip.add(accusation);
         }
         if (first) {
-            view.report(member, "is doubted by seat " + accusation.accuser());
+            view.report(member, MembershipEvent.Kind.SUSPECTED, "is doubted by seat " + accusation.accuser());
             maybeProbe(nowMs, member, accusation.accuser());
         }
     }
@@ -134,6 +134,8 @@
         MembershipUpdate declaration = member.deathDeclaration(view.self().index);
         view.gossip.add(declaration);
         ownAccusations.put(member.index, declaration);
-        view.report(member, what);
+        MembershipEvent.Kind kind =
+                state == MemberState.LEFT ? MembershipEvent.Kind.LEFT : MembershipEvent.Kind.DECLARED_DEAD;
+        view.report(member, kind, what);
     }
 }
--- a/src/main/java/ivybank/fleet/UpdateHandler.java
+++ b/src/main/java/ivybank/fleet/UpdateHandler.java
@@ -99,7 +99,10 @@
         if (newIncarnation) {
             reportNewIncarnation(member, wasKnown, wasAlive);
         } else if (before != member.state) {
-            view.report(member, "is " + member.state.name().toLowerCase(Locale.ROOT));
+            view.report(
+                    member,
+                    MembershipEvent.Kind.STATE_CHANGED,
+                    "is " + member.state.name().toLowerCase(Locale.ROOT));
         }
     }
 
@@ -107,15 +110,16 @@
         if (member.name.equals(view.self().name)) {
             view.report(
                     member,
+                    MembershipEvent.Kind.NAME_CONFLICT,
                     "has this sidecar's name: two processes of one name, or a list of addresses in another order");
         }
         if (!wasKnown) {
-            view.report(member, "is here");
+            view.report(member, MembershipEvent.Kind.JOINED, "is here");
         } else if (wasAlive) {
-            view.report(member, "has a new life");
+            view.report(member, MembershipEvent.Kind.RESTARTED, "has a new life");
         } else {
             view.counters.rejoins++;
-            view.report(member, "is back");
+            view.report(member, MembershipEvent.Kind.REJOINED, "is back");
         }
     }
 
@@ -134,6 +138,7 @@
             view.counters.forged++;
             view.report(
                     view.members.get(from),
+                    MembershipEvent.Kind.FORGERY,
                     "passes on that this sidecar accuses seat " + update.memberIndex() + ", which it does not");
             return;
         }
@@ -195,6 +200,7 @@
             view.counters.rejoins++;
             view.report(
                     self,
+                    MembershipEvent.Kind.REFUTED,
                     "was given up, or taken for another, by word of seat " + from + " with life " + update.incarnation()
                             + "; goes on with life " + (update.incarnation() + 1));
             view.announceSelf(nowMs, update.incarnation() + 1, 0, self.state);
--- a/src/main/java/ivybank/fleet/ViewState.java
+++ b/src/main/java/ivybank/fleet/ViewState.java
@@ -27,8 +27,8 @@
     }
 
     /** Reports an event that concerns a member. */
-    void report(Member member, String what) {
-        events.accept(new MembershipEvent(member.index, member.name, member.incarnation, what));
+    void report(Member member, MembershipEvent.Kind kind, String description) {
+        events.accept(new MembershipEvent(kind, member.index, member.name, member.incarnation, description));
     }
 
     /** Whether accusations by the member of this index count. */
@@ -39,7 +39,10 @@
     /** Counts a false accusation against the member that made it, and reports when that costs it its trust. */
     void recordFalseAccusation(Member accuser, double nowMs, String what) {
         if (accuser != self() && accusations.recordRefuted(accuser.index, nowMs, members.aliveCount())) {
-            report(accuser, what + ": its word against others isn't taken for a while");
+            report(
+                    accuser,
+                    MembershipEvent.Kind.DISTRUSTED,
+                    what + ": its word against others isn't taken for a while");
         }
     }
 
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -99,8 +99,8 @@
                     }
 
                     @Override
-                    public void changed(MembershipEvent change) {
-                        PeerFleet.this.changed(change);
+                    public void changed(MembershipEvent event) {
+                        PeerFleet.this.changed(event);
                     }
                 });
         log.line("peers: seat " + memberIndex + " of " + addresses.size() + " in fleet " + settings.fleet() + ", life "
@@ -126,11 +126,11 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void changed(MembershipEvent change) {
+    private void changed(MembershipEvent event) {
         // Doubts come and go; the door has them.
-        if (!change.what().startsWith("is doubted")) {
-            log.line("peers: " + (change.name().isEmpty() ? "" : change.name() + ", ") + "seat " + change.memberIndex()
-                    + ", life " + change.incarnation() + " " + change.what());
+        if (event.kind() != MembershipEvent.Kind.SUSPECTED) {
+            log.line("peers: " + (event.name().isEmpty() ? "" : event.name() + ", ") + "seat " + event.memberIndex()
+                    + ", life " + event.incarnation() + " " + event.description());
         }
     }
 
--- a/src/test/java/ivybank/emulator/ViewWorldTest.java
+++ b/src/test/java/ivybank/emulator/ViewWorldTest.java
@@ -6,6 +6,7 @@
 
 import ivybank.fleet.FleetTiming;
 import ivybank.fleet.MemberState;
+import ivybank.fleet.MembershipEvent;
 import ivybank.fleet.MembershipUpdate;
 import ivybank.fleet.Message;
 import ivybank.fleet.ViewSnapshot;
@@ -132,7 +133,8 @@
                 long before = world.incarnation(4);
                 List<String> doubts = new ArrayList<>();
                 world.listen((memberIndex, change) -> {
-                    if (change.what().equals("is doubted by seat 4")) {
+                    if (change.kind() == MembershipEvent.Kind.SUSPECTED
+                            && change.description().equals("is doubted by seat 4")) {
                         doubts.add(memberIndex + ": " + change);
                     }
                 });
@@ -218,7 +220,7 @@
         ViewWorld world = new ViewWorld(4, 1, FleetTiming.STANDARD, ViewNetwork.CALM);
         List<Integer> said = new ArrayList<>();
         world.listen((memberIndex, change) -> {
-            if (change.what().startsWith("has this sidecar's name")) {
+            if (change.kind() == MembershipEvent.Kind.NAME_CONFLICT) {
                 said.add(memberIndex);
             }
         });
@@ -243,7 +245,7 @@
         ViewWorld world = started(8, 5, ViewNetwork.CALM);
         List<Integer> naming = new ArrayList<>();
         world.listen((memberIndex, change) -> {
-            if (change.what().contains("its word against others isn't taken")) {
+            if (change.kind() == MembershipEvent.Kind.DISTRUSTED) {
                 assertEquals(7, change.memberIndex());
                 naming.add(memberIndex);
             }
