--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -20,6 +20,7 @@
 import ivybank.policy.Balancer.Request;
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.Balancer.Upstream;
+import ivybank.tally.Stage;
 import ivybank.tally.Tally;
 import ivybank.upstream.UpstreamAttempt;
 import ivybank.upstream.UpstreamAttempt.Ending;
@@ -113,6 +114,9 @@
     private boolean telling;
     private volatile boolean listed; // read by the operators' door
     private int lastId;
+    /** The request that the module is being told of, or 0. */
+    private int deciding;
+
     private int unanswered;
 
     Driver(
@@ -252,15 +256,18 @@
         if (!arriving) {
             guard(exchange, deadlineMs - clock.nowMs());
         }
-        tell(() -> balancer.request(
-                clock.nowMs(),
-                new Request(
-                        exchange.id,
-                        request.requestClass(),
-                        request.tenant(),
-                        Math.max(0, leftMs - answerMs(request)),
-                        request.repeat(),
-                        arriving)));
+        Request told = new Request(
+                exchange.id,
+                request.requestClass(),
+                request.tenant(),
+                Math.max(0, leftMs - answerMs(request)),
+                request.repeat(),
+                arriving);
+        tell(() -> {
+            deciding = exchange.id;
+            balancer.request(clock.nowMs(), told);
+            deciding = 0;
+        });
         return exchange.id;
     }
 
@@ -371,7 +378,9 @@
             close(exchange);
         } else if (ending.outcome() == Outcome.OK && !exchange.over && exchange.passingOn < 0) {
             served();
+            double endedMs = clock.nowMs();
             answer(exchange, Answer.served(ending.contentType(), ending.body()));
+            tally.took(Stage.ANSWER_WRITTEN, clock.nowMs() - endedMs);
         }
         Node node = exchange.attempts.get(number).node;
         tell(() -> balancer.attemptEnded(
@@ -511,6 +520,10 @@
         } else {
             double startedMs = node.startedMs();
             double ageMs = startedMs <= 0 ? Double.POSITIVE_INFINITY : nowMs - startedMs;
+            if (number == 0 && !exchange.request.arriving()) {
+                Stage stage = exchange.id == deciding ? Stage.DECISION : Stage.ROOM;
+                tally.took(stage, nowMs - exchange.request.arrivedMs());
+            }
             tally.sent(node.host, Tally.Age.of(ageMs, settings.contract().coldMs()));
             send(exchange, attempt);
         }
--- a/src/main/java/ivybank/tally/FleetSum.java
+++ b/src/main/java/ivybank/tally/FleetSum.java
@@ -23,6 +23,8 @@
             Pattern.compile("given up within \\d+ ms: \\{([A-Z_0-9=, ]*)\\}; admitting (\\d+)%; of (\\d+)"
                     + " members (\\d+) full, (\\d+) cold, (\\d+) set aside");
     private static final Pattern CAUSE = Pattern.compile("([A-Z_]+)=(\\d{1,9})");
+    private static final double MEDIAN = 50;
+    private static final double NEARLY_ALL = 99;
     /** No fleet lives longer in one folder of logs: what lies farther apart is a clock that was set. */
     static final int MOST_SECONDS = 7 * 24 * 3600;
 
@@ -85,6 +87,7 @@
     /** By version, when each sidecar first knew it. */
     private final Map<Long, List<Double>> known = new TreeMap<>();
 
+    private final StageTimes stages = new StageTimes();
     private final Set<String> sidecars = new HashSet<>();
     private final Set<String> nodes = new HashSet<>();
     private String sidecar = "";
@@ -127,6 +130,7 @@
         nodes.addAll(second.nodes().keySet());
         atMs = second.atMs();
         seconds.computeIfAbsent(at, unseen -> new InSecond()).add(second);
+        stages.add(second.stages());
         if (second.version() > version) {
             version = second.version();
             known.computeIfAbsent(version, unseen -> new ArrayList<>()).add(atMs);
@@ -214,6 +218,22 @@
                                 seconds.values().stream().mapToInt(s -> s.told).sum())));
         figures.add(new Figure("event loop late, ms, at the 99th percentile of seconds", lateness()));
         figures.add(new Figure("ms until nine in ten sidecars knew of a change, in the median", spread()));
+        figures.addAll(stageFigures());
+        return figures;
+    }
+
+    /** Where requests spent their time; none where the logs are of a version that didn't tell. */
+    private List<Figure> stageFigures() {
+        List<Figure> figures = new ArrayList<>();
+        for (Stage stage : Stage.values()) {
+            if (stages.count(stage) > 0) {
+                String name = "stage " + stage.word() + ": ";
+                figures.add(new Figure(name + "times", stages.count(stage)));
+                figures.add(new Figure(name + "mean, ms", stages.meanMs(stage)));
+                figures.add(new Figure(name + "median, ms", stages.percentileMs(stage, MEDIAN)));
+                figures.add(new Figure(name + "99th percentile, ms", stages.percentileMs(stage, NEARLY_ALL)));
+            }
+        }
         return figures;
     }
 
--- a/src/main/java/ivybank/tally/Second.java
+++ b/src/main/java/ivybank/tally/Second.java
@@ -1,9 +1,13 @@
 package ivybank.tally;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * What one sidecar did in one second, and its line in the log.
@@ -14,6 +18,7 @@
  * @param taken requests taken, {@code served} and {@code notServed} answered
  * @param calls to discovery begun; {@code callsFailed} by how they ended
  * @param nodes by name; at most {@link SecondTally#MOST_NODES}, the rest as one under {@link #OTHERS}
+ * @param stages how many took so many microseconds, in steps of a tenth or less
  */
 public record Second(
         double atMs,
@@ -24,12 +29,15 @@
         int notServed,
         int calls,
         Map<String, Integer> callsFailed,
-        Map<String, OfNode> nodes) {
+        Map<String, OfNode> nodes,
+        Map<Stage, Map<Long, Long>> stages) {
 
     /** The name of all nodes that had no place of their own. */
     public static final String OTHERS = "*";
 
     static final String WORD = "tally";
+    /** What the names of stages begin with in a line: {@code stage:rest=4096*2} says that two took 4,096 microseconds. */
+    private static final String STAGE = "stage:";
 
     /** Of one node: connections begun, held and idle at the end, not come up; attempts by its age, turned away, timed out. */
     public record OfNode(
@@ -80,6 +88,7 @@
     public Second {
         callsFailed = Map.copyOf(callsFailed);
         nodes = Map.copyOf(nodes);
+        stages = stages.isEmpty() ? Map.of() : Collections.unmodifiableMap(new EnumMap<>(stages));
     }
 
     /** As a line of the log. */
@@ -101,10 +110,44 @@
                 .append(calls);
         callsFailed.forEach(
                 (how, count) -> text.append(" failed:").append(how).append('=').append(count));
+        stages.forEach((stage, counts) ->
+                text.append(' ').append(STAGE).append(stage.word()).append('=').append(text(counts)));
         nodes.forEach((name, node) -> text.append(" /").append(name).append('=').append(node.text()));
         return text.toString();
     }
 
+    private static String text(Map<Long, Long> counts) {
+        return counts.entrySet().stream()
+                .map(entry -> entry.getKey() + "*" + entry.getValue())
+                .collect(Collectors.joining(","));
+    }
+
+    private static Map<Long, Long> counts(String text) {
+        Map<Long, Long> counts = new TreeMap<>();
+        for (String part : text.split(",", -1)) {
+            int times = part.indexOf('*');
+            if (times < 0) {
+                throw new IllegalArgumentException("'" + part + "' is not microseconds*count");
+            }
+            long micros = Long.parseLong(part.substring(0, times));
+            long count = Long.parseLong(part.substring(times + 1));
+            if (micros < 0 || count <= 0) {
+                throw new IllegalArgumentException("'" + part + "' has figures that can't be");
+            }
+            counts.merge(micros, count, Long::sum);
+        }
+        return counts;
+    }
+
+    /** Adds the times of a stage; one that is unknown here is of a later version, and is passed over. */
+    private static void addStage(Map<Stage, Map<Long, Long>> stages, String word, String value) {
+        for (Stage stage : Stage.values()) {
+            if (stage.word().equals(word)) {
+                stages.put(stage, counts(value));
+            }
+        }
+    }
+
     /**
      * Reads a line of a log, which may begin with whatever wrote it down puts there; null where it is none of these.
      *
@@ -118,6 +161,7 @@
         Map<String, String> fields = new LinkedHashMap<>();
         Map<String, Integer> failed = new LinkedHashMap<>();
         Map<String, OfNode> nodes = new LinkedHashMap<>();
+        Map<Stage, Map<Long, Long>> stages = new EnumMap<>(Stage.class);
         List<String> words = new ArrayList<>(
                 List.of(line.substring(from + WORD.length()).trim().split(" ")));
         for (String word : words) {
@@ -129,6 +173,8 @@
             String value = word.substring(equals + 1);
             if (name.startsWith("/")) {
                 nodes.merge(name.substring(1), OfNode.parse(value), OfNode::plus);
+            } else if (name.startsWith(STAGE)) {
+                addStage(stages, name.substring(STAGE.length()), value);
             } else if (name.startsWith("failed:")) {
                 failed.merge(name.substring("failed:".length()), Integer.parseInt(value), Integer::sum);
             } else {
@@ -144,7 +190,8 @@
                 (int) number(fields, "not"),
                 (int) number(fields, "calls"),
                 failed,
-                nodes);
+                nodes,
+                stages);
     }
 
     private static long number(Map<String, String> fields, String name) {
--- a/src/main/java/ivybank/tally/SecondTally.java
+++ b/src/main/java/ivybank/tally/SecondTally.java
@@ -47,6 +47,7 @@
 
     private final Map<String, Counts> nodes = new HashMap<>();
     private final Map<String, Integer> callsFailed = new LinkedHashMap<>();
+    private final StageTimes stages = new StageTimes();
     private int taken;
     private int served;
     private int answered;
@@ -108,6 +109,11 @@
         served++;
     }
 
+    @Override
+    public void took(Stage stage, double ms) {
+        stages.record(stage, ms);
+    }
+
     @Override
     public void called() {
         calls++;
@@ -149,9 +155,11 @@
                         Math.max(0, answered - served),
                         calls,
                         callsFailed,
-                        bounded(figures));
+                        bounded(figures),
+                        stages.counts());
         nodes.values().removeIf(Counts::begin);
         callsFailed.clear();
+        stages.clear();
         taken = 0;
         served = 0;
         answered = 0;
--- a/src/main/java/ivybank/tally/Tally.java
+++ b/src/main/java/ivybank/tally/Tally.java
@@ -57,6 +57,9 @@
     /** One of those was served. */
     default void served() {}
 
+    /** A request, or an attempt of one, took so long in a stage. */
+    default void took(Stage stage, double ms) {}
+
     /** Discovery was called. */
     default void called() {}
 
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
+import ivybank.tally.Stage;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,10 @@
     private UpstreamConnection connection;
     private boolean ended;
     private boolean wentOut;
+    /** When it was handed to the pool, and what it has waited for since. */
+    double begunMs;
+
+    Stage stage = Stage.REUSE;
 
     public UpstreamAttempt(Node node, ClientRequest request, double timeoutMs, Listener listener) {
         this.node = node;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -28,6 +28,7 @@
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
+import ivybank.tally.Stage;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.io.ByteArrayOutputStream;
@@ -88,6 +89,8 @@
     private boolean broken;
 
     private int interimAnswers;
+    /** When the request was written, or the head of its answer came, by the module's clock. */
+    private double phaseSinceMs;
     /** What the answer that has come whole makes of the attempt, until the read has ended; else null. */
     private Ending whole;
 
@@ -130,6 +133,7 @@
         written = false;
         head = null;
         interimAnswers = 0;
+        phaseSinceMs = pool.nowMs();
         next.connection(this);
         ClientRequest request = next.request;
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
@@ -281,9 +285,19 @@
         } else {
             head = response;
             body = new ByteArrayOutputStream();
+            if (!interim) {
+                endPhase(Stage.FIRST_BYTE);
+            }
         }
     }
 
+    /** Counts the time since the request was written, or since the stage before. */
+    private void endPhase(Stage stage) {
+        double nowMs = pool.nowMs();
+        pool.took(stage, nowMs - phaseSinceMs);
+        phaseSinceMs = nowMs;
+    }
+
     private void add(ByteBuf part) {
         if (rest != null) {
             passed += part.readableBytes();
@@ -385,6 +399,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         boolean surplus = !reusable || decoder.holdsMore();
         if (whole != null) {
+            endPhase(Stage.ANSWER_READ);
             finish(whole, !surplus);
         } else if (attempt == null && active()) {
             pool.surplus(this);
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -9,6 +9,7 @@
 import ivybank.common.OneMorePass;
 import ivybank.discovery.Node;
 import ivybank.policy.Balancer.Outcome;
+import ivybank.tally.Stage;
 import ivybank.tally.Tally;
 import ivybank.upstream.ConnectionReusePolicy.NodeState;
 import ivybank.upstream.UpstreamAttempt.Ending;
@@ -122,6 +123,10 @@
         return spoilt;
     }
 
+    void took(Stage stage, double ms) {
+        tally.took(stage, ms);
+    }
+
     double stallMs() {
         return limits.stallMs();
     }
@@ -145,6 +150,7 @@
             attempt.startTimer(loop);
         }
         reuse.attemptBegan();
+        attempt.begunMs = clock.nowMs();
         begin(attempt);
     }
 
@@ -219,6 +225,7 @@
                 keep(connection);
             } else if (isOfUse(connection)) {
                 over = true;
+                attempt.stage = Stage.REST;
                 send(connection, attempt);
             } else { // discovery may have said so
                 connection.close();
@@ -235,6 +242,7 @@
                 keep(connection); // the next request finds it up
             } else if (leadsToItsNode(connection)) {
                 over = true;
+                attempt.stage = Stage.CONNECT;
                 handBackResting();
                 send(connection, attempt);
             } else { // discovery may have said so while it came up
@@ -289,6 +297,7 @@
     private void write(UpstreamConnection connection, UpstreamAttempt attempt) {
         UnreadInput unread = connection.unreadInput();
         if (unread == UnreadInput.NONE) {
+            took(attempt.stage, clock.nowMs() - attempt.begunMs);
             connection.send(attempt);
             return;
         }
--- a/src/test/java/ivybank/tally/SecondTallyTest.java
+++ b/src/test/java/ivybank/tally/SecondTallyTest.java
@@ -37,6 +37,40 @@
         assertEquals(second, Second.parse("13.655 " + second.line()), "behind what a collector of logs puts before it");
     }
 
+    @Test
+    void theTimesOfStagesAreReadBackAndBeginAnew() {
+        tally.taken();
+        for (int i = 0; i < 99; i++) {
+            tally.took(Stage.REUSE, 0.05);
+        }
+        tally.took(Stage.REUSE, 30);
+        tally.took(Stage.REST, Double.MAX_VALUE);
+        tally.took(Stage.REST, -1);
+        Second second = tally.end(1000, 0);
+        assertEquals(second, Second.parse(second.line()), second.line());
+        StageTimes times = new StageTimes();
+        times.add(Second.parse(second.line()).stages());
+        assertEquals(100, times.count(Stage.REUSE));
+        assertEquals(0.05, times.percentileMs(Stage.REUSE, 50), 0.005);
+        assertEquals(30, times.percentileMs(Stage.REUSE, 100), 3);
+        assertEquals(60_000, times.percentileMs(Stage.REST, 100), 6000);
+        assertEquals(0, times.percentileMs(Stage.REST, 1));
+        tally.taken();
+        assertTrue(tally.end(2000, 0).stages().isEmpty());
+    }
+
+    @Test
+    void aLineOfAnEarlierVersionIsReadAndAStageOfALaterOnePassedOver() {
+        String before = "tally at=1000 late=0 list=41 taken=2 served=1 not=0 calls=0";
+        assertEquals(2, Second.parse(before).taken());
+        assertTrue(Second.parse(before).stages().isEmpty());
+        assertTrue(Second.parse(before + " stage:of-tomorrow=5*1").stages().isEmpty());
+        for (String damaged : new String[] {"5", "5*", "*1", "5*0", "-5*1", "5*1,", "x*1"}) {
+            assertThrows(
+                    IllegalArgumentException.class, () -> Second.parse(before + " stage:rest=" + damaged), damaged);
+        }
+    }
+
     @Test
     void whatIsHeldGoesOnAndCountsBeginAnew() {
         tally.begun("s-1");
--- a/src/test/java/ivybank/upstream/UpstreamPoolTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamPoolTest.java
@@ -21,6 +21,8 @@
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
+import ivybank.tally.Stage;
+import ivybank.tally.Tally;
 import ivybank.testing.FakeServer;
 import ivybank.testing.LateListener;
 import ivybank.upstream.UpstreamAttempt.Ending;
@@ -33,7 +35,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -549,6 +554,33 @@
         }
     }
 
+    @Test
+    void whatAnAttemptWaitedForIsCountedAsItsStage() throws Exception {
+        Map<Stage, List<Double>> took = new ConcurrentHashMap<>();
+        pool = poolWithSpares(100, 200, 0);
+        pool.countIn(new Tally() {
+            @Override
+            public void took(Stage stage, double ms) {
+                took.computeIfAbsent(stage, unseen -> new CopyOnWriteArrayList<>())
+                        .add(ms);
+            }
+        });
+        try (FakeServer server = FakeServer.answering(FakeServer.OK)) {
+            Node node = node(server.address());
+            for (Sent sent : sendInTurn(node, LONG_MS)) {
+                assertBody(sent, "the first opens, the second waits");
+            }
+            Thread.sleep(250);
+            assertBody(send(node, LONG_MS), "the third finds it rested");
+        }
+        assertEquals(1, took.get(Stage.CONNECT).size());
+        assertEquals(1, took.get(Stage.REST).size());
+        assertTrue(took.get(Stage.REST).get(0) >= 190, "waited for " + took.get(Stage.REST));
+        assertEquals(1, took.get(Stage.REUSE).size());
+        assertEquals(3, took.get(Stage.FIRST_BYTE).size());
+        assertEquals(3, took.get(Stage.ANSWER_READ).size());
+    }
+
     @Test
     void whatARequestDidNotNeedInTheEndIsUsedByTheNext() throws Exception {
         pool = poolWithSpares(100, 30, 8);
