An attempt tells its node what is left when it leaves, not when its connection was begun

What waited for a connection (up to 1.5 s) told the time that it had begun with. The timer of the attempt says what is left.

DepartedClientTest.whatWaitedForItsConnectionTellsWhatIsLeft lets a connection come up late.

--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -75,6 +75,11 @@
         timer = loop.schedule(() -> stop(Outcome.TIMEOUT), (long) (timeoutMs * MICROS_IN_MS), TimeUnit.MICROSECONDS);
     }
 
+    /** How long it is still waited for, in ms: what waited for a connection has less than it began with. */
+    double leftMs() {
+        return timer == null ? timeoutMs : timer.getDelay(TimeUnit.MICROSECONDS) / MICROS_IN_MS;
+    }
+
     private void stopTimer() {
         if (timer != null) {
             timer.cancel(false);
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -139,7 +139,7 @@
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, SERVICE);
         headers.set(CALL_ID, request.callId());
-        headers.set(BUDGET, Math.max(1, (long) next.timeoutMs));
+        headers.set(BUDGET, Math.max(1, (long) next.leftMs()));
         if (request.idempotencyKey() != null) {
             headers.set(IDEMPOTENCY_KEY, request.idempotencyKey());
         }
--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -377,6 +377,28 @@
         }
     }
 
+    /** A node is told what is left to the client when its request leaves, not what was when its connection was begun. */
+    @Test
+    void whatWaitedForItsConnectionTellsWhatIsLeft() throws Exception {
+        try (LateListener node = new LateListener();
+                SidecarRig rig = rig(host("s-1", node.address()), false)) {
+            rig.client().write(SidecarRig.read("waits"));
+            while (rig.sidecar.requestsInHand() == 0) {
+                Thread.sleep(1);
+            }
+            long waitsNanos = System.nanoTime();
+            Thread.sleep(SENT_MS);
+            long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - waitsNanos);
+            node.letIn();
+            Socket late = node.next(4000);
+            byte[] request = new byte[2000];
+            int count = late.getInputStream().read(request);
+            String head = new String(request, 0, count, StandardCharsets.ISO_8859_1);
+            int toldMs = Integer.parseInt(head.replaceAll("(?s).*X-Budget-Ms: (\\d+)\r\n.*", "$1"));
+            assertTrue(toldMs > 0 && toldMs <= 6000 - waitedMs, toldMs + " ms told after " + waitedMs + " of 6000 ms");
+        }
+    }
+
     /** A node that answers nothing before it may, and all in this way then. */
     private static FakeServer holding(CountDownLatch go, String answer) throws IOException {
         return new FakeServer(connection -> {
