--- a/src/main/java/ivybank/tally/Second.java
+++ b/src/main/java/ivybank/tally/Second.java
@@ -18,7 +18,7 @@
  * @param taken requests taken, {@code served} and {@code notServed} answered
  * @param calls to discovery begun; {@code callsFailed} by how they ended
  * @param nodes by name; at most {@link SecondTally#MOST_NODES}, the rest as one under {@link #OTHERS}
- * @param stages how many took so many microseconds, in steps of a tenth or less
+ * @param stages how many took so many microseconds, in steps of an eighth or less
  */
 public record Second(
         double atMs,
--- a/src/main/java/ivybank/tally/StageTimes.java
+++ b/src/main/java/ivybank/tally/StageTimes.java
@@ -13,7 +13,10 @@
 final class StageTimes {
 
     private static final long LONGEST_MICROS = 60_000_000;
-    private static final int DIGITS = 1; // steps of a tenth or less
+    private static final int DIGITS = 1;
+    /** Eight steps in each power of two: of an eighth of the value at most. */
+    private static final int SIGNIFICANT_BITS = 4;
+
     private static final double MICROS_IN_MS = 1000;
 
     private final Map<Stage, Histogram> histograms = new EnumMap<>(Stage.class);
@@ -27,7 +30,13 @@
     /** Records a time; one that is negative counts as none, one that is too long as the longest. */
     void record(Stage stage, double ms) {
         long micros = (long) Math.max(0, Math.min(LONGEST_MICROS, ms * MICROS_IN_MS));
-        histograms.get(stage).recordValue(micros);
+        histograms.get(stage).recordValue(coarse(micros));
+    }
+
+    /** Rounds down to a step, so that a second's line stays short whatever happens in it. */
+    private static long coarse(long micros) {
+        int dropped = Math.max(0, Long.SIZE - SIGNIFICANT_BITS - Long.numberOfLeadingZeros(micros));
+        return micros >> dropped << dropped;
     }
 
     /** Adds what another sidecar or second has counted. */
--- a/src/test/java/ivybank/tally/SecondTallyTest.java
+++ b/src/test/java/ivybank/tally/SecondTallyTest.java
@@ -59,6 +59,21 @@
         assertTrue(tally.end(2000, 0).stages().isEmpty());
     }
 
+    @Test
+    void aLineHasABoundHoweverManyDifferentTimesThereAre() {
+        for (int micros = 0; micros < 1_000_000; micros++) {
+            tally.took(Stage.FIRST_BYTE, micros / 1000.0);
+        }
+        tally.taken();
+        Second second = tally.end(1000, 0);
+        assertTrue(second.stages().get(Stage.FIRST_BYTE).size() <= 8 * 20, second.line());
+        assertEquals(
+                1_000_000,
+                second.stages().get(Stage.FIRST_BYTE).values().stream()
+                        .mapToLong(count -> count)
+                        .sum());
+    }
+
     @Test
     void aLineOfAnEarlierVersionIsReadAndAStageOfALaterOnePassedOver() {
         String before = "tally at=1000 late=0 list=41 taken=2 served=1 not=0 calls=0";
