--- a/src/test/java/ivybank/daemon/DepartedClientTest.java
+++ b/src/test/java/ivybank/daemon/DepartedClientTest.java
@@ -71,7 +71,7 @@
     }
 
     /** Until the sidecar has looked at its sockets so often that it has read what was written to it. */
-    private static void awaitPasses(SidecarRig rig) throws IOException {
+    static void awaitPasses(SidecarRig rig) throws IOException {
         Client other = rig.client();
         for (int i = 0; i < 200; i++) { // each answer takes a pass at least
             assertNotNull(
@@ -139,7 +139,7 @@
     @ValueSource(booleans = {true, false})
     void withMoreThanIsKeptBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = holding(left, FakeServer.OK);
+        FakeServer node = FakeServer.holding(left, FakeServer.OK);
         try (node;
                 SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             StringBuilder many = new StringBuilder();
@@ -206,7 +206,8 @@
     @ValueSource(booleans = {true, false})
     void withSomethingUnreadableBehindIt(boolean cancel) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = holding(left, FakeServer.REJECTED); // a proof that it has not run: it may go to another one
+        FakeServer node =
+                FakeServer.holding(left, FakeServer.REJECTED); // a proof that it has not run: it may go to another one
         try (node;
                 SidecarRig rig = rig(host("s-1", node.address()) + "," + host("s-2", node.address()), cancel)) {
             Client client = rig.client().write(SidecarRig.submit("a", 5) + "hello");
@@ -220,24 +221,16 @@
         }
     }
 
-    private static void leave(Client client, boolean reset) throws IOException {
-        if (reset) {
-            client.reset();
-        } else {
-            client.close();
-        }
-    }
-
     @ParameterizedTest
     @CsvSource({"true, true", "true, false", "false, true", "false, false"})
     void whileItsAttemptIsTurnedAway(boolean cancel, boolean reset) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = holding(left, FakeServer.REJECTED);
+        FakeServer node = FakeServer.holding(left, FakeServer.REJECTED);
         try (node;
                 SidecarRig rig = rig(host("s-1", node.address()) + "," + host("s-2", node.address()), cancel)) {
             Client client = rig.client().write(SidecarRig.submit("a", 5) + "hello");
             assertNotNull(node.nextRequest());
-            leave(client, reset);
+            client.leave(reset);
             awaitBound(rig);
             left.countDown();
             assertNull(node.requests.poll(500, TimeUnit.MILLISECONDS), "it was sent again");
@@ -248,7 +241,7 @@
     @CsvSource({"true, true", "true, false", "false, true", "false, false"})
     void whileItWaitsForRoomAtANode(boolean cancel, boolean reset) throws Exception {
         CountDownLatch left = new CountDownLatch(1);
-        FakeServer node = holding(left, FakeServer.OK);
+        FakeServer node = FakeServer.holding(left, FakeServer.OK);
         try (node;
                 SidecarRig rig = rig(host("s-1", node.address()), cancel)) {
             Map<String, Client> clients = new HashMap<>();
@@ -264,7 +257,7 @@
             node.requests.forEach(request -> clients.remove(request.replaceAll("(?s).*Call-Id: (\\S+).*", "$1")));
             assertTrue(clients.size() >= 10, "too few wait: " + clients.size());
             for (Client waits : clients.values()) {
-                leave(waits, reset);
+                waits.leave(reset);
             }
             awaitBound(rig);
             left.countDown();
@@ -398,78 +391,4 @@
             assertTrue(toldMs > 0 && toldMs <= 6000 - waitedMs, toldMs + " ms told after " + waitedMs + " of 6000 ms");
         }
     }
-
-    /** A node that answers nothing before it may, and all in this way then. */
-    private static FakeServer holding(CountDownLatch go, String answer) throws IOException {
-        return new FakeServer(connection -> {
-            while (connection.read() != null) {
-                go.await();
-                connection.write(answer);
-            }
-        });
-    }
-
-    /** A client with a request at the node and so many behind it, all of which the sidecar has read. */
-    private static Client flood(SidecarRig rig, FakeServer node, int requests) throws Exception {
-        Client client = rig.client().write(SidecarRig.read("first"));
-        assertNotNull(node.nextRequest());
-        StringBuilder many = new StringBuilder();
-        for (int i = 0; i < requests; i++) {
-            many.append(SidecarRig.read("m" + i));
-        }
-        client.write(many.toString());
-        awaitPasses(rig);
-        return client;
-    }
-
-    @Test
-    void whatIsMoreThanMayWaitIsRefusedInItsTurn() throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = holding(go, FakeServer.OK);
-        try (node;
-                SidecarRig rig = rig(host("s-1", node.address()), true)) {
-            Client client = flood(rig, node, 100);
-            go.countDown();
-            int served = 0;
-            boolean refused = false;
-            for (int i = 0; i < 101; i++) {
-                String answer = client.read();
-                boolean ok = answer.startsWith("HTTP/1.1 200");
-                assertTrue(
-                        ok
-                                || answer.startsWith("HTTP/1.1 503")
-                                        && answer.toLowerCase(java.util.Locale.ROOT)
-                                                .contains("retry-after: 1.5"),
-                        answer);
-                assertTrue(!(ok && refused), "each in its turn");
-                refused |= !ok;
-                served += ok ? 1 : 0;
-            }
-            assertEquals(65, served);
-            assertTrue(client.write(SidecarRig.read("then")).read().endsWith("body"), "and it goes on");
-        }
-    }
-
-    /** Beyond a thousand nothing is looked at any more: the last refusal ends the connection, and the rest is read for its end alone. */
-    @Test
-    void whoSendsWithoutEndIsRefusedAThousandTimesAndThenClosed() throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = holding(go, FakeServer.OK);
-        try (node;
-                SidecarRig rig = rig(host("s-1", node.address()), true)) {
-            Client client = flood(rig, node, 3000);
-            go.countDown();
-            int served = 0;
-            int refused = 0;
-            String last = null;
-            for (String answer = client.read(); answer != null; answer = client.read()) {
-                served += answer.startsWith("HTTP/1.1 200") ? 1 : 0;
-                refused += answer.startsWith("HTTP/1.1 503") ? 1 : 0;
-                last = answer.toLowerCase(java.util.Locale.ROOT);
-            }
-            assertEquals(65, served);
-            assertEquals(1025, refused);
-            assertTrue(last.contains("connection: close") && last.contains("retry-after: 1.5"), last);
-        }
-    }
 }
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -183,6 +183,15 @@
             socket.close();
         }
 
+        /** Ends the connection, by a reset or in order. */
+        void leave(boolean reset) throws IOException {
+            if (reset) {
+                reset();
+            } else {
+                close();
+            }
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
--- a/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
+++ b/src/test/java/ivybank/discovery/DiscoveryTimesTest.java
@@ -128,10 +128,6 @@
         }
     }
 
-    private static double begunMs(List<Double> begun, int fromTheEnd) {
-        return begun.get(begun.size() - fromTheEnd);
-    }
-
     /**
      * The worst moment for discovery to come back: a call has just begun that still fails, after the longest pause. Connections
      * come up at once here; what they may take is added.
@@ -142,51 +138,64 @@
         Timing timing = Timing.standard(service, graceMs);
         double waitMs = service ? timing.longestWaitMs() : 0;
         for (Failure failure : Failure.values()) {
-            heard.clear();
-            seq = 7;
-            down = false;
             List<Double> begun = new ArrayList<>();
             SortedMap<Double, Answer> due = new TreeMap<>();
-            follow(
-                    (call, head) -> {
-                        begun.add(agent.nowMs());
-                        boolean fails = down;
-                        Answer answer = () -> {
-                            if (fails) {
-                                fail(call, head, failure);
-                            } else {
-                                answer(call, head);
-                            }
-                        };
-                        if (waitMs == 0 || begun.size() <= 2) {
-                            answer.give();
+            followThroughFailures(failure, timing, waitMs, begun, due);
+            assertToldInTimeAfterFailures(failure, timing, begun, due);
+        }
+    }
+
+    /** Follows an agent whose calls fail in this way while it is down; notes when each began, and what is still to be answered. */
+    private void followThroughFailures(
+            Failure failure, Timing timing, double waitMs, List<Double> begun, SortedMap<Double, Answer> due)
+            throws Exception {
+        heard.clear();
+        seq = 7;
+        down = false;
+        follow(
+                (call, head) -> {
+                    begun.add(agent.nowMs());
+                    boolean fails = down;
+                    Answer answer = () -> {
+                        if (fails) {
+                            fail(call, head, failure);
                         } else {
-                            due.put(agent.nowMs() + waitMs, answer);
+                            answer(call, head);
                         }
-                    },
-                    timing);
-            down = true;
-            agent.calls.get(agent.calls.size() - 1).close();
-            for (int calls = 0; calls < 10; calls = begun.size()) {
-                step(due);
-            }
-            int before = begun.size();
-            while (begun.size() == before) {
-                step(due);
-            }
-            assertTrue(begunMs(begun, 1) - begunMs(begun, 2) >= timing.longestPauseMs(), "its pauses have grown");
-            seq = 8;
-            down = false;
-            double backMs = agent.nowMs();
-            while (heard.size() < 2 && agent.nowMs() - backMs < 2 * Timing.TOLD_AFTER_FAILED_CALL_MS) {
-                step(due);
-            }
-            double tookMs = heardMs - backMs + 2 * timing.connectMs();
-            assertEquals(8, heard.get(heard.size() - 1).seq(), failure.toString());
-            assertTrue(tookMs <= timing.toldAfterFailedCallMs() + 10, failure + ": " + tookMs + " of " + timing);
-            assertTrue(tookMs < Timing.TOLD_AFTER_FAILED_CALL_MS, failure + ": " + tookMs + " ms");
-            agent.close();
+                    };
+                    if (waitMs == 0 || begun.size() <= 2) {
+                        answer.give();
+                    } else {
+                        due.put(agent.nowMs() + waitMs, answer);
+                    }
+                },
+                timing);
+    }
+
+    private void assertToldInTimeAfterFailures(
+            Failure failure, Timing timing, List<Double> begun, SortedMap<Double, Answer> due) throws Exception {
+        down = true;
+        agent.calls.get(agent.calls.size() - 1).close();
+        for (int calls = 0; calls < 10; calls = begun.size()) {
+            step(due);
+        }
+        int before = begun.size();
+        while (begun.size() == before) {
+            step(due);
+        }
+        double pauseMs = begun.get(before) - begun.get(before - 1);
+        assertTrue(pauseMs >= timing.longestPauseMs(), "its pauses have grown");
+        seq = 8;
+        down = false;
+        double backMs = agent.nowMs();
+        while (heard.size() < 2 && agent.nowMs() - backMs < 2 * Timing.TOLD_AFTER_FAILED_CALL_MS) {
+            step(due);
         }
+        double tookMs = heardMs - backMs + 2 * timing.connectMs();
+        assertEquals(8, heard.get(heard.size() - 1).seq(), failure.toString());
+        assertTrue(tookMs <= timing.toldAfterFailedCallMs() + 10, failure + ": " + tookMs + " of " + timing);
+        assertTrue(tookMs < Timing.TOLD_AFTER_FAILED_CALL_MS, failure + ": " + tookMs + " ms");
+        agent.close();
     }
 
     private interface Answer {
--- a/src/test/java/ivybank/testing/FakeServer.java
+++ b/src/test/java/ivybank/testing/FakeServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -140,4 +141,14 @@
         thread.setDaemon(true);
         thread.start();
     }
+
+    /** A server that answers nothing before it may, and all in this way then. */
+    public static FakeServer holding(CountDownLatch go, String answer) throws IOException {
+        return new FakeServer(connection -> {
+            while (connection.read() != null) {
+                go.await();
+                connection.write(answer);
+            }
+        });
+    }
 }
