Slow start: ivybank.slowstart, ColdNodeRateLimiter and TokenBucket

The field calls it slow start (Envoy, HAProxy, NGINX) where a new node is sent load little by little, and the two parts a rate limiter and a token bucket. They were warming, Carried and Allowance.

--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -4,7 +4,7 @@
 import ivybank.handover.Trust;
 import ivybank.room.Mean;
 import ivybank.room.Window;
-import ivybank.warming.Allowance;
+import ivybank.slowstart.TokenBucket;
 import java.util.ArrayDeque;
 
 /** What {@link LoadShiftingBalancer} remembers of one upstream since its latest start. */
@@ -30,7 +30,7 @@
     /** Attempts still out, oldest first, but for started streams. */
     final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
     /** What it may be sent beside its part of the draw while it is cold. */
-    final Allowance allowance = new Allowance();
+    final TokenBucket tokens = new TokenBucket();
 
     double heardMs;
     int failures;
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -4,7 +4,7 @@
 import ivybank.handover.Trust;
 import ivybank.queue.RankedQueues;
 import ivybank.roster.SubsetSize;
-import ivybank.warming.Carried;
+import ivybank.slowstart.ColdNodeRateLimiter;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -71,7 +71,7 @@
     private boolean subscribeArmed;
     private int subscribeFailures;
     private double nextShareTickMs;
-    private final Carried carried = new Carried();
+    private final ColdNodeRateLimiter coldNodeRates = new ColdNodeRateLimiter();
     private final double[] offered;
     private final double[] refusedPart; // of each queue, at once
     private double admit = 1;
@@ -200,8 +200,8 @@
             boolean out = avoid && host.setAside != null
                     || !allTried && call.tried(host)
                     || (cold
-                            ? !host.allowance.has(
-                                    nowMs, carried.mayBeSent(host.listed.kind(), coldPart(nowMs, host, call)))
+                            ? !host.tokens.has(
+                                    nowMs, coldNodeRates.allowedPerMs(host.listed.kind(), coldPart(nowMs, host, call)))
                             : host.isCold(nowMs, settings.contract()))
                     || !call.mayGoTo(host, nowMs)
                     || host.window.isFull(nowMs);
@@ -257,7 +257,7 @@
     private void send(double nowMs, Call call, Host host, double timeoutMs) {
         new Attempt(call, host, nowMs, timeoutMs).begin();
         call.asked.clear();
-        host.allowance.take();
+        host.tokens.take();
         actions.send(call.id, host.id, timeoutMs);
     }
 
@@ -345,7 +345,7 @@
         Map<Integer, Learned.OfNode> nodes = new HashMap<>();
         list.hosts.forEach(host -> nodes.put(host.id, host.learned(members.contains(host))));
         return new Learned<>(
-                admit, extra, classes.stream().map(ClassView::learned).toList(), nodes, carried.most());
+                admit, extra, classes.stream().map(ClassView::learned).toList(), nodes, coldNodeRates.most());
     }
 
     @Override
@@ -354,7 +354,7 @@
             admit = Trust.blend(admit, other.admitted(), trust);
             extra = Trust.blend(extra, Math.min(EXTRA_SAVED, other.extra()), trust);
             classes.forEach(view -> view.recall(other.classes().get(classes.indexOf(view)), trust));
-            carried.recall(other.carried(), trust);
+            coldNodeRates.recall(other.carried(), trust);
         }
         list.hosts.forEach(
                 host -> host.recall(other.nodes().get(host.id), 0)); // the order first: it says who is drawn from
@@ -368,7 +368,7 @@
     @Override
     public void elsewhere(Map<Integer, Integer> out, double part) {
         list.hosts.forEach(host -> host.window.elsewhere(out.getOrDefault(host.id, 0)));
-        carried.own(part);
+        coldNodeRates.own(part);
     }
 
     // ---- Outcomes: what was learnt, and whether the request gets another attempt.
@@ -404,7 +404,7 @@
         if (outcome == Outcome.OK) {
             note(nowMs, host, true);
             if (!host.isCold(nowMs, settings.contract())) {
-                carried.answered(nowMs, host.id, host.listed.kind());
+                coldNodeRates.answered(nowMs, host.id, host.listed.kind());
             }
             view.served++;
             view.answered(latencyMs, MEDIAN_STEP);
--- a/src/main/java/ivybank/warming/Carried.java
+++ b/src/main/java/ivybank/slowstart/ColdNodeRateLimiter.java
@@ -1,14 +1,14 @@
-package ivybank.warming;
+package ivybank.slowstart;
 
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * What warm nodes of each kind carry of this sidecar's requests: the guide to what one of them can bear that has just
- * started, for its own capacity is not told. All sidecars together send a node no more than the part that is warm of what
- * they send together to a warm one of its size. Times are in milliseconds.
+ * Limits the rate at which a node that has just started is sent requests. Its own capacity is not known, so the limit is a
+ * part of the highest rate at which warm nodes of its kind were seen to answer this sidecar. All sidecars together then send
+ * it no more than its warm part of what they send to a warm node. Times are in milliseconds.
  */
-public final class Carried {
+public final class ColdNodeRateLimiter {
 
     private static final double SPAN_MS = 1000;
     /** Of the most that was seen, what is kept of it after a span with less: machines and their neighbours change. */
@@ -47,7 +47,7 @@
      * Attempts a millisecond that a node of this kind may be sent, whose part {@code warmth} is warm for certain; that of
      * the weakest kind seen where none of its own was. 0 while nothing is known.
      */
-    public double mayBeSent(int kind, double warmth) {
+    public double allowedPerMs(int kind, double warmth) {
         double weakest =
                 mostPerMs.values().stream().mapToDouble(perMs -> perMs).min().orElse(0);
         return own * warmth * mostPerMs.getOrDefault(kind, weakest);
--- a/src/main/java/ivybank/warming/Allowance.java
+++ b/src/main/java/ivybank/slowstart/TokenBucket.java
@@ -1,7 +1,10 @@
-package ivybank.warming;
+package ivybank.slowstart;
 
-/** What one node may still be sent at its rate: fills with time, and what is taken beyond it is paid back first. */
-public final class Allowance {
+/**
+ * A token bucket of one token: it fills at the rate that is given at each look, and may be overdrawn a little, which is paid
+ * back first. Times are in milliseconds.
+ */
+public final class TokenBucket {
 
     private static final double MOST = 1; // nothing is saved up: a burst is what pushes a cold node over
     private static final double LEAST = -4;
--- a/src/main/java/ivybank/warming/package-info.java
+++ b/src/main/java/ivybank/slowstart/package-info.java
@@ -1,2 +1,2 @@
 /** What a node that has just started can bear; no input, output or clock. */
-package ivybank.warming;
+package ivybank.slowstart;
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -55,8 +55,8 @@
                 .definedBy("ivybank.common..")
                 .layer("policy")
                 .definedBy("ivybank.policy..")
-                .layer("warming")
-                .definedBy("ivybank.warming..")
+                .layer("slowstart")
+                .definedBy("ivybank.slowstart..")
                 .layer("roster")
                 .definedBy("ivybank.roster..")
                 .layer("room")
@@ -105,7 +105,7 @@
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("handover")
                 .mayOnlyBeAccessedByLayers("policy", "room", "daemon", "emulator")
-                .whereLayer("warming")
+                .whereLayer("slowstart")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("main")
                 .mayNotBeAccessedByAnyLayer()
@@ -147,7 +147,7 @@
         noClasses()
                 .that()
                 .resideInAnyPackage(
-                        "ivybank.policy..", "ivybank.settings..", "ivybank.operations..", "ivybank.warming..")
+                        "ivybank.policy..", "ivybank.settings..", "ivybank.operations..", "ivybank.slowstart..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
@@ -263,7 +263,7 @@
                 .resideInAnyPackage(
                         "ivybank.policy..",
                         "ivybank.operations..",
-                        "ivybank.warming..",
+                        "ivybank.slowstart..",
                         "ivybank.room..",
                         "ivybank.roster..",
                         "ivybank.queue..",
