Concurrency limit: ivybank.concurrency, ConcurrencyLimit and LatencyTracker

An adaptive concurrency limit is what Netflix and Envoy call it; it was room, Window and Latencies. Attempts that are out are inFlight.

--- a/src/main/java/ivybank/room/Window.java
+++ b/src/main/java/ivybank/concurrency/ConcurrencyLimit.java
@@ -1,11 +1,11 @@
-package ivybank.room;
+package ivybank.concurrency;
 
 /**
  * How many attempts may be out at one node at once, and when the next may go: grows with quick answers, shrinks with slow
- * ones. Where another process of the sidecar has attempts out there too, the window is for both together. Times are in
+ * ones. Where another process of the sidecar has attempts out there too, the limit is for both together. Times are in
  * milliseconds.
  */
-public final class Window {
+public final class ConcurrencyLimit {
 
     private static final double CROWDED = 1.3; // quiet latencies that an answer of a crowded node takes
     private static final double GROW = 0.25; // attempts that a quick answer adds, at most
@@ -16,7 +16,7 @@
 
     private double size;
     private double nextSendMs;
-    private int out;
+    private int inFlight;
     private int elsewhere;
 
     /** Begins anew with this size. */
@@ -29,28 +29,28 @@
     }
 
     /** Attempts of this process that are out. */
-    public int out() {
-        return out;
+    public int inFlight() {
+        return inFlight;
     }
 
     /** Half of its size less what is out: under 0 where more than half of it is taken. */
     public double spare() {
-        return size / 2 - out;
+        return size / 2 - inFlight;
     }
 
     /**
-     * Notes an attempt. A window under one is a pace: the next goes once one that long would have been out for its part of
+     * Notes an attempt. A limit under one is a rate: the next goes once one that long would have been out for its part of
      * the time. Each of a hundred sidecars may otherwise have one attempt at each node at any time, and they jam it.
      */
     public void sent(double nowMs, double typicalMs) {
-        out++;
+        inFlight++;
         if (size < 1) {
             nextSendMs = Math.max(nextSendMs, nowMs + typicalMs / Math.max(size, SLOWEST));
         }
     }
 
     public void ended() {
-        out--;
+        inFlight--;
     }
 
     /** Tells how many attempts another process of the sidecar has out there. */
@@ -59,7 +59,7 @@
     }
 
     public boolean isFull(double nowMs) {
-        return nowMs < nextSendMs || out + elsewhere >= Math.max(1, size);
+        return nowMs < nextSendMs || inFlight + elsewhere >= Math.max(1, size);
     }
 
     /**
@@ -71,15 +71,16 @@
     public void answered(double nowMs, double latencyMs, double quietMs, double typicalMs, double least) {
         double change = Math.min(GROW, CROWDED * quietMs / latencyMs - 1);
         if (change < 0) {
-            // It was slow with so many out: room that was not even used is no reason to send more than that. A window
+            // It was slow with so many out: a limit that was not even reached is no reason to send more than that. A
+            // limit
             // that had
             // grown on quick answers otherwise took a dozen slow ones to shrink, and a node of little traffic has no
             // dozen.
-            size = Math.min(size, Math.max(1, out + elsewhere + 1));
+            size = Math.min(size, Math.max(1, inFlight + elsewhere + 1));
             change = Math.max(-SHRINK, change) * Math.min(1, size);
             size = Math.max(least > 1 ? least : KEPT * least, size + change);
             nextSendMs = Math.max(nextSendMs, nowMs + typicalMs * Math.max(0, 1 / Math.max(size, SLOWEST) - 1));
-        } else if (out + elsewhere + 1 >= size / 2) {
+        } else if (inFlight + elsewhere + 1 >= size / 2) {
             size += change; // one quick answer of a jammed node is no reason to go back to one at any time
         }
     }
--- a/src/main/java/ivybank/room/Latencies.java
+++ b/src/main/java/ivybank/concurrency/LatencyTracker.java
@@ -1,16 +1,16 @@
-package ivybank.room;
+package ivybank.concurrency;
 
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
 
 /** The running median of the latencies of like requests, and what it was when the nodes were quiet; in milliseconds. */
-public class Latencies {
+public class LatencyTracker {
 
     private double typicalMs;
     private double quietMs; // 0: not known yet
     private int answers;
 
-    protected Latencies(double typicalMs) {
+    protected LatencyTracker(double typicalMs) {
         this.typicalMs = typicalMs;
     }
 
--- a/src/main/java/ivybank/room/Mean.java
+++ b/src/main/java/ivybank/concurrency/Mean.java
@@ -1,4 +1,4 @@
-package ivybank.room;
+package ivybank.concurrency;
 
 /** A running mean of samples until it is cleared. */
 public final class Mean {
--- a/src/main/java/ivybank/policy/Attempt.java
+++ b/src/main/java/ivybank/policy/Attempt.java
@@ -40,7 +40,7 @@
         sentMs = nowMs;
         loads = true;
         host.attempts.addLast(this);
-        host.window.sent(nowMs, call.view.typicalMs());
+        host.concurrency.sent(nowMs, call.view.typicalMs());
         host.held++;
     }
 
@@ -49,7 +49,7 @@
         call.out--;
         host.attempts.remove(this);
         if (loads) {
-            host.window.ended();
+            host.concurrency.ended();
         }
     }
 
--- a/src/main/java/ivybank/policy/ClassView.java
+++ b/src/main/java/ivybank/policy/ClassView.java
@@ -1,9 +1,9 @@
 package ivybank.policy;
 
-import ivybank.room.Latencies;
+import ivybank.concurrency.LatencyTracker;
 
 /** What {@link LoadShiftingBalancer} has seen of one class of requests. */
-final class ClassView extends Latencies {
+final class ClassView extends LatencyTracker {
 
     final Balancer.RequestClass spec;
     /** Requests that came and requests served, older ones counting less. */
--- a/src/main/java/ivybank/policy/Host.java
+++ b/src/main/java/ivybank/policy/Host.java
@@ -1,9 +1,9 @@
 package ivybank.policy;
 
+import ivybank.concurrency.ConcurrencyLimit;
+import ivybank.concurrency.Mean;
 import ivybank.handover.Learned;
 import ivybank.handover.Trust;
-import ivybank.room.Mean;
-import ivybank.room.Window;
 import ivybank.slowstart.TokenBucket;
 import java.util.ArrayDeque;
 
@@ -22,7 +22,7 @@
     /** Latencies of this tick, each over the typical one of its class. */
     final Mean latencies = new Mean();
     /** What may be out there at once, and what is. */
-    final Window window = new Window();
+    final ConcurrencyLimit concurrency = new ConcurrencyLimit();
     /** Whether a probe is out, and how many requests it was last known to hold, with those sent since. */
     boolean probing;
 
@@ -67,7 +67,12 @@
 
     Learned.OfNode learned(boolean member) {
         return new Learned.OfNode(
-                listed.startedMs(), rank, member ? share : 0, window.size(), window.out(), setAside != null);
+                listed.startedMs(),
+                rank,
+                member ? share : 0,
+                concurrency.size(),
+                concurrency.inFlight(),
+                setAside != null);
     }
 
     /** Keeps its place in the random order also over a restart, the rest only within one life. */
@@ -75,7 +80,7 @@
         rank = other == null ? rank : other.rank();
         if (other != null && other.share() > 0 && Trust.sameLife(other, listed.startedMs())) {
             share = Trust.blend(share, other.share(), trust);
-            window.reset(Trust.blend(window.size(), other.window(), trust));
+            concurrency.reset(Trust.blend(concurrency.size(), other.window(), trust));
         }
     }
 
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -204,7 +204,7 @@
                                     nowMs, coldNodeRates.allowedPerMs(host.listed.kind(), coldPart(nowMs, host, call)))
                             : host.isCold(nowMs, settings.contract()))
                     || !call.mayGoTo(host, nowMs)
-                    || host.window.isFull(nowMs);
+                    || host.concurrency.isFull(nowMs);
             host.weight = out ? 0 : host.share;
         }
     }
@@ -301,7 +301,7 @@
         double meanShare = members.isEmpty() ? 1 : 1.0 / members.size();
         for (Host host : chosen) {
             if (!members.contains(host)) {
-                host.window.reset(Math.max(1, subset.leastWindow(list.hosts.size())));
+                host.concurrency.reset(Math.max(1, subset.leastWindow(list.hosts.size())));
                 subset.added(host.id);
                 // As the paper starts: in proportion to the listed size.
                 host.share = meanShare * (meanWeight > 0 ? host.listed.weight() / meanWeight : 1);
@@ -316,7 +316,7 @@
         shiftShares(nowMs);
         classes.forEach(view -> view.tick(1 - FADE, SMOOTHING, FORGET));
         if (subset.tick(
-                members.stream().mapToDouble(host -> host.window.spare()).sum() >= 0, list.hosts.size())) {
+                members.stream().mapToDouble(host -> host.concurrency.spare()).sum() >= 0, list.hosts.size())) {
             fillSubset();
         }
         tellGivenUp(nowMs);
@@ -325,8 +325,9 @@
     /** Explains the gaps of a tick: why so many requests were given up, and how much room the members had. */
     private void tellGivenUp(double nowMs) {
         if (!givenUp.isEmpty()) {
-            long full =
-                    members.stream().filter(host -> host.window.isFull(nowMs)).count();
+            long full = members.stream()
+                    .filter(host -> host.concurrency.isFull(nowMs))
+                    .count();
             long cold = members.stream()
                     .filter(host -> host.isCold(nowMs, settings.contract()))
                     .count();
@@ -367,7 +368,7 @@
 
     @Override
     public void elsewhere(Map<Integer, Integer> out, double part) {
-        list.hosts.forEach(host -> host.window.elsewhere(out.getOrDefault(host.id, 0)));
+        list.hosts.forEach(host -> host.concurrency.elsewhere(out.getOrDefault(host.id, 0)));
         coldNodeRates.own(part);
     }
 
@@ -421,10 +422,11 @@
             note(nowMs, host, false);
         }
         host.latencies.add(latencyMs / view.typicalMs());
-        // Room: guards against queues, and against servers that jam. Acts when a member's window is full.
-        host.window.answered(nowMs, latencyMs, view.quietMs(), view.typicalMs(), subset.leastWindow(list.hosts.size()));
+        // Room: guards against queues, and against servers that jam. Acts when a member's concurrency limit is reached.
+        host.concurrency.answered(
+                nowMs, latencyMs, view.quietMs(), view.typicalMs(), subset.leastWindow(list.hosts.size()));
         if (outcome != Outcome.OK) {
-            host.window.failed(nowMs, elapsedMs, view.typicalMs());
+            host.concurrency.failed(nowMs, elapsedMs, view.typicalMs());
         }
     }
 
@@ -619,8 +621,8 @@
             Attempt oldest = host.attempts.peekFirst();
             double silentMs = oldest == null ? 0 : nowMs - Math.max(host.heardMs, oldest.sentMs);
             double typicalMs = oldest == null ? 0 : oldest.call.view.typicalMs();
-            double telling = (host.window.out() > 1 ? SILENCE / 2 : SILENCE) * typicalMs;
-            if (silentMs > 1.5 * typicalMs && silentMs * host.window.out() > telling) {
+            double telling = (host.concurrency.inFlight() > 1 ? SILENCE / 2 : SILENCE) * typicalMs;
+            if (silentMs > 1.5 * typicalMs && silentMs * host.concurrency.inFlight() > telling) {
                 setAside(nowMs, host, "silent for " + Math.round(silentMs) + " ms");
             }
             if (host.setAside != null && dense && admit == 1 && waiting.isEmpty()) {
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -59,8 +59,8 @@
                 .definedBy("ivybank.slowstart..")
                 .layer("roster")
                 .definedBy("ivybank.roster..")
-                .layer("room")
-                .definedBy("ivybank.room..")
+                .layer("concurrency")
+                .definedBy("ivybank.concurrency..")
                 .layer("queue")
                 .definedBy("ivybank.queue..")
                 .layer("handover")
@@ -99,12 +99,12 @@
                         "scale")
                 .whereLayer("roster")
                 .mayOnlyBeAccessedByLayers("policy")
-                .whereLayer("room")
+                .whereLayer("concurrency")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("queue")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("handover")
-                .mayOnlyBeAccessedByLayers("policy", "room", "daemon", "emulator")
+                .mayOnlyBeAccessedByLayers("policy", "concurrency", "daemon", "emulator")
                 .whereLayer("slowstart")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("main")
@@ -176,7 +176,7 @@
         noClasses()
                 .that()
                 .resideInAnyPackage(
-                        "ivybank.room..",
+                        "ivybank.concurrency..",
                         "ivybank.roster..",
                         "ivybank.queue..",
                         "ivybank.handover..",
@@ -264,7 +264,7 @@
                         "ivybank.policy..",
                         "ivybank.operations..",
                         "ivybank.slowstart..",
-                        "ivybank.room..",
+                        "ivybank.concurrency..",
                         "ivybank.roster..",
                         "ivybank.queue..",
                         "ivybank.handover..",
--- a/src/test/java/ivybank/room/WindowTest.java
+++ b/src/test/java/ivybank/concurrency/ConcurrencyLimitTest.java
@@ -1,4 +1,4 @@
-package ivybank.room;
+package ivybank.concurrency;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,11 +6,11 @@
 
 import org.junit.jupiter.api.Test;
 
-class WindowTest {
+class ConcurrencyLimitTest {
 
     @Test
-    void twoProcessesFillOneWindowTogether() {
-        Window window = new Window();
+    void twoProcessesFillOneLimitTogether() {
+        ConcurrencyLimit window = new ConcurrencyLimit();
         window.reset(4);
         window.sent(0, 100);
         window.elsewhere(2);
@@ -23,7 +23,7 @@
 
     @Test
     void itGrowsWhileItIsUsedAndAnswersAreQuickAndShrinksNoFurtherThanItsLeast() {
-        Window window = new Window();
+        ConcurrencyLimit window = new ConcurrencyLimit();
         window.reset(4);
         window.answered(0, 100, 100, 100, 1);
         assertEquals(4, window.size(), "nothing was out");
@@ -42,7 +42,7 @@
 
     @Test
     void aSlowAnswerLeavesNoMoreRoomThanWasUsed() {
-        Window window = new Window();
+        ConcurrencyLimit window = new ConcurrencyLimit();
         window.reset(8);
         for (int i = 0; i < 2; i++) {
             window.sent(0, 100);
@@ -53,7 +53,7 @@
     }
 
     /** Sends whenever it may for so long; each attempt is answered after its latency. Returns how many went. */
-    private static int sentWithin(Window window, int forMs, int latencyMs, int quietMs, double least) {
+    private static int sentWithin(ConcurrencyLimit window, int forMs, int latencyMs, int quietMs, double least) {
         int sent = 0;
         int answeredAt = -1;
         for (int ms = 0; ms < forMs; ms++) {
@@ -72,10 +72,10 @@
     }
 
     @Test
-    void aHundredWindowsOfAJammedNodeLeaveItAlmostAlone() {
+    void aHundredLimitsOfAJammedNodeLeaveItAlmostAlone() {
         int sent = 0;
         for (int sidecar = 0; sidecar < 100; sidecar++) {
-            Window window = new Window();
+            ConcurrencyLimit window = new ConcurrencyLimit();
             window.reset(1);
             sentWithin(window, 10_000, 1200, 300, 0.08); // what it takes while it is jammed
             sent += sentWithin(window, 40_000, 1200, 300, 0.08);
@@ -87,7 +87,7 @@
 
     @Test
     void oneQuickAnswerIsNoReasonToGoBackToOneAtAnyTime() {
-        Window window = new Window();
+        ConcurrencyLimit window = new ConcurrencyLimit();
         window.reset(0.2);
         window.sent(0, 100);
         window.ended();
@@ -101,7 +101,7 @@
 
     @Test
     void aFailureFreesItsPlaceNoSoonerThanAnAnswerWould() {
-        Window window = new Window();
+        ConcurrencyLimit window = new ConcurrencyLimit();
         window.reset(2);
         int sent = 0;
         for (int ms = 0; ms < 1000; ms++) { // fails in the same millisecond
