Subsetting: ivybank.subsetting

The choice of a small part of all nodes to draw from is called subsetting (Google's SRE book, gRPC); the package was roster.

--- a/src/main/java/ivybank/roster/SubsetSize.java
+++ b/src/main/java/ivybank/subsetting/SubsetSize.java
@@ -1,4 +1,4 @@
-package ivybank.roster;
+package ivybank.subsetting;
 
 import java.util.HashSet;
 import java.util.Set;
--- a/src/main/java/ivybank/roster/package-info.java
+++ b/src/main/java/ivybank/subsetting/package-info.java
@@ -1,2 +1,2 @@
 /** How many nodes a sidecar draws from; no input, output or clock. */
-package ivybank.roster;
+package ivybank.subsetting;
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -57,8 +57,8 @@
                 .definedBy("ivybank.policy..")
                 .layer("slowstart")
                 .definedBy("ivybank.slowstart..")
-                .layer("roster")
-                .definedBy("ivybank.roster..")
+                .layer("subsetting")
+                .definedBy("ivybank.subsetting..")
                 .layer("concurrency")
                 .definedBy("ivybank.concurrency..")
                 .layer("queue")
@@ -97,7 +97,7 @@
                         "promises",
                         "emulator",
                         "scale")
-                .whereLayer("roster")
+                .whereLayer("subsetting")
                 .mayOnlyBeAccessedByLayers("policy")
                 .whereLayer("concurrency")
                 .mayOnlyBeAccessedByLayers("policy")
@@ -177,7 +177,7 @@
                 .that()
                 .resideInAnyPackage(
                         "ivybank.concurrency..",
-                        "ivybank.roster..",
+                        "ivybank.subsetting..",
                         "ivybank.queue..",
                         "ivybank.handover..",
                         "ivybank.fleet..")
@@ -265,7 +265,7 @@
                         "ivybank.operations..",
                         "ivybank.slowstart..",
                         "ivybank.concurrency..",
-                        "ivybank.roster..",
+                        "ivybank.subsetting..",
                         "ivybank.queue..",
                         "ivybank.handover..",
                         "ivybank.tally..",
--- a/src/test/java/ivybank/roster/SubsetSizeTest.java
+++ b/src/test/java/ivybank/subsetting/SubsetSizeTest.java
@@ -1,4 +1,4 @@
-package ivybank.roster;
+package ivybank.subsetting;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
