--- a/src/main/java/ivybank/daemon/HangUp.java
+++ b/src/main/java/ivybank/daemon/HangupSignal.java
@@ -6,9 +6,9 @@
  * Acts on SIGHUP, which otherwise ends the process. The JDK offers no supported way to a signal, and its internal one
  * can't be named in code that compiles without warnings: so it is looked up.
  */
-final class HangUp {
+final class HangupSignal {
 
-    private HangUp() {}
+    private HangupSignal() {}
 
     /**
      * From now on runs {@code action} at each SIGHUP, on a thread of its own. Returns false where no SIGHUP will come: the
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -269,7 +269,7 @@
         if (config.control() != null) {
             OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
         }
-        if (!HangUp.handle(sidecar::reload)) {
+        if (!HangupSignal.handle(sidecar::reload)) {
             log.line(
                     "SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                             + " read again only when a connection to discovery has ended");
--- a/src/test/java/ivybank/daemon/SidecarTest.java
+++ b/src/test/java/ivybank/daemon/SidecarTest.java
@@ -689,7 +689,7 @@
     @Test
     void aSignalToReadTheConfigurationAgainDoesNotEndTheProcess() throws Exception {
         CountDownLatch told = new CountDownLatch(2);
-        assumeTrue(HangUp.handle(told::countDown), "these tests run with SIGHUP ignored");
+        assumeTrue(HangupSignal.handle(told::countDown), "these tests run with SIGHUP ignored");
         for (int i = 0; i < 2; i++) {
             long before = told.getCount();
             new ProcessBuilder(
