--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -22,7 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Clock;
-import ivybank.common.OneMorePass;
+import ivybank.common.NextSelect;
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
@@ -616,7 +616,7 @@
         if (!retiring) {
             retiring = true;
             long before = reads;
-            OneMorePass.then(context.executor(), () -> endRetirement(before, closing));
+            NextSelect.then(context.executor(), () -> endRetirement(before, closing));
         }
     }
 
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -14,7 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Framing;
-import ivybank.common.OneMorePass;
+import ivybank.common.NextSelect;
 import ivybank.exchange.BodyPipe;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -99,7 +99,7 @@
             reset();
             if (ended != null) {
                 ending = ended;
-                OneMorePass.then(ctx.executor(), () -> endRest(ctx));
+                NextSelect.then(ctx.executor(), () -> endRest(ctx));
             } else {
                 ctx.fireChannelRead(whole);
             }
--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/HeldUp.java
@@ -4,7 +4,7 @@
  * Whether the event loop has been held up of late: by a process that was stopped, a machine that was moved or had no core to
  * spare, a long collection of garbage. What came meanwhile still stands in the sockets then, and is found in no order: a node's
  * answer before the end of the client that it is for, a request before the word that its node drains. What is sent on in such a
- * moment has to wait until all sockets have been looked at ({@link OneMorePass}). Decides by the clock handed in, in ms; a look
+ * moment has to wait until all sockets have been looked at ({@link NextSelect}). Decides by the clock handed in, in ms; a look
  * is due each {@link #periodMs()}. Used on the event loop alone.
  */
 public final class HeldUp {
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -19,7 +19,7 @@
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
 import ivybank.common.Log;
-import ivybank.common.OneMorePass;
+import ivybank.common.NextSelect;
 import ivybank.control.Company;
 import ivybank.control.Operated;
 import ivybank.discovery.Directory;
@@ -435,7 +435,7 @@
     }
 
     private void settle(HeldUp heldUp) {
-        OneMorePass.then(loop, () -> {
+        NextSelect.then(loop, () -> {
             if (heldUp.passed(clock.nowMs())) {
                 settle(heldUp);
             }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -6,7 +6,7 @@
 import ivybank.common.Descriptors;
 import ivybank.common.HeldUp;
 import ivybank.common.Log;
-import ivybank.common.OneMorePass;
+import ivybank.common.NextSelect;
 import ivybank.discovery.Node;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Stage;
@@ -280,7 +280,7 @@
      */
     private void send(UpstreamConnection connection, UpstreamAttempt attempt) {
         if (heldUp.ofLate(clock.nowMs())) {
-            OneMorePass.then(loop, () -> {
+            NextSelect.then(loop, () -> {
                 if (isStillWanted(connection, attempt)) {
                     write(connection, attempt);
                 }
--- a/src/test/java/ivybank/common/OneMorePassTest.java
+++ b/src/test/java/ivybank/common/NextSelectTest.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Timeout;
 
 @Timeout(20)
-class OneMorePassTest {
+class NextSelectTest {
 
     /** The pass in which it is asked for is held up until far more than a millisecond is over: what came meanwhile is read first. */
     @Test
@@ -46,7 +46,7 @@
                                         throws InterruptedException {
                                     order.add("read");
                                     if (held.getCount() > 0) {
-                                        OneMorePass.then(ctx.executor(), () -> {
+                                        NextSelect.then(ctx.executor(), () -> {
                                             order.add("ran");
                                             ran.countDown();
                                         });
