--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
-import ivybank.common.HeldUp;
+import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
 import ivybank.operations.Standby;
@@ -68,7 +68,7 @@
     private final Map<String, Integer> tenantOfName = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
-    private List<HeldUp> heldUp = List.of();
+    private List<EventLoopStallDetector> stallDetectors = List.of();
     /** How many connections a pass over the sockets accepts. */
     private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
 
@@ -148,8 +148,8 @@
     }
 
     /** From now on tells these of each connection that is accepted. */
-    public void mind(List<HeldUp> loops) {
-        heldUp = loops;
+    public void mind(List<EventLoopStallDetector> loops) {
+        stallDetectors = loops;
     }
 
     String identityHeader() {
@@ -177,7 +177,7 @@
 
     void opened(ClientConnection connection) {
         accepted++;
-        heldUp.forEach(HeldUp::accepted);
+        stallDetectors.forEach(EventLoopStallDetector::accepted);
         connections.add(connection);
         descriptors.take();
         evict(1);
--- a/src/main/java/ivybank/common/HeldUp.java
+++ b/src/main/java/ivybank/common/EventLoopStallDetector.java
@@ -1,16 +1,16 @@
 package ivybank.common;
 
 /**
- * Whether the event loop has been held up of late: by a process that was stopped, a machine that was moved or had no core to
- * spare, a long collection of garbage. What came meanwhile still stands in the sockets then, and is found in no order: a node's
- * answer before the end of the client that it is for, a request before the word that its node drains. What is sent on in such a
- * moment has to wait until all sockets have been looked at ({@link NextSelect}). Decides by the clock handed in, in ms; a look
- * is due each {@link #periodMs()}. Used on the event loop alone.
+ * Detects that the event loop has stalled of late: the process was stopped, the machine was moved or had no core to spare, or
+ * a garbage collection took long. What arrived meanwhile still stands in the sockets and is read in no particular order: a
+ * node's answer before the end of the client that it is for, a request before the message that its node drains. What is sent
+ * on then has to wait until all sockets have been read ({@link NextSelect}). Decides by the clock handed in, in milliseconds;
+ * {@link #look} is due each {@link #periodMs()}. Used on the event loop alone.
  */
-public final class HeldUp {
+public final class EventLoopStallDetector {
 
-    /** One that never is. */
-    public static final HeldUp NEVER = new HeldUp(0, Double.POSITIVE_INFINITY);
+    /** One that never detects a stall. */
+    public static final EventLoopStallDetector NEVER = new EventLoopStallDetector(0, Double.POSITIVE_INFINITY);
 
     /** A hold-up is noticed that is longer than so many periods. */
     private static final double NOTICED_PERIODS = 2;
@@ -41,19 +41,20 @@
      *
      * @param graceMs for how long a node may be sent to that was told to drain
      */
-    public static HeldUp beforeSends(double graceMs, double nowMs) {
-        return new HeldUp(Math.max(LEAST_PERIOD_MS, Math.min(PERIOD_PART * graceMs, LONGEST_PERIOD_MS)), nowMs);
+    public static EventLoopStallDetector beforeSends(double graceMs, double nowMs) {
+        return new EventLoopStallDetector(
+                Math.max(LEAST_PERIOD_MS, Math.min(PERIOD_PART * graceMs, LONGEST_PERIOD_MS)), nowMs);
     }
 
     /**
      * One that notices what matters for the time that requests have: much longer hold-ups. On a slow machine the shorter ones
      * follow one another without a gap, and requests would count as having come long ago.
      */
-    public static HeldUp ofRequests(double nowMs) {
-        return new HeldUp(REQUESTS_PERIOD_MS, nowMs);
+    public static EventLoopStallDetector ofRequests(double nowMs) {
+        return new EventLoopStallDetector(REQUESTS_PERIOD_MS, nowMs);
     }
 
-    private HeldUp(double periodMs, double nowMs) {
+    private EventLoopStallDetector(double periodMs, double nowMs) {
         this.periodMs = periodMs;
         this.lookedMs = nowMs;
     }
--- a/src/main/java/ivybank/daemon/Driver.java
+++ b/src/main/java/ivybank/daemon/Driver.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import ivybank.common.Clock;
-import ivybank.common.HeldUp;
+import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.discovery.Directory;
 import ivybank.discovery.HostUpdate;
@@ -105,7 +105,7 @@
     private final Queue<Runnable> events = new ArrayDeque<>();
     private final Counters counters = new Counters();
     private Tally tally = Tally.NONE;
-    private HeldUp heldUp = HeldUp.NEVER;
+    private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
     /** What is taken over from another process until discovery has told its whole list; null for none. */
     private Learned<String> toRecall;
 
@@ -152,8 +152,8 @@
     }
 
     /** From now on minds whether the event loop was held up. */
-    void mind(HeldUp loops) {
-        heldUp = loops;
+    void mind(EventLoopStallDetector loops) {
+        stallDetector = loops;
     }
 
     void updated(HostUpdate update) {
@@ -280,7 +280,7 @@
         double nowMs = clock.nowMs();
         double leastMs = nowMs + Math.min(LEAST_LEFT_MS, LEAST_LEFT_PART * request.budgetMs());
         double byReadingMs = request.arrivedMs() + request.budgetMs();
-        return Math.min(byReadingMs, Math.max(leastMs, heldUp.earliestMs(nowMs) + LATE_MS + request.budgetMs()));
+        return Math.min(byReadingMs, Math.max(leastMs, stallDetector.earliestMs(nowMs) + LATE_MS + request.budgetMs()));
     }
 
     @Override
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -17,7 +17,7 @@
 import ivybank.client.ClientServer;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
-import ivybank.common.HeldUp;
+import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
 import ivybank.control.Company;
@@ -402,8 +402,8 @@
         pool.countIn(tally);
         driver.countIn(tally);
         discovery.countIn(tally);
-        HeldUp beforeSends = HeldUp.beforeSends(config.drainGraceMs(), clock.nowMs());
-        HeldUp ofRequests = HeldUp.ofRequests(clock.nowMs());
+        EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
+        EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
         driver.mind(ofRequests);
         server.mind(List.of(beforeSends, ofRequests));
@@ -424,20 +424,20 @@
     }
 
     /** Looks from now on whether the event loop was held up, as often as is needed to notice it. */
-    private void look(HeldUp heldUp) {
-        long periodMs = (long) heldUp.periodMs();
+    private void look(EventLoopStallDetector stallDetector) {
+        long periodMs = (long) stallDetector.periodMs();
         Runnable look = () -> {
-            if (heldUp.look(clock.nowMs())) {
-                settle(heldUp);
+            if (stallDetector.look(clock.nowMs())) {
+                settle(stallDetector);
             }
         };
         loop.scheduleWithFixedDelay(look, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
-    private void settle(HeldUp heldUp) {
+    private void settle(EventLoopStallDetector stallDetector) {
         NextSelect.then(loop, () -> {
-            if (heldUp.passed(clock.nowMs())) {
-                settle(heldUp);
+            if (stallDetector.passed(clock.nowMs())) {
+                settle(stallDetector);
             }
         });
     }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -4,7 +4,7 @@
 import io.netty.channel.EventLoop;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
-import ivybank.common.HeldUp;
+import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
 import ivybank.discovery.Node;
@@ -67,7 +67,7 @@
     private final ConnectionOpener opener;
     private final IdleConnections idle = new IdleConnections();
     private Tally tally = Tally.NONE;
-    private HeldUp heldUp = HeldUp.NEVER;
+    private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
     private boolean keepsNoneIdle;
     private long spoilt;
 
@@ -97,8 +97,8 @@
     }
 
     /** From now on minds whether the event loop was held up. */
-    public void mind(HeldUp loops) {
-        heldUp = loops;
+    public void mind(EventLoopStallDetector loops) {
+        stallDetector = loops;
     }
 
     /** Tells what is idle now. */
@@ -279,7 +279,7 @@
      * drain, while the event loop was held up: what says so may still stand unread, and is looked for first.
      */
     private void send(UpstreamConnection connection, UpstreamAttempt attempt) {
-        if (heldUp.ofLate(clock.nowMs())) {
+        if (stallDetector.ofLate(clock.nowMs())) {
             NextSelect.then(loop, () -> {
                 if (isStillWanted(connection, attempt)) {
                     write(connection, attempt);
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -164,7 +164,7 @@
     void whetherTheLoopWasHeldUpIsDecidedWithoutIt() {
         noClasses()
                 .that()
-                .haveFullyQualifiedName("ivybank.common.HeldUp")
+                .haveFullyQualifiedName("ivybank.common.EventLoopStallDetector")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..", "java.util.concurrent..")
