Scale run: garbage is collected until nothing more goes, so that baselines of the heap stand

The heap of the control machine was below its own baseline at every size (-1.4 to -4.6 MB): on a busy machine what three collections had cleared was still being handled. Collections now go on until one leaves as much as the one before, ten at most.

--- a/src/main/java/ivybank/scale/worker/Worker.java
+++ b/src/main/java/ivybank/scale/worker/Worker.java
@@ -30,7 +30,9 @@
     }
 
     private static final double NANOS_IN_MS = 1e6;
-    private static final int COLLECTIONS = 3;
+    private static final int MOST_COLLECTIONS = 10;
+    /** Collections go on until one leaves about as much as the one before it. */
+    private static final double SAME_PART = 0.005;
     /** Between collections: references that one has cleared are handled by a thread of the runtime before the next. */
     private static final long COLLECTION_PAUSE_MS = 50;
 
@@ -75,9 +77,8 @@
 
     /** What this process has used so far; with {@code collect} the heap is what is left after a garbage collection. */
     private ObjectNode usage(boolean collect) throws Exception {
-        for (int i = 0; collect && i < COLLECTIONS; i++) {
-            System.gc();
-            Thread.sleep(COLLECTION_PAUSE_MS);
+        if (collect) {
+            collectGarbage();
         }
         OperatingSystemMXBean system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
         AtomicReference<ObjectNode> late = new AtomicReference<>();
@@ -86,13 +87,24 @@
         ObjectNode usage = late.get();
         usage.put("at_ms", MonotonicTime.nowMs());
         usage.put("cpu_ms", system.getProcessCpuTime() / NANOS_IN_MS);
-        usage.put(
-                "heap_bytes",
-                ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+        usage.put("heap_bytes", heapBytes());
         usage.put("allocated_bytes", allocatedBytes());
         return usage;
     }
 
+    private static void collectGarbage() throws InterruptedException {
+        double before = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < MOST_COLLECTIONS && before - heapBytes() > SAME_PART * heapBytes(); i++) {
+            before = heapBytes();
+            System.gc();
+            Thread.sleep(COLLECTION_PAUSE_MS);
+        }
+    }
+
+    private static long heapBytes() {
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
     /** By all threads that live. */
     private static long allocatedBytes() {
         com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
