--- a/src/main/java/ivybank/upstream/IdleConnections.java
+++ b/src/main/java/ivybank/upstream/IdleConnections.java
@@ -30,10 +30,6 @@
         }
     }
 
-    int count(Node node) {
-        return byNode.getOrDefault(node, List.of()).size();
-    }
-
     void countEach(BiConsumer<Node, Integer> counts) {
         byNode.forEach((node, connections) -> counts.accept(node, connections.size()));
     }
