Driver is RequestDispatcher, with attempts, deadlines, counts and events apart

What begins attempts is AttemptSender; a request in hand is Exchange; deadlines and what is kept of them are RequestDeadline; counts since the last report are RequestCounters; one event after another is ModuleEvents; what another process has learned is InheritedState. Behaviour is as before: the code moved, but for Exchange.isUnanswered, which stood five times. The mutant 'leaks memory' names ArrayList in full, since the class no longer imports it.

--- /dev/null
+++ b/src/main/java/ivybank/daemon/AttemptSender.java
@@ -0,0 +1,125 @@
+package ivybank.daemon;
+
+import ivybank.common.Clock;
+import ivybank.discovery.Node;
+import ivybank.exchange.Answer;
+import ivybank.exchange.SendRecord;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.policy.Balancer.Settings;
+import ivybank.tally.Stage;
+import ivybank.tally.Tally;
+import ivybank.upstream.UpstreamAttempt;
+import ivybank.upstream.UpstreamAttempt.Ending;
+import ivybank.upstream.UpstreamPool;
+
+/**
+ * Begins the attempts that the module asks for: each within the time that is left to its request, and, where the request is
+ * kept on record, only once it is recorded that it may run. On one event loop; times are in milliseconds.
+ */
+final class AttemptSender {
+
+    /** Hears what becomes of attempts. */
+    interface Listener {
+
+        /** A long answer has begun: the client gets what comes of it, and nothing else any more. */
+        void began(Exchange exchange, int number, double sentMs, Answer answer);
+
+        /** An attempt, which counts since {@code sentMs}, has ended. */
+        void ended(Exchange exchange, int number, double sentMs, Ending ending);
+
+        /** It can't be put on record that the request may run: nothing of it has gone out, and nothing will. */
+        void unrecorded(Exchange exchange);
+    }
+
+    private final Settings settings;
+    private final Clock clock;
+    private final UpstreamPool pool;
+    private final Listener listener;
+    private Tally tally = Tally.NONE;
+
+    AttemptSender(Settings settings, Clock clock, UpstreamPool pool, Listener listener) {
+        this.settings = settings;
+        this.clock = clock;
+        this.pool = pool;
+        this.listener = listener;
+    }
+
+    /** From now on tells this of attempts. */
+    void countIn(Tally counts) {
+        tally = counts;
+    }
+
+    /**
+     * Begins an attempt. It ends at once, as not sent, where the request is over, has no time left, or may not be sent again.
+     *
+     * @param timeoutMs for the attempt; 0 for as long as the request has
+     * @param atOnce whether the module asked for it as soon as it was told of the request
+     */
+    void send(Exchange exchange, Node node, double timeoutMs, boolean atOnce) {
+        double nowMs = clock.nowMs();
+        double leftMs = exchange.deadlineMs - RequestDeadline.reserveMs(exchange.request) - nowMs;
+        double mostMs = timeoutMs == 0 ? leftMs : Math.min(timeoutMs, leftMs);
+        int number = exchange.attempts.size();
+        UpstreamAttempt attempt =
+                new UpstreamAttempt(node, exchange.request, mostMs, listener(exchange, number, nowMs));
+        exchange.attempts.add(attempt);
+        exchange.out++;
+        if (exchange.over
+                || exchange.isBodySpent()
+                || mostMs <= 0
+                || number >= settings.limits().maxAttempts()) {
+            attempt.end(Ending.of(Outcome.NOT_SENT));
+            return;
+        }
+        count(exchange, node, nowMs, number == 0, atOnce);
+        send(exchange, attempt);
+    }
+
+    private UpstreamAttempt.Listener listener(Exchange exchange, int number, double begunMs) {
+        return new UpstreamAttempt.Listener() {
+            @Override
+            public void began(Answer answer) {
+                listener.began(exchange, number, exchange.sentMs(begunMs, clock.nowMs()), answer);
+            }
+
+            @Override
+            public void ended(Ending ending) {
+                listener.ended(exchange, number, exchange.sentMs(begunMs, clock.nowMs()), ending);
+            }
+        };
+    }
+
+    private void count(Exchange exchange, Node node, double nowMs, boolean first, boolean atOnce) {
+        if (first && !exchange.request.arriving()) {
+            tally.took(atOnce ? Stage.DECISION : Stage.ROOM, nowMs - exchange.request.arrivedMs());
+        }
+        double startedMs = node.startedMs();
+        double ageMs = startedMs <= 0 ? Double.POSITIVE_INFINITY : nowMs - startedMs;
+        tally.sent(node.host, Tally.Age.of(ageMs, settings.contract().coldMs()));
+    }
+
+    private void send(Exchange exchange, UpstreamAttempt attempt) {
+        SendRecord record = exchange.request.record();
+        if (record == null) {
+            pool.send(attempt);
+        } else if (record.recorded()) {
+            record.sending();
+            attempt.goOut();
+            pool.send(attempt);
+        } else {
+            record.record(() -> sendUnlessEnded(exchange, attempt), () -> unrecorded(exchange, attempt));
+        }
+    }
+
+    /** It may have been called off while it was put on record. */
+    private void sendUnlessEnded(Exchange exchange, UpstreamAttempt attempt) {
+        if (!attempt.ended()) {
+            send(exchange, attempt);
+        }
+    }
+
+    private void unrecorded(Exchange exchange, UpstreamAttempt attempt) {
+        listener.unrecorded(exchange);
+        attempt.end(Ending.of(Outcome.CANCELLED));
+    }
+}
--- /dev/null
+++ b/src/main/java/ivybank/daemon/Exchange.java
@@ -0,0 +1,93 @@
+package ivybank.daemon;
+
+import ivybank.exchange.Answer;
+import ivybank.exchange.ClientRequest;
+import ivybank.exchange.SendRecord;
+import ivybank.policy.Balancer.Outcome;
+import ivybank.upstream.UpstreamAttempt;
+import ivybank.upstream.UpstreamAttempt.Ending;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import java.util.function.Consumer;
+
+/** A request in hand, until it is answered and each of its attempts has ended. Times are in milliseconds of the clock. */
+final class Exchange {
+
+    /** The deadline of a request whose last byte is still to come. */
+    static final double NO_DEADLINE_YET = Double.MAX_VALUE;
+
+    final int id;
+    final ClientRequest request;
+    /** Far off while its last byte is still to come. */
+    double deadlineMs;
+
+    final Consumer<Answer> client;
+    final List<UpstreamAttempt> attempts = new ArrayList<>(2);
+    ScheduledFuture<?> backstop;
+    int out;
+    boolean over;
+    /** The attempt whose long answer is being passed on, or -1. */
+    int passingOn = -1;
+
+    Exchange(int id, ClientRequest request, double deadlineMs, Consumer<Answer> client) {
+        this.id = id;
+        this.request = request;
+        this.deadlineMs = deadlineMs;
+        this.client = client;
+    }
+
+    /** Whether its last byte is still to come. */
+    boolean isArriving() {
+        return deadlineMs == NO_DEADLINE_YET;
+    }
+
+    /** Whether what an earlier attempt has sent of a long request is gone, so that it can't be sent again. */
+    boolean isBodySpent() {
+        return request.rest() != null && request.rest().taken();
+    }
+
+    /** Since when an attempt that began at {@code begunMs} counts: a node begins with the request's last byte. */
+    double sentMs(double begunMs, double nowMs) {
+        if (request.rest() == null) {
+            return begunMs;
+        }
+        double arrivedMs = isArriving() ? nowMs : deadlineMs - request.budgetMs();
+        return Math.max(begunMs, arrivedMs);
+    }
+
+    void stopBackstop() {
+        if (backstop != null) {
+            backstop.cancel(false);
+        }
+    }
+
+    /** Whether it is neither answered nor being answered. */
+    boolean isUnanswered() {
+        return !over && passingOn < 0;
+    }
+
+    /**
+     * Ends the attempts of a request that is over whose last byte has not left, so that nothing is sent on for which nobody
+     * waits, also where the settings allow no calling off.
+     */
+    void leaveUnsent() {
+        for (int number = 0; number < attempts.size(); number++) {
+            if (number != passingOn) {
+                attempts.get(number).leaveUnsent();
+            }
+        }
+    }
+
+    /** Notes on the request's record, if it has one, how an attempt that went out has ended. */
+    void recordEnd(int number, Ending ending) {
+        SendRecord record = request.record();
+        if (record == null || !attempts.get(number).wentOut()) {
+            return;
+        }
+        record.ended(ending.outcome().provesNotRun());
+        if (ending.outcome() == Outcome.OK && over) {
+            record.servedLate(Answer.served(ending.contentType(), ending.body()));
+        }
+    }
+}
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -33,7 +33,7 @@
     private static final int HELD_BESIDE = 40;
 
     private final EventLoop loop;
-    private final Driver driver;
+    private final RequestDispatcher dispatcher;
     private final ClientServer server;
     private final Descriptors descriptors;
     private final Clock clock;
@@ -49,13 +49,13 @@
     Handover(
             Path folder,
             EventLoop loop,
-            Driver driver,
+            RequestDispatcher dispatcher,
             ClientServer server,
             Descriptors descriptors,
             Clock clock,
             Log log) {
         this.loop = loop;
-        this.driver = driver;
+        this.dispatcher = dispatcher;
         this.server = server;
         this.descriptors = descriptors;
         this.clock = clock;
@@ -76,7 +76,7 @@
             log.line("taking over what another process has learned of "
                     + memory.learned().nodes().size() + " nodes, " + Math.round(nowMs - memory.writtenMs())
                     + " ms ago, believed to " + Math.round(100 * memory.trust(nowMs)) + "%");
-            loop.execute(() -> driver.recall(memory.learned(), memory.trust(nowMs)));
+            loop.execute(() -> dispatcher.recall(memory.learned(), memory.trust(nowMs)));
         });
     }
 
@@ -124,7 +124,7 @@
         int heldElsewhere = held;
         toldElsewhere = company;
         loop.execute(() -> {
-            driver.elsewhere(out, requests);
+            dispatcher.elsewhere(out, requests);
             server.elsewhere(requests);
             descriptors.elsewhere(heldElsewhere);
         });
@@ -132,7 +132,7 @@
 
     private void leave() {
         try {
-            files.write(CompletableFuture.supplyAsync(() -> driver.memory(descriptors.used()), loop)
+            files.write(CompletableFuture.supplyAsync(() -> dispatcher.memory(descriptors.used()), loop)
                     .join());
             failure = null;
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -135,7 +135,7 @@
     private final EventLoop loop;
     private final Descriptors descriptors;
     private final UpstreamPool pool;
-    private final Driver driver;
+    private final RequestDispatcher dispatcher;
     private final ClientServer server;
     private final Discovery discovery;
     private final Log log;
@@ -205,14 +205,14 @@
                 base.clone().channel(UpstreamSocketChannel.class),
                 log);
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
-        driver = new Driver(
+        dispatcher = new RequestDispatcher(
                 config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
         promises = store == null ? null : promises(store);
         int served = clients - refused;
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
         server = new ClientServer(
                 config.settings(),
-                promises == null ? driver : promises,
+                promises == null ? dispatcher : promises,
                 clock,
                 new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)),
                 descriptors,
@@ -225,7 +225,7 @@
                 file::changedDiscovery,
                 config.known().resumeFrom(config.settings().askForList()),
                 timing,
-                driver::updated,
+                dispatcher::updated,
                 clock,
                 log);
     }
@@ -263,7 +263,7 @@
                             sidecar.loop,
                             clock,
                             log,
-                            count -> sidecar.driver.sidecars(count, "by the fleet's own view")),
+                            count -> sidecar.dispatcher.sidecars(count, "by the fleet's own view")),
                     company != null && company.others());
         }
         if (config.control() != null) {
@@ -323,7 +323,7 @@
 
     /** Takes over what another process has left in this folder, and leaves what this one learns there. */
     void handOver(Path folder) {
-        Handover next = new Handover(folder, loop, driver, server, descriptors, clock, log);
+        Handover next = new Handover(folder, loop, dispatcher, server, descriptors, clock, log);
         next.takeOver();
         handover = next;
         next.company(company);
@@ -333,7 +333,7 @@
     private PromiseKeeper promises(StoreSettings store) throws IOException {
         try {
             PromiseKeeper keeper = KeptPromises.open(store, config.name(), config.settings(), loop, clock, log);
-            keeper.driver(driver);
+            keeper.driver(dispatcher);
             return keeper;
         } catch (IOException e) {
             group.shutdownGracefully();
@@ -361,19 +361,19 @@
     /** Whether this process can serve. */
     @Override
     public boolean serves() {
-        return listening && driver.ready();
+        return listening && dispatcher.ready();
     }
 
     @Override
     public CompletionStage<Boolean> knows(String node) {
-        return CompletableFuture.supplyAsync(() -> driver.knows(node), loop);
+        return CompletableFuture.supplyAsync(() -> dispatcher.knows(node), loop);
     }
 
     @Override
     public CompletionStage<Void> obey(Orders orders) {
         return CompletableFuture.runAsync(
                 () -> {
-                    driver.takeOut(orders.out());
+                    dispatcher.takeOut(orders.out());
                     server.standBy(orders.standbySinceMs());
                 },
                 loop);
@@ -400,18 +400,18 @@
      */
     private void follow(Runnable thenListen) {
         pool.countIn(tally);
-        driver.countIn(tally);
+        dispatcher.countIn(tally);
         discovery.countIn(tally);
         EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
         EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
-        driver.mind(ofRequests);
+        dispatcher.mind(ofRequests);
         server.mind(List.of(beforeSends, ofRequests));
         look(beforeSends);
         look(ofRequests);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of "
                 + config.known().entries().size() + " nodes; limits: " + config.limits());
-        driver.start(config.known());
+        dispatcher.start(config.known());
         if (timing.asked()) {
             thenListen.run();
         } else {
@@ -509,7 +509,7 @@
     }
 
     private void report() {
-        String counts = driver.counters().report();
+        String counts = dispatcher.counters().report();
         if (counts != null) {
             log.line(counts + "; connections: " + server.connections() + " from the client, " + pool.open()
                     + " to upstreams, " + pool.opened() + " opened and " + pool.spoilt() + " spoilt answers so far; "
@@ -538,7 +538,7 @@
 
     private void finishAll() {
         loop.execute(() -> {
-            log.line("told to end: " + driver.unanswered() + " requests in hand; serving for "
+            log.line("told to end: " + dispatcher.unanswered() + " requests in hand; serving for "
                     + drainTimes.stopServingMs() + " ms"
                     + (inherited == null ? "" : " what comes on open connections"));
             if (peers != null) {
@@ -556,7 +556,7 @@
             loop.schedule(
                     () -> {
                         server.refuseAll();
-                        driver.failOpen();
+                        dispatcher.failOpen();
                     },
                     drainTimes.failRestMs(),
                     TimeUnit.MILLISECONDS);
@@ -579,7 +579,7 @@
     }
 
     private int unanswered() {
-        return promises == null ? driver.unanswered() : promises.unanswered();
+        return promises == null ? dispatcher.unanswered() : promises.unanswered();
     }
 
     /** Ends each connection with its next answer, those that get none after {@code idleMs}, and the process with the last. */
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -105,7 +105,7 @@
                 new LoadReport(settings.reportFields()),
                 new Bootstrap().channel(LocalChannel.class),
                 silent);
-        Driver driver = new Driver(
+        RequestDispatcher dispatcher = new RequestDispatcher(
                 settings,
                 1,
                 LoadShiftingBalancer::new,
@@ -114,11 +114,11 @@
                 new Directory(List.of(), List.of(), pool::closeIdle),
                 pool,
                 silent);
-        driver.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
+        dispatcher.start(new HostUpdate(0, true, List.of(entry("a", upstream), entry("b", upstream))));
         LocalAddress listen = new LocalAddress("warm-up sidecar");
         new ClientServer(
                         settings,
-                        driver,
+                        dispatcher,
                         clock,
                         new ClientServer.Limits(CONNECTIONS, CONNECTIONS, CONNECTIONS, CONNECTIONS),
                         descriptors,
--- a/src/test/java/ivybank/daemon/DriverTest.java
+++ b/src/test/java/ivybank/daemon/RequestDispatcherTest.java
@@ -44,7 +44,7 @@
 
 /** What becomes of attempts that a module asks for at the wrong moment, with a node on a real socket. */
 @Timeout(20)
-class DriverTest {
+class RequestDispatcherTest {
 
     private static final int NOBODY = 99;
 
@@ -55,7 +55,7 @@
     private final BlockingQueue<AttemptEnd> ends = new LinkedBlockingQueue<>();
     private final BlockingQueue<Request> asked = new LinkedBlockingQueue<>();
     private FakeServer node;
-    private Driver driver;
+    private RequestDispatcher dispatcher;
     private Balancer.Actions actions;
 
     @BeforeEach
@@ -71,7 +71,7 @@
                     new Bootstrap().channel(NioSocketChannel.class),
                     log);
             Directory directory = new Directory(List.of("a"), List.of("k"), pool::closeIdle);
-            driver = new Driver(
+            dispatcher = new RequestDispatcher(
                     SettingsText.parse(
                             "lanes.count=1\nlanes.0.name=submit\nlanes.0.hardLimitMs=6000\nlimits.maxAttempts=6\n"),
                     1,
@@ -94,7 +94,7 @@
                     directory,
                     pool,
                     log);
-            driver.start(new HostUpdate(
+            dispatcher.start(new HostUpdate(
                     1, true, List.of(new HostUpdate.Entry("s-1", node.address(), Status.READY, 0, "a", "k", 0, 1))));
             return null;
         });
@@ -153,13 +153,13 @@
     void whatWaitsForItsRecordIsNotSentOnceItsClientHasLeft() throws Exception {
         HeldRecord record = new HeldRecord();
         int id = onLoop(() -> {
-            int number = driver.request(request(6000).with(record), answer -> {});
+            int number = dispatcher.request(request(6000).with(record), answer -> {});
             actions.send(number, 0, 0);
             return number;
         });
         Runnable written = record.asks.get(5, TimeUnit.SECONDS);
         onLoop(() -> {
-            driver.clientLeft(id);
+            dispatcher.clientLeft(id);
             return null;
         });
         assertEquals(Outcome.NOT_SENT, ends.poll(5, TimeUnit.SECONDS).outcome());
@@ -175,7 +175,7 @@
     @Test
     void anAttemptAtANodeThatIsForgottenEndsAtOnceAsNotSent() throws Exception {
         onLoop(() -> {
-            actions.send(driver.request(request(6000), answer -> {}), NOBODY, 0);
+            actions.send(dispatcher.request(request(6000), answer -> {}), NOBODY, 0);
             return null;
         });
         AttemptEnd end = ends.poll(5, TimeUnit.SECONDS);
@@ -192,7 +192,7 @@
         onLoop(() -> {
             ClientRequest request = request(60);
             fromMs[0] = request.arrivedMs();
-            driver.request(request, answer -> answered.complete(clock.nowMs()));
+            dispatcher.request(request, answer -> answered.complete(clock.nowMs()));
             return null;
         });
         Request told = asked.poll(5, TimeUnit.SECONDS);
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -231,11 +231,11 @@
                     List.of("rule answer"),
                     List.of(
                             new Edit(
-                                    "daemon/Driver.java",
+                                    "daemon/RequestDispatcher.java",
                                     "Answer.served(ending.contentType(), ending.body())",
                                     "Answer.served(ending.contentType(), mixed(ending.body()))"),
                             new Edit(
-                                    "daemon/Driver.java",
+                                    "daemon/RequestDispatcher.java",
                                     "    private void answer(Exchange exchange, Answer answer) {",
                                     "    private byte[] kept;\n    private int turn;\n\n    private byte[] mixed(byte[] body) {\n"
                                             + "        byte[] other = kept == null || ++turn % 50 != 0 ? body : kept;\n"
@@ -257,7 +257,7 @@
                     Night.SPOILT,
                     List.of("rule refusal"),
                     List.of(new Edit(
-                            "daemon/Driver.java",
+                            "daemon/RequestDispatcher.java",
                             "            counters.failed++;\n            answer(exchange,"
                                     + " Answer.status(FAILED));\n        }\n    }\n\n    @Override\n    public void cancel",
                             "            counters.failed++;\n            answer(exchange, Answer.refused(0));\n        }\n    }\n\n"
@@ -267,7 +267,7 @@
                     Night.OVERLOAD,
                     List.of("rule held-back"),
                     List.of(new Edit(
-                            "daemon/Driver.java",
+                            "daemon/RequestDispatcher.java",
                             "            answer(exchange, Answer.refused(retryAfterMs));",
                             "            schedule(exchange.deadlineMs - clock.nowMs() - 200, () -> {\n"
                                     + "                if (!exchange.over) {\n"
@@ -287,14 +287,14 @@
                     List.of("rule crash", "goes on growing"),
                     List.of(
                             new Edit(
-                                    "daemon/Driver.java",
+                                    "daemon/RequestDispatcher.java",
                                     "            exchanges.remove(exchange.id);",
                                     // The warm-up has 400 exchanges.
                                     "            LEAK.add(new byte[exchange.id > 400 ? 200_000 : 0]);"),
                             new Edit(
-                                    "daemon/Driver.java",
+                                    "daemon/RequestDispatcher.java",
                                     "    private final Settings settings;\n",
-                                    "    private static final List<byte[]> LEAK = new ArrayList<>();\n"
+                                    "    private static final List<byte[]> LEAK = new java.util.ArrayList<>();\n"
                                             + "    private final Settings settings;\n"))),
             new Mutant(
                     "dies on an odd roster line",
@@ -327,7 +327,7 @@
                     List.of(
                             new Edit("upstream/UpstreamAttempt.java", "() -> stop(Outcome.TIMEOUT)", "() -> ended()"),
                             new Edit(
-                                    "daemon/Driver.java",
+                                    "daemon/RequestDispatcher.java",
                                     "        if (!exchange.over) {\n            counters.expired++;",
                                     "        if (exchange.over) {\n            counters.expired++;"))),
             new Mutant(
