--- a/src/test/java/ivybank/daemon/CrowdWithoutDiscoveryTest.java
+++ b/src/test/java/ivybank/daemon/CrowdWithoutDiscoveryTest.java
@@ -106,7 +106,8 @@
                 crowd.add(idle.socket);
             }
             askUntilServed(rig, "down");
-            assertEquals(1, before.requests.size(), "a node has a descriptor left, and nothing was sent for those refused");
+            assertEquals(
+                    1, before.requests.size(), "a node has a descriptor left, and nothing was sent for those refused");
             down.set(false);
             assertTrue(called.await(ANSWERED_MS, TimeUnit.MILLISECONDS), "the watch comes back");
             for (int i = 0; after.requests.isEmpty(); i++) { // until the list has been read
