--- a/src/main/java/ivybank/emulator/FleetResult.java
+++ b/src/main/java/ivybank/emulator/FleetResult.java
@@ -12,6 +12,8 @@
  * @param jammed nodes that were held overdriven until they slowed down
  * @param justBack attempts, of all sidecars, at one node in its first two seconds
  * @param worstCold of what a cold node could do in two seconds, what it was sent in them
+ * @param coldByWork the most work that a cold node was sent over what it may be sent before it falls
+ * @param coldByRequests the same by the number of requests, each taken for one of mean work
  * @param mostMembers nodes that one sidecar drew from
  */
 public record FleetResult(
@@ -26,6 +28,8 @@
         int jammed,
         int justBack,
         double worstCold,
+        double coldByWork,
+        double coldByRequests,
         int mostMembers,
         double meanMembers) {
 
@@ -43,7 +47,8 @@
         return String.format(
                 Locale.ROOT,
                 "%d requests, %.3f in time, %.2f connections and %.2f attempts for each, %d given up;"
-                        + " at one node %d begun in a second, %d held, %d attempts when just back, cold %.2f of capacity; %d jammed;"
+                        + " at one node %d begun in a second, %d held, %d attempts when just back, cold %.2f of capacity,"
+                        + " %.2f by work and %.2f by requests of what pushes it over; %d jammed;"
                         + " members %d at most, %.1f in the mean",
                 requests,
                 inTime,
@@ -54,6 +59,8 @@
                 mostHeld,
                 justBack,
                 worstCold,
+                coldByWork,
+                coldByRequests,
                 jammed,
                 mostMembers,
                 meanMembers);
--- a/src/main/java/ivybank/emulator/FleetRun.java
+++ b/src/main/java/ivybank/emulator/FleetRun.java
@@ -18,7 +18,7 @@
     private static final double BACKOFF_MS = 300;
     private static final int RETRIES = 1;
     /** Mean work of a request, and what it waits beside its cores. */
-    private static final double WORK = 350;
+    static final double WORK = 350;
 
     private static final double LEAST_WORK = 0.2; // of the mean; the rest is exponential
     private static final double IO_MS = 250;
@@ -133,7 +133,7 @@
     // ---- Clients: each request comes at its time, whatever became of those before.
 
     private void arrivals(int sidecar, double perMs, SplittableRandom draws) {
-        simulation.after(-Math.log(1 - draws.nextDouble()) / perMs, () -> {
+        simulation.after(-Math.log(1 - draws.nextDouble()) / (perMs * burst()), () -> {
             if (simulation.nowMs() - STARTED_MS < spec.lengthMs()) {
                 boolean read = draws.nextDouble() < READS;
                 double work = WORK * (LEAST_WORK - (1 - LEAST_WORK) * Math.log(1 - draws.nextDouble()));
@@ -143,6 +143,10 @@
         });
     }
 
+    private double burst() {
+        return simulation.nowMs() < STARTED_MS + INCIDENT_MS ? 1 : spec.burst();
+    }
+
     private void ask(int sidecar, boolean read, double firstMs, double work, int tries, SplittableRandom draws) {
         double leftMs = Math.min(TRY_MS, firstMs + DEADLINE_MS - simulation.nowMs());
         if (tries == 0) {
@@ -253,11 +257,15 @@
         int held = 0;
         int choked = 0;
         double cold = 0;
+        double coldByWork = 0;
+        double coldByRequests = 0;
         for (NodeModel node : nodes.values()) {
             most = Math.max(most, node.begun.most(from + 3, from + seconds)); // the first seconds open what is kept
             held = Math.max(held, node.mostConnections);
             choked += node.choked;
             cold = Math.max(cold, node.worstCold);
+            coldByWork = Math.max(coldByWork, node.coldLoad().worstByWork());
+            coldByRequests = Math.max(coldByRequests, node.coldLoad().worstByRequests());
         }
         double[] served = new double[seconds];
         for (int second = 0; second < seconds; second++) {
@@ -275,6 +283,8 @@
                 choked,
                 justBack.values().stream().mapToInt(count -> count).max().orElse(0),
                 cold,
+                coldByWork,
+                coldByRequests,
                 mostMembers,
                 meanMembers / memberSamples);
     }
--- a/src/main/java/ivybank/emulator/FleetSpec.java
+++ b/src/main/java/ivybank/emulator/FleetSpec.java
@@ -19,6 +19,7 @@
  * @param seed of all that is drawn
  * @param told how many sidecars the settings name
  * @param viewed whether sidecars know by their own view how many there are
+ * @param burst by how much more comes while the incident and what follows it last, as a factor of the usual traffic
  */
 public record FleetSpec(
         int sidecars,
@@ -30,7 +31,13 @@
         Incident incident,
         long seed,
         int told,
-        boolean viewed) {
+        boolean viewed,
+        double burst) {
+
+    /** A cold node falls when it is sent more than this multiple of what it can do, for this long. */
+    static final double OVERLOAD_FACTOR = 2.5;
+
+    static final double OVERLOAD_MS = 2000;
 
     public FleetSpec {
         require(sidecars >= 1 && nodes >= 1, "a fleet needs a sidecar and a node");
@@ -38,11 +45,12 @@
         require(load > 0 && load < 10, "load must be above 0 and under 10 times the capacity");
         require(lengthMs > 0 && lengthMs <= 600_000, "a run takes from 1 ms to 10 minutes");
         require(busy > 0 && idleMs >= 0, "times and traffic can't be negative");
+        require(burst > 0 && burst < 10, "a burst must be above 0 and under 10 times the usual traffic");
     }
 
     /** A fleet at rest for 30 s. */
     public static FleetSpec atRest(int sidecars, int nodes, double load, long seed) {
-        return new FleetSpec(sidecars, nodes, load, 1, 30_000, 3000, Incident.NONE, seed, sidecars, false);
+        return new FleetSpec(sidecars, nodes, load, 1, 30_000, 3000, Incident.NONE, seed, sidecars, false, 1);
     }
 
     /** Half of the nodes are replaced while each sidecar is restarted once. */
@@ -61,27 +69,32 @@
     }
 
     private FleetSpec with(Incident next) {
-        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, next, seed, told, viewed);
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, next, seed, told, viewed, burst);
     }
 
     /** One sidecar has so many times the traffic of each other. */
     public FleetSpec withBusy(double times) {
-        return new FleetSpec(sidecars, nodes, load, times, lengthMs, idleMs, incident, seed, told, viewed);
+        return new FleetSpec(sidecars, nodes, load, times, lengthMs, idleMs, incident, seed, told, viewed, burst);
     }
 
     /** Another length. */
     public FleetSpec lasting(double ms) {
-        return new FleetSpec(sidecars, nodes, load, busy, ms, idleMs, incident, seed, told, viewed);
+        return new FleetSpec(sidecars, nodes, load, busy, ms, idleMs, incident, seed, told, viewed, burst);
     }
 
     /** Another time for idle connections. */
     public FleetSpec holding(double ms) {
-        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, ms, incident, seed, told, viewed);
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, ms, incident, seed, told, viewed, burst);
     }
 
     /** The settings name another number of sidecars; {@code view}: they know better by themselves. */
     public FleetSpec toldOf(int number, boolean view) {
-        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, incident, seed, number, view);
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, incident, seed, number, view, burst);
+    }
+
+    /** From the incident on there is so many times the usual traffic. */
+    public FleetSpec withBurst(double times) {
+        return new FleetSpec(sidecars, nodes, load, busy, lengthMs, idleMs, incident, seed, told, viewed, times);
     }
 
     /** What each sidecar is told: two classes of requests, one of them not to be run twice. */
@@ -99,7 +112,7 @@
                 0,
                 List.of("rps", "cpu"),
                 new Limits(6, true, true, false, 2000),
-                new Contract(0.2, 15_000, 2.5, 2000, 15_000),
+                new Contract(0.2, 15_000, OVERLOAD_FACTOR, OVERLOAD_MS, 15_000),
                 new Goal(0.7, 0.3, 0, 0));
     }
 
--- a/src/main/java/ivybank/emulator/NodeModel.java
+++ b/src/main/java/ivybank/emulator/NodeModel.java
@@ -54,6 +54,7 @@
     private boolean silent;
     private int connections;
     private final double[] coldWork = new double[64];
+    private final ColdNodeLoad coldLoad = new ColdNodeLoad(FleetRun.WORK);
     /** Figures of the whole run. */
     int mostConnections;
 
@@ -160,7 +161,7 @@
     /** Begins a handshake's work. */
     Job handshake(Runnable finished) {
         Job job = new Job(spec.handshakeWork(), 0, false, finished);
-        coldArrival(spec.handshakeWork());
+        coldArrival(spec.handshakeWork(), false);
         run(job);
         return job;
     }
@@ -171,7 +172,7 @@
             return null;
         }
         Job job = new Job(work, ioMs, true, finished);
-        coldArrival(work);
+        coldArrival(work, true);
         if (slotsTaken < spec.slots()) {
             slotsTaken++;
             run(job);
@@ -251,15 +252,30 @@
         }
     }
 
+    /** What it was sent while it was cold. */
+    ColdNodeLoad coldLoad() {
+        return coldLoad;
+    }
+
+    /** What all of its cores do in a millisecond, as warm as it is now. */
+    private double fullSpeed() {
+        return spec.cores() * spec.speed() * warmth();
+    }
+
     /** The contract on cold nodes: work that came within two seconds over what the node can do in them. */
-    private void coldArrival(double work) {
+    private void coldArrival(double work, boolean request) {
         double ageMs = simulation.nowMs() - startedMs;
         if (startedMs <= 0 || ageMs >= spec.coldMs()) {
             return;
         }
+        if (request) {
+            coldLoad.requested(simulation.nowMs(), work, fullSpeed());
+        } else {
+            coldLoad.connected(simulation.nowMs(), work, fullSpeed());
+        }
         int second = (int) (ageMs / 1000);
         coldWork[second % coldWork.length] += work;
         double both = coldWork[second % coldWork.length] + (second > 0 ? coldWork[(second - 1) % coldWork.length] : 0);
-        worstCold = Math.max(worstCold, both / (2000 * spec.cores() * spec.speed() * warmth()));
+        worstCold = Math.max(worstCold, both / (2000 * fullSpeed()));
     }
 }
