--- a/src/main/java/ivybank/cli/OverheadCommand.java
+++ b/src/main/java/ivybank/cli/OverheadCommand.java
@@ -1,6 +1,7 @@
 package ivybank.cli;
 
 import ivybank.rehearsal.Scenarios;
+import ivybank.rehearsal.latency.BareRelay;
 import ivybank.rehearsal.latency.Disturbance;
 import ivybank.rehearsal.latency.OverheadCell;
 import ivybank.rehearsal.latency.OverheadReport;
@@ -92,6 +93,12 @@
     @Option(names = "--sidecar", paramLabel = "COMMAND", description = "as with run")
     private String command;
 
+    @Option(
+            names = "--bare-relay",
+            description =
+                    "measures a process in the sidecar's place that only passes bytes on: the least that a hop costs here")
+    private boolean bareRelay;
+
     @Option(names = "--json", paramLabel = "FILE", description = "writes the report as JSON too")
     private Path json;
 
@@ -140,7 +147,7 @@
         Path state = Files.createTempDirectory("ivybank-overhead");
         Overhead.Setup setup = new Overhead.Setup(
                 Scenarios.find("calm"),
-                RehearseCommand.sidecar(command),
+                bareRelay ? RehearseCommand.java(BareRelay.class.getName()) : RehearseCommand.sidecar(command),
                 Path.of("").toAbsolutePath(),
                 state,
                 NET,
--- a/src/main/java/ivybank/cli/RehearseCommand.java
+++ b/src/main/java/ivybank/cli/RehearseCommand.java
@@ -231,9 +231,14 @@
             return StrictTable.parse(deployed.toString(), Files.readString(deployed))
                     .text("run", null);
         }
+        return java("ivybank.Main serve");
+    }
+
+    /** The command that starts a class of this program, with arguments. */
+    static String java(String mainClass) {
         return "exec env --default-signal=HUP '" + Path.of(System.getProperty("java.home"), "bin", "java")
-                + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path")
-                + "' ivybank.Main serve";
+                + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path") + "' "
+                + mainClass;
     }
 
     static void remove(Path folder) throws IOException {
--- a/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
+++ b/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
@@ -54,9 +54,29 @@
         }
         printRow(out, "kit late, direct", run.measured().lateness(Route.DIRECT));
         printRow(out, "kit late, through", run.measured().lateness(Route.THROUGH));
+        out.printf(
+                Locale.ROOT,
+                "  the host gave %.2f%% of the processor time that was wanted here to others%n",
+                100 * run.stolenPart());
+        if (run.isVoid()) {
+            printPunctual(out, run);
+        }
         out.flush();
     }
 
+    /** Of a void run, those requests for which the generator was on time: they say where to look. */
+    private static void printPunctual(PrintStream out, OverheadRun run) {
+        RunSummary punctual = run.punctual();
+        out.printf(
+                Locale.ROOT,
+                "  no result, of %.1f%% of the requests, for which the kit was on time:%n",
+                100.0 * punctual.due() / run.measured().due());
+        printRow(out, "  direct", punctual.latency(Route.DIRECT));
+        printRow(out, "  through", punctual.latency(Route.THROUGH));
+        double[] added = added(punctual);
+        out.printf(Locale.ROOT, ROW, "  difference", added[0], added[1], added[2], added[3], added[4]);
+    }
+
     private static void printFigures(PrintStream out, OverheadRun run) {
         RunSummary measured = run.measured();
         printRow(out, "direct", measured.latency(Route.DIRECT));
@@ -176,7 +196,7 @@
     private static ObjectNode json(OverheadRun run) {
         ObjectNode node = Json.MAPPER.createObjectNode().put("run", run.number());
         node.put("void", run.voidReason().orElse(null)).put("warm_up_s", run.warmUpS());
-        node.put("cpu_ms", run.cpuMs());
+        node.put("cpu_ms", run.cpuMs()).put("stolen_part", run.stolenPart());
         node.set("kit_late_ms", byRoute(run.measured(), true));
         if (!run.isVoid()) {
             node.set("latency_ms", byRoute(run.measured(), false));
--- a/src/main/java/ivybank/rehearsal/latency/RunSummary.java
+++ b/src/main/java/ivybank/rehearsal/latency/RunSummary.java
@@ -18,10 +18,10 @@
     private final Map<Route, Map<Outcome, Integer>> outcomes = new EnumMap<>(Route.class);
     private final Distribution pairedDifference;
 
-    private RunSummary(Observations observations, long fromNs, long untilNs) {
+    private RunSummary(Observations observations, IntPredicate included) {
         for (Route route : Route.values()) {
-            IntPredicate counted = request -> isDue(observations, request, fromNs, untilNs)
-                    && observations.schedule().route(request) == route;
+            IntPredicate counted =
+                    request -> included.test(request) && observations.schedule().route(request) == route;
             IntPredicate served = request -> counted.test(request) && observations.outcome(request) == Outcome.SERVED;
             IntPredicate ended =
                     request -> counted.test(request) && observations.outcome(request) != Outcome.UNANSWERED;
@@ -29,12 +29,23 @@
             lateness.put(route, distribution(observations, ended, observations::latenessNs));
             outcomes.put(route, count(observations, counted));
         }
-        pairedDifference = pairedDifference(observations, fromNs, untilNs);
+        pairedDifference = pairedDifference(observations, included);
     }
 
     /** Of the requests that were due from one time until before another, in nanoseconds from the run's start. */
     public static RunSummary of(Observations observations, long fromNs, long untilNs) {
-        return new RunSummary(observations, fromNs, untilNs);
+        return new RunSummary(observations, request -> isDue(observations, request, fromNs, untilNs));
+    }
+
+    /**
+     * The same of those for which the generator itself was late by no more than {@code mostLateNs}: what is left of a run that
+     * was disturbed by others on the machine. It says where to look, and is no result.
+     */
+    public static RunSummary ofPunctual(Observations observations, long fromNs, long untilNs, long mostLateNs) {
+        return new RunSummary(
+                observations,
+                request -> isDue(observations, request, fromNs, untilNs)
+                        && observations.latenessNs(request) <= mostLateNs);
     }
 
     private static boolean isDue(Observations observations, int request, long fromNs, long untilNs) {
@@ -66,12 +77,12 @@
     }
 
     /** Through minus direct for each pair of which both requests were served and due in the stretch. */
-    private static Distribution pairedDifference(Observations observations, long fromNs, long untilNs) {
+    private static Distribution pairedDifference(Observations observations, IntPredicate included) {
         ArrivalSchedule schedule = observations.schedule();
         int[] members = new int[schedule.pairCount()];
         long[] differences = new long[schedule.pairCount()];
         for (int request = 0; request < schedule.size(); request++) {
-            if (isDue(observations, request, fromNs, untilNs) && observations.outcome(request) == Outcome.SERVED) {
+            if (included.test(request) && observations.outcome(request) == Outcome.SERVED) {
                 int sign = schedule.route(request) == Route.THROUGH ? 1 : -1;
                 differences[schedule.pair(request)] += sign * observations.latencyNs(request);
                 members[schedule.pair(request)]++;
@@ -117,6 +128,11 @@
         return outcomes.get(route).values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    /** How many requests were due on both routes. */
+    public int due() {
+        return due(Route.DIRECT) + due(Route.THROUGH);
+    }
+
     /** The part of those due that were served, from 0 to 1; 0 if none was due. */
     public double servedPart(Route route) {
         return due(route) == 0 ? 0 : (double) count(route, Outcome.SERVED) / due(route);
--- a/src/main/java/ivybank/rehearsal/stand/Overhead.java
+++ b/src/main/java/ivybank/rehearsal/stand/Overhead.java
@@ -54,6 +54,7 @@
     private static final long READY_MS = 30_000;
     private static final int HANGING = 0; // the number of the node that hangs
     private static final double NANOS_IN_S = 1e9;
+    private static final double NANOS_IN_MS = 1e6;
     private static final double MS_IN_S = 1000;
     private static final int CPU_S = 2; // in what usage() gives
 
@@ -150,14 +151,18 @@
         ArrivalSchedule schedule = ArrivalSchedule.draw(ratePerS, warmUpS + length.seconds, length.seed + runs);
         double cpuBeforeS = cpuS();
         disturber.begin(warmUpS);
+        StolenTime stolenTime = StolenTime.begin();
         Observations seen = generator.play(schedule);
+        double stolenPart = stolenTime.part();
         disturber.end();
         double cpuMs = MS_IN_S * (cpuS() - cpuBeforeS) / schedule.pairCount();
         long measuredNs = (long) (warmUpS * NANOS_IN_S);
         RunSummary warmUp = RunSummary.of(seen, 0, measuredNs);
         RunSummary measured = RunSummary.of(seen, measuredNs, Long.MAX_VALUE);
         Optional<String> reason = VoidRule.STANDARD.reason(measured);
-        return new OverheadRun(runs, warmUpS, warmUp, measured, cpuMs, reason);
+        long allowedNs = (long) (VoidRule.STANDARD.allowedMs() * NANOS_IN_MS);
+        RunSummary punctual = RunSummary.ofPunctual(seen, measuredNs, Long.MAX_VALUE, allowedNs);
+        return new OverheadRun(runs, warmUpS, warmUp, measured, punctual, cpuMs, stolenPart, reason);
     }
 
     private double cpuS() throws IOException {
--- a/src/test/java/ivybank/rehearsal/latency/StatisticsTest.java
+++ b/src/test/java/ivybank/rehearsal/latency/StatisticsTest.java
@@ -117,6 +117,20 @@
         assertTrue(VoidRule.STANDARD.reason(whole(observations)).orElseThrow().contains("through"));
     }
 
+    @Test
+    void whatTheGeneratorWasLateForIsLeftOutOfThePunctualOnes() {
+        Observations observations = observed(0);
+        int late = 0;
+        for (int i = 0; i < SCHEDULE.size(); i += 10) {
+            observations.sent(i, MS);
+            observations.ended(i, Outcome.SERVED, 50 * MS, 0);
+            late++;
+        }
+        RunSummary punctual = RunSummary.ofPunctual(observations, 0, Long.MAX_VALUE, MS / 10);
+        assertEquals(SCHEDULE.size() - late, punctual.due());
+        assertEquals(1, punctual.latency(Route.DIRECT).mostMs());
+    }
+
     @Test
     void aRunWithNothingAnsweredIsVoid() {
         assertTrue(VoidRule.STANDARD.reason(whole(new Observations(SCHEDULE))).isPresent());
@@ -152,6 +166,6 @@
         }
         Optional<String> reason = isVoid ? Optional.of("late") : Optional.empty();
         RunSummary summary = whole(observations);
-        return new OverheadRun(number, 5, summary, summary, 0.1, reason);
+        return new OverheadRun(number, 5, summary, summary, summary, 0.1, 0, reason);
     }
 }
