--- a/src/main/java/ivybank/cli/OverheadCommand.java
+++ b/src/main/java/ivybank/cli/OverheadCommand.java
@@ -58,8 +58,9 @@
             paramLabel = "NAME",
             defaultValue = "rest",
             split = ",",
-            description = "what happens meanwhile: rest, list-change, sighup, hanging-node, bad-answers, collection "
-                    + "(default ${DEFAULT-VALUE})")
+            description =
+                    "what happens meanwhile: rest, list-change, sighup, hanging-node, bad-answers, second-answers, collection "
+                            + "(default ${DEFAULT-VALUE})")
     private List<String> scenarios;
 
     @Option(
@@ -175,6 +176,9 @@
             played.add(overhead.play(rate, length));
             OverheadCell soFar = new OverheadCell(rate, setup.nodes(), setup.disturbance(), played);
             OverheadReport.print(System.out, soFar, played.get(i));
+            if (setup.disturbance() == Disturbance.SECOND_ANSWERS) {
+                System.out.println("  nodes, all runs so far: " + overhead.secondAnswers());
+            }
         }
         return new OverheadCell(rate, setup.nodes(), setup.disturbance(), played);
     }
--- a/src/main/java/ivybank/rehearsal/latency/Disturbance.java
+++ b/src/main/java/ivybank/rehearsal/latency/Disturbance.java
@@ -15,6 +15,8 @@
     HANGING_NODE,
     /** A twentieth of the answers through the sidecar can't be read, and another twentieth is followed by a second one. */
     BAD_ANSWERS,
+    /** A tenth of the answers through the sidecar is followed by a second one, at each of the delays that were seen. */
+    SECOND_ANSWERS,
     /** A full garbage collection in the sidecar, asked for by {@code jcmd}. */
     COLLECTION;
 
@@ -24,6 +26,9 @@
     /** The part of the answers that are bad in {@link #BAD_ANSWERS}, for each of the two ways. */
     public static final double BAD_PART = 0.05;
 
+    /** The part of the answers that are followed by a second one in {@link #SECOND_ANSWERS}. */
+    public static final double SECOND_PART = 0.1;
+
     /** The name as operators write it: {@code list-change}. */
     @Override
     public String toString() {
--- a/src/main/java/ivybank/rehearsal/latency/EchoNodes.java
+++ b/src/main/java/ivybank/rehearsal/latency/EchoNodes.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Stand-in nodes that answer at once with the id of the request, all on one event loop of their own. They read requests
@@ -26,6 +27,9 @@
 
     private static final int BACKLOG = 512;
     private static final int MOST_REQUEST_BYTES = 8192;
+    /** Between the two pieces of a second answer. */
+    private static final long PIECES_MS = 1;
+
     private static final byte[] HEAD_END = ascii("\r\n\r\n");
     private static final byte[] ID_HEADER = ascii("x-call-id: ");
     private static final byte[] ANSWER_HEAD =
@@ -40,6 +44,8 @@
 
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     private final NodeFaults faults;
+    private final LongAdder secondAnswers = new LongAdder();
+    private final LongAdder lateSecondAnswers = new LongAdder();
     private volatile int hanging = -1;
 
     /** Starts listening at addresses, whose ports may be left to the system. */
@@ -77,6 +83,16 @@
         return List.copyOf(addresses);
     }
 
+    /** Second answers that were begun. */
+    public long secondAnswers() {
+        return secondAnswers.sum();
+    }
+
+    /** Second answers that were left out, since the nodes' event loop was too late for them. */
+    public long lateSecondAnswers() {
+        return lateSecondAnswers.sum();
+    }
+
     /** From now on the node of this number takes requests and answers none. */
     public void hang(int number) {
         hanging = number;
@@ -125,16 +141,43 @@
                 write(ctx, SPOILT);
                 return;
             }
-            ByteBuf good = ctx.alloc().directBuffer(ANSWER_HEAD.length + RequestTemplate.ID_BYTES);
+            ByteBuf good = ctx.alloc().directBuffer(2 * (ANSWER_HEAD.length + RequestTemplate.ID_BYTES));
             good.writeBytes(ANSWER_HEAD).writeBytes(in, idStart, RequestTemplate.ID_BYTES);
             if (answer == Answer.TWICE) {
-                writeLater(ctx, good.copy());
+                answerTwice(ctx, good);
+            } else {
+                ctx.writeAndFlush(good, ctx.voidPromise());
+            }
+        }
+
+        /** At once in the same segment, or later, whole or in two pieces. */
+        private void answerTwice(ChannelHandlerContext ctx, ByteBuf good) {
+            int afterMs = faults.secondAfterMs();
+            ByteBuf second = good.copy();
+            if (afterMs == 0) {
+                secondAnswers.increment();
+                ctx.writeAndFlush(good.writeBytes(second), ctx.voidPromise());
+                second.release();
+                return;
             }
             ctx.writeAndFlush(good, ctx.voidPromise());
+            long latestNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(NodeFaults.LATEST_SECOND_MS);
+            ctx.executor().schedule(() -> writeSecond(ctx, second, latestNs), afterMs, TimeUnit.MILLISECONDS);
         }
 
-        private void writeLater(ChannelHandlerContext ctx, ByteBuf second) {
-            ctx.executor().schedule(() -> ctx.writeAndFlush(second), faults.secondAfterMs(), TimeUnit.MILLISECONDS);
+        private void writeSecond(ChannelHandlerContext ctx, ByteBuf second, long latestNs) {
+            if (System.nanoTime() > latestNs) {
+                lateSecondAnswers.increment();
+                second.release();
+                return;
+            }
+            secondAnswers.increment();
+            if (faults.isCut()) {
+                ctx.writeAndFlush(second.readRetainedSlice(second.readableBytes() / 2));
+                ctx.executor().schedule(() -> ctx.writeAndFlush(second), PIECES_MS, TimeUnit.MILLISECONDS);
+            } else {
+                ctx.writeAndFlush(second);
+            }
         }
 
         private void write(ChannelHandlerContext ctx, byte[] bytes) {
--- a/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
+++ b/src/main/java/ivybank/rehearsal/latency/OverheadReport.java
@@ -54,6 +54,13 @@
         }
         printRow(out, "kit late, direct", run.measured().lateness(Route.DIRECT));
         printRow(out, "kit late, through", run.measured().lateness(Route.THROUGH));
+        out.printf(
+                Locale.ROOT,
+                "  answers of other requests: %d of %d served through the sidecar%n",
+                run.measured().count(Route.THROUGH, Outcome.WRONG_ANSWER)
+                        + run.warmUp().count(Route.THROUGH, Outcome.WRONG_ANSWER),
+                run.measured().count(Route.THROUGH, Outcome.SERVED)
+                        + run.warmUp().count(Route.THROUGH, Outcome.SERVED));
         out.printf(
                 Locale.ROOT,
                 "  the host gave %.2f%% of the processor time that was wanted here to others%n",
--- a/src/main/java/ivybank/rehearsal/stand/Overhead.java
+++ b/src/main/java/ivybank/rehearsal/stand/Overhead.java
@@ -107,9 +107,16 @@
     }
 
     private NodeFaults faults() {
-        return setup.disturbance == Disturbance.BAD_ANSWERS
-                ? new NodeFaults(Disturbance.BAD_PART, Disturbance.BAD_PART, 1)
-                : NodeFaults.none();
+        return switch (setup.disturbance) {
+            case BAD_ANSWERS -> new NodeFaults(Disturbance.BAD_PART, Disturbance.BAD_PART, 1);
+            case SECOND_ANSWERS -> NodeFaults.secondAnswers(Disturbance.SECOND_PART, 1);
+            default -> NodeFaults.none();
+        };
+    }
+
+    /** Second answers that nodes have begun so far, and those that they left out as too late. */
+    public String secondAnswers() {
+        return nodes.secondAnswers() + " second answers, " + nodes.lateSecondAnswers() + " left out as too late";
     }
 
     private List<Entry> entries(int from, int until, String prefix, String health) {
--- a/src/main/java/ivybank/rehearsal/stand/OverheadDisturber.java
+++ b/src/main/java/ivybank/rehearsal/stand/OverheadDisturber.java
@@ -40,7 +40,7 @@
                 case LIST_CHANGE -> changeList.accept(round++);
                 case SIGHUP -> sidecar.signal("HUP");
                 case COLLECTION -> sidecar.collectGarbage();
-                case REST, HANGING_NODE, BAD_ANSWERS -> {
+                case REST, HANGING_NODE, BAD_ANSWERS, SECOND_ANSWERS -> {
                     // Nothing that happens at an instant.
                 }
             }
