Second answers between processes: no wrong one, and a mutant that uses connections at once is caught

AddedTimeTest plays a real sidecar at 800 a second over two nodes with a second answer behind each tenth: no answer may be another request's. What compiles mutants is MutatedClasses, for both tests.

--- a/src/test/java/ivybank/rehearsal/AddedTimeTest.java
+++ b/src/test/java/ivybank/rehearsal/AddedTimeTest.java
@@ -1,14 +1,19 @@
 package ivybank.rehearsal;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.rehearsal.latency.Disturbance;
+import ivybank.rehearsal.latency.Observations.Outcome;
 import ivybank.rehearsal.latency.OverheadRun;
 import ivybank.rehearsal.latency.Route;
 import ivybank.rehearsal.latency.RunSummary;
 import ivybank.rehearsal.latency.WarmUpRule;
 import ivybank.rehearsal.stand.Overhead;
+import ivybank.testing.MutatedClasses;
+import ivybank.testing.MutatedClasses.Edit;
 import ivybank.testing.ShortNight;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,7 +33,13 @@
     private static final double MOST_ADDED_MS = 12;
     private static final double PERCENTILE = 90;
     private static final int PLAYS = 3;
+    /** Of the mutant: each has three or four wrong answers, by chance. */
+    private static final int MUTANT_PLAYS = 4;
+
     private static final int NET = 233;
+    private static final int NODES = 2;
+    /** So many that connections are in use when second answers come. */
+    private static final double BUSY_RATE_PER_S = 800;
 
     @TempDir
     Path dir;
@@ -37,15 +48,8 @@
     void nineInTenDoNotWaitForAConnectionToRest() throws Exception {
         List<String> seen = new ArrayList<>();
         boolean quick = false;
-        Overhead.Setup setup = new Overhead.Setup(
-                Scenarios.find("calm"),
-                ShortNight.program("") + "serve",
-                Path.of("").toAbsolutePath(),
-                dir,
-                NET,
-                2,
-                Disturbance.REST);
-        try (Overhead overhead = new Overhead(setup)) {
+        String command = ShortNight.program("") + "serve";
+        try (Overhead overhead = new Overhead(setup(command, "true", Disturbance.REST))) {
             for (int play = 0; play < PLAYS && !quick; play++) {
                 OverheadRun run = overhead.play(RATE_PER_S, new Overhead.Length(new WarmUpRule(4, 200), 6, 1));
                 RunSummary measured = run.measured();
@@ -62,4 +66,45 @@
         System.out.println("added time: " + seen);
         assertTrue(quick, seen.toString());
     }
+
+    @Test
+    void noAnswerIsAnotherRequestsAndAMutantThatUsesConnectionsAtOnceIsCaught() throws Exception {
+        String command = ShortNight.program("") + "serve";
+        Path classes = Files.createDirectories(dir.resolve("classes"));
+        MutatedClasses.compile(
+                "uses a connection at once",
+                List.of(new Edit("upstream/UpstreamPool.java", "REST_MS = 30;", "REST_MS = 0;")),
+                classes);
+        String mutant = command.replace("-cp '", "-cp '" + classes + ":");
+        assertEquals(0, wrongAnswers(command, "true"));
+        int caught = 0;
+        for (int play = 0; play < MUTANT_PLAYS && caught == 0; play++) {
+            caught = wrongAnswers(mutant, "mutant-" + play);
+        }
+        assertTrue(caught > 0, "the mutant was not caught");
+    }
+
+    /** Answers of other requests, with a second answer behind each tenth. */
+    private int wrongAnswers(String command, String name) throws Exception {
+        try (Overhead overhead = new Overhead(setup(command, name, Disturbance.SECOND_ANSWERS))) {
+            OverheadRun run = overhead.play(BUSY_RATE_PER_S, new Overhead.Length(new WarmUpRule(0, 0), 6, 1));
+            int served = run.measured().count(Route.THROUGH, Outcome.SERVED);
+            int wrong = run.measured().count(Route.THROUGH, Outcome.WRONG_ANSWER);
+            System.out.println(
+                    name + ": " + wrong + " wrong answers, " + served + " right, " + overhead.secondAnswers());
+            assertTrue(served > 0, name + ": nothing was served");
+            return wrong;
+        }
+    }
+
+    private Overhead.Setup setup(String command, String name, Disturbance disturbance) throws Exception {
+        return new Overhead.Setup(
+                Scenarios.find("calm"),
+                command,
+                Path.of("").toAbsolutePath(),
+                Files.createDirectories(dir.resolve(name)),
+                NET,
+                NODES,
+                disturbance);
+    }
 }
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -1,14 +1,14 @@
 package ivybank.rehearsal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.rehearsal.scenario.Plan;
 import ivybank.rehearsal.scenario.ScenarioReader;
 import ivybank.rehearsal.stand.ScenarioRun;
+import ivybank.testing.MutatedClasses;
+import ivybank.testing.MutatedClasses.Edit;
 import ivybank.testing.ShortNight;
 import java.io.IOException;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,8 +19,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import javax.tools.JavaCompiler;
-import javax.tools.ToolProvider;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -40,8 +38,6 @@
     private static final List<String> ONLY =
             List.of(System.getProperty("mutants.nights", "").split(",", 0));
 
-    private static final Path SOURCES = Path.of("src/main/java/ivybank");
-
     private static final String VIEWS = "[peers]\non=true\nnever=1\n";
 
     /** The days that mutants are played on, and the true build too. */
@@ -127,8 +123,6 @@
         }
     }
 
-    private record Edit(String file, String from, String to) {}
-
     /** @param seen what a reason of the verdict must hold, one of these */
     private record Mutant(String name, Night night, List<String> seen, List<Edit> edits) {}
 
@@ -348,63 +342,6 @@
     @TempDir
     Path dir;
 
-    /** Replaces each occurrence of the code that an edit names, however the formatter has broken its lines. */
-    private static String replaceCode(String text, Edit edit, String mutantName) {
-        StringBuilder code = new StringBuilder();
-        List<Integer> positions = new ArrayList<>();
-        for (int i = 0; i < text.length(); i++) {
-            if (!Character.isWhitespace(text.charAt(i))) {
-                code.append(text.charAt(i));
-                positions.add(i);
-            }
-        }
-        String from = edit.from.replaceAll("\\s", "");
-        int found = code.indexOf(from);
-        assertTrue(found >= 0, mutantName + ": " + edit.file + " has changed, look at: " + edit.from);
-        StringBuilder changed = new StringBuilder();
-        int copied = 0;
-        while (found >= 0) {
-            changed.append(text, copied, positions.get(found)).append(edit.to);
-            copied = positions.get(found + from.length() - 1) + 1;
-            found = code.indexOf(from, found + from.length());
-        }
-        return changed.append(text.substring(copied)).toString();
-    }
-
-    /** Compiles the changed files into a folder of their own. */
-    private static void compile(Mutant mutant, Path into) throws IOException {
-        Map<String, String> texts = new LinkedHashMap<>();
-        for (Edit edit : mutant.edits) {
-            String text =
-                    texts.containsKey(edit.file) ? texts.get(edit.file) : Files.readString(SOURCES.resolve(edit.file));
-            texts.put(edit.file, replaceCode(text, edit, mutant.name));
-        }
-        List<String> arguments = new ArrayList<>(List.of(
-                "-nowarn",
-                "-proc:none",
-                "-cp",
-                "target/classes:" + System.getProperty("java.class.path"),
-                "-d",
-                into.toString()));
-        for (Map.Entry<String, String> each : texts.entrySet()) {
-            Path source = into.resolve("src").resolve(each.getKey());
-            Files.createDirectories(source.getParent());
-            arguments.add(Files.writeString(source, each.getValue()).toString());
-        }
-        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-        StringWriter said = new StringWriter();
-        boolean good = compiler.getTask(
-                        said,
-                        null,
-                        null,
-                        arguments.subList(0, 6),
-                        null,
-                        compiler.getStandardFileManager(null, null, null)
-                                .getJavaFileObjectsFromStrings(arguments.subList(6, arguments.size())))
-                .call();
-        assertTrue(good, () -> mutant.name + ": " + said);
-    }
-
     /** Plays a night; a machine that was too busy is given two more chances. */
     private static List<String> play(Night night, long seed, Path classes, Path state) throws Exception {
         String command = ShortNight.program("-Xmx48m -XX:+ExitOnOutOfMemoryError") + "serve";
@@ -434,7 +371,7 @@
         Map<String, List<Future<List<String>>>> plays = new LinkedHashMap<>();
         for (Mutant mutant : MUTANTS) {
             Path classes = Files.createDirectories(dir.resolve("m" + plays.size()));
-            compile(mutant, classes);
+            MutatedClasses.compile(mutant.name, mutant.edits, classes);
             plays.put(mutant.name, submit(workers, mutant.night, classes));
         }
         for (Night night : Night.values()) {
