No spare connection where the wait is short beside the node's answers

ConnectionReusePolicy keeps a moving mean by node (forgotten after 60 s). Quick nodes get their spare ones as before: AddedTimeTest, ConnectionReuseTest green, ConnectionReusePolicyTest has both sides of the bound.

--- a/src/main/java/ivybank/upstream/ConnectionReusePolicy.java
+++ b/src/main/java/ivybank/upstream/ConnectionReusePolicy.java
@@ -8,8 +8,9 @@
  *
  * <p>A connection must rest for {@link Limits#restMs()} after each answer, because a faulty node may send a second answer
  * that late, and nothing tells it from the answer to the next request. An attempt that finds only resting connections
- * waits for the first of them, and beside that may open a spare connection; the one that is usable first carries it. Spare
- * connections are bounded: each attempt pays for a fixed part of one, a node has so many of them at most, and a node that
+ * waits for the first of them, and beside that may open a spare connection; the one that is usable first carries it. A spare
+ * connection costs its node a handshake, so none is opened where the wait is short beside the time that the node takes to
+ * answer. They are bounded: each attempt pays for a fixed part of one, a node has so many of them at most, and a node that
  * refuses connections or requests, or is still warming up, gets none.
  *
  * <p>Pure: no sockets, and the clock is handed in, in milliseconds. For use by one thread.
@@ -53,10 +54,20 @@
     private static final double MOST_SAVED = 10;
     /** A rest that ends within this time is waited for: opening a connection gains nothing worth its price. */
     private static final double SHORTEST_GAIN_MS = 1;
+    /** A rest of less than this part of a node's usual answer time is waited for, for the same reason. */
+    private static final double SHORTEST_GAIN_PART = 0.1;
+    /** Weight of the latest answer in a node's usual answer time. */
+    private static final double ANSWER_TIME_STEP = 0.1;
+    /** A node that has not answered for so long is forgotten. */
+    private static final double FORGOTTEN_MS = 60_000;
     /** Weight of the latest connection in the time that connections take to come up. */
     private static final double CONNECT_TIME_STEP = 0.1;
 
+    /** How long a node takes to answer, as a moving mean, and when it last did. */
+    private record AnswerTime(double meanMs, double lastMs) {}
+
     private final Limits limits;
+    private final Map<String, AnswerTime> answerTimes = new HashMap<>();
     private final Map<String, Double> refusedUntilMs = new HashMap<>();
     private double saved;
     private double connectMs = SHORTEST_GAIN_MS;
@@ -88,7 +99,7 @@
         if (restLeftMs <= 0) {
             return Choice.REUSE;
         }
-        boolean worthIt = restLeftMs > Math.max(SHORTEST_GAIN_MS, connectMs);
+        boolean worthIt = restLeftMs > Math.max(SHORTEST_GAIN_MS, Math.max(connectMs, leastWaitMs(node.host())));
         if (!worthIt || !room || saved < 1 || !takesSpares(node, nowMs)) {
             return Choice.WAIT;
         }
@@ -96,6 +107,19 @@
         return Choice.OPEN_AND_WAIT;
     }
 
+    /** The shortest wait that is worth a spare connection to a node; 0 where it has not answered yet. */
+    private double leastWaitMs(String host) {
+        AnswerTime time = answerTimes.get(host);
+        return time == null ? 0 : SHORTEST_GAIN_PART * time.meanMs;
+    }
+
+    /** A node has begun to answer, this long after the request was written to it. */
+    void answered(String host, double tookMs, double nowMs) {
+        AnswerTime before = answerTimes.get(host);
+        double meanMs = before == null ? tookMs : before.meanMs + ANSWER_TIME_STEP * (tookMs - before.meanMs);
+        answerTimes.put(host, new AnswerTime(meanMs, nowMs));
+    }
+
     private boolean takesSpares(NodeState node, double nowMs) {
         return node.spares() < limits.mostSpares()
                 && node.ageMs() >= limits.coldMs()
@@ -115,5 +139,6 @@
     /** Drops what is no longer of use: nodes come and go. */
     void sweep(double nowMs) {
         refusedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
+        answerTimes.values().removeIf(time -> nowMs - time.lastMs > FORGOTTEN_MS);
     }
 }
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -286,6 +286,7 @@
             head = response;
             body = new ByteArrayOutputStream();
             if (!interim) {
+                pool.answering(node, pool.nowMs() - phaseSinceMs);
                 endPhase(Stage.FIRST_BYTE);
             }
         }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -337,6 +337,11 @@
         connection.idleSinceMs = clock.nowMs();
     }
 
+    /** A node has begun to answer, this long after the request was written to it. */
+    void answering(Node node, double tookMs) {
+        reuse.answered(node.host, tookMs, clock.nowMs());
+    }
+
     /** A connection was refused, or has not come up in its time. */
     void notUp(Node node) {
         reuse.refused(node.host, clock.nowMs());
--- a/src/test/java/ivybank/upstream/ConnectionReusePolicyTest.java
+++ b/src/test/java/ivybank/upstream/ConnectionReusePolicyTest.java
@@ -54,6 +54,29 @@
         assertEquals(Choice.WAIT, choose(WARM, 20, 0), "it is spent");
     }
 
+    @Test
+    void aRestThatIsShortBesideTheNodesAnswersIsWaitedFor() {
+        attempts(100);
+        policy.answered("a", 250, 0);
+        assertEquals(Choice.OPEN_AND_WAIT, choose(WARM, 26, 0));
+        assertEquals(Choice.WAIT, choose(WARM, 24, 0), "a tenth of 250 ms is 25");
+        assertEquals(Choice.OPEN_AND_WAIT, choose(new NodeState("b", LONG_AGO, 0), 24, 0), "another node");
+        for (int i = 0; i < 50; i++) {
+            policy.answered("a", 1, i);
+        }
+        assertEquals(Choice.OPEN_AND_WAIT, choose(WARM, 24, 50), "it has become quick");
+    }
+
+    @Test
+    void aNodeThatHasNotAnsweredForLongIsForgotten() {
+        attempts(100);
+        policy.answered("a", 5000, 0);
+        policy.sweep(60_000);
+        assertEquals(Choice.WAIT, choose(WARM, 20, 60_000));
+        policy.sweep(60_001);
+        assertEquals(Choice.OPEN_AND_WAIT, choose(WARM, 20, 60_001));
+    }
+
     @Test
     void whatIsSavedIsBounded() {
         attempts(10_000);
