--- a/src/main/java/ivybank/cli/FleetCommand.java
+++ b/src/main/java/ivybank/cli/FleetCommand.java
@@ -1,7 +1,7 @@
 package ivybank.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import ivybank.common.FleetDoor;
+import ivybank.common.FleetViewClient;
 import ivybank.common.Json;
 import ivybank.tally.FleetSum;
 import ivybank.tally.LogFolder;
@@ -122,7 +122,7 @@
 
     private static JsonNode ask(String door) throws InputException {
         try {
-            return FleetDoor.ask((door.contains("://") ? door : "http://" + door).replaceAll("/+$", ""), DOOR_MS);
+            return FleetViewClient.ask((door.contains("://") ? door : "http://" + door).replaceAll("/+$", ""), DOOR_MS);
         } catch (IllegalArgumentException e) {
             throw new InputException(door + ": is no door's address; allowed is http://HOST:PORT");
         }
--- a/src/main/java/ivybank/common/FleetDoor.java
+++ b/src/main/java/ivybank/common/FleetViewClient.java
@@ -8,9 +8,9 @@
 import java.net.URI;
 
 /** Asks a sidecar's door what it sees of the others; for those that are no sidecar themselves. */
-public final class FleetDoor {
+public final class FleetViewClient {
 
-    private FleetDoor() {}
+    private FleetViewClient() {}
 
     /**
      * The view as JSON; null where nobody answers, or has no view to show.
--- a/src/main/java/ivybank/control/ControlDoor.java
+++ b/src/main/java/ivybank/control/AdminEndpoint.java
@@ -27,7 +27,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Json;
 import ivybank.common.Log;
-import ivybank.operations.Orders;
+import ivybank.operations.MaintenanceState;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -45,7 +45,7 @@
  * another process of this sidecar has put on file is obeyed as well. Guards against callers that never finish: they are
  * closed after a while, the oldest at once where there are many.
  */
-public final class ControlDoor {
+public final class AdminEndpoint {
 
     private static final int LONGEST_CALL = 4096;
     private static final int MOST_CALLERS = 12;
@@ -53,34 +53,34 @@
     private static final long LOOK_MS = 50;
     private static final int LONGEST_ID = 256;
 
-    private final Operated sidecar;
+    private final AdminTarget sidecar;
     private final Clock clock;
     private final Log log;
     private final Path folder; // null where nothing lasts
-    private OrdersFile file;
-    private Company company; // null until it has been joined
+    private MaintenanceFile file;
+    private SiblingProcesses company; // null until it has been joined
     private boolean inCompany;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Deque<Channel> callers = new ArrayDeque<>();
-    private Orders orders = Orders.NONE;
+    private MaintenanceState orders = MaintenanceState.NONE;
     private boolean unreadable;
 
     /**
      * @param folder where the processes of this sidecar leave word for each other; null where there is no such place
      * @param company where this process has joined the others already; null to do so
      */
-    public ControlDoor(Operated sidecar, Path folder, Company company, Clock clock, Log log) {
+    public AdminEndpoint(AdminTarget sidecar, Path folder, SiblingProcesses company, Clock clock, Log log) {
         this.company = company;
         this.sidecar = sidecar;
         this.clock = clock;
         this.log = log;
         this.folder = folder;
-        this.file = folder == null ? null : new OrdersFile(folder);
+        this.file = folder == null ? null : new MaintenanceFile(folder);
     }
 
     /** Obeys what is on file and opens; returns the address that it has. */
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
-        company = folder == null || company != null ? company : Company.join(folder);
+        company = folder == null || company != null ? company : SiblingProcesses.join(folder);
         group.next().submit(this::look).syncUninterruptibly();
         ChannelFuture bound = new ServerBootstrap()
                 .group(group)
@@ -138,7 +138,7 @@
         }
     }
 
-    private CompletionStage<Void> hold(Orders next) {
+    private CompletionStage<Void> hold(MaintenanceState next) {
         if (next.equals(orders)) {
             return CompletableFuture.completedFuture(null);
         }
@@ -148,8 +148,8 @@
     }
 
     /** An order: on file, obeyed, and then a yes. */
-    private CompletionStage<Reply> order(UnaryOperator<Orders> change) {
-        Orders next;
+    private CompletionStage<Reply> order(UnaryOperator<MaintenanceState> change) {
+        MaintenanceState next;
         try {
             // Under the file's lock and from what is there: another process may have been called meanwhile.
             next = file == null ? change.apply(orders) : file.change(change);
@@ -178,7 +178,7 @@
                             if (!known && !orders.isOut(node)) {
                                 return no(HttpResponseStatus.NOT_FOUND, "there is no " + node);
                             }
-                            if (out && !orders.isOut(node) && orders.out().size() >= Orders.MOST_OUT) {
+                            if (out && !orders.isOut(node) && orders.out().size() >= MaintenanceState.MOST_OUT) {
                                 return no(HttpResponseStatus.CONFLICT, "too many are out");
                             }
                             double nowMs = clock.nowMs();
@@ -207,7 +207,7 @@
             case "/maintenance/enter", "/maintenance/exit" ->
                 wrongMethod != null ? wrongMethod : maintenance(call, path.endsWith("enter"));
             case "/standby" -> wrongMethod != null ? wrongMethod : order(now -> now.standBy(nowMs));
-            case "/active" -> wrongMethod != null ? wrongMethod : order(Orders::activate);
+            case "/active" -> wrongMethod != null ? wrongMethod : order(MaintenanceState::activate);
             default -> no(HttpResponseStatus.NOT_FOUND, "no such call");
         };
     }
--- a/src/main/java/ivybank/control/Operated.java
+++ b/src/main/java/ivybank/control/AdminTarget.java
@@ -1,10 +1,10 @@
 package ivybank.control;
 
-import ivybank.operations.Orders;
+import ivybank.operations.MaintenanceState;
 import java.util.concurrent.CompletionStage;
 
 /** The sidecar, as the operators' door sees it. Called on the door's thread. */
-public interface Operated {
+public interface AdminTarget {
 
     /** Whether this process can serve now. */
     boolean serves();
@@ -19,5 +19,5 @@
     void company(boolean another);
 
     /** Makes these orders hold, all of them; done when they do. */
-    CompletionStage<Void> obey(Orders orders);
+    CompletionStage<Void> obey(MaintenanceState orders);
 }
--- a/src/main/java/ivybank/control/Company.java
+++ b/src/main/java/ivybank/control/SiblingProcesses.java
@@ -13,7 +13,7 @@
  * The processes of one sidecar that are there at the same time, by a file of each in the folder that they share. A process
  * holds the lock of its own, which ends with it however it ends. Used by one thread of a process.
  */
-public final class Company {
+public final class SiblingProcesses {
 
     private static final String FORM = "ivybank-*.process";
 
@@ -23,7 +23,7 @@
     private final FileChannel held;
 
     /** Leaves word in the folder that this process is here, for as long as it is. */
-    public static Company join(Path folder) throws IOException {
+    public static SiblingProcesses join(Path folder) throws IOException {
         Path making = Files.createTempFile(folder, "ivybank-", ".joining");
         FileChannel held = FileChannel.open(making, StandardOpenOption.WRITE);
         held.lock(); // never released
@@ -31,10 +31,10 @@
         Path own = making.resolveSibling(making.getFileName().toString().replace(".joining", ".process"));
         Files.move(making, own, StandardCopyOption.ATOMIC_MOVE);
         own.toFile().deleteOnExit();
-        return new Company(folder, own, held);
+        return new SiblingProcesses(folder, own, held);
     }
 
-    private Company(Path folder, Path own, FileChannel held) {
+    private SiblingProcesses(Path folder, Path own, FileChannel held) {
         this.folder = folder;
         this.own = own;
         this.held = held;
--- a/src/main/java/ivybank/daemon/OperatorsDoor.java
+++ b/src/main/java/ivybank/daemon/AdminStartup.java
@@ -2,29 +2,31 @@
 
 import ivybank.common.Clock;
 import ivybank.common.Log;
-import ivybank.control.Company;
-import ivybank.control.ControlDoor;
-import ivybank.control.Operated;
+import ivybank.control.AdminEndpoint;
+import ivybank.control.AdminTarget;
+import ivybank.control.SiblingProcesses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
 
 /** Opens the door for operators. A class of its own, so that a sidecar without one loads nothing of it. */
-final class OperatorsDoor {
+final class AdminStartup {
 
-    private OperatorsDoor() {}
+    private AdminStartup() {}
 
     /**
      * Lets the process that this one takes over from know of it, before anything else: to start takes half of the core that
      * both have, and that one must have made room by then. Null where there is no such process.
      */
-    static Company join(Map<String, String> environment) throws IOException {
+    static SiblingProcesses join(Map<String, String> environment) throws IOException {
         Path folder = folder(environment);
         return folder == null
-                        || environment.getOrDefault(Inherited.VARIABLE, "").isBlank()
+                        || environment
+                                .getOrDefault(InheritedListener.VARIABLE, "")
+                                .isBlank()
                 ? null
-                : Company.join(folder);
+                : SiblingProcesses.join(folder);
     }
 
     /** Where the processes of a sidecar leave word for each other; null where there is no such place. */
@@ -34,13 +36,13 @@
     }
 
     static void open(
-            Operated sidecar,
+            AdminTarget sidecar,
             InetSocketAddress address,
             Map<String, String> environment,
-            Company company,
+            SiblingProcesses company,
             Clock clock,
             Log log)
             throws IOException {
-        new ControlDoor(sidecar, folder(environment), company, clock, log).open(address);
+        new AdminEndpoint(sidecar, folder(environment), company, clock, log).open(address);
     }
 }
--- a/src/main/java/ivybank/daemon/Inherited.java
+++ b/src/main/java/ivybank/daemon/InheritedListener.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 
 /** The clients' listening socket where the platform keeps it, so that no connection is refused between two processes. */
-final class Inherited {
+final class InheritedListener {
 
     /** Names the descriptor, which Java can take over only where it is that of standard input. */
     static final String VARIABLE = "EDGE_INHERITED_FD";
 
-    private Inherited() {}
+    private InheritedListener() {}
 
     /**
      * The socket, or null where none is handed over. It must not be closed while the log is needed: with it Java closes
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -20,12 +20,12 @@
 import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
-import ivybank.control.Company;
-import ivybank.control.Operated;
+import ivybank.control.AdminTarget;
+import ivybank.control.SiblingProcesses;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
 import ivybank.discovery.Timing;
-import ivybank.operations.Orders;
+import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.peers.PeerFleet;
@@ -51,7 +51,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A real sidecar: puts the parts together on one event loop, starts them, and ends them in order. */
-public final class Sidecar implements Operated {
+public final class Sidecar implements AdminTarget {
 
     private static final int BACKLOG = 1024;
     private static final long TALLY_MS = 1000;
@@ -237,7 +237,8 @@
      */
     @SuppressWarnings("ThreadPriorityCheck") // heeded only where the JVM is told to, and nothing depends on it
     public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
-        Company company = environment.containsKey(Inherited.VARIABLE) ? OperatorsDoor.join(environment) : null;
+        SiblingProcesses company =
+                environment.containsKey(InheritedListener.VARIABLE) ? AdminStartup.join(environment) : null;
         Config config = Config.load(environment);
         Timing standard = Timing.standard(config.settings().askForList(), config.drainGraceMs());
         // Without the file nothing of it is loaded.
@@ -253,7 +254,7 @@
                 DrainTimes.longest(config.settings()),
                 timing,
                 more == null ? null : more.store(),
-                Inherited.listener(environment));
+                InheritedListener.listener(environment));
         if (more != null && more.peers() != null) {
             sidecar.among(
                     Peers.of(
@@ -267,7 +268,7 @@
                     company != null && company.others());
         }
         if (config.control() != null) {
-            OperatorsDoor.open(sidecar, config.control(), environment, company, clock, log);
+            AdminStartup.open(sidecar, config.control(), environment, company, clock, log);
         }
         if (!HangupSignal.handle(sidecar::reload)) {
             log.line(
@@ -281,8 +282,8 @@
             Thread.currentThread().setPriority(Thread.MIN_PRIORITY);
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
-        if (sidecar.inherited != null && OperatorsDoor.folder(environment) != null) {
-            sidecar.handOver(OperatorsDoor.folder(environment));
+        if (sidecar.inherited != null && AdminStartup.folder(environment) != null) {
+            sidecar.handOver(AdminStartup.folder(environment));
         }
         sidecar.start();
         // The socket that others have too is never closed here: the process just ends, and nothing else is left to do.
@@ -370,7 +371,7 @@
     }
 
     @Override
-    public CompletionStage<Void> obey(Orders orders) {
+    public CompletionStage<Void> obey(MaintenanceState orders) {
         return CompletableFuture.runAsync(
                 () -> {
                     dispatcher.takeOut(orders.out());
--- a/src/main/java/ivybank/operations/Orders.java
+++ b/src/main/java/ivybank/operations/MaintenanceState.java
@@ -9,42 +9,42 @@
  * sidecar stands by (0: it does not). Times are Unix time in milliseconds. Immutable; an order that changes nothing gives
  * the same object back.
  */
-public record Orders(SortedMap<String, Double> out, double standbySinceMs) {
+public record MaintenanceState(SortedMap<String, Double> out, double standbySinceMs) {
 
-    public static final Orders NONE = new Orders(Collections.emptySortedMap(), 0);
+    public static final MaintenanceState NONE = new MaintenanceState(Collections.emptySortedMap(), 0);
     /** More than any fleet has: what comes from outside is bounded. */
     public static final int MOST_OUT = 4096;
 
-    public Orders {
+    public MaintenanceState {
         out = Collections.unmodifiableSortedMap(new TreeMap<>(out));
     }
 
     /** Takes a node out; one that is out already stays so since then, and one call back is enough for both calls. */
-    public Orders takeOut(String node, double nowMs) {
+    public MaintenanceState takeOut(String node, double nowMs) {
         if (out.containsKey(node) || out.size() >= MOST_OUT) {
             return this;
         }
         SortedMap<String, Double> next = new TreeMap<>(out);
         next.put(node, nowMs);
-        return new Orders(next, standbySinceMs);
+        return new MaintenanceState(next, standbySinceMs);
     }
 
-    public Orders callBack(String node) {
+    public MaintenanceState callBack(String node) {
         if (!out.containsKey(node)) {
             return this;
         }
         SortedMap<String, Double> next = new TreeMap<>(out);
         next.remove(node);
-        return new Orders(next, standbySinceMs);
+        return new MaintenanceState(next, standbySinceMs);
     }
 
     /** Sends clients away; since the first such order, if there was one before. */
-    public Orders standBy(double nowMs) {
-        return standsBy() ? this : new Orders(out, nowMs);
+    public MaintenanceState standBy(double nowMs) {
+        return standsBy() ? this : new MaintenanceState(out, nowMs);
     }
 
-    public Orders activate() {
-        return standsBy() ? new Orders(out, 0) : this;
+    public MaintenanceState activate() {
+        return standsBy() ? new MaintenanceState(out, 0) : this;
     }
 
     public boolean standsBy() {
--- a/src/main/java/ivybank/rehearsal/stand/PeerViews.java
+++ b/src/main/java/ivybank/rehearsal/stand/PeerViews.java
@@ -1,7 +1,7 @@
 package ivybank.rehearsal.stand;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import ivybank.common.FleetDoor;
+import ivybank.common.FleetViewClient;
 import ivybank.rehearsal.referee.Views;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.scenario.Scenario.Ways;
@@ -96,7 +96,7 @@
         Map<Integer, Long> living = new HashMap<>();
         Map<Integer, Long> ended = new HashMap<>();
         for (JsonNode member : view.path("members")) {
-            (FleetDoor.lives(member) ? living : ended)
+            (FleetViewClient.lives(member) ? living : ended)
                     .put(member.path("seat").asInt(), member.path("life").asLong());
         }
         return new Views.Look(run.world.nowMs(), by, view.path("digest").asText(), living, ended);
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import ivybank.common.Addresses;
-import ivybank.common.FleetDoor;
+import ivybank.common.FleetViewClient;
 import ivybank.common.Json;
 import ivybank.rehearsal.scenario.Scenario;
 import ivybank.rehearsal.scenario.Scenario.RequestClass;
@@ -82,7 +82,7 @@
 
     /** The view of its fleet, as its door tells it; null where it does not. */
     JsonNode view() {
-        return FleetDoor.ask("http://" + Addresses.text(place.door()), DOOR_MS);
+        return FleetViewClient.ask("http://" + Addresses.text(place.door()), DOOR_MS);
     }
 
     /** Replaces the configuration as one step. */
--- a/src/test/java/ivybank/testing/LoadedClasses.java
+++ b/src/test/java/ivybank/testing/LoadedClasses.java
@@ -24,7 +24,7 @@
             "org.apache.commons.math3",
             "org.jfree",
             "picocli",
-            "ivybank.control.ControlDoor",
+            "ivybank.control.AdminEndpoint",
             "org.HdrHistogram",
             "dataformat.toml");
 
