--- a/src/main/java/ivybank/upstream/ConnectionReusePolicy.java
+++ b/src/main/java/ivybank/upstream/ConnectionReusePolicy.java
@@ -55,7 +55,7 @@
     /** A rest that ends within this time is waited for: opening a connection gains nothing worth its price. */
     private static final double SHORTEST_GAIN_MS = 1;
     /** A rest of less than this part of a node's usual answer time is waited for, for the same reason. */
-    private static final double SHORTEST_GAIN_PART = 0.1;
+    private static final double SHORTEST_GAIN_PART = 0.3;
     /** Weight of the latest answer in a node's usual answer time. */
     private static final double ANSWER_TIME_STEP = 0.1;
     /** A node that has not answered for so long is forgotten. */
--- a/src/test/java/ivybank/upstream/ConnectionReusePolicyTest.java
+++ b/src/test/java/ivybank/upstream/ConnectionReusePolicyTest.java
@@ -57,10 +57,10 @@
     @Test
     void aRestThatIsShortBesideTheNodesAnswersIsWaitedFor() {
         attempts(100);
-        policy.answered("a", 250, 0);
-        assertEquals(Choice.OPEN_AND_WAIT, choose(WARM, 26, 0));
-        assertEquals(Choice.WAIT, choose(WARM, 24, 0), "a tenth of 250 ms is 25");
-        assertEquals(Choice.OPEN_AND_WAIT, choose(new NodeState("b", LONG_AGO, 0), 24, 0), "another node");
+        policy.answered("a", 80, 0);
+        assertEquals(Choice.OPEN_AND_WAIT, choose(WARM, 25, 0));
+        assertEquals(Choice.WAIT, choose(WARM, 23, 0), "three tenths of 80 ms are 24");
+        assertEquals(Choice.OPEN_AND_WAIT, choose(new NodeState("b", LONG_AGO, 0), 23, 0), "another node");
         for (int i = 0; i < 50; i++) {
             policy.answered("a", 1, i);
         }
