--- a/src/test/java/ivybank/daemon/SidecarDiscoveryTest.java
+++ b/src/test/java/ivybank/daemon/SidecarDiscoveryTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.testing.FakeServer;
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -78,18 +79,23 @@
         assertTrue(answer.endsWith("two."), answer);
     }
 
-    @Test
-    void leavesAWatchThatIsSilentBeforeWhatItMissesCountsAsTold() throws Exception {
+    /** A discovery that answers each call for the list, and each watch with one line and no more. */
+    private FakeServer listThenOneLine(String line) throws IOException {
         FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
-        FakeServer discovery = serve(new FakeServer(connection -> {
+        return serve(new FakeServer(connection -> {
             for (String call = connection.read(); call != null; call = connection.read()) {
                 if (!call.contains("stream=1")) {
                     answerList(connection, 7, host("s-1", upstream.address(), "Ready"));
                 } else {
-                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line));
                 }
             }
         }));
+    }
+
+    @Test
+    void leavesAWatchThatIsSilentBeforeWhatItMissesCountsAsTold() throws Exception {
+        FakeServer discovery = listThenOneLine("\n");
         start(discovery.address(), "");
         assertNotNull(discovery.nextRequest());
         assertTrue(discovery.nextRequest().contains("index=7"));
@@ -98,16 +104,7 @@
 
     @Test
     void asksForTheWholeListAfterALineThatCanNotBeRead() throws Exception {
-        FakeServer upstream = serve(FakeServer.answering(FakeServer.OK));
-        FakeServer discovery = serve(new FakeServer(connection -> {
-            for (String call = connection.read(); call != null; call = connection.read()) {
-                if (!call.contains("stream=1")) {
-                    answerList(connection, 7, host("s-1", upstream.address(), "Ready"));
-                } else {
-                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{\"seq\":}\n"));
-                }
-            }
-        }));
+        FakeServer discovery = listThenOneLine("{\"seq\":}\n");
         start(discovery.address(), "");
         assertNotNull(discovery.nextRequest());
         assertTrue(discovery.nextRequest().contains("index=7"));
--- a/src/test/java/ivybank/daemon/SidecarEndTest.java
+++ b/src/test/java/ivybank/daemon/SidecarEndTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -91,36 +92,28 @@
         sidecar = null;
     }
 
+    /** What the longest deadline allows, where the configuration's texts are replaced one after another. */
+    private Sidecar.DrainTimes longestDrainTimes(String... textsAndReplacements) throws IOException {
+        config(FakeServer.nobody(), "", 99);
+        String text = Files.readString(dir.resolve("config.json"));
+        for (int i = 0; i < textsAndReplacements.length; i += 2) {
+            text = text.replace(textsAndReplacements[i], textsAndReplacements[i + 1]);
+        }
+        Path file = Files.writeString(dir.resolve("replaced.json"), text);
+        return Sidecar.DrainTimes.longest(
+                Config.load(Map.of("EDGE_CONFIG", file.toString())).settings());
+    }
+
     @Test
     void servesAfterTheSignalToEndForAsLongAsItCanAnswer() throws Exception {
-        config(FakeServer.nobody(), "", 99);
-        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of(
-                        "EDGE_CONFIG",
-                        Files.writeString(
-                                        dir.resolve("quick.json"),
-                                        Files.readString(dir.resolve("config.json"))
-                                                .replace("6000", "2400")
-                                                .replace("5000", "800")
-                                                .replace("1500", "600"))
-                                .toString()))
-                .settings());
+        Sidecar.DrainTimes times = longestDrainTimes("6000", "2400", "5000", "800", "1500", "600");
         assertEquals(2400 + 700 - 200, times.failRestMs());
         assertEquals(times.failRestMs() - 240, times.stopServingMs());
     }
 
     @Test
     void withShortDeadlinesTheListenerClosesWhileWhatItTookLastCanStillBeAnswered() throws Exception {
-        config(FakeServer.nobody(), "", 99);
-        Sidecar.DrainTimes times = Sidecar.DrainTimes.longest(Config.load(Map.of(
-                        "EDGE_CONFIG",
-                        Files.writeString(
-                                        dir.resolve("short.json"),
-                                        Files.readString(dir.resolve("config.json"))
-                                                .replace(":6000", ":100")
-                                                .replace(":5000", ":100")
-                                                .replace(":1500", ":80"))
-                                .toString()))
-                .settings());
+        Sidecar.DrainTimes times = longestDrainTimes(":6000", ":100", ":5000", ":100", ":1500", ":80");
         assertEquals(100 + 700 - 200, times.failRestMs());
         assertTrue(
                 times.stopListeningMs() <= times.failRestMs() - 30 && times.stopListeningMs() >= 450, times.toString());
