Reproduction: a watch whose socket can't be made is never opened again (known red)

Cause: not yet mended here; the test goes in first.

FailedCallsTest resets the watch during the fault, drains two of four upstreams 0.6 s after it and counts what still reaches them 0.7 s after that.

--- /dev/null
+++ b/src/test/java/ivybank/soak/FailedCallsTest.java
@@ -0,0 +1,127 @@
+package ivybank.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ivybank.soak.FaultySidecar.Agent;
+import ivybank.soak.FaultySidecar.Upstreams;
+import ivybank.testing.SyscallFaults.Call;
+import ivybank.testing.SyscallFaults.Errno;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** System calls of a real sidecar fail for a moment while its watch is broken, and upstreams begin to drain right after. */
+@Timeout(60)
+class FailedCallsTest {
+
+    private static final int UPSTREAMS = 4;
+    private static final int DRAINING = 2;
+    private static final int CLIENTS = 4;
+    private static final long BETWEEN_REQUESTS_MS = 15;
+    private static final long FAULT_MS = 400;
+    private static final long BEFORE_DRAIN_MS = 600;
+    /** The grace of 500 ms, the slack of the rules and a hold-up of the process. */
+    private static final long TOLD_MS = 700;
+
+    private static final long AFTER_MS = 1500;
+
+    @TempDir
+    Path folder;
+
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final AtomicInteger sent = new AtomicInteger();
+
+    @ParameterizedTest
+    @CsvSource({
+        "SOCKET, ENFILE",
+        "SOCKET, ENOBUFS",
+        "SETSOCKOPT, ENOBUFS",
+        "GETSOCKOPT, ENOBUFS",
+        "CONNECT, ENETUNREACH",
+        "CONNECT, EADDRNOTAVAIL",
+        "EPOLL_CTL, ENOMEM",
+        "EPOLL_WAIT, EINTR",
+        "LOG_WRITE, ENOSPC"
+    })
+    void theWatchIsOpenedAnewOnceCallsSucceedAgain(Call call, Errno errno) throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            startClients(sidecar);
+            Thread.sleep(1000);
+            assertTrue(agent.hasWatch(), "it watches");
+            int before = agent.calls.get();
+            sidecar.faults.fail(call, errno, 1000);
+            agent.resetWatches();
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            Thread.sleep(BEFORE_DRAIN_MS);
+            for (int i = 0; i < DRAINING; i++) {
+                upstreams.set(i, "Terminating", 0);
+            }
+            agent.tell();
+            Thread.sleep(TOLD_MS);
+            int[] seen = drainingRequests(upstreams);
+            int sentBefore = sent.get();
+            Thread.sleep(AFTER_MS);
+            over.set(true);
+            int[] late = drainingRequests(upstreams);
+            assertTrue(sent.get() > sentBefore, "clients went on");
+            assertTrue(agent.calls.get() > before, "it called discovery again");
+            for (int i = 0; i < DRAINING; i++) {
+                assertEquals(seen[i], late[i], "nothing new goes to s-" + i + ", which drains");
+            }
+        }
+    }
+
+    private static int[] drainingRequests(Upstreams upstreams) {
+        int[] counts = new int[DRAINING];
+        for (int i = 0; i < DRAINING; i++) {
+            counts[i] = upstreams.servers.get(i).requests.size();
+        }
+        return counts;
+    }
+
+    private void startClients(FaultySidecar sidecar) {
+        for (int i = 0; i < CLIENTS; i++) {
+            int client = i;
+            Thread thread = new Thread(() -> ask(sidecar, client));
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    private void ask(FaultySidecar sidecar, int client) {
+        for (int i = 0; !over.get(); i++) {
+            try (Socket socket = sidecar.connect()) {
+                for (int again = 0; again < 20 && !over.get(); again++) {
+                    request(socket, client + "-" + i + "-" + again);
+                    Thread.sleep(BETWEEN_REQUESTS_MS);
+                }
+            } catch (IOException e) {
+                // What becomes of clients is judged elsewhere.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private void request(Socket socket, String id) throws IOException {
+        socket.getOutputStream()
+                .write(("GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 3000\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+        byte[] bytes = new byte[1024];
+        if (socket.getInputStream().read(bytes) > 0) {
+            sent.incrementAndGet();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -0,0 +1,263 @@
+package ivybank.soak;
+
+import ivybank.testing.FakeServer;
+import ivybank.testing.ShortNight;
+import ivybank.testing.SyscallFaults;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** One sidecar as a process of its own, whose system calls a test can make fail. */
+final class FaultySidecar implements AutoCloseable {
+
+    private static final long READY_MS = 20_000;
+    private static final int SOCKETS = 384;
+
+    final SyscallFaults faults;
+    final Path folder;
+    private final int port;
+    private final Process process;
+
+    /** @param arguments behind {@code serve} */
+    FaultySidecar(Path folder, Path config, int port, SyscallFaults faults, String arguments) throws Exception {
+        this.folder = folder;
+        this.port = port;
+        this.faults = faults;
+        String line = "ulimit -n " + SOCKETS + " && export " + faults.environment() + "&& TMPDIR='" + folder
+                + "' EDGE_CONFIG='" + config + "' " + ShortNight.program("") + "serve " + arguments;
+        process = new ProcessBuilder("/bin/sh", "-c", line)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
+                .start();
+    }
+
+    /** A sidecar with one class of safe requests and a drain's grace of 500 ms, ready to serve. */
+    static FaultySidecar start(Path folder, FakeServer discovery, Upstreams upstreams) throws Exception {
+        return start(folder, discovery, upstreams, 0, "");
+    }
+
+    /**
+     * The same.
+     *
+     * @param wallClockAheadMs how far its wall clock is ahead from its start on, in milliseconds
+     * @param arguments behind {@code serve}
+     */
+    static FaultySidecar start(
+            Path folder, FakeServer discovery, Upstreams upstreams, long wallClockAheadMs, String arguments)
+            throws Exception {
+        int port = freePort();
+        Path config = Files.writeString(folder.resolve("config.json"), """
+                {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"ff0e5a0000000001",
+                 "limits":{"cores":1,"memory_mb":160,"sockets":%d},"known":%s,
+                 "settings":{"instances":1,"tickMs":5,"tenants":[],
+                  "contract":{"drainGraceMs":500,"coldFrom":0.12,"coldMs":22000,"overloadFactor":2.5,"fallMs":2000},
+                  "lanes":[{"name":"read","aimMs":1500,"hardLimitMs":3000,"idempotency":"retryable","worth":1},
+                           {"name":"submit","aimMs":1500,"hardLimitMs":3000,"idempotency":"fragile","worth":5}],
+                  "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
+                            "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":15000},
+                  "failureDomains":["a"],"kinds":["k"]}}
+                """.formatted(
+                        port, discovery.address().getPort(), SOCKETS, upstreams.list()));
+        SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
+        faults.wallClockAhead(wallClockAheadMs);
+        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, arguments);
+        sidecar.awaitReady();
+        return sidecar;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    private void awaitReady() throws Exception {
+        long until = System.nanoTime() + READY_MS * 1_000_000;
+        while (System.nanoTime() < until) {
+            if (!process.isAlive()) {
+                throw new IOException("the sidecar has ended: " + Files.readString(log()));
+            }
+            try (Socket socket = connect()) {
+                socket.getOutputStream()
+                        .write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200")) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Nobody listens yet.
+            }
+            Thread.sleep(20);
+        }
+        throw new IOException("the sidecar was not ready in time");
+    }
+
+    Path log() {
+        return folder.resolve("sidecar.log");
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 2000);
+        socket.setSoTimeout(5000);
+        return socket;
+    }
+
+    /** How many descriptors its process holds. */
+    long descriptors() throws IOException {
+        try (var open = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
+            return open.count();
+        }
+    }
+
+    /** The last value of a field of the lines that it logs each second, or -1. */
+    long lastTally(String field) throws IOException {
+        long last = -1;
+        for (String line : Files.readAllLines(log())) {
+            for (String word : line.split(" ")) {
+                if (word.startsWith(field + "=")) {
+                    last = Long.parseLong(word.substring(field.length() + 1));
+                }
+            }
+        }
+        return last;
+    }
+
+    /** Sends it a signal by its name. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly().onExit().join();
+    }
+
+    /** Upstreams that answer at once, and the list that names them. */
+    static final class Upstreams implements AutoCloseable {
+        final List<FakeServer> servers;
+        private final String[] health;
+        private final long[] bornMs;
+        private long seq = 1;
+
+        Upstreams(int count) throws IOException {
+            servers = new java.util.ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                servers.add(FakeServer.answering(FakeServer.OK));
+            }
+            health = new String[count];
+            java.util.Arrays.fill(health, "Ready");
+            bornMs = new long[count];
+        }
+
+        synchronized String list() {
+            return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":["
+                    + java.util.stream.IntStream.range(0, health.length)
+                            .mapToObj(this::entry)
+                            .collect(Collectors.joining(","))
+                    + "]}";
+        }
+
+        private String entry(int number) {
+            return String.format(
+                    Locale.ROOT,
+                    "{\"host\":\"s-%d\",\"dial\":\"127.0.0.1:%d\",\"site\":\"a\",\"class\":\"k\",\"block\":1,"
+                            + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":%d}",
+                    number,
+                    servers.get(number).address().getPort(),
+                    health[number],
+                    bornMs[number]);
+        }
+
+        /** Changes what is listed of an upstream. */
+        synchronized void set(int number, String state, long startedMs) {
+            health[number] = state;
+            bornMs[number] = startedMs;
+            seq++;
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (FakeServer server : servers) {
+                server.close();
+            }
+        }
+    }
+
+    /** An agent that pushes lists: it answers at once with what it has, and tells changes on its open watches. */
+    static final class Agent implements AutoCloseable {
+        final FakeServer server;
+        private final Upstreams upstreams;
+        private final List<FakeServer.Connection> watches = new java.util.concurrent.CopyOnWriteArrayList<>();
+        final java.util.concurrent.atomic.AtomicInteger calls = new java.util.concurrent.atomic.AtomicInteger();
+
+        Agent(Upstreams upstreams) throws IOException {
+            this.upstreams = upstreams;
+            server = new FakeServer(connection -> {
+                calls.incrementAndGet();
+                for (String call = connection.read(); call != null; call = connection.read()) {
+                    String list = upstreams.list();
+                    if (call.contains("stream=1")) {
+                        connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
+                        watches.add(connection);
+                        beat(connection);
+                    } else {
+                        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+                    }
+                }
+            });
+        }
+
+        private static String chunk(String line) {
+            return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+        }
+
+        private static void beat(FakeServer.Connection connection) throws IOException, InterruptedException {
+            while (true) {
+                Thread.sleep(2000);
+                connection.write(chunk(""));
+            }
+        }
+
+        /** Tells the list as it is now on all open watches. */
+        void tell() {
+            for (FakeServer.Connection watch : watches) {
+                try {
+                    watch.write(chunk(upstreams.list()));
+                } catch (IOException e) {
+                    watches.remove(watch);
+                }
+            }
+        }
+
+        /** Resets all open watches. */
+        void resetWatches() throws IOException {
+            for (FakeServer.Connection watch : watches) {
+                watches.remove(watch);
+                watch.reset();
+            }
+        }
+
+        boolean hasWatch() {
+            return !watches.isEmpty();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
