The watch goes on whatever becomes of a call: one owner, a due time for each state, a watchdog

Cause: where a channel can't be made (socket, setsockopt or getsockopt fails), Netty hands back a future whose closeFuture is never completed and whose listeners run on another thread. Discovery began its next call from that closeFuture, so the watch was over for good; ConnectionOpener gave descriptor and place back from there, so that each such failure counted as open for ever.

Change: OutboundConnection tells the end of each connection once, on the event loop. Discovery owns the chain of calls as named states with a time by which each must have ended; Watchdog restarts what is overdue, and is checked by the next event where its own timer is lost. Periodic tasks survive a run that throws. An update counts as known only once it was taken over. What connections have taken is compared every 0.5 s with what is open. While this machine itself keeps calls to discovery from being made, nothing is sent once a drain's grace could be over (ListLease).

Two mutants name the new places; one of them also takes the watchdog out, for it would otherwise hide the lost timer.

--- a/src/main/java/ivybank/daemon/AttemptSender.java
+++ b/src/main/java/ivybank/daemon/AttemptSender.java
@@ -1,6 +1,7 @@
 package ivybank.daemon;
 
 import ivybank.common.Clock;
+import ivybank.discovery.ListLease;
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.SendRecord;
@@ -36,6 +37,7 @@
     private final UpstreamPool pool;
     private final Listener listener;
     private Tally tally = Tally.NONE;
+    private ListLease lease = ListLease.unlimited();
 
     AttemptSender(Settings settings, Clock clock, UpstreamPool pool, Listener listener) {
         this.settings = settings;
@@ -49,6 +51,11 @@
         tally = counts;
     }
 
+    /** From now on sends nothing by a list that this lease no longer covers. */
+    void heeds(ListLease listLease) {
+        lease = listLease;
+    }
+
     /**
      * Begins an attempt. It ends at once, as not sent, where the request is over, has no time left, or may not be sent again.
      *
@@ -67,6 +74,7 @@
         if (exchange.over
                 || exchange.isBodySpent()
                 || mostMs <= 0
+                || lease.hasLapsed(nowMs)
                 || number >= settings.limits().maxAttempts()) {
             attempt.end(Ending.of(Outcome.NOT_SENT));
             return;
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import ivybank.common.Log;
 import ivybank.discovery.Directory;
 import ivybank.discovery.HostUpdate;
+import ivybank.discovery.ListLease;
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
@@ -113,6 +114,11 @@
         stallDetector = loops;
     }
 
+    /** From now on sends nothing on by a list that this lease no longer covers. */
+    void heeds(ListLease lease) {
+        sender.heeds(lease);
+    }
+
     void updated(HostUpdate update) {
         upstreams(update.whole() ? ListKind.FULL : ListKind.DELTA, update);
     }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -24,6 +24,7 @@
 import ivybank.control.SiblingProcesses;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
+import ivybank.discovery.ListLease;
 import ivybank.discovery.Timing;
 import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
@@ -33,6 +34,8 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
 import ivybank.promises.PromiseKeeper;
+import ivybank.supervision.PeriodicTask;
+import ivybank.supervision.Watchdog;
 import ivybank.tally.Second;
 import ivybank.tally.SecondTally;
 import ivybank.toml.InputException;
@@ -80,7 +83,7 @@
     private static final double LONGEST_IDLE_MS = 3000;
 
     private static final double PART_OF_IDLE_LIMIT = 0.5;
-    private static final long REPORT_S = 10;
+    private static final long REPORT_MS = 10_000;
     /** After the signal new connections still come for up to 0.4 s. */
     private static final long STOP_LISTENING_MS = 600;
 
@@ -133,6 +136,7 @@
 
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final Watchdog watchdog;
     private final Descriptors descriptors;
     private final UpstreamPool pool;
     private final RequestDispatcher dispatcher;
@@ -182,6 +186,7 @@
         this.clock = clock;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
+        watchdog = new Watchdog(loop, clock, log);
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
         descriptors = new Descriptors(sockets);
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
@@ -403,6 +408,11 @@
         pool.countIn(tally);
         dispatcher.countIn(tally);
         discovery.countIn(tally);
+        ListLease lease = ListLease.usual(timing.asked(), config.drainGraceMs());
+        discovery.renews(lease);
+        dispatcher.heeds(lease);
+        watchdog.watch(discovery);
+        watchdog.watch(pool.sweep());
         EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
         EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
@@ -420,8 +430,14 @@
         }
         discovery.start();
         tallyDueMs = clock.nowMs() + TALLY_MS;
-        loop.scheduleAtFixedRate(this::tally, TALLY_MS, TALLY_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(this::report, REPORT_S, REPORT_S, TimeUnit.SECONDS);
+        watchdog.watch(PeriodicTask.startAtRate("tally of each second", loop, clock, log, TALLY_MS, this::tally));
+        every("report", REPORT_MS, this::report);
+        watchdog.start();
+    }
+
+    /** Runs a step again and again on the event loop, whatever becomes of a run. */
+    private void every(String name, long periodMs, Runnable step) {
+        watchdog.watch(PeriodicTask.start(name, loop, clock, log, periodMs, step));
     }
 
     /** Looks from now on whether the event loop was held up, as often as is needed to notice it. */
@@ -432,7 +448,7 @@
                 settle(stallDetector);
             }
         };
-        loop.scheduleWithFixedDelay(look, periodMs, periodMs, TimeUnit.MILLISECONDS);
+        every("look whether the event loop stalled", periodMs, look);
     }
 
     private void settle(EventLoopStallDetector stallDetector) {
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -1,31 +1,19 @@
 package ivybank.discovery;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufInputStream;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Clock;
-import ivybank.common.Json;
 import ivybank.common.Log;
+import ivybank.supervision.Chain;
+import ivybank.supervision.OutboundConnection;
 import ivybank.tally.Tally;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.Locale;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -40,15 +28,24 @@
  * begun anew at its new address, for the versions of one say nothing to another; the old one is heard until the new one
  * has answered. Whenever a call has ended, {@code where} is asked for the address that holds now: a move that nobody has
  * told of is found then.
+ *
+ * <p>It owns the chain of calls: there is always one under way or a pause before the next, each with a time by which it must
+ * have ended, and a {@link ivybank.supervision.Watchdog} that begins the next one where it has not.
  */
-public final class Discovery {
+public final class Discovery implements Chain, DiscoveryCall.Owner {
+
+    /** What the chain of calls is doing. */
+    private enum State {
+        NOT_STARTED,
+        CONNECTING,
+        LISTING,
+        WATCHING,
+        PAUSING,
+        STOPPED
+    }
 
-    private static final String LIST = "/registry/instances";
-    private static final String WATCH = LIST + "?stream=1&index=";
-    private static final int OK = 200;
-    private static final int MOST_BYTES = 4 << 20;
-    /** What has come while the event loop was held up is looked at before anything counts as missing. */
-    private static final long ONE_MORE_PASS_MS = 1;
+    /** What a timer of its own may be late before it counts as lost. */
+    private static final double LATE_MS = 100;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -69,18 +66,22 @@
     private int silent;
 
     private boolean reachable = true;
-    private boolean stopped;
+    private State state = State.NOT_STARTED;
+    /** By when the state must have ended, by the module's clock. */
+    private double dueMs = NEVER;
+
     private SocketAddress address;
     private final Supplier<SocketAddress> where;
     /** Since when it has been asked at this address without a word from there, or NaN. */
     private double movedMs = Double.NaN;
     /** The call at hand; what others still bring is late and is ignored, but for one to the address before a move. */
-    private Channel current;
+    private DiscoveryCall current;
 
-    private Channel previous;
+    private DiscoveryCall previous;
     private ScheduledFuture<?> nextStart;
     private Runnable firstWord = () -> {};
     private Tally tally = Tally.NONE;
+    private ListLease lease = ListLease.unlimited();
 
     /**
      * @param where may return null: then the address stays
@@ -131,15 +132,7 @@
         this.clock = clock;
         this.log = log;
         this.address = address;
-        this.bootstrap = base.group(loop)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timing.connectMs())
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) throws IOException {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(), new Call(timing.asksForAll(silent) ? -1 : seq, newest));
-                    }
-                });
+        this.bootstrap = base.group(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timing.connectMs());
     }
 
     /** From now on tells this of calls and versions. Before the start. */
@@ -147,6 +140,11 @@
         tally = counts;
     }
 
+    /** From now on tells this when the list is confirmed, and when it can't be. Before the start. */
+    public void renews(ListLease listLease) {
+        lease = listLease;
+    }
+
     /**
      * Tells this once, when the first call has brought a list or has ended without one, at the latest when one that is answered
      * must have done so. Before the start.
@@ -163,17 +161,60 @@
     }
 
     public void start() {
-        if (!stopped) {
-            tally.called();
-            Channel call = bootstrap.connect(address).channel();
-            current = call;
-            // Also a connection that never comes up is closed in the end.
-            call.closeFuture().addListener(closed -> again(call));
+        if (state == State.STOPPED) {
+            return;
         }
+        tally.called();
+        DiscoveryCall call = new DiscoveryCall(this, timing, silent, timing.asksForAll(silent) ? -1 : seq, newest);
+        current = call;
+        enter(State.CONNECTING, timing.connectMs());
+        Bootstrap calling = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), call);
+            }
+        });
+        call.connection = OutboundConnection.open(calling, loop, address, new CallEnd(call));
     }
 
     public void stop() {
-        stopped = true;
+        enter(State.STOPPED, NEVER);
+    }
+
+    private void enter(State next, double mostMs) {
+        if (state != State.STOPPED) {
+            state = next;
+            dueMs = clock.nowMs() + mostMs + LATE_MS;
+        }
+    }
+
+    @Override
+    public String name() {
+        return "discovery";
+    }
+
+    @Override
+    public String state() {
+        return state.name().toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public double dueMs() {
+        return state == State.STOPPED || state == State.NOT_STARTED ? NEVER : dueMs;
+    }
+
+    /** A step of the chain was lost: the call at hand is given up, and the next one begun. */
+    @Override
+    public void restart() {
+        DiscoveryCall lost = current;
+        cancelNextStart();
+        try {
+            start();
+        } finally {
+            if (lost != null) {
+                lost.close();
+            }
+        }
     }
 
     /** Goes on at another address, with the list as it is known until the whole one has come from there. */
@@ -190,9 +231,7 @@
         silent = 0;
         remembered = false;
         pauseMs = Timing.FIRST_PAUSE_MS;
-        if (nextStart != null) {
-            nextStart.cancel(false);
-        }
+        cancelNextStart();
         if (current != null) { // else nothing has been started yet
             if (previous != null) {
                 previous.close();
@@ -202,20 +241,65 @@
         }
     }
 
-    private void again(Channel ended) {
-        firstWord();
-        if (stopped || ended != current) {
+    private void cancelNextStart() {
+        if (nextStart != null) {
+            nextStart.cancel(false);
+        }
+    }
+
+    /** Hears of the end of one call, however it came about. */
+    private final class CallEnd implements OutboundConnection.Listener {
+        private final DiscoveryCall call;
+
+        CallEnd(DiscoveryCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void up(Channel channel) {
+            // The call itself begins when its channel is active.
+        }
+
+        @Override
+        public void failed(Throwable cause, boolean local) {
+            if (call == current && local) {
+                lease.failedLocally(clock.nowMs());
+            }
+            ended("not connected: " + cause.getMessage());
+        }
+
+        @Override
+        public void closed() {
+            ended("not connected");
+        }
+
+        private void ended(String why) {
+            if (call == current) {
+                tally.callFailed("ended");
+                lost(why);
+            }
+            again(call);
+        }
+    }
+
+    private void again(DiscoveryCall ended) {
+        if (ended != current) {
+            firstWord();
             return;
         }
         // At random times: many sidecars come back to one service.
         double delayMs = Math.min(timing.longestPauseMs(), pauseMs) * (0.5 + random.getAsDouble() / 2);
         pauseMs = Math.min(timing.longestPauseMs(), 2 * pauseMs);
-        nextStart = loop.schedule(this::startWhereItIs, (long) delayMs, TimeUnit.MILLISECONDS);
+        enter(State.PAUSING, delayMs);
+        if (state != State.STOPPED) {
+            nextStart = loop.schedule(this::startWhereItIs, (long) delayMs, TimeUnit.MILLISECONDS);
+        }
+        firstWord();
     }
 
     /** Guards against a signal that never came: without it the sidecar stayed at an address that had closed for good. */
     private void startWhereItIs() {
-        SocketAddress now = where.get();
+        SocketAddress now = placeNow();
         if (now != null && !now.equals(address)) {
             moveTo(now);
         } else {
@@ -223,16 +307,72 @@
         }
     }
 
+    private SocketAddress placeNow() {
+        try {
+            return where.get();
+        } catch (RuntimeException e) {
+            log.line("where discovery is now can't be read, it is asked where it was: " + e);
+            return null;
+        }
+    }
+
+    @Override
+    public boolean heeds(DiscoveryCall call) {
+        return call == current || call == previous;
+    }
+
+    @Override
+    public void waits(DiscoveryCall call, boolean watching, long mostMs) {
+        if (call == current) {
+            enter(watching ? State.WATCHING : State.LISTING, (double) mostMs);
+        }
+    }
+
     /**
      * There is life in the call at hand. Guards against pauses that stay long: a watch that had come up well and brought
      * nothing but empty lines left them as they had grown, and its next break was answered seconds late.
      */
+    @Override
+    public void alive(DiscoveryCall call) {
+        if (call == current) {
+            silent = 0;
+            alive();
+        }
+    }
+
     private void alive() {
         if (!reachable) {
             log.line("discovery answers again, at version " + Math.max(seq, newest));
         }
         reachable = true;
         pauseMs = Timing.FIRST_PAUSE_MS;
+        lease.renew(clock.nowMs());
+    }
+
+    @Override
+    public void silent(DiscoveryCall call, boolean word) {
+        if (call == current) {
+            silent = word ? 1 : silent + 1;
+        }
+    }
+
+    @Override
+    public void unreadable(DiscoveryCall call) {
+        if (call == current) {
+            seq = -1;
+        }
+    }
+
+    @Override
+    public void refused(int status) {
+        tally.callFailed(Integer.toString(status));
+    }
+
+    @Override
+    public void failed(DiscoveryCall call, String why) {
+        if (call == current) {
+            lost(why);
+        }
     }
 
     /** The first list after a move, or after a call that broke, ends what the old address has to say. */
@@ -245,8 +385,9 @@
         movedMs = Double.NaN;
         alive();
         if (previous != null) {
-            previous.close();
+            DiscoveryCall old = previous;
             previous = null;
+            old.close();
         }
     }
 
@@ -257,209 +398,38 @@
         reachable = false;
     }
 
-    /** One connection: a call for the list, and then the watch that goes on from it. */
-    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
-
-        private ByteBuf text;
-        private ListValues values;
-        private boolean watching;
-        /** The version that all is known up to by this address, or -1 where the whole list is needed. */
-        private long version;
-        /** The newest version that this address has told before, or -1. */
-        private long before;
-        /** Ends the call if what it waits for does not come. */
-        private ScheduledFuture<?> guard;
-        /** Whether this watch has brought a word. */
-        private boolean word;
-
-        Call(long version, long before) {
-            this.version = version;
-            this.before = Math.max(version, before);
-        }
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) throws IOException {
-            text = ctx.alloc().buffer();
-            ask(ctx);
-        }
-
-        private void ask(ChannelHandlerContext ctx) throws IOException {
-            guard(ctx, timing.firstAnswerMs(), "no answer within ");
-            watching = version >= 0;
-            if (watching) {
-                values = new ListValues(MOST_BYTES);
-            }
-            DefaultFullHttpRequest request =
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, watching ? WATCH + version : LIST);
-            request.headers().set(HttpHeaderNames.HOST, "discovery");
-            ctx.writeAndFlush(request);
-        }
-
-        /** What it waits for now, and for how long: only that, or what goes before it, ends the wait, not any byte. */
-        private void guard(ChannelHandlerContext ctx, long mostMs, String what) {
-            unguard();
-            guard = loop.schedule(
-                    () -> {
-                        guard = loop.schedule(
-                                () -> missed(ctx, what + mostMs + " ms"), ONE_MORE_PASS_MS, TimeUnit.MILLISECONDS);
-                    },
-                    mostMs,
-                    TimeUnit.MILLISECONDS);
-        }
-
-        private void unguard() {
-            if (guard != null) {
-                guard.cancel(false);
-            }
-        }
-
-        private void missed(ChannelHandlerContext ctx, String what) {
-            if (ctx.channel() == current && watching) {
-                silent = word ? 1 : silent + 1;
-            }
-            exceptionCaught(ctx, new IOException(what));
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-            if (ctx.channel() != current && ctx.channel() != previous) {
-                return;
-            }
-            if (message.decoderResult().isFailure()) {
-                throw new IOException("what came is no HTTP");
-            }
-            if (message instanceof HttpResponse response) {
-                if (response.status().code() != OK) {
-                    tally.callFailed(Integer.toString(response.status().code()));
-                    throw new IOException("it answers " + response.status().code());
-                }
-                guard(ctx, watching ? timing.wordMs(silent) : timing.silenceMs(), "silent for ");
-            }
-            if (message instanceof HttpContent content) {
-                if (watching) {
-                    watched(ctx, content.content());
-                } else {
-                    text.writeBytes(content.content());
-                    if (text.readableBytes() > MOST_BYTES) {
-                        throw new IOException("a list is longer than " + MOST_BYTES + " bytes");
-                    }
-                }
-                if (message instanceof LastHttpContent) {
-                    ended(ctx);
-                }
-            }
-        }
-
-        private void ended(ChannelHandlerContext ctx) throws IOException {
-            if (watching) {
-                throw new IOException("the watch has ended");
-            }
-            JsonNode list;
-            try {
-                list = Json.MAPPER.readTree(new ByteBufInputStream(text).readAllBytes());
-            } catch (IOException e) {
-                throw unreadable(ctx.channel(), "the list", e);
-            }
-            text.clear();
-            read(ctx.channel(), list);
-            ask(ctx);
-        }
-
-        private void watched(ChannelHandlerContext ctx, ByteBuf content) throws IOException {
-            ListValues.Piece piece;
-            try {
-                piece = values.take(ByteBufUtil.getBytes(content));
-            } catch (IOException e) {
-                throw unreadable(
-                        ctx.channel(), "the watch from version " + version + ", at byte " + values.at() + ",", e);
-            }
-            for (JsonNode value : piece.values()) {
-                read(ctx.channel(), value);
-            }
-            if (piece.isSignOfLife()) {
-                guard(ctx, timing.silenceMs(), "silent for ");
-                word = true;
-                if (ctx.channel() == current) {
-                    silent = 0;
-                    alive();
-                }
-            }
-        }
-
-        /** It may have said something that is now missed: only the whole list makes up for that. */
-        private IOException unreadable(Channel channel, String where, Exception e) {
-            if (channel == current) {
+    @Override
+    public void confirms(DiscoveryCall call, HostUpdate update, long version) throws IOException {
+        if (call == current && remembered) {
+            remembered = false;
+            if (!update.whole() && update.seq() < version) {
                 seq = -1;
+                newest = -1;
+                throw new IOException(
+                        "it is at version " + update.seq() + " and knows nothing of the list of version " + version);
             }
-            return new IOException(
-                    where + " can't be read: "
-                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""),
-                    e);
         }
-
-        private void read(Channel channel, JsonNode json) throws IOException {
-            HostUpdate update;
-            try {
-                update = HostUpdate.read(json);
-            } catch (IllegalArgumentException e) {
-                throw unreadable(channel, "what came after version " + version, e);
-            }
-            take(channel, update);
+        if (call == current && !Double.isNaN(movedMs)) {
+            call.firstSinceMove = true;
         }
-
-        private void take(Channel channel, HostUpdate update) throws IOException {
-            if (channel == current && remembered) {
-                remembered = false;
-                if (!update.whole() && update.seq() < version) {
-                    seq = -1;
-                    newest = -1;
-                    throw new IOException("it is at version " + update.seq()
-                            + " and knows nothing of the list of version " + version);
-                }
-            }
-            boolean moved = channel == current && !Double.isNaN(movedMs);
-            if (channel == current) {
-                heard(update.seq(), update.entries().size());
-            }
-            // A watch that is resumed may say again what is known; what is older must not undo it.
-            if (update.whole() || update.seq() > version) {
-                boolean behind = update.seq() < before;
-                version = update.seq();
-                before = version;
-                if (channel == current) {
-                    seq = version;
-                    newest = version;
-                }
-                tally.listed(version);
-                listener.accept(moved || behind ? update.elsewhere() : update);
-                if (channel == current) {
-                    firstWord();
-                }
-            }
+        if (call == current) {
+            heard(update.seq(), update.entries().size());
         }
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (ctx.channel() == current) {
-                lost(String.valueOf(cause.getMessage()));
-            }
-            ctx.close();
+    @Override
+    public void take(DiscoveryCall call, HostUpdate update, boolean behind) {
+        boolean moved = call.firstSinceMove;
+        call.firstSinceMove = false;
+        tally.listed(update.seq());
+        if (call == current) {
+            seq = -1; // until it has been taken over: an update that fails there must come again
         }
-
-        @Override
-        public void handlerRemoved(ChannelHandlerContext ctx) throws IOException {
-            unguard();
-            if (text != null) {
-                text.release();
-                text = null;
-            }
-            if (values != null) {
-                values.close();
-            }
-            if (ctx.channel() == current) {
-                tally.callFailed("ended");
-                lost("not connected");
-            }
+        listener.accept(moved || behind ? update.elsewhere() : update);
+        if (call == current) {
+            seq = update.seq();
+            newest = seq;
+            firstWord();
         }
     }
 }
--- /dev/null
+++ b/src/main/java/ivybank/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Socket channels that outlast system calls that fail for a moment. */
+package ivybank.transport;
--- a/src/main/java/ivybank/upstream/ConnectionOpener.java
+++ b/src/main/java/ivybank/upstream/ConnectionOpener.java
@@ -2,14 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import ivybank.common.Descriptors;
 import ivybank.discovery.Node;
+import ivybank.supervision.OutboundConnection;
 import ivybank.tally.Tally;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -21,8 +24,11 @@
 
     /** Of the connections allowed: so many are never taken by spare ones. */
     private static final double ROOM_KEPT_PART = 0.25;
+    /** One that has not come up so long after its time, and of which nothing was told, is given up. */
+    private static final double OVERDUE_MS = 500;
 
     private final UpstreamPool pool;
+    private final EventLoop loop;
     private final Limits limits;
     private final Descriptors descriptors;
     private final LoadReport reports;
@@ -31,16 +37,25 @@
     private final Map<Node, Integer> spares = new HashMap<>();
 
     private Tally tally = Tally.NONE;
-    private int open;
+    /** All that are open or coming up: their number is what counts against the limits. */
+    private final Map<UpstreamConnection, Opening> open = new LinkedHashMap<>();
+
     private long opened;
 
-    /** {@code base} says on which loop and what kind of channels to open, and with which options. */
-    ConnectionOpener(UpstreamPool pool, Limits limits, Descriptors descriptors, LoadReport reports, Bootstrap base) {
+    /** {@code base} says what kind of channels to open, and with which options. */
+    ConnectionOpener(
+            UpstreamPool pool,
+            EventLoop loop,
+            Limits limits,
+            Descriptors descriptors,
+            LoadReport reports,
+            Bootstrap base) {
         this.pool = pool;
+        this.loop = loop;
         this.limits = limits;
         this.descriptors = descriptors;
         this.reports = reports;
-        this.bootstrap = base.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
+        this.bootstrap = base.group(loop).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMs());
     }
 
     /** From now on tells this of what happens to connections. Before the first is begun. */
@@ -50,7 +65,7 @@
 
     /** How many are open or coming up. */
     int open() {
-        return open;
+        return open.size();
     }
 
     /** How many have been begun since the start. */
@@ -63,46 +78,86 @@
     }
 
     boolean isFull() {
-        return open >= limits.connections() || descriptors.full();
+        return open() >= limits.connections() || descriptors.full();
     }
 
     /** A spare connection must never be the reason why another one can't be opened, here or on the client's side. */
     boolean hasRoomForSpares() {
         int kept = (int) (ROOM_KEPT_PART * limits.connections());
-        return open < limits.connections() - kept && descriptors.room() > kept;
+        return open() < limits.connections() - kept && descriptors.room() > kept;
     }
 
     /** Opens a connection, and hands it on once it is up; null if it doesn't come up. */
     void open(Node node, boolean spare, Consumer<UpstreamConnection> receiver) {
         AnswerDecoder decoder = new AnswerDecoder();
         UpstreamConnection connection = new UpstreamConnection(node, spare, decoder, pool, reports);
-        double begunMs = pool.nowMs();
-        begun(connection);
-        ChannelFuture connected = bootstrap
-                .clone()
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-                    }
-                })
-                .connect(node.address);
-        connected.channel().closeFuture().addListener(closed -> ended(connection));
-        connected.addListener(up -> {
-            if (up.isSuccess()) {
-                pool.cameUp(connection, pool.nowMs() - begunMs);
-                receiver.accept(connection);
-            } else {
-                tally.notUp(node.host);
-                pool.notUp(node);
-                receiver.accept(null);
+        Opening opening = new Opening(connection, receiver, pool.nowMs());
+        begun(connection, opening);
+        Bootstrap connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
             }
         });
+        opening.connection = OutboundConnection.open(connecting, loop, node.address, opening);
     }
 
-    private void begun(UpstreamConnection connection) {
+    /** One connection from its begin to its end. */
+    private final class Opening implements OutboundConnection.Listener {
+        private final UpstreamConnection upstream;
+        private final Consumer<UpstreamConnection> receiver;
+        private final double begunMs;
+        private OutboundConnection connection;
+        private boolean up;
+
+        Opening(UpstreamConnection upstream, Consumer<UpstreamConnection> receiver, double begunMs) {
+            this.upstream = upstream;
+            this.receiver = receiver;
+            this.begunMs = begunMs;
+        }
+
+        @Override
+        public void up(Channel channel) {
+            up = true;
+            pool.cameUp(upstream, pool.nowMs() - begunMs);
+            receiver.accept(upstream);
+        }
+
+        @Override
+        public void failed(Throwable cause, boolean local) {
+            ended(upstream);
+            tally.notUp(upstream.node.host);
+            pool.notUp(upstream.node, cause, local);
+            receiver.accept(null);
+        }
+
+        @Override
+        public void closed() {
+            ended(upstream);
+        }
+
+        /** Whether its end has come, or should have, and nobody was told. */
+        boolean isLost(double nowMs) {
+            boolean overdue = !up && nowMs - begunMs > limits.connectTimeoutMs() + OVERDUE_MS;
+            return overdue || connection != null && connection.hasEndedUntold();
+        }
+    }
+
+    /** Gives back what connections have taken that have ended without a word. Called now and then. */
+    void reconcile() {
+        double nowMs = pool.nowMs();
+        for (Opening opening : List.copyOf(open.values())) {
+            if (opening.isLost(nowMs)) {
+                pool.unaccounted(opening.upstream);
+                opening.connection.abandon("nothing was heard of it");
+                ended(opening.upstream);
+            }
+        }
+    }
+
+    private void begun(UpstreamConnection connection, Opening opening) {
         descriptors.take();
-        open++;
+        open.put(connection, opening);
         opened++;
         if (connection.spare) {
             spares.merge(connection.node, 1, Integer::sum);
@@ -111,9 +166,12 @@
         tally.held(connection.node.host, 1);
     }
 
+    /** Gives back what it has taken, once. */
     private void ended(UpstreamConnection connection) {
+        if (open.remove(connection) == null) {
+            return;
+        }
         descriptors.release();
-        open--;
         if (connection.spare) {
             spares.computeIfPresent(connection.node, (node, count) -> count == 1 ? null : count - 1);
         }
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -115,12 +115,15 @@
         return written;
     }
 
+    /** Whether its channel was made and is up. */
     boolean active() {
-        return channel.isActive();
+        return channel != null && channel.isActive();
     }
 
     void close() {
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     /** What stands unread; the connection has to be closed unless there is nothing. */
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -9,12 +9,13 @@
 import ivybank.common.NextSelect;
 import ivybank.discovery.Node;
 import ivybank.policy.Balancer.Outcome;
+import ivybank.supervision.Chain;
+import ivybank.supervision.PeriodicTask;
 import ivybank.tally.Stage;
 import ivybank.tally.Tally;
 import ivybank.upstream.ConnectionReusePolicy.NodeState;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
-import java.util.concurrent.TimeUnit;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
@@ -49,7 +50,6 @@
     }
 
     private static final long SWEEP_MS = 500;
-    private static final double MICROS_IN_MS = 1000;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
      * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
@@ -65,6 +65,7 @@
     private final Log log;
     private final ConnectionReusePolicy reuse;
     private final ConnectionOpener opener;
+    private final PeriodicTask sweep;
     private final IdleConnections idle = new IdleConnections();
     private Tally tally = Tally.NONE;
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
@@ -86,8 +87,9 @@
         this.log = log;
         this.reuse = new ConnectionReusePolicy(limits.reuse());
         ConnectionOpener.Limits bounds = new ConnectionOpener.Limits(limits.connections(), limits.connectTimeoutMs());
-        this.opener = new ConnectionOpener(this, bounds, descriptors, reports, base.group(loop));
-        loop.scheduleWithFixedDelay(this::closeLongIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        this.opener = new ConnectionOpener(this, loop, bounds, descriptors, reports, base);
+        this.sweep =
+                PeriodicTask.start("sweep of connections to upstreams", loop, clock, log, SWEEP_MS, this::closeUseless);
     }
 
     /** From now on tells this of what happens to connections. Before the first is begun. */
@@ -96,6 +98,11 @@
         opener.countIn(counts);
     }
 
+    /** What closes idle connections and finds lost ones. */
+    public Chain sweep() {
+        return sweep;
+    }
+
     /** From now on minds whether the event loop was held up. */
     public void mind(EventLoopStallDetector loops) {
         stallDetector = loops;
@@ -155,7 +162,7 @@
     }
 
     /** Sends an attempt on a connection that has rested, else on the one that can be used first. */
-    private void begin(UpstreamAttempt attempt) {
+    void begin(UpstreamAttempt attempt) {
         Node node = attempt.node;
         if (!node.ready) { // discovery may have said so while it waited
             attempt.end(Ending.of(Outcome.NOT_SENT));
@@ -167,9 +174,9 @@
         NodeState state = new NodeState(node.host, nowMs - node.startedMs(), opener.spares(node));
         switch (reuse.choose(state, restLeftMs, opener.hasRoomForSpares(), nowMs)) {
             case REUSE -> send(idleOne, attempt);
-            case WAIT -> new Wait(attempt).forRest(idleOne, restLeftMs);
+            case WAIT -> new ConnectionWait(this, loop, opener, attempt).forRest(idleOne, restLeftMs);
             case OPEN_AND_WAIT -> {
-                Wait wait = new Wait(attempt);
+                ConnectionWait wait = new ConnectionWait(this, loop, opener, attempt);
                 wait.forRest(idleOne, restLeftMs);
                 wait.forNew(true);
             }
@@ -179,7 +186,7 @@
 
     private void open(UpstreamAttempt attempt) {
         if (!opener.isFull() || idle.closeLongestIdle()) {
-            new Wait(attempt).forNew(false);
+            new ConnectionWait(this, loop, opener, attempt).forNew(false);
         } else {
             log.line("all " + opener.open()
                     + " connections to upstreams are busy and there may be no more: nothing sent to " + attempt.node);
@@ -191,94 +198,11 @@
         return reuse.restLeftMs(connection.answeredMs, nowMs);
     }
 
-    /** An attempt that waits for a connection that rests, for a new one, or for whichever of the two can be used first. */
-    private final class Wait {
-        private final UpstreamAttempt attempt;
-        /** The connection that rests and is kept for this attempt, else null. */
-        private UpstreamConnection resting;
-
-        private boolean comingUp;
-        /** Whether the attempt has been sent on, or has ended. */
-        private boolean over;
-
-        Wait(UpstreamAttempt attempt) {
-            this.attempt = attempt;
-        }
-
-        void forRest(UpstreamConnection connection, double restLeftMs) {
-            resting = connection;
-            loop.schedule(this::rested, (long) Math.ceil(restLeftMs * MICROS_IN_MS), TimeUnit.MICROSECONDS);
-        }
-
-        void forNew(boolean spare) {
-            comingUp = true;
-            opener.open(attempt.node, spare, this::connected);
-        }
-
-        private void rested() {
-            if (resting == null) {
-                return;
-            }
-            UpstreamConnection connection = resting;
-            resting = null;
-            if (attempt.ended()) { // its request was called off meanwhile; the next one finds the connection
-                keep(connection);
-            } else if (isOfUse(connection)) {
-                over = true;
-                attempt.stage = Stage.REST;
-                send(connection, attempt);
-            } else { // discovery may have said so
-                connection.close();
-                lost();
-            }
-        }
-
-        /** @param connection that has come up, or null if it has not */
-        private void connected(UpstreamConnection connection) {
-            comingUp = false;
-            if (connection == null) {
-                failed();
-            } else if (over || attempt.ended()) {
-                keep(connection); // the next request finds it up
-            } else if (leadsToItsNode(connection)) {
-                over = true;
-                attempt.stage = Stage.CONNECT;
-                handBackResting();
-                send(connection, attempt);
-            } else { // discovery may have said so while it came up
-                connection.close();
-                lost();
-            }
-        }
-
-        private void failed() {
-            if (!over && resting == null) {
-                over = true;
-                attempt.end(Ending.of(Outcome.CONNECT_FAILED));
-            }
-        }
-
-        /** One of the connections is of no use any more: goes on with the other one, or begins anew. */
-        private void lost() {
-            if (!over && resting == null && !comingUp) {
-                over = true;
-                begin(attempt);
-            }
-        }
-
-        private void handBackResting() {
-            if (resting != null) {
-                keep(resting);
-                resting = null;
-            }
-        }
-    }
-
     /**
      * Sends on a connection that is free. Guards nodes against requests whose clients have left, and nodes that have begun to
      * drain, while the event loop was held up: what says so may still stand unread, and is looked for first.
      */
-    private void send(UpstreamConnection connection, UpstreamAttempt attempt) {
+    void send(UpstreamConnection connection, UpstreamAttempt attempt) {
         if (stallDetector.ofLate(clock.nowMs())) {
             NextSelect.then(loop, () -> {
                 if (isStillWanted(connection, attempt)) {
@@ -323,11 +247,11 @@
     }
 
     /** Whether it leads to where its node is; one that has moved is another machine. */
-    private static boolean leadsToItsNode(UpstreamConnection connection) {
+    static boolean leadsToItsNode(UpstreamConnection connection) {
         return connection.node.ready && connection.address.equals(connection.node.address);
     }
 
-    private static boolean isOfUse(UpstreamConnection connection) {
+    static boolean isOfUse(UpstreamConnection connection) {
         return leadsToItsNode(connection) && connection.active();
     }
 
@@ -342,9 +266,18 @@
         reuse.answered(node.host, tookMs, clock.nowMs());
     }
 
-    /** A connection was refused, or has not come up in its time. */
-    void notUp(Node node) {
-        reuse.refused(node.host, clock.nowMs());
+    /** A connection was refused or has not come up in its time; {@code local}: this machine is the reason. */
+    void notUp(Node node, Throwable cause, boolean local) {
+        if (local) {
+            log.line("no connection to " + node + " could be begun here: " + cause);
+        } else {
+            reuse.refused(node.host, clock.nowMs());
+        }
+    }
+
+    /** A connection has ended, or should have come up long ago, and nobody was told. */
+    void unaccounted(UpstreamConnection connection) {
+        log.line("a connection to " + connection.node + " ended without a word: what it had taken is given back");
     }
 
     /** A connection has ended. */
@@ -365,7 +298,7 @@
     }
 
     /** Keeps a connection that nothing needs at the moment for the next request. */
-    private void keep(UpstreamConnection connection) {
+    void keep(UpstreamConnection connection) {
         if (keepsNoneIdle || !isOfUse(connection)) {
             connection.close();
         } else {
@@ -388,7 +321,8 @@
         closeAllIdle();
     }
 
-    private void closeLongIdle() {
+    private void closeUseless() {
+        opener.reconcile();
         double nowMs = clock.nowMs();
         idle.closeIdleSince(nowMs - limits.idleMs());
         reuse.sweep(nowMs);
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -295,18 +295,24 @@
                     Night.ODD,
                     List.of("rule crash"),
                     List.of(new Edit(
-                            "discovery/Discovery.java",
-                            "            if (channel == current) {\n                seq = -1;\n            }\n            return",
-                            "            Runtime.getRuntime().halt(3);\n            return"))),
+                            "discovery/DiscoveryCall.java",
+                            "        owner.unreadable(this);",
+                            "        Runtime.getRuntime().halt(3);"))),
             new Mutant(
                     "waits on a silent watch",
                     Night.HUSH,
                     List.of("rule drain"),
-                    List.of(new Edit(
-                            "discovery/Discovery.java",
-                            "            unguard();\n            guard = loop",
-                            "            unguard();\n"
-                                    + "            guard = mostMs == timing.silenceMs() ? null : loop"))),
+                    List.of(
+                            new Edit(
+                                    "discovery/DiscoveryCall.java",
+                                    "guard = context.channel().eventLoop().schedule( () -> { guard",
+                                    "guard = mostMs == timing.silenceMs() ? null : context.channel().eventLoop()"
+                                            + ".schedule( () -> { guard"),
+                            // The watchdog would begin the next call all the same.
+                            new Edit(
+                                    "discovery/Discovery.java",
+                                    "state == State.STOPPED || state == State.NOT_STARTED ? NEVER : dueMs",
+                                    "NEVER"))),
             new Mutant(
                     "stays at an address that discovery has left",
                     Night.MOVE,
--- a/src/test/java/ivybank/soak/FailedCallsTest.java
+++ b/src/test/java/ivybank/soak/FailedCallsTest.java
@@ -5,6 +5,8 @@
 
 import ivybank.soak.FaultySidecar.Agent;
 import ivybank.soak.FaultySidecar.Upstreams;
+import ivybank.testing.FakeServer;
+import ivybank.testing.SyscallFaults;
 import ivybank.testing.SyscallFaults.Call;
 import ivybank.testing.SyscallFaults.Errno;
 import java.io.IOException;
@@ -13,6 +15,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,7 +62,7 @@
             Thread.sleep(1000);
             assertTrue(agent.hasWatch(), "it watches");
             int before = agent.calls.get();
-            sidecar.faults.fail(call, errno, 1000);
+            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
             agent.resetWatches();
             Thread.sleep(FAULT_MS);
             sidecar.faults.healAll();
@@ -82,6 +85,27 @@
         }
     }
 
+    @Test
+    void whatAConnectionThatWasNeverMadeHadTakenIsGivenBack() throws Exception {
+        FakeServer.Script once = connection -> {
+            connection.read();
+            connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+            connection.socket.close();
+        };
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, once);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            startClients(sidecar);
+            Thread.sleep(1000);
+            sidecar.faults.fail(Call.SOCKET, Errno.ENFILE, SyscallFaults.ALWAYS);
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            assertTrue(sidecar.faults.hits(Call.SOCKET) > CLIENTS, "connections could not be made");
+            Thread.sleep(AFTER_MS);
+            assertTrue(sidecar.connectionsHeld() <= 2 * CLIENTS, sidecar.connectionsHeld() + " are counted as open");
+        }
+    }
+
     private static int[] drainingRequests(Upstreams upstreams) {
         int[] counts = new int[DRAINING];
         for (int i = 0; i < DRAINING; i++) {
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -11,15 +11,22 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** One sidecar as a process of its own, whose system calls a test can make fail. */
 final class FaultySidecar implements AutoCloseable {
 
     private static final long READY_MS = 20_000;
     private static final int SOCKETS = 384;
+    /** Among the words of a node in the line of a second, which begins with its name. */
+    private static final int HELD = 2;
 
     final SyscallFaults faults;
     final Path folder;
@@ -130,6 +137,20 @@
         return last;
     }
 
+    /** How many connections to upstreams it counts as open in the last line of its seconds; 0 where none has any. */
+    int connectionsHeld() throws IOException {
+        int held = 0;
+        for (String line : Files.readAllLines(log())) {
+            if (line.startsWith("tally ")) {
+                held = Arrays.stream(line.split(" "))
+                        .filter(word -> word.startsWith("/"))
+                        .mapToInt(word -> Integer.parseInt(word.split("[=,]")[HELD]))
+                        .sum();
+            }
+        }
+        return held;
+    }
+
     /** Sends it a signal by its name. */
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
@@ -154,20 +175,26 @@
         private long seq = 1;
 
         Upstreams(int count) throws IOException {
-            servers = new java.util.ArrayList<>();
+            this(count, connection -> {
+                while (connection.read() != null) {
+                    connection.write(FakeServer.OK);
+                }
+            });
+        }
+
+        Upstreams(int count, FakeServer.Script script) throws IOException {
+            servers = new ArrayList<>();
             for (int i = 0; i < count; i++) {
-                servers.add(FakeServer.answering(FakeServer.OK));
+                servers.add(new FakeServer(script));
             }
             health = new String[count];
-            java.util.Arrays.fill(health, "Ready");
+            Arrays.fill(health, "Ready");
             bornMs = new long[count];
         }
 
         synchronized String list() {
             return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":["
-                    + java.util.stream.IntStream.range(0, health.length)
-                            .mapToObj(this::entry)
-                            .collect(Collectors.joining(","))
+                    + IntStream.range(0, health.length).mapToObj(this::entry).collect(Collectors.joining(","))
                     + "]}";
         }
 
@@ -201,8 +228,8 @@
     static final class Agent implements AutoCloseable {
         final FakeServer server;
         private final Upstreams upstreams;
-        private final List<FakeServer.Connection> watches = new java.util.concurrent.CopyOnWriteArrayList<>();
-        final java.util.concurrent.atomic.AtomicInteger calls = new java.util.concurrent.atomic.AtomicInteger();
+        private final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
+        final AtomicInteger calls = new AtomicInteger();
 
         Agent(Upstreams upstreams) throws IOException {
             this.upstreams = upstreams;
@@ -234,7 +261,7 @@
 
         /** Tells the list as it is now on all open watches. */
         void tell() {
-            for (FakeServer.Connection watch : watches) {
+            for (FakeServer.Connection watch : List.copyOf(watches)) {
                 try {
                     watch.write(chunk(upstreams.list()));
                 } catch (IOException e) {
@@ -245,7 +272,7 @@
 
         /** Resets all open watches. */
         void resetWatches() throws IOException {
-            for (FakeServer.Connection watch : watches) {
+            for (FakeServer.Connection watch : List.copyOf(watches)) {
                 watches.remove(watch);
                 watch.reset();
             }
