--- /dev/null
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -0,0 +1,241 @@
+package ivybank.client;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import ivybank.common.Clock;
+import ivybank.common.Log;
+import ivybank.common.NextSelect;
+import java.net.SocketAddress;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+/**
+ * Accepts the client's connections: it owns the listening channel, and whether it accepts. An accept that fails is followed by
+ * another one a moment later, a listener that has ended by another one, and one of which the selector tells nothing is looked at
+ * all the same. On one event loop.
+ */
+final class ClientAcceptor {
+
+    /** What it does. */
+    private enum State {
+        STARTING,
+        ACCEPTING,
+        /** There is no room for another connection. */
+        FULL,
+        /** An accept has just failed. */
+        PAUSING,
+        /** The listening channel has ended by itself; the next one is not there yet. */
+        REOPENING,
+        STOPPED
+    }
+
+    private static final int MOST_AT_ONCE = 16;
+    /** After an accept that failed: the connection that waits is reported again and again until it is taken. */
+    private static final double PAUSE_MS = 10;
+    /** Before the listener closes: so long, up to so often, while somebody comes. */
+    private static final long LAST_PASS_MS = 2;
+
+    private static final int MOST_LAST_PASSES = 1000;
+    /** What keeps failing is logged once in so many times. */
+    private static final long LOGGED_FAILURES = 100;
+
+    private final Clock clock;
+    private final Log log;
+    /** How many more connections there is room for. */
+    private final IntSupplier room;
+    /** How many connections a pass over the sockets accepts. */
+    private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
+
+    private ServerBootstrap bootstrap;
+    private SocketAddress address;
+    private EventLoop loop;
+    private Channel listener;
+    private State state = State.STARTING;
+    /** Whether the listening socket is open in other processes too. */
+    private boolean shared;
+
+    private double pausedUntilMs;
+    private long accepted;
+    private long acceptedAtLastLook;
+    private long failures;
+
+    ClientAcceptor(Clock clock, Log log, IntSupplier room) {
+        this.clock = clock;
+        this.log = log;
+        this.room = room;
+    }
+
+    /**
+     * Begins to listen; the bootstrap brings the event loop, the kind of channel and its options. An {@code at} of null
+     * means that the channel listens already.
+     */
+    ChannelFuture listen(ServerBootstrap base, EventLoop eventLoop, SocketAddress at) {
+        bootstrap = base.option(ChannelOption.RECVBUF_ALLOCATOR, batch.maxMessagesPerRead(1))
+                .handler(new Listening());
+        loop = eventLoop;
+        address = at;
+        shared = at == null;
+        return open();
+    }
+
+    private ChannelFuture open() {
+        ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(address);
+        bound.addListener(done -> loop.execute(() -> opened(bound)));
+        return bound;
+    }
+
+    private void opened(ChannelFuture bound) {
+        if (bound.isSuccess()) {
+            listener = bound.channel();
+            address = shared ? null : listener.localAddress();
+            state = state == State.STOPPED ? State.STOPPED : State.ACCEPTING;
+            adjust();
+        } else if (state == State.REOPENING) {
+            failed("the clients' socket can't be opened anew", bound.cause());
+        }
+    }
+
+    /** Whether the listening socket is open in other processes too. */
+    boolean isShared() {
+        return shared;
+    }
+
+    /** How many connections were accepted so far. */
+    long accepted() {
+        return accepted;
+    }
+
+    /** A connection has been accepted. */
+    void accepted(int count) {
+        accepted += count;
+    }
+
+    /**
+     * The last resort: what waits in the backlog is taken all the same, and may be too late afterwards. As many are accepted in
+     * a pass as there is room for. Guards against those that wait where passes are long: with one in a pass a sidecar that got
+     * a tenth of a core read requests after 2 s; and against the last descriptors: sixteen at once took them, and the event loop
+     * ended on an error that it could not even log for want of one.
+     */
+    void adjust() {
+        if (listener == null || state == State.STOPPED || state == State.REOPENING) {
+            return;
+        }
+        int free = room.getAsInt();
+        boolean pausing = clock.nowMs() < pausedUntilMs;
+        state = pausing ? State.PAUSING : free > 0 ? State.ACCEPTING : State.FULL;
+        listener.config().setAutoRead(state == State.ACCEPTING);
+        batch.maxMessagesPerRead(Math.max(1, Math.min(free, MOST_AT_ONCE)));
+    }
+
+    /** Looks after the listener; to be called again and again. */
+    void look() {
+        if (state == State.REOPENING) {
+            reopen();
+            return;
+        }
+        adjust();
+        if (state == State.ACCEPTING
+                && accepted == acceptedAtLastLook
+                && listener instanceof ClientListenerChannel channel) {
+            channel.poll();
+            if (accepted != acceptedAtLastLook) {
+                rearm();
+            }
+        }
+        acceptedAtLastLook = accepted;
+    }
+
+    /** Somebody was there of whom the selector had told nothing: it is told anew what is waited for. */
+    private void rearm() {
+        listener.config().setAutoRead(false);
+        NextSelect.then(loop, this::adjust);
+    }
+
+    private void reopen() {
+        if (shared) {
+            return; // what other processes have open can't be opened anew by this one
+        }
+        try {
+            open();
+        } catch (RuntimeException e) {
+            failed("the clients' socket can't be opened anew", e);
+        }
+    }
+
+    private void failed(String what, Throwable cause) {
+        if (failures++ % LOGGED_FAILURES == 0) {
+            log.line(what + ", and is tried again: " + cause);
+        }
+    }
+
+    /** Accepts nothing more; the listening socket is left as it is where it may be another process's as well. */
+    void stop() {
+        if (state == State.STOPPED) {
+            return;
+        }
+        state = State.STOPPED;
+        if (listener == null) {
+            return;
+        }
+        if (shared) {
+            listener.config().setAutoRead(false);
+        } else {
+            close(accepted, MOST_LAST_PASSES);
+        }
+    }
+
+    /**
+     * Closes the listener when a pass over the sockets has brought nobody. Guards those that stand in the backlog, with what
+     * they have sent: the event loop takes one in a pass, and may have been held up until just now.
+     */
+    private void close(long before, int passes) {
+        loop.schedule(
+                () -> {
+                    if (accepted == before || passes == 0) {
+                        listener.close();
+                    } else {
+                        close(accepted, passes - 1);
+                    }
+                },
+                LAST_PASS_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public String toString() {
+        return state.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Hears of what becomes of the listening channel, before Netty's own answer: that accepts nothing for a second. */
+    private final class Listening extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public boolean isSharable() {
+            return true; // it has no state of its own, and each listening channel gets it
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            failed("a connection of the client could not be accepted", cause);
+            pausedUntilMs = clock.nowMs() + PAUSE_MS;
+            adjust();
+            ctx.executor().schedule(ClientAcceptor.this::adjust, (long) PAUSE_MS + 1, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (state != State.STOPPED && state != State.STARTING) {
+                failed("the clients' socket has ended", null);
+                state = State.REOPENING;
+            }
+            ctx.fireChannelInactive();
+        }
+    }
+}
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -28,6 +28,7 @@
 import ivybank.exchange.ClientRequest;
 import ivybank.exchange.RequestHandler;
 import ivybank.policy.Balancer.Effect;
+import ivybank.transport.SteadySocketChannel;
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -69,6 +70,10 @@
     private static final double LONGEST_PARTIAL_MS = 2500;
 
     private static final double LEAST_BYTES_IN_MS = 32;
+    /** For so long a request may be in hand whose client can't be read: its leaving would go unseen. */
+    private static final double LONGEST_BLIND_MS = 60;
+
+    private static final int UNREADABLE = 502;
     /** A client that takes nothing more of a long answer is given up. */
     private static final double LONGEST_STALL_MS = 15_000;
 
@@ -103,6 +108,10 @@
 
     private long heldBytes;
     private ChannelHandlerContext context;
+    /** Whether the selector is known to tell what comes here. */
+    private boolean verified;
+    /** Since when reads have failed, or NaN. */
+    private double blindSinceMs = Double.NaN;
     /** The request at hand, or null between requests. */
     private Arrival current;
 
@@ -280,7 +289,9 @@
     /** Bounds what waits here: requests behind the one at hand, and answers that the client does not read. */
     private void adjustReading() {
         boolean full = !wanted && (heldBytes >= MOST_HELD || !server.hasRoomFor(0));
-        context.channel().config().setAutoRead(!pausing && !full);
+        boolean reading = !pausing && !full;
+        verified &= !reading || context.channel().config().isAutoRead();
+        context.channel().config().setAutoRead(reading);
     }
 
     /** Tells the server what of the body that is coming nobody has taken yet. */
@@ -304,6 +315,37 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Reads and writes once without being told to, where the selector has not told anything since it was asked last: a
+     * registration with it may have failed, which Java tells nobody.
+     */
+    void verify() {
+        if (!verified && context.channel() instanceof SteadySocketChannel channel) {
+            long before = reads;
+            channel.poll();
+            if (reads != before) {
+                channel.rearm();
+            }
+        }
+    }
+
+    /** Guards a request whose client can't be read any more: whether that has left can't be seen, so it gets its answer now. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == SteadySocketChannel.Event.READ_FAILED) {
+            double nowMs = clock.nowMs();
+            blindSinceMs = Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs;
+            boolean inHand = current != null && current.request != null && writing == null;
+            if (inHand && nowMs - blindSinceMs > LONGEST_BLIND_MS) {
+                server.unreadable();
+                driver.clientLeft(currentId);
+                current = new Arrival(current.request, 0, false, current.old);
+                answer(current, Answer.status(UNREADABLE));
+            }
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         boolean writable = ctx.channel().isWritable();
@@ -316,6 +358,12 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (ctx.channel() instanceof SteadySocketChannel channel && !channel.takeHasRead()) {
+            ctx.fireChannelReadComplete(); // a read that failed, or found nothing where the selector was not asked
+            return;
+        }
+        verified = true;
+        blindSinceMs = Double.NaN;
         reads++;
         double nowMs = clock.nowMs();
         lastReadMs = nowMs;
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -4,8 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import ivybank.common.Clock;
@@ -17,6 +16,8 @@
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
+import ivybank.supervision.Chain;
+import ivybank.supervision.PeriodicTask;
 import java.net.SocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,7 +25,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /** Listens for the client and keeps its connections. */
@@ -44,11 +44,6 @@
 
     private static final double MOST_REUSE = 0.5;
     private static final int LEFT_OPEN = 8;
-    private static final int MOST_AT_ONCE = 16;
-    /** Before the listener closes: so long, up to so often, while somebody comes. */
-    private static final long LAST_PASS_MS = 2;
-
-    private static final int MOST_LAST_PASSES = 1000;
     /** Of the client's connections: so many requests may come at once before the first of them is refused. */
     private static final double SPARE_PART = 0.15;
     /**
@@ -69,13 +64,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
     private List<EventLoopStallDetector> stallDetectors = List.of();
-    /** How many connections a pass over the sockets accepts. */
-    private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
-
-    private Channel listener;
-    private boolean listening = true;
-    /** Whether the listening socket is open in other processes too. */
-    private boolean shared;
+    private final ClientAcceptor acceptor;
 
     private double standbySinceMs;
     private boolean ending;
@@ -92,7 +81,6 @@
 
     private boolean company;
     private long turnedAway;
-    private long accepted;
     /** What waits on all connections, in bytes. */
     private long held;
 
@@ -112,6 +100,7 @@
         this.descriptors = descriptors;
         this.retryAfterMs = settings.limits().maxRetryAfterMs();
         this.log = log;
+        this.acceptor = new ClientAcceptor(clock, log, this::room);
         this.classes = settings.classes();
         for (int i = 0; i < classes.size(); i++) {
             classOfPath.put("/" + classes.get(i).name(), i);
@@ -125,7 +114,7 @@
      * Begins to listen; the bootstrap brings the event loop, the kind of channel and its options. An {@code address} of null
      * means that the channel listens already.
      */
-    public ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
+    public ChannelFuture listen(ServerBootstrap bootstrap, EventLoop eventLoop, SocketAddress address) {
         bootstrap.childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -139,12 +128,12 @@
                                 new ClientConnection(reader, ClientServer.this, driver, clock));
             }
         });
-        bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, batch.maxMessagesPerRead(1));
-        shared = address == null;
-        ChannelFuture bound = shared ? bootstrap.register() : bootstrap.bind(address);
-        listener = bound.channel();
-        listener.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return bound;
+        return acceptor.listen(bootstrap, eventLoop, address);
+    }
+
+    /** Begins to look after connections and the listener; returns what does so. */
+    public Chain startSweep(EventLoop eventLoop) {
+        return PeriodicTask.start("sweep of the client's connections", eventLoop, clock, log, SWEEP_MS, this::sweep);
     }
 
     /** From now on tells these of each connection that is accepted. */
@@ -176,34 +165,30 @@
     }
 
     void opened(ClientConnection connection) {
-        accepted++;
+        acceptor.accepted(1);
         stallDetectors.forEach(EventLoopStallDetector::accepted);
         connections.add(connection);
         descriptors.take();
         evict(1);
-        adjustAccepting();
+        acceptor.adjust();
     }
 
+    /** A connection has ended: gives back what it has taken, once. */
     void closed(ClientConnection connection) {
-        connections.remove(connection);
+        if (!connections.remove(connection)) {
+            return;
+        }
         descriptors.release();
-        adjustAccepting();
+        acceptor.adjust();
         if (crowded && connections.size() <= limits.served() / 2) {
             crowded = false;
             log.line("the client has " + connections.size() + " connections open: it is no longer crowded");
         }
     }
 
-    /**
-     * The last resort: what waits in the backlog is taken all the same, and may be too late afterwards. As many are accepted in
-     * a pass as there is room for. Guards against those that wait where passes are long: with one in a pass a sidecar that got
-     * a tenth of a core read requests after 2 s; and against the last descriptors: sixteen at once took them, and the event loop
-     * ended on an error that it could not even log for want of one.
-     */
-    private void adjustAccepting() {
-        int room = Math.min(limits.accepted() - connections.size(), descriptors.room());
-        listener.config().setAutoRead(listening && room > 0);
-        batch.maxMessagesPerRead(Math.max(1, Math.min(room, MOST_AT_ONCE)));
+    /** How many more connections may be accepted. */
+    private int room() {
+        return Math.min(limits.accepted() - connections.size(), descriptors.room());
     }
 
     /**
@@ -274,14 +259,21 @@
         turnedAway++;
     }
 
+    /** Notes a request that is failed because nothing can be read on its connection. */
+    void unreadable() {
+        log.line(
+                "a client's connection can't be read: its request is failed, for whether the client left can't be seen");
+    }
+
     /** Notes a connection that was about to be closed when something came on it. */
     void spared() {
         log.line("a client's connection that looked unused was not closed: a request had come on it");
     }
 
     private void sweep() {
-        adjustAccepting(); // descriptors may have come free on the other side
+        acceptor.look(); // descriptors may have come free on the other side
         double nowMs = clock.nowMs();
+        List.copyOf(connections).forEach(ClientConnection::verify);
         // When ending, those that have brought requests are kept: the client gets no others.
         List.copyOf(connections).forEach(connection -> connection.endStalled(nowMs));
         List.copyOf(connections).stream()
@@ -340,7 +332,7 @@
      * where a client would have waited for the next free connection instead.
      */
     boolean takesTheLast() {
-        if (!ending && !shared) {
+        if (!ending && !acceptor.isShared()) {
             return false;
         }
         int all = ending ? connections.size() : limits.forRequests();
@@ -397,29 +389,6 @@
 
     /** Accepts nothing more; the listening socket is left as it is where it may be another process's as well. */
     public void stopListening() {
-        if (shared) {
-            listening = false;
-            adjustAccepting();
-        } else {
-            closeListener(accepted, MOST_LAST_PASSES);
-        }
-    }
-
-    /**
-     * Closes the listener when a pass over the sockets has brought nobody. Guards those that stand in the backlog, with what
-     * they have sent: the event loop takes one in a pass, and may have been held up until just now.
-     */
-    private void closeListener(long before, int passes) {
-        listener.eventLoop()
-                .schedule(
-                        () -> {
-                            if (accepted == before || passes == 0) {
-                                listener.close();
-                            } else {
-                                closeListener(accepted, passes - 1);
-                            }
-                        },
-                        LAST_PASS_MS,
-                        TimeUnit.MILLISECONDS);
+        acceptor.stop();
     }
 }
--- a/src/main/java/ivybank/control/AdminEndpoint.java
+++ b/src/main/java/ivybank/control/AdminEndpoint.java
@@ -28,6 +28,7 @@
 import ivybank.common.Json;
 import ivybank.common.Log;
 import ivybank.operations.MaintenanceState;
+import ivybank.supervision.PeriodicTask;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -80,7 +81,6 @@
 
     /** Obeys what is on file and opens; returns the address that it has. */
     public InetSocketAddress open(InetSocketAddress address) throws IOException {
-        company = folder == null || company != null ? company : SiblingProcesses.join(folder);
         group.next().submit(this::look).syncUninterruptibly();
         ChannelFuture bound = new ServerBootstrap()
                 .group(group)
@@ -101,7 +101,7 @@
             throw new IOException("cannot listen for operators on " + address + ": "
                     + bound.cause().getMessage());
         }
-        group.next().scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start("look at the orders", group.next(), clock, log, LOOK_MS, this::look);
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
@@ -120,6 +120,7 @@
             return;
         }
         try {
+            company = company == null ? SiblingProcesses.join(folder) : company;
             if (company.others() != inCompany) {
                 inCompany = !inCompany;
                 log.line(
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -7,6 +7,9 @@
 import ivybank.common.Log;
 import ivybank.handover.Memory;
 import ivybank.handover.MemoryFiles;
+import ivybank.supervision.Chain;
+import ivybank.supervision.EventLoopTasks;
+import ivybank.supervision.PeriodicTask;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -15,9 +18,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * Leaves word of what this process knows for the others of its sidecar, and passes on what they left: all of it to a process
@@ -29,6 +34,8 @@
     private static final long TOGETHER_MS = 50;
 
     private static final int ALONE_TIMES = 20;
+    /** The event loop is asked for what it knows, and may be held up: the next round asks again. */
+    private static final long LONGEST_ANSWER_MS = 1000;
     /** What another process holds beside its connections, and may have opened since it was heard of. */
     private static final int HELD_BESIDE = 40;
 
@@ -80,9 +87,9 @@
         });
     }
 
-    void start() {
+    Chain start() {
         round(); // before the first connection is accepted
-        thread.scheduleWithFixedDelay(this::round, TOGETHER_MS, TOGETHER_MS, TimeUnit.MILLISECONDS);
+        return PeriodicTask.start("handover", thread, clock, log, TOGETHER_MS, this::round);
     }
 
     /** Tells whether another process of this sidecar is here. */
@@ -123,7 +130,7 @@
         int requests = inHand;
         int heldElsewhere = held;
         toldElsewhere = company;
-        loop.execute(() -> {
+        EventLoopTasks.execute(loop, () -> {
             dispatcher.elsewhere(out, requests);
             server.elsewhere(requests);
             descriptors.elsewhere(heldElsewhere);
@@ -133,9 +140,11 @@
     private void leave() {
         try {
             files.write(CompletableFuture.supplyAsync(() -> dispatcher.memory(descriptors.used()), loop)
-                    .join());
+                    .get(LONGEST_ANSWER_MS, TimeUnit.MILLISECONDS));
             failure = null;
-        } catch (IOException | RuntimeException e) {
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException | ExecutionException | TimeoutException | RuntimeException e) {
             fails("what this process has learned is not on file: " + e);
         }
     }
--- a/src/main/java/ivybank/daemon/KeptPromises.java
+++ b/src/main/java/ivybank/daemon/KeptPromises.java
@@ -6,6 +6,7 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.promises.PromiseKeeper;
 import ivybank.store.RealDisk;
+import ivybank.store.StoreException;
 import ivybank.store.StoreIdentity;
 import java.io.IOException;
 import java.util.UUID;
@@ -16,6 +17,11 @@
 
     private KeptPromises() {}
 
+    /** Whether a store is as it is, whatever the disk does next. */
+    static boolean isLasting(Throwable failure) {
+        return failure instanceof StoreException;
+    }
+
     static PromiseKeeper open(
             StoreSettings store, String name, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
             throws IOException {
--- a/src/main/java/ivybank/daemon/ModuleEvents.java
+++ b/src/main/java/ivybank/daemon/ModuleEvents.java
@@ -37,7 +37,7 @@
     private void run(Runnable event) {
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             StackTraceElement[] trace = e.getStackTrace();
             log.line("the decision module failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
         }
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -209,8 +209,11 @@
                 arriving);
         events.tell(() -> {
             deciding = exchange.id;
-            balancer.request(clock.nowMs(), told);
-            deciding = 0;
+            try {
+                balancer.request(clock.nowMs(), told);
+            } finally {
+                deciding = 0;
+            }
         });
         return exchange.id;
     }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -10,10 +10,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Promise;
+import ivybank.client.ClientListenerChannel;
 import ivybank.client.ClientServer;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
@@ -34,7 +33,10 @@
 import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
 import ivybank.promises.PromiseKeeper;
+import ivybank.supervision.Chain;
+import ivybank.supervision.EventLoopTasks;
 import ivybank.supervision.PeriodicTask;
+import ivybank.supervision.StartRetry;
 import ivybank.supervision.Watchdog;
 import ivybank.tally.Second;
 import ivybank.tally.SecondTally;
@@ -97,10 +99,8 @@
     private static final double LAST_PART = 0.3;
 
     private static final long POLL_MS = 5;
-    /** A file that can't be read is tried again so often, for so long. */
-    private static final long RELOAD_PAUSE_MS = 50;
-
-    private static final double LONGEST_RELOAD_MS = 5000;
+    private static final long LISTEN_PAUSE_MS = 100;
+    private static final int MOST_LISTEN_TRIES = 100;
     private static final long LONGEST_WARM_UP_MS = 3000;
     private static final long LONGEST_DRAIN_S = 15;
     private static final int ENDED_BY_SIGTERM = 143;
@@ -145,7 +145,6 @@
     private final Log log;
     private final Clock clock;
     private final Config config;
-    private final ConfigFile file;
     private final DrainTimes drainTimes;
     private final Timing timing;
     private final PooledByteBufAllocator buffers;
@@ -160,8 +159,9 @@
     private volatile boolean successor;
     /** Whether clients' connections are accepted, or would be if there were room. */
     private volatile boolean listening;
-    /** Signals to read the configuration again so far. */
-    private int reloads;
+
+    private final ConfigReload configReload;
+    private final DrainSequence drain;
 
     /**
      * @param store where promises are kept; null for none
@@ -178,13 +178,16 @@
             ServerSocketChannel inherited)
             throws IOException {
         this.inherited = inherited;
-        this.file = file;
         this.config = config;
         this.drainTimes = drainTimes;
         this.timing = timing;
         this.log = log;
         this.clock = clock;
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        group = StartRetry.call(
+                "making the event loop",
+                log,
+                e -> false,
+                () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
         loop = group.next();
         watchdog = new Watchdog(loop, clock, log);
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
@@ -233,6 +236,8 @@
                 dispatcher::updated,
                 clock,
                 log);
+        configReload = new ConfigReload(loop, file, discovery::moveTo, clock, log);
+        drain = new DrainSequence(clock, log);
     }
 
     /**
@@ -273,7 +278,10 @@
                     company != null && company.others());
         }
         if (config.control() != null) {
-            AdminStartup.open(sidecar, config.control(), environment, company, clock, log);
+            StartRetry.call("opening the admin endpoint", log, e -> false, () -> {
+                AdminStartup.open(sidecar, config.control(), environment, company, clock, log);
+                return sidecar;
+            });
         }
         if (!HangupSignal.handle(sidecar::reload)) {
             log.line(
@@ -304,7 +312,9 @@
     /** Puts it among its peers; {@code later}: another process of this sidecar was here first. */
     private void among(PeerFleet fleet, boolean later) throws IOException {
         successor = later;
-        fleet.open(inherited != null); // an upgrade has two processes at one address for a while
+        // An upgrade has two processes at one address for a while.
+        Chain ticks = StartRetry.call("listening for peers", log, e -> false, () -> fleet.open(inherited != null));
+        EventLoopTasks.execute(loop, () -> watchdog.watch(ticks));
         peers = fleet;
     }
 
@@ -333,12 +343,17 @@
         next.takeOver();
         handover = next;
         next.company(company);
-        next.start();
+        Chain rounds = next.start();
+        EventLoopTasks.execute(loop, () -> watchdog.watch(rounds));
     }
 
     private PromiseKeeper promises(StoreSettings store) throws IOException {
         try {
-            PromiseKeeper keeper = KeptPromises.open(store, config.name(), config.settings(), loop, clock, log);
+            PromiseKeeper keeper = StartRetry.call(
+                    "opening the store",
+                    log,
+                    KeptPromises::isLasting,
+                    () -> KeptPromises.open(store, config.name(), config.settings(), loop, clock, log));
             keeper.driver(dispatcher);
             return keeper;
         } catch (IOException e) {
@@ -387,18 +402,26 @@
 
     private void begin(Promise<Channel> bound) {
         try {
-            follow(() -> listen().addListener((ChannelFuture up) -> {
-                if (up.isSuccess()) {
-                    bound.trySuccess(up.channel());
-                } else {
-                    bound.tryFailure(up.cause());
-                }
-            }));
+            follow(() -> listen(bound, 1));
         } catch (RuntimeException e) {
             bound.tryFailure(e);
         }
     }
 
+    /** Listens, and tries again where the system fails it for a moment: not where another program has the address. */
+    private void listen(Promise<Channel> bound, int tries) {
+        listen().addListener((ChannelFuture up) -> EventLoopTasks.execute(loop, () -> {
+            if (up.isSuccess()) {
+                bound.trySuccess(up.channel());
+            } else if (tries >= MOST_LISTEN_TRIES || StartRetry.isAddressInUse(up.cause())) {
+                bound.tryFailure(up.cause());
+            } else {
+                log.line("cannot listen yet, and trying again: " + up.cause());
+                loop.schedule(() -> listen(bound, tries + 1), LISTEN_PAUSE_MS, TimeUnit.MILLISECONDS);
+            }
+        }));
+    }
+
     /**
      * Starts the module with the list as it was last known, and discovery. Guards nodes that have begun to drain before this
      * process was there: where lists are pushed, what the agent has counts as told from a process's first moment, so that
@@ -412,7 +435,8 @@
         discovery.renews(lease);
         dispatcher.heeds(lease);
         watchdog.watch(discovery);
-        watchdog.watch(pool.sweep());
+        watchdog.watch(configReload);
+        pool.chains().forEach(watchdog::watch);
         EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
         EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
@@ -432,6 +456,7 @@
         tallyDueMs = clock.nowMs() + TALLY_MS;
         watchdog.watch(PeriodicTask.startAtRate("tally of each second", loop, clock, log, TALLY_MS, this::tally));
         every("report", REPORT_MS, this::report);
+        watchdog.watch(server.startSweep(loop));
         watchdog.start();
     }
 
@@ -463,9 +488,8 @@
         return server.listen(
                 new ServerBootstrap()
                         .group(group)
-                        .channelFactory(() -> inherited == null
-                                ? new NioServerSocketChannel()
-                                : new NioServerSocketChannel(inherited))
+                        .channelFactory(() ->
+                                inherited == null ? new ClientListenerChannel() : new ClientListenerChannel(inherited))
                         .option(ChannelOption.SO_RCVBUF, READ_AHEAD_BYTES)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
@@ -474,44 +498,20 @@
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, LONGEST_READ)),
+                loop,
                 inherited == null ? config.listen() : null);
     }
 
-    /**
-     * Reads the configuration file again and follows discovery to where it is now; nothing else of it can change while
-     * the sidecar runs. Each call reads the file on the event loop, so that the last one takes the newest text.
-     */
+    /** Reads the configuration again, on any thread. */
     void reload() {
-        double toldMs = clock.nowMs();
         if (peers != null) {
-            peers.reload();
-        }
-        if (!loop.isShuttingDown()) {
-            loop.execute(() -> reload(++reloads, toldMs));
-        }
-    }
-
-    private void reload(int number, double toldMs) {
-        if (number < reloads || loop.isShuttingDown()) {
-            return; // a later signal reads the file by itself
-        }
-        double sinceMs = clock.nowMs() - toldMs;
-        try {
-            InetSocketAddress next = file.discovery();
-            log.line("told to read the configuration again (signal " + number + ", read after " + Math.round(sinceMs)
-                    + " ms): discovery is at " + NetUtil.toSocketAddressString(next));
-            discovery.moveTo(next);
-        } catch (ConfigException e) {
-            // It may be half replaced.
-            boolean last = sinceMs > LONGEST_RELOAD_MS;
-            if (last || sinceMs < RELOAD_PAUSE_MS) {
-                log.line("signal " + number + ": going on as before" + (last ? "" : ", and trying for a while") + ": "
-                        + e.getMessage());
-            }
-            if (!last) {
-                loop.schedule(() -> reload(number, toldMs), RELOAD_PAUSE_MS, TimeUnit.MILLISECONDS);
+            try {
+                peers.reload();
+            } catch (RuntimeException e) {
+                log.line("peers: going on with the keys of before: " + e);
             }
         }
+        configReload.signalled();
     }
 
     /** What was done to each node in this second: the sums over all sidecars' logs show what none of them sees alone. */
@@ -554,33 +554,10 @@
     }
 
     private void finishAll() {
-        loop.execute(() -> {
-            log.line("told to end: " + dispatcher.unanswered() + " requests in hand; serving for "
-                    + drainTimes.stopServingMs() + " ms"
-                    + (inherited == null ? "" : " what comes on open connections"));
-            if (peers != null) {
-                peers.draining();
-            }
-            if (inherited == null) {
-                server.keepConnections();
-                loop.schedule(server::stopListening, drainTimes.stopListeningMs(), TimeUnit.MILLISECONDS);
-                loop.schedule(() -> finish(0), drainTimes.stopServingMs(), TimeUnit.MILLISECONDS);
-            } else {
-                server.stopListening();
-                pool.keepNoneIdle();
-                finish(drainTimes.stopServingMs());
-            }
-            loop.schedule(
-                    () -> {
-                        server.refuseAll();
-                        dispatcher.failOpen();
-                    },
-                    drainTimes.failRestMs(),
-                    TimeUnit.MILLISECONDS);
-        });
+        EventLoopTasks.execute(loop, this::beginDrain);
         try {
             if (!drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS)) {
-                log.line("ending with requests in hand");
+                log.line("ending with requests in hand, " + drain);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -590,6 +567,56 @@
         }
     }
 
+    private void beginDrain() {
+        if (!drain.begin()) {
+            return;
+        }
+        log.line("told to end: " + dispatcher.unanswered() + " requests in hand; serving for "
+                + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " what comes on open connections"));
+        if (peers != null) {
+            drain.after(0, "telling the peers", peers::draining);
+        }
+        if (inherited == null) {
+            drain.after(0, "keeping connections", server::keepConnections);
+            drain.after(drainTimes.stopListeningMs(), "closing the listener", server::stopListening);
+            drain.after(drainTimes.stopServingMs(), "ending connections with their answers", server::drain);
+            drain.finishAfter(drainTimes.stopServingMs(), () -> finished(0));
+        } else {
+            drain.after(0, "accepting no more", server::stopListening);
+            drain.after(0, "closing idle connections to upstreams", pool::keepNoneIdle);
+            drain.after(0, "ending connections with their answers", server::drain);
+            double closeIdleMs = clock.nowMs() + (double) drainTimes.stopServingMs();
+            drain.finishAfter(0, () -> finished(closeIdleMs));
+        }
+        drain.after(drainTimes.failRestMs(), "refusing what still comes", server::refuseAll);
+        drain.after(drainTimes.failRestMs(), "failing what is open", dispatcher::failOpen);
+        lookAtDrain();
+        every("end of the process", POLL_MS, this::lookAtDrain);
+    }
+
+    private void lookAtDrain() {
+        if (drain.look()) {
+            drained.countDown();
+        }
+    }
+
+    /** Ends connections on which nothing is at hand from a time on; whether nothing is in hand any more. */
+    private boolean finished(double closeIdleMs) {
+        if (clock.nowMs() >= closeIdleMs) {
+            server.closeIdle(true);
+        }
+        if (unanswered() > 0 || server.connections() > 0) {
+            return false;
+        }
+        discovery.stop();
+        pool.closeAllIdle();
+        if (peers != null) {
+            peers.leave();
+        }
+        report();
+        return true;
+    }
+
     /** Requests taken and not answered yet. */
     int requestsInHand() {
         return CompletableFuture.supplyAsync(this::unanswered, loop).join();
@@ -598,28 +625,4 @@
     private int unanswered() {
         return promises == null ? dispatcher.unanswered() : promises.unanswered();
     }
-
-    /** Ends each connection with its next answer, those that get none after {@code idleMs}, and the process with the last. */
-    private void finish(long idleMs) {
-        server.drain();
-        double closeIdleMs = clock.nowMs() + idleMs;
-        loop.scheduleWithFixedDelay(
-                () -> {
-                    if (clock.nowMs() >= closeIdleMs) {
-                        server.closeIdle(true);
-                    }
-                    if (unanswered() == 0 && server.connections() == 0) {
-                        discovery.stop();
-                        pool.closeAllIdle();
-                        if (peers != null) {
-                            peers.leave();
-                        }
-                        report();
-                        drained.countDown();
-                    }
-                },
-                0,
-                POLL_MS,
-                TimeUnit.MILLISECONDS);
-    }
 }
--- a/src/main/java/ivybank/daemon/Warmup.java
+++ b/src/main/java/ivybank/daemon/Warmup.java
@@ -124,7 +124,7 @@
                         descriptors,
                         null,
                         silent)
-                .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), listen);
+                .listen(new ServerBootstrap().group(group).channel(LocalServerChannel.class), loop, listen);
         new Bootstrap()
                 .group(loop)
                 .channel(LocalChannel.class)
--- a/src/main/java/ivybank/peers/PeerFleet.java
+++ b/src/main/java/ivybank/peers/PeerFleet.java
@@ -14,6 +14,8 @@
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
 import ivybank.fleet.ViewSnapshot;
+import ivybank.supervision.Chain;
+import ivybank.supervision.PeriodicTask;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -22,7 +24,6 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 
 /** A sidecar among the others: its view on its event loop, its socket, and what it tells of both. */
@@ -107,23 +108,22 @@
                 + incarnation);
     }
 
-    /** Listens, and begins to look for others. Not called on the event loop. */
-    public void open(boolean shared) throws IOException {
+    /** Listens, and begins to look for others; returns what does so. Not called on the event loop. */
+    public Chain open(boolean shared) throws IOException {
         socket.open(listen, shared, (memberIndex, message) -> view.receive(clock.nowMs(), memberIndex, message));
         loop.execute(() -> view.start(clock.nowMs()));
         long tickMs = (long) FleetTiming.STANDARD.tickMs();
-        loop.scheduleWithFixedDelay(
-                () -> {
-                    double nowMs = clock.nowMs();
-                    view.tick(nowMs);
-                    if (nowMs >= countDueMs) {
-                        countDueMs = nowMs + COUNT_EVERY_MS;
-                        sidecars.accept(count.seen(nowMs, view.aliveOthers() + 1));
-                    }
-                },
-                tickMs,
-                tickMs,
-                TimeUnit.MILLISECONDS);
+        return PeriodicTask.start("tick of the peers", loop, clock, log, tickMs, this::tick);
+    }
+
+    private void tick() {
+        double nowMs = clock.nowMs();
+        socket.reopenIfEnded(nowMs);
+        view.tick(nowMs);
+        if (nowMs >= countDueMs) {
+            countDueMs = nowMs + COUNT_EVERY_MS;
+            sidecars.accept(count.seen(nowMs, view.aliveOthers() + 1));
+        }
     }
 
     private void changed(MembershipEvent event) {
--- a/src/main/java/ivybank/peers/PeerSocket.java
+++ b/src/main/java/ivybank/peers/PeerSocket.java
@@ -16,6 +16,7 @@
 import ivybank.common.Log;
 import ivybank.fleet.Message;
 import ivybank.fleet.MessageCodec;
+import ivybank.supervision.EventLoopTasks;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
@@ -48,6 +49,8 @@
     private static final int BUFFER = 256 * 1024;
     private static final double SAY_MS = 60_000;
     private static final int NO_KEY = -1;
+    /** Between two tries to listen anew. */
+    private static final double REOPEN_MS = 500;
 
     private final EventLoop loop;
     private final List<InetSocketAddress> addresses;
@@ -60,6 +63,9 @@
     private final Map<Refusal, Long> refused = new EnumMap<>(Refusal.class);
     private final Map<Refusal, Double> saidMs = new EnumMap<>(Refusal.class);
     private PeerKeys keys;
+    private InetSocketAddress address;
+    private boolean addressShared;
+    private double nextOpenMs;
     private Channel channel;
     private long dropped;
     private long sentBytes;
@@ -88,23 +94,43 @@
      */
     void open(InetSocketAddress listen, boolean shared, Receiver to) throws IOException {
         receiver = to;
-        ChannelFuture bound = new Bootstrap()
+        address = listen;
+        addressShared = shared;
+        ChannelFuture bound = bind().awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen for peers on " + listen + ": "
+                    + bound.cause().getMessage() + " (is another process of this name here?)");
+        }
+        channel = bound.channel();
+    }
+
+    private ChannelFuture bind() {
+        return new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
                 .option(ChannelOption.SO_RCVBUF, BUFFER)
-                .option(ChannelOption.SO_REUSEADDR, shared)
+                .option(ChannelOption.SO_REUSEADDR, addressShared)
                 // One more than is allowed, so that what is too long is seen to be.
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new FixedRecvByteBufAllocator(MessageCodec.MAX_DATAGRAM_BYTES + 1))
                 .handler(new Incoming())
-                .bind(listen)
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IOException("cannot listen for peers on " + listen + ": "
-                    + bound.cause().getMessage() + " (is another process of this name here?)");
+                .bind(address);
+    }
+
+    /** Listens anew where the socket has ended by an error. On the event loop, again and again. */
+    void reopenIfEnded(double nowMs) {
+        if (channel.isOpen() || nowMs < nextOpenMs) {
+            return;
         }
-        channel = bound.channel();
+        nextOpenMs = nowMs + REOPEN_MS;
+        log.line("peers: the socket has ended, and is opened anew");
+        ChannelFuture bound = bind();
+        bound.addListener(done -> {
+            if (bound.isSuccess()) {
+                EventLoopTasks.execute(loop, () -> channel = bound.channel());
+            }
+        });
     }
 
     /** Goes on with other keys. */
--- a/src/main/java/ivybank/policy/LoadShiftingBalancer.java
+++ b/src/main/java/ivybank/policy/LoadShiftingBalancer.java
@@ -652,28 +652,35 @@
             subscribeArmed = false;
             actions.subscribe(true);
         } else if (token == CONTROL_TIMER) {
-            watchSilence(nowMs);
-            placeAsked(nowMs);
-            if (subset.step(members.size(), list.hosts.size())) {
-                fillSubset(); // the design's small subset leaves servers idle while its own members are full
-            }
-            rankQueues();
-            waiting.offer(held -> dispatch(nowMs, held));
-            waiting.drop(call -> shed(nowMs, call));
-            if (nowMs >= nextAdmissionMs) {
-                nextAdmissionMs = nowMs + settings.shortestAimMs();
-                adjustAdmission();
-            }
-            if (nowMs >= nextShareTickMs) {
-                shareTick(nowMs);
-            }
-            controlArmed = !calls.isEmpty();
-            if (controlArmed) {
-                actions.timer(controlMs, CONTROL_TIMER);
+            try {
+                control(nowMs);
+            } finally { // a tick that fails is followed by the next one all the same
+                controlArmed = !calls.isEmpty();
+                if (controlArmed) {
+                    actions.timer(controlMs, CONTROL_TIMER);
+                }
             }
         }
     }
 
+    private void control(double nowMs) {
+        watchSilence(nowMs);
+        placeAsked(nowMs);
+        if (subset.step(members.size(), list.hosts.size())) {
+            fillSubset(); // the design's small subset leaves servers idle while its own members are full
+        }
+        rankQueues();
+        waiting.offer(held -> dispatch(nowMs, held));
+        waiting.drop(call -> shed(nowMs, call));
+        if (nowMs >= nextAdmissionMs) {
+            nextAdmissionMs = nowMs + settings.shortestAimMs();
+            adjustAdmission();
+        }
+        if (nowMs >= nextShareTickMs) {
+            shareTick(nowMs);
+        }
+    }
+
     @Override
     public void upstreams(double nowMs, ListKind kind, List<Upstream> entries) {
         if (kind == ListKind.FAILED) {
--- a/src/main/java/ivybank/promises/PromiseKeeper.java
+++ b/src/main/java/ivybank/promises/PromiseKeeper.java
@@ -117,7 +117,7 @@
                         List<Runnable> told = List.copyOf(recorded ? onRecord : onFailure);
                         onRecord.clear();
                         onFailure.clear();
-                        told.forEach(Runnable::run);
+                        told.forEach(PromiseKeeper.this::run);
                     }));
         }
 
@@ -224,6 +224,15 @@
                 + promises.figures().inDoubt() + " in doubt from before");
     }
 
+    /** Runs one of several that wait for the same: one that fails keeps none of the others from it. */
+    private void run(Runnable waiting) {
+        try {
+            waiting.run();
+        } catch (RuntimeException | Error e) {
+            log.line("a request that waited for the store failed: " + e);
+        }
+    }
+
     private record Found(String identity, State state, double atMs) {}
 
     /** Who takes what may go on. */
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -56,6 +56,9 @@
     private static final int LONGEST_KEY = 65_535;
     private static final long PAUSE_AFTER_FAILURE_MS = 200;
     private static final long IDLE_MS = 1000;
+    /** A disk that answers nothing must not keep the process from its end. */
+    private static final long LONGEST_CLOSE_MS = 10_000;
+
     private static final double NANOS_IN_MS = 1e6;
 
     private record Waiting(Op op, Consumer<Outcome> done, int size) {}
@@ -232,7 +235,7 @@
                     size += waiting.size;
                 } else {
                     full = true;
-                    waiting.done.accept(Outcome.FULL);
+                    tell(waiting, Outcome.FULL);
                 }
             }
         }
@@ -260,14 +263,23 @@
             confirmed += batch.size();
             batches++;
             state = state == State.FAILING ? State.GOOD : state;
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             outcome = Outcome.FAILED;
             state = State.FAILING;
         }
         longestForceMs = Math.max(longestForceMs, (System.nanoTime() - from) / NANOS_IN_MS);
         publish(); // before anybody is told, who may look at them
         for (Waiting each : batch) {
-            each.done.accept(outcome);
+            tell(each, outcome);
+        }
+    }
+
+    /** Tells what became of a change: who fails on hearing it must not end the writer. */
+    private static void tell(Waiting change, Outcome outcome) {
+        try {
+            change.done.accept(outcome);
+        } catch (RuntimeException | Error e) {
+            // It was told; what it makes of that is its own matter.
         }
     }
 
@@ -276,6 +288,8 @@
             read.done.accept(log.get(new Key(read.key)), null);
         } catch (IOException e) {
             read.done.accept(null, e);
+        } catch (RuntimeException | Error e) {
+            // Who asked has failed on the answer: that is its own matter, and ends no writer.
         }
     }
 
@@ -285,7 +299,7 @@
             try {
                 log.repair();
                 state = State.GOOD;
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 quietUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_FAILURE_MS);
             }
         }
@@ -300,7 +314,7 @@
             if (state == State.FULL && !log.isCompacting() && log.room(false) >= limits.segment() / 2) {
                 state = State.GOOD;
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             quietUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_FAILURE_MS);
         }
     }
@@ -335,9 +349,10 @@
         closing = true;
         boolean interrupted = false;
         queue.add(new Object()); // wakes the writer
-        while (writer.isAlive()) {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_CLOSE_MS);
+        while (writer.isAlive() && System.nanoTime() < untilNanos) {
             try {
-                writer.join();
+                writer.join(PAUSE_AFTER_FAILURE_MS);
             } catch (InterruptedException e) {
                 interrupted = true;
             }
@@ -352,7 +367,7 @@
     private void failRest() {
         for (Object each = queue.poll(); each != null; each = queue.poll()) {
             if (each instanceof Waiting waiting) {
-                waiting.done.accept(Outcome.FAILED);
+                tell(waiting, Outcome.FAILED);
             } else if (each instanceof Read read) {
                 read.done.accept(null, new StoreException("the store is closed"));
             }
--- a/src/main/java/ivybank/supervision/PeriodicTask.java
+++ b/src/main/java/ivybank/supervision/PeriodicTask.java
@@ -7,7 +7,7 @@
 
 /**
  * Runs a step again and again, whatever becomes of a run: one that throws is logged, and the next one comes all the same. With
- * a {@link Watchdog} a run whose timer is lost is made up for too. Used on one thread.
+ * a {@link Watchdog} a run whose timer is lost is made up for too. Its runs are on one thread; it may be asked on another.
  */
 public final class PeriodicTask implements Chain {
 
@@ -26,9 +26,9 @@
     private final long periodMs;
     private final Runnable step;
     private final boolean atRate;
-    private double nextRunMs = NEVER;
-    private int timer;
-    private long failures;
+    private volatile double nextRunMs = NEVER;
+    private volatile int timer;
+    private volatile long failures;
     private volatile boolean stopped;
 
     private PeriodicTask(
@@ -92,9 +92,12 @@
 
     @Override
     public void restart() {
-        run(timer);
+        int current = timer;
+        nextRunMs = clock.nowMs(); // it has as long again
+        EventLoopTasks.execute(executor, () -> run(current));
     }
 
+    @SuppressWarnings("NonAtomicVolatileUpdate") // only the thread of its runs writes it
     private void schedule() {
         int current = ++timer;
         double nowMs = clock.nowMs();
@@ -103,6 +106,7 @@
         executor.schedule(() -> run(current), delayMicros, TimeUnit.MICROSECONDS);
     }
 
+    @SuppressWarnings("NonAtomicVolatileUpdate") // only the thread of its runs writes it
     private void run(int current) {
         if (stopped || current != timer) {
             return;
--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -24,6 +24,7 @@
     private final TransientErrors readErrors;
     private final TransientErrors writeErrors;
     private boolean flushScheduled;
+    private boolean hasRead;
 
     /**
      * One that is to be connected.
@@ -55,6 +56,13 @@
         }
     }
 
+    /** Whether anything has been read since this was asked last. */
+    public final boolean takeHasRead() {
+        boolean read = hasRead;
+        hasRead = false;
+        return read;
+    }
+
     /** Has the selector told anew what this channel waits for. */
     public final void rearm() {
         pauseReading();
@@ -65,6 +73,7 @@
         try {
             int count = super.doReadBytes(into);
             readErrors.succeeded();
+            hasRead |= count > 0;
             return count;
         } catch (IOException e) {
             if (!readErrors.bears(e, System.nanoTime())) {
@@ -80,15 +89,10 @@
     private void pauseReading() {
         if (config().isAutoRead()) {
             config().setAutoRead(false);
-            eventLoop().schedule(() -> config().setAutoRead(readsAfterPause()), PAUSE_MS, TimeUnit.MILLISECONDS);
+            eventLoop().schedule(() -> config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Whether it is to be read on after a pause. */
-    protected boolean readsAfterPause() {
-        return true;
-    }
-
     @Override
     protected void doWrite(ChannelOutboundBuffer out) throws Exception {
         try {
--- a/src/main/java/ivybank/upstream/ConnectionOpener.java
+++ b/src/main/java/ivybank/upstream/ConnectionOpener.java
@@ -155,6 +155,11 @@
         }
     }
 
+    /** Looks after those of which the selector has told nothing yet. Called often. */
+    void verify() {
+        List.copyOf(open.keySet()).forEach(UpstreamConnection::verify);
+    }
+
     private void begun(UpstreamConnection connection, Opening opening) {
         descriptors.take();
         open.put(connection, opening);
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -95,6 +95,8 @@
     private Ending whole;
 
     private boolean reusable;
+    /** Whether the selector is known to tell what comes here. */
+    private boolean verified;
 
     UpstreamConnection(Node node, boolean spare, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
         this.node = node;
@@ -131,6 +133,16 @@
         return channel instanceof UpstreamSocketChannel socket ? socket.unreadInput() : UnreadInput.NONE;
     }
 
+    /** Reads and writes once without being told to, where a request is out and nothing was ever told of this channel. */
+    void verify() {
+        if (attempt != null && !verified && channel instanceof UpstreamSocketChannel socket) {
+            socket.poll();
+            if (verified) {
+                socket.rearm();
+            }
+        }
+    }
+
     void send(UpstreamAttempt next) {
         attempt = next;
         written = false;
@@ -251,6 +263,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        verified = true;
         if (whole != null || attempt == null) {
             reusable = false; // more than was asked for
         } else if (message.decoderResult().isFailure()) {
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -16,6 +16,7 @@
 import ivybank.upstream.ConnectionReusePolicy.NodeState;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
+import java.util.List;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
@@ -50,6 +51,7 @@
     }
 
     private static final long SWEEP_MS = 500;
+    private static final long VERIFY_MS = 100;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
      * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
@@ -66,6 +68,7 @@
     private final ConnectionReusePolicy reuse;
     private final ConnectionOpener opener;
     private final PeriodicTask sweep;
+    private final PeriodicTask verification;
     private final IdleConnections idle = new IdleConnections();
     private Tally tally = Tally.NONE;
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
@@ -90,6 +93,8 @@
         this.opener = new ConnectionOpener(this, loop, bounds, descriptors, reports, base);
         this.sweep =
                 PeriodicTask.start("sweep of connections to upstreams", loop, clock, log, SWEEP_MS, this::closeUseless);
+        this.verification = PeriodicTask.start(
+                "verification of connections to upstreams", loop, clock, log, VERIFY_MS, opener::verify);
     }
 
     /** From now on tells this of what happens to connections. Before the first is begun. */
@@ -98,9 +103,9 @@
         opener.countIn(counts);
     }
 
-    /** What closes idle connections and finds lost ones. */
-    public Chain sweep() {
-        return sweep;
+    /** What closes idle connections, finds lost ones, and looks after those of which nothing is told. */
+    public List<Chain> chains() {
+        return List.of(sweep, verification);
     }
 
     /** From now on minds whether the event loop was held up. */
--- a/src/main/java/ivybank/upstream/UpstreamSocketChannel.java
+++ b/src/main/java/ivybank/upstream/UpstreamSocketChannel.java
@@ -1,11 +1,11 @@
 package ivybank.upstream;
 
-import io.netty.channel.socket.nio.NioSocketChannel;
+import ivybank.transport.SteadySocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
 /** A socket channel to an upstream that can tell, without waiting for the event loop, whether it has unread input. */
-public final class UpstreamSocketChannel extends NioSocketChannel {
+public final class UpstreamSocketChannel extends SteadySocketChannel {
 
     /** What the system holds for this channel and nobody has read. */
     enum UnreadInput {
@@ -15,6 +15,13 @@
         END
     }
 
+    /** An attempt on which nothing can be read any more has a time of its own. */
+    private static final double LONGEST_FAILURE_MS = 1000;
+
+    public UpstreamSocketChannel() {
+        super(LONGEST_FAILURE_MS);
+    }
+
     /**
      * Looks with one read that does not block. It takes what it finds, so that the channel has to be closed unless there is
      * none. On the channel's event loop only.
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -217,8 +217,8 @@
                     List.of("rule answer"),
                     List.of(new Edit(
                             "daemon/Sidecar.java",
-                            "            if (unanswered() == 0 && server.connections() == 0) {",
-                            "            if (server != null) {"))),
+                            "        if (unanswered() > 0 || server.connections() > 0) {",
+                            "        if (server == null) {"))),
             new Mutant(
                     "answers with another request's body",
                     Night.CALM,
@@ -318,7 +318,7 @@
                     Night.MOVE,
                     List.of("rule drain"),
                     List.of(
-                            new Edit("daemon/Sidecar.java", "            discovery.moveTo(next);", ""),
+                            new Edit("daemon/Sidecar.java", "discovery::moveTo", "next -> {}"),
                             new Edit("daemon/ConfigFile.java", "return now;", "return null;"))),
             new Mutant(
                     "waits for a silent node for ever",
