Starts of nodes, hand-over, orders and reload no longer go by the wall clock

Cause: the wall clock was read once, at the start, and starts of nodes by discovery's clock were compared with it: an hour ahead a cold node counted as warm (39 attempts in 2 s where 16 are right), an hour behind every start lay in the future. The age of what a sibling process left, of operators' orders and of the configuration file was a difference of wall clocks of two processes.

Change: StartTimes takes a node's start by this process's clock from what discovery shows (none lies in the future; one told as a change has just been; the newest few of a whole list may have been). What processes leave for each other carries the machine's monotonic clock (form 2 of the memory file, so the test of foreign forms names the next number, 3). Orders count from when this process saw them. The configuration file counts as settled after 2 s of monotonic time.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -323,6 +323,7 @@
         if (!verified && context.channel() instanceof SteadySocketChannel channel) {
             long before = reads;
             channel.poll();
+            verified = false; // what was found here says nothing of the selector
             if (reads != before) {
                 channel.rearm();
             }
--- a/src/main/java/ivybank/common/Clock.java
+++ b/src/main/java/ivybank/common/Clock.java
@@ -24,6 +24,11 @@
         return new Clock(System.currentTimeMillis(), System::nanoTime);
     }
 
+    /** The machine's monotonic clock in milliseconds: the same for all of its processes, whatever becomes of the wall clock. */
+    public double machineMs() {
+        return nanos.getAsLong() / NANOS_IN_MS;
+    }
+
     public double nowMs() {
         return originMs + (nanos.getAsLong() - originNanos) / NANOS_IN_MS;
     }
--- a/src/main/java/ivybank/control/AdminEndpoint.java
+++ b/src/main/java/ivybank/control/AdminEndpoint.java
@@ -63,7 +63,10 @@
     private boolean inCompany;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Deque<Channel> callers = new ArrayDeque<>();
+    /** The orders on file, and the same with the times at which this process saw them. */
     private MaintenanceState orders = MaintenanceState.NONE;
+
+    private MaintenanceState seen = MaintenanceState.NONE;
     private boolean unreadable;
 
     /**
@@ -143,9 +146,11 @@
         if (next.equals(orders)) {
             return CompletableFuture.completedFuture(null);
         }
+        MaintenanceState here = next.asSeen(orders, seen, clock.nowMs());
         log.line("orders: out " + next.out().keySet() + (next.standsBy() ? ", standing by" : ", taking clients"));
         orders = next;
-        return sidecar.obey(next);
+        seen = here;
+        return sidecar.obey(here);
     }
 
     /** An order: on file, obeyed, and then a yes. */
--- a/src/main/java/ivybank/daemon/ConfigFile.java
+++ b/src/main/java/ivybank/daemon/ConfigFile.java
@@ -8,6 +8,7 @@
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileTime;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The configuration file while the sidecar runs: where discovery is by its present text. The environment says only what
@@ -19,9 +20,11 @@
 
     private final String path;
     private InetSocketAddress lastRead;
-    /** The file as it was when it was last looked into, or null where it may have changed since without showing it. */
+    /** The file as it was when it was last looked into, or null; and since when it has looked so. */
     private Looks looks;
 
+    private long looksSinceNanos;
+
     /** What changes with a file's text, unless it is changed twice within one step of the file system's clock. */
     private record Looks(FileTime changed, long bytes) {}
 
@@ -39,10 +42,13 @@
     /** Where discovery is now, if the file says so since it was last read; else null, also where it can't be read. */
     InetSocketAddress changedDiscovery() {
         Looks now = looks();
-        if (now != null && now.equals(looks)) {
+        long nowNanos = System.nanoTime();
+        if (now == null || !now.equals(looks)) {
+            looks = now;
+            looksSinceNanos = nowNanos;
+        } else if (nowNanos - looksSinceNanos > TimeUnit.MILLISECONDS.toNanos(SETTLED_MS)) {
             return null; // it is asked for at each try, and reading all of it costs
         }
-        looks = now == null || System.currentTimeMillis() - now.changed().toMillis() < SETTLED_MS ? null : now;
         return changedText();
     }
 
--- a/src/main/java/ivybank/daemon/InheritedState.java
+++ b/src/main/java/ivybank/daemon/InheritedState.java
@@ -49,12 +49,13 @@
 
     private void recall() {
         List<Upstream> changed = new ArrayList<>();
-        learned.nodes().forEach((host, node) -> changed.addAll(directory.recallStart(host, node.startedMs())));
+        learned.nodes()
+                .forEach((host, node) -> changed.addAll(directory.recallStart(host, node.startedMs(), clock.nowMs())));
         if (!changed.isEmpty()) {
             events.tell(() -> balancer.upstreams(clock.nowMs(), ListKind.DELTA, changed));
         }
         Learned<String> rest = recalled.isEmpty() ? learned : learned.ofNodes();
-        Learned<Integer> here = rest.named(host -> {
+        Learned<Integer> here = rest.withStarts(directory::startHereMs).named(host -> {
             Integer number = directory.number(host);
             return number != null && recalled.add(number) ? number : null;
         });
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -125,7 +125,7 @@
 
     private void upstreams(ListKind kind, HostUpdate update) {
         // First the directory, so that a connection that is coming up is stopped even before the module is told.
-        List<Upstream> entries = directory.apply(update);
+        List<Upstream> entries = directory.apply(update, clock.nowMs());
         listed = true;
         events.tell(() -> balancer.upstreams(clock.nowMs(), kind, entries));
         inheritance.listed(kind);
@@ -141,8 +141,12 @@
 
     /** What this process leaves for others of its sidecar. */
     Memory memory(int descriptors) {
+        Learned<String> learned = balancer.learned().named(directory::host);
         return new Memory(
-                clock.nowMs(), unanswered, descriptors, balancer.learned().named(directory::host));
+                clock.machineMs(),
+                unanswered,
+                descriptors,
+                learned.withStarts((host, startedMs) -> startedMs <= 0 ? startedMs : directory.statedStartMs(host)));
     }
 
     /** Tells what another process has out by node, and how many requests it has in hand. */
--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -37,6 +37,7 @@
     /** The nodes that operators have taken out, with when they did. */
     private final Map<String, Double> out = new HashMap<>();
 
+    private final StartTimes startTimes = new StartTimes();
     private int nextId;
 
     /** Tells {@code retired} of each node whose connections are of no more use. */
@@ -50,7 +51,8 @@
      * Takes over an update and returns its entries in the module's form. A drain, and an end, are for good: another
      * address of discovery that still has the same process ready is behind, and what it says of that is left out.
      */
-    public List<Upstream> apply(HostUpdate update) {
+    public List<Upstream> apply(HostUpdate update, double nowMs) {
+        startTimes.observe(update.entries(), !update.whole(), nowMs);
         Set<Node> named = new HashSet<>();
         List<Upstream> entries = new ArrayList<>();
         Collection<HostUpdate.Entry> told = onceEach(update.entries());
@@ -61,7 +63,7 @@
                 continue;
             }
             Node node = byHost.computeIfAbsent(entry.host(), this::add);
-            named.add(node);
+            boolean first = named.add(node) && node.listed == null;
             // Another machine, or another process on it: what leads to the one before is of no more use, and what is
             // written
             // there ends as a reset of a request that may have run.
@@ -71,6 +73,9 @@
                     && node.bornMs == entry.bornMs()
                     && entry.status() == Status.READY;
             Status status = undrained ? Status.DRAINING : entry.status();
+            if (first || node.bornMs != entry.bornMs()) {
+                node.processStartedMs = startTimes.startedMs(entry.bornMs(), nowMs);
+            }
             node.address = entry.address();
             node.bornMs = entry.bornMs();
             node.status = status;
@@ -140,7 +145,7 @@
      * seconds late, so that until it has told of the new start that counts as being at the call back.
      */
     private double startOf(Node node) {
-        return Math.max(node.listed.bornMs(), node.calledBackMs);
+        return node.startedMs();
     }
 
     /**
@@ -158,7 +163,7 @@
             if (isOut == (since != null)) {
                 continue;
             }
-            if (!isOut && node.listed.bornMs() <= since) {
+            if (!isOut && node.processStartedMs <= since) {
                 node.calledBackMs = nowMs;
             }
             entries.add(told(node));
@@ -187,15 +192,28 @@
      * Takes over from another process when a node last started as far as that one knew: from discovery, or from being called
      * back before discovery had told of it. Returns the entries that this changes in the module's form.
      */
-    public List<Upstream> recallStart(String host, double startedMs) {
+    public List<Upstream> recallStart(String host, double startedMs, double nowMs) {
         Node node = byHost.get(host);
-        if (node == null || startedMs <= startOf(node)) {
+        double hereMs = node == null ? 0 : Math.min(nowMs, startedMs + node.clockCorrectionMs());
+        if (node == null || hereMs <= startOf(node)) {
             return List.of();
         }
-        node.calledBackMs = startedMs;
+        node.calledBackMs = hereMs;
         return List.of(told(node));
     }
 
+    /** When a node started as another process of this machine may know it, whatever the clock of this one is. */
+    public double statedStartMs(String host) {
+        Node node = byHost.get(host);
+        return node == null ? 0 : node.startedMs() - node.clockCorrectionMs();
+    }
+
+    /** The same by this process's clock. */
+    public double startHereMs(String host, double statedMs) {
+        Node node = byHost.get(host);
+        return node == null || statedMs <= 0 ? statedMs : statedMs + node.clockCorrectionMs();
+    }
+
     /** Whether a node of this id is listed, or was when it was taken out. */
     public boolean knows(String host) {
         return byHost.containsKey(host);
--- a/src/main/java/ivybank/discovery/Node.java
+++ b/src/main/java/ivybank/discovery/Node.java
@@ -14,6 +14,8 @@
     Status status;
     /** When its process started, as discovery told last, Unix time in milliseconds; 0 for long ago. */
     double bornMs;
+    /** The same by this process's clock. */
+    double processStartedMs;
     /** What discovery said last of it. */
     HostUpdate.Entry listed;
     /** Since when it has been out by the operators' order, or 0; and when it was called back last. */
@@ -26,9 +28,14 @@
         this.host = host;
     }
 
-    /** When its process started, or when it was called back if that is later; Unix time in milliseconds, 0 for long ago. */
+    /** When its process started, or when it was called back if that is later, by this process's clock; 0 for long ago. */
     public double startedMs() {
-        return Math.max(bornMs, calledBackMs);
+        return Math.max(processStartedMs, calledBackMs);
+    }
+
+    /** What lies between its start as discovery states it and by this process's clock, in milliseconds. */
+    double clockCorrectionMs() {
+        return bornMs <= 0 ? 0 : processStartedMs - bornMs;
     }
 
     @Override
--- a/src/main/java/ivybank/handover/Learned.java
+++ b/src/main/java/ivybank/handover/Learned.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.ToDoubleBiFunction;
 
 /**
  * What the decisions of a process have learned, for the one that comes after it. Latencies in milliseconds, rates in
@@ -67,6 +68,21 @@
         return new Learned<>(admitted, extra, List.of(), nodes, Map.of());
     }
 
+    /** The same with other starts of the nodes, by their names and what stands here. */
+    public Learned<K> withStarts(ToDoubleBiFunction<K, Double> start) {
+        Map<K, OfNode> changed = new HashMap<>();
+        nodes.forEach((key, node) -> changed.put(
+                key,
+                new OfNode(
+                        start.applyAsDouble(key, node.startedMs),
+                        node.rank,
+                        node.share,
+                        node.window,
+                        node.out,
+                        node.aside)));
+        return new Learned<>(admitted, extra, classes, changed, carried);
+    }
+
     /** The same with other names of the nodes; those that get no name are left out. */
     public <L> Learned<L> named(Function<K, L> name) {
         Map<L, OfNode> renamed = new HashMap<>();
--- a/src/main/java/ivybank/handover/Memory.java
+++ b/src/main/java/ivybank/handover/Memory.java
@@ -3,7 +3,7 @@
 /**
  * What one process leaves for the others of its sidecar.
  *
- * @param writtenMs Unix time in milliseconds
+ * @param writtenMs by the machine's monotonic clock, in milliseconds: the wall clock may be stepped in between
  * @param inHand requests of clients that it has not answered yet
  * @param descriptors that it holds for connections
  * @param learned by the ids that discovery gives
--- a/src/main/java/ivybank/handover/MemoryCodec.java
+++ b/src/main/java/ivybank/handover/MemoryCodec.java
@@ -24,7 +24,7 @@
     }
 
     private static final int MARK = 0x49564d59;
-    private static final short VERSION = 1;
+    private static final short VERSION = 2;
     private static final int HEAD_BYTES = 4 + 2 + 4;
     private static final int SUM_BYTES = 4;
     /** More than any fleet needs: some 60 bytes for each node. */
--- a/src/main/java/ivybank/operations/MaintenanceState.java
+++ b/src/main/java/ivybank/operations/MaintenanceState.java
@@ -47,6 +47,23 @@
         return standsBy() ? new MaintenanceState(out, 0) : this;
     }
 
+    /**
+     * The same orders with the times at which this process saw them: those on file are of another process's clock, which may
+     * have been stepped since.
+     *
+     * @param before the orders before
+     * @param beforeSeen the same with the times at which this process saw them
+     */
+    public MaintenanceState asSeen(MaintenanceState before, MaintenanceState beforeSeen, double nowMs) {
+        SortedMap<String, Double> outSeen = new TreeMap<>();
+        out.forEach((node, sinceMs) -> outSeen.put(
+                node,
+                sinceMs.equals(before.out.get(node)) ? beforeSeen.out.getOrDefault(node, nowMs) : (Double) nowMs));
+        boolean sameStandby = standbySinceMs == before.standbySinceMs;
+        double standbySeenMs = !standsBy() ? 0 : sameStandby ? beforeSeen.standbySinceMs : nowMs;
+        return new MaintenanceState(outSeen, standbySeenMs);
+    }
+
     public boolean standsBy() {
         return standbySinceMs > 0;
     }
--- a/src/main/java/ivybank/scale/worker/HollowSidecar.java
+++ b/src/main/java/ivybank/scale/worker/HollowSidecar.java
@@ -70,7 +70,7 @@
 
     private void update(HostUpdate update) {
         ListKind kind = update.whole() ? ListKind.FULL : ListKind.DELTA;
-        balancer.upstreams(clock.nowMs(), kind, directory.apply(update));
+        balancer.upstreams(clock.nowMs(), kind, directory.apply(update, clock.nowMs()));
         double nowMs = MonotonicTime.nowMs();
         version = update.seq();
         versionSinceMs = nowMs;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -137,7 +137,9 @@
     void verify() {
         if (attempt != null && !verified && channel instanceof UpstreamSocketChannel socket) {
             socket.poll();
-            if (verified) {
+            boolean found = verified;
+            verified = false; // what was found here says nothing of the selector
+            if (found) {
                 socket.rearm();
             }
         }
@@ -348,6 +350,7 @@
             rest = new BodyPipe(new BodyPipe.Source() {
                 @Override
                 public void wanted(boolean more) {
+                    verified &= !more;
                     channel.config().setAutoRead(more);
                 }
 
--- a/src/test/java/ivybank/discovery/DirectoryTest.java
+++ b/src/test/java/ivybank/discovery/DirectoryTest.java
@@ -16,16 +16,20 @@
 /** The upstreams that discovery names, while hosts come and go for ever. */
 class DirectoryTest {
 
+    private static final double NOW_MS = 10_000;
+
     private final List<Node> retired = new ArrayList<>();
     private final Directory directory = new Directory(List.of("a"), List.of("k"), retired::add);
 
     private int apply(boolean whole, String host, Status status) {
         return directory
-                .apply(new HostUpdate(
-                        1,
-                        whole,
-                        List.of(new HostUpdate.Entry(
-                                host, new InetSocketAddress("127.0.0.1", 7070), status, 0, "a", "k", 0, 1))))
+                .apply(
+                        new HostUpdate(
+                                1,
+                                whole,
+                                List.of(new HostUpdate.Entry(
+                                        host, new InetSocketAddress("127.0.0.1", 7070), status, 0, "a", "k", 0, 1))),
+                        NOW_MS)
                 .get(0)
                 .id();
     }
@@ -68,7 +72,7 @@
                     List.of(entry("s-1", Status.DRAINING, 0), entry("s-1", Status.READY, 0)),
                     List.of(entry("s-1", Status.READY, 0), entry("s-1", Status.DRAINING, 0)),
                     List.of(entry("s-1", Status.DRAINING, 7), entry("s-1", Status.READY, 5)))) {
-                List<Balancer.Upstream> told = directory.apply(new HostUpdate(1, whole, twice));
+                List<Balancer.Upstream> told = directory.apply(new HostUpdate(1, whole, twice), NOW_MS);
                 assertEquals(1, told.size());
                 assertEquals(Status.DRAINING, told.get(0).status(), twice.toString());
                 assertFalse(directory.node(told.get(0).id()).ready);
@@ -76,12 +80,13 @@
             for (List<HostUpdate.Entry> twice : List.of(
                     List.of(entry("s-1", Status.GONE, 0), entry("s-1", Status.READY, 9)),
                     List.of(entry("s-1", Status.READY, 9), entry("s-1", Status.GONE, 0)))) {
-                List<Balancer.Upstream> told = directory.apply(new HostUpdate(2, whole, twice));
+                List<Balancer.Upstream> told = directory.apply(new HostUpdate(2, whole, twice), NOW_MS);
                 assertEquals(Status.READY, told.get(0).status(), twice.toString());
                 assertTrue(directory.node(told.get(0).id()).ready, "the module and this know the same");
             }
             List<Balancer.Upstream> gone = directory.apply(
-                    new HostUpdate(3, whole, List.of(entry("s-1", Status.GONE, 9), entry("s-1", Status.READY, 9))));
+                    new HostUpdate(3, whole, List.of(entry("s-1", Status.GONE, 9), entry("s-1", Status.READY, 9))),
+                    NOW_MS);
             assertEquals(Status.GONE, gone.get(0).status());
             assertNull(directory.node(gone.get(0).id()));
         }
@@ -90,11 +95,11 @@
     /** What is written to a process that is no more ends as a reset of a request that may have run. */
     @Test
     void whatLeadsToTheProcessBeforeIsRetiredWhenANodeComesBackUnderItsNameAndAddress() {
-        directory.apply(new HostUpdate(1, true, List.of(entry("s-1", Status.READY, 5))));
+        directory.apply(new HostUpdate(1, true, List.of(entry("s-1", Status.READY, 5))), NOW_MS);
         retired.clear();
-        directory.apply(new HostUpdate(2, false, List.of(entry("s-1", Status.READY, 5))));
+        directory.apply(new HostUpdate(2, false, List.of(entry("s-1", Status.READY, 5))), NOW_MS);
         assertTrue(retired.isEmpty(), "it is the same");
-        directory.apply(new HostUpdate(3, false, List.of(entry("s-1", Status.READY, 9))));
+        directory.apply(new HostUpdate(3, false, List.of(entry("s-1", Status.READY, 9))), NOW_MS);
         assertEquals(1, retired.size());
     }
 }
--- a/src/test/java/ivybank/discovery/OutNodesTest.java
+++ b/src/test/java/ivybank/discovery/OutNodesTest.java
@@ -15,16 +15,19 @@
 /** What the module is told of nodes that operators take out, over all that discovery says meanwhile. */
 class OutNodesTest {
 
+    private static final double NOW_MS = 10_000;
     private static final Map<String, Double> OUT = Map.of("a", 1000.0);
 
     private final Directory directory = new Directory(List.of("z"), List.of("k"), node -> {});
 
     private List<Upstream> says(boolean whole, String host, Status status, double bornMs) {
-        return directory.apply(new HostUpdate(
-                1,
-                whole,
-                List.of(new HostUpdate.Entry(
-                        host, new InetSocketAddress("127.0.0.1", 7070), status, bornMs, "z", "k", 0, 1))));
+        return directory.apply(
+                new HostUpdate(
+                        1,
+                        whole,
+                        List.of(new HostUpdate.Entry(
+                                host, new InetSocketAddress("127.0.0.1", 7070), status, bornMs, "z", "k", 0, 1))),
+                NOW_MS);
     }
 
     @Test
--- a/src/test/java/ivybank/handover/MemoryTest.java
+++ b/src/test/java/ivybank/handover/MemoryTest.java
@@ -85,7 +85,7 @@
         other[5]++;
         assertTrue(assertThrows(MemoryCodec.Unreadable.class, () -> MemoryCodec.read(other))
                 .getMessage()
-                .contains("version 2"));
+                .contains("version 3"));
     }
 
     @Test
--- a/src/test/java/ivybank/soak/FailedCallsTest.java
+++ b/src/test/java/ivybank/soak/FailedCallsTest.java
@@ -9,12 +9,7 @@
 import ivybank.testing.SyscallFaults;
 import ivybank.testing.SyscallFaults.Call;
 import ivybank.testing.SyscallFaults.Errno;
-import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -39,9 +34,6 @@
     @TempDir
     Path folder;
 
-    private final AtomicBoolean over = new AtomicBoolean();
-    private final AtomicInteger sent = new AtomicInteger();
-
     @ParameterizedTest
     @CsvSource({
         "SOCKET, ENFILE",
@@ -57,8 +49,8 @@
     void theWatchIsOpenedAnewOnceCallsSucceedAgain(Call call, Errno errno) throws Exception {
         try (Upstreams upstreams = new Upstreams(UPSTREAMS);
                 Agent agent = new Agent(upstreams);
-                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
-            startClients(sidecar);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams);
+                Load load = new Load(sidecar, CLIENTS, BETWEEN_REQUESTS_MS)) {
             Thread.sleep(1000);
             assertTrue(agent.hasWatch(), "it watches");
             int before = agent.calls.get();
@@ -73,11 +65,10 @@
             agent.tell();
             Thread.sleep(TOLD_MS);
             int[] seen = drainingRequests(upstreams);
-            int sentBefore = sent.get();
+            int answeredBefore = load.answered();
             Thread.sleep(AFTER_MS);
-            over.set(true);
             int[] late = drainingRequests(upstreams);
-            assertTrue(sent.get() > sentBefore, "clients went on");
+            assertTrue(load.answered() > answeredBefore, "clients went on");
             assertTrue(agent.calls.get() > before, "it called discovery again");
             for (int i = 0; i < DRAINING; i++) {
                 assertEquals(seen[i], late[i], "nothing new goes to s-" + i + ", which drains");
@@ -94,12 +85,13 @@
         };
         try (Upstreams upstreams = new Upstreams(UPSTREAMS, once);
                 Agent agent = new Agent(upstreams);
-                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
-            startClients(sidecar);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams);
+                Load load = new Load(sidecar, CLIENTS, BETWEEN_REQUESTS_MS)) {
             Thread.sleep(1000);
             sidecar.faults.fail(Call.SOCKET, Errno.ENFILE, SyscallFaults.ALWAYS);
             Thread.sleep(FAULT_MS);
             sidecar.faults.healAll();
+            assertTrue(load.answered() > 0, "clients are served");
             assertTrue(sidecar.faults.hits(Call.SOCKET) > CLIENTS, "connections could not be made");
             Thread.sleep(AFTER_MS);
             assertTrue(sidecar.connectionsHeld() <= 2 * CLIENTS, sidecar.connectionsHeld() + " are counted as open");
@@ -113,39 +105,4 @@
         }
         return counts;
     }
-
-    private void startClients(FaultySidecar sidecar) {
-        for (int i = 0; i < CLIENTS; i++) {
-            int client = i;
-            Thread thread = new Thread(() -> ask(sidecar, client));
-            thread.setDaemon(true);
-            thread.start();
-        }
-    }
-
-    private void ask(FaultySidecar sidecar, int client) {
-        for (int i = 0; !over.get(); i++) {
-            try (Socket socket = sidecar.connect()) {
-                for (int again = 0; again < 20 && !over.get(); again++) {
-                    request(socket, client + "-" + i + "-" + again);
-                    Thread.sleep(BETWEEN_REQUESTS_MS);
-                }
-            } catch (IOException e) {
-                // What becomes of clients is judged elsewhere.
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
-        }
-    }
-
-    private void request(Socket socket, String id) throws IOException {
-        socket.getOutputStream()
-                .write(("GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 3000\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII));
-        byte[] bytes = new byte[1024];
-        if (socket.getInputStream().read(bytes) > 0) {
-            sent.incrementAndGet();
-        }
-    }
 }
