One guard before sending, repeating, closing and starting; the log counts violations each second

A keyed attempt could wait for its connection past the window in which its repeat is dropped; a node could be told up to 0.3 s more than the client had, after a stall.

Change: InvariantGuard looks at each attempt right before its first byte, at closes of clients' connections and at the start. What only time has taken away (window, deadline, lease of the list) is denied; what a path should have seen to is denied and counted: ' violations=N' in the line of each second. A node is told what the client has left at least, with 0.1 s. A fault of this program in a handler fails the request at hand and no longer closes on it.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -29,6 +29,7 @@
 import ivybank.exchange.RequestHandler;
 import ivybank.policy.Balancer.Effect;
 import ivybank.transport.SteadySocketChannel;
+import java.io.IOException;
 import java.math.BigDecimal;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -73,7 +74,7 @@
     /** For so long a request may be in hand whose client can't be read: its leaving would go unseen. */
     private static final double LONGEST_BLIND_MS = 60;
 
-    private static final int UNREADABLE = 502;
+    private static final int FAILED = 502;
     /** A client that takes nothing more of a long answer is given up. */
     private static final double LONGEST_STALL_MS = 15_000;
 
@@ -186,7 +187,7 @@
             arriving = arriving != null && arriving.whole() ? null : arriving;
             held();
             if (closing) {
-                ctx.close();
+                close(false);
             } else if (current != null && current.request != null && current.request.rest() != null) {
                 driver.arrived(currentId);
             }
@@ -197,7 +198,7 @@
             server.reused();
         }
         if (closing) {
-            ctx.close();
+            close(false);
         } else if (ended && isArriving()) {
             abort(message.status());
         } else {
@@ -339,9 +340,7 @@
             boolean inHand = current != null && current.request != null && writing == null;
             if (inHand && nowMs - blindSinceMs > LONGEST_BLIND_MS) {
                 server.unreadable();
-                driver.clientLeft(currentId);
-                current = new Arrival(current.request, 0, false, current.old);
-                answer(current, Answer.status(UNREADABLE));
+                failAtHand();
             }
         }
         ctx.fireUserEventTriggered(event);
@@ -593,7 +592,7 @@
                     end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepAlive, early);
                 } else {
                     context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-                    context.close();
+                    close(true);
                 }
             }
         });
@@ -648,7 +647,7 @@
     void endStalled(double nowMs) {
         boolean slow = partial && wanted && nowMs - partialSinceMs - unwantedMs > longestPartialMs();
         if (slow && closing || nowMs - stalledSinceMs > LONGEST_STALL_MS) {
-            context.close();
+            close(true);
         } else if (slow && isArriving() && !ended) {
             ended = true;
             abort(TIMED_OUT);
@@ -683,7 +682,7 @@
             current = new Arrival(null, TIMED_OUT, false);
             answer(current, Answer.status(TIMED_OUT));
         } else {
-            context.close();
+            close(false);
         }
     }
 
@@ -717,8 +716,31 @@
                 .forEach(arrival -> arrival.request.rest().leave());
     }
 
+    /** Closes the connection, unless a request on it would lose its answer; {@code broken}: none can be given any more. */
+    private void close(boolean broken) {
+        boolean unanswered = current != null && current.request != null && writing == null || !nothingWaits();
+        if (server.guard().closing(unanswered && !closing, broken).isAllowed()) {
+            context.close();
+        }
+    }
+
+    /** Guards a request in hand against a fault of this program: it is failed, which its client is told. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close();
+        boolean inHand = context != null && current != null && current.request != null && writing == null;
+        if (cause instanceof IOException || !inHand || ended) {
+            ctx.close();
+            return;
+        }
+        server.failed(cause);
+        failAtHand();
+    }
+
+    /** Fails the request at hand and ends the connection with that. */
+    private void failAtHand() {
+        ended = true;
+        driver.clientLeft(currentId);
+        current = new Arrival(current.request, 0, false, current.old);
+        answer(current, Answer.status(FAILED));
     }
 }
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -12,6 +12,7 @@
 import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
+import ivybank.invariants.InvariantGuard;
 import ivybank.operations.Standby;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.RequestClass;
@@ -64,6 +65,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
     private List<EventLoopStallDetector> stallDetectors = List.of();
+    private InvariantGuard guard = new InvariantGuard(line -> {});
     private final ClientAcceptor acceptor;
 
     private double standbySinceMs;
@@ -259,6 +261,20 @@
         turnedAway++;
     }
 
+    /** From now on asks this before connections are closed. Before the first is accepted. */
+    public void heeds(InvariantGuard invariants) {
+        guard = invariants;
+    }
+
+    InvariantGuard guard() {
+        return guard;
+    }
+
+    /** Notes a request that is failed because of a fault of this program. */
+    void failed(Throwable cause) {
+        log.line("a request failed on a fault of this program: " + cause);
+    }
+
     /** Notes a request that is failed because nothing can be read on its connection. */
     void unreadable() {
         log.line(
--- a/src/main/java/ivybank/daemon/AttemptSender.java
+++ b/src/main/java/ivybank/daemon/AttemptSender.java
@@ -5,6 +5,10 @@
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.SendRecord;
+import ivybank.invariants.InvariantGuard;
+import ivybank.invariants.InvariantGuard.Transmission;
+import ivybank.invariants.Repeat;
+import ivybank.invariants.Verdict;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.policy.Balancer.Settings;
 import ivybank.tally.Stage;
@@ -12,6 +16,8 @@
 import ivybank.upstream.UpstreamAttempt;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamPool;
+import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * Begins the attempts that the module asks for: each within the time that is left to its request, and, where the request is
@@ -32,12 +38,16 @@
         void unrecorded(Exchange exchange);
     }
 
+    /** What a node is told over what its client has left at least, of the slack that is allowed. */
+    private static final double TOLD_SLACK_MS = 100;
+
     private final Settings settings;
     private final Clock clock;
     private final UpstreamPool pool;
     private final Listener listener;
     private Tally tally = Tally.NONE;
     private ListLease lease = ListLease.unlimited();
+    private InvariantGuard guard = new InvariantGuard(line -> {});
 
     AttemptSender(Settings settings, Clock clock, UpstreamPool pool, Listener listener) {
         this.settings = settings;
@@ -51,9 +61,10 @@
         tally = counts;
     }
 
-    /** From now on sends nothing by a list that this lease no longer covers. */
-    void heeds(ListLease listLease) {
+    /** From now on sends nothing by a list that this lease no longer covers, nor what the guard denies. */
+    void heeds(ListLease listLease, InvariantGuard invariants) {
         lease = listLease;
+        guard = invariants;
     }
 
     /**
@@ -68,7 +79,7 @@
         double mostMs = timeoutMs == 0 ? leftMs : Math.min(timeoutMs, leftMs);
         int number = exchange.attempts.size();
         UpstreamAttempt attempt =
-                new UpstreamAttempt(node, exchange.request, mostMs, listener(exchange, number, nowMs));
+                new UpstreamAttempt(node, exchange.request, mostMs, listener(exchange, node, number, nowMs));
         exchange.attempts.add(attempt);
         exchange.out++;
         if (exchange.over
@@ -83,13 +94,23 @@
         send(exchange, attempt);
     }
 
-    private UpstreamAttempt.Listener listener(Exchange exchange, int number, double begunMs) {
+    private UpstreamAttempt.Listener listener(Exchange exchange, Node node, int number, double begunMs) {
         return new UpstreamAttempt.Listener() {
             @Override
             public void began(Answer answer) {
                 listener.began(exchange, number, exchange.sentMs(begunMs, clock.nowMs()), answer);
             }
 
+            @Override
+            public double mostToldMs() {
+                return exchange.leastLeftMs(clock.nowMs()) + TOLD_SLACK_MS;
+            }
+
+            @Override
+            public Verdict mayBeWritten(double toldMs) {
+                return guard.sending(transmission(exchange, node, number, toldMs));
+            }
+
             @Override
             public void ended(Ending ending) {
                 listener.ended(exchange, number, exchange.sentMs(begunMs, clock.nowMs()), ending);
@@ -97,6 +118,27 @@
         };
     }
 
+    private Transmission transmission(Exchange exchange, Node node, int number, double toldMs) {
+        double nowMs = clock.nowMs();
+        List<Repeat.Other> others = IntStream.range(0, exchange.attempts.size())
+                .filter(each -> each != number)
+                .mapToObj(each -> exchange.attempts.get(each).asOther())
+                .toList();
+        return new Transmission(
+                node.ready,
+                exchange.over,
+                lease.hasLapsed(nowMs),
+                toldMs,
+                exchange.clientLeftMs(nowMs),
+                exchange.leastLeftMs(nowMs),
+                Repeat.of(
+                        settings.classes().get(exchange.request.requestClass()),
+                        others,
+                        node.zone(),
+                        node.cell(),
+                        nowMs));
+    }
+
     private void count(Exchange exchange, Node node, double nowMs, boolean first, boolean atOnce) {
         if (first && !exchange.request.arriving()) {
             tally.took(atOnce ? Stage.DECISION : Stage.ROOM, nowMs - exchange.request.arrivedMs());
--- a/src/main/java/ivybank/daemon/Exchange.java
+++ b/src/main/java/ivybank/daemon/Exchange.java
@@ -22,6 +22,9 @@
     /** Far off while its last byte is still to come. */
     double deadlineMs;
 
+    /** When it may have come at the earliest: it may have stood in its socket while the event loop stalled. */
+    final double earliestArrivalMs;
+
     final Consumer<Answer> client;
     final List<UpstreamAttempt> attempts = new ArrayList<>(2);
     ScheduledFuture<?> backstop;
@@ -30,7 +33,8 @@
     /** The attempt whose long answer is being passed on, or -1. */
     int passingOn = -1;
 
-    Exchange(int id, ClientRequest request, double deadlineMs, Consumer<Answer> client) {
+    Exchange(int id, ClientRequest request, double deadlineMs, double earliestArrivalMs, Consumer<Answer> client) {
+        this.earliestArrivalMs = earliestArrivalMs;
         this.id = id;
         this.request = request;
         this.deadlineMs = deadlineMs;
@@ -56,6 +60,17 @@
         return Math.max(begunMs, arrivedMs);
     }
 
+    /** What its client has left at most; all of its time while its last byte is still to come. */
+    double clientLeftMs(double nowMs) {
+        return isArriving() ? request.budgetMs() : deadlineMs - nowMs;
+    }
+
+    /** What its client has left at least: a request may have come before it was read. */
+    double leastLeftMs(double nowMs) {
+        double byArrivalMs = request.rest() == null ? earliestArrivalMs + request.budgetMs() - nowMs : Double.MAX_VALUE;
+        return Math.min(byArrivalMs, clientLeftMs(nowMs));
+    }
+
     void stopBackstop() {
         if (backstop != null) {
             backstop.cancel(false);
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -13,6 +13,7 @@
 import ivybank.exchange.RequestHandler;
 import ivybank.handover.Learned;
 import ivybank.handover.Memory;
+import ivybank.invariants.InvariantGuard;
 import ivybank.policy.Balancer;
 import ivybank.policy.Balancer.AttemptEnd;
 import ivybank.policy.Balancer.ListKind;
@@ -65,6 +66,7 @@
     private final RequestCounters counters = new RequestCounters();
     private Tally tally = Tally.NONE;
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
+    private EventLoopStallDetector sendStalls = EventLoopStallDetector.NEVER;
     private final InheritedState inheritance;
     private volatile boolean listed; // read by the operators' door
     private int lastId;
@@ -109,14 +111,15 @@
         sender.countIn(counts);
     }
 
-    /** From now on minds whether the event loop was held up. */
-    void mind(EventLoopStallDetector loops) {
-        stallDetector = loops;
+    /** From now on minds whether the event loop was held up: for the times of requests, and for what nodes are told of them. */
+    void mind(EventLoopStallDetector ofRequests, EventLoopStallDetector beforeSends) {
+        stallDetector = ofRequests;
+        sendStalls = beforeSends;
     }
 
-    /** From now on sends nothing on by a list that this lease no longer covers. */
-    void heeds(ListLease lease) {
-        sender.heeds(lease);
+    /** From now on sends nothing on by a list that this lease no longer covers, nor what the guard denies. */
+    void heeds(ListLease lease, InvariantGuard guard) {
+        sender.heeds(lease, guard);
     }
 
     void updated(HostUpdate update) {
@@ -193,7 +196,8 @@
         boolean arriving = request.arriving();
         double deadlineMs =
                 arriving ? Exchange.NO_DEADLINE_YET : RequestDeadline.atMs(request, clock.nowMs(), stallDetector);
-        Exchange exchange = new Exchange(++lastId, request, deadlineMs, client);
+        double earliestMs = Math.min(request.arrivedMs(), sendStalls.earliestMs(clock.nowMs()));
+        Exchange exchange = new Exchange(++lastId, request, deadlineMs, earliestMs, client);
         exchanges.put(exchange.id, exchange);
         openIds.add(request.callId());
         unanswered++;
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -25,6 +25,7 @@
 import ivybank.discovery.Discovery;
 import ivybank.discovery.ListLease;
 import ivybank.discovery.Timing;
+import ivybank.invariants.InvariantGuard;
 import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -137,6 +138,7 @@
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Watchdog watchdog;
+    private final InvariantGuard guard;
     private final Descriptors descriptors;
     private final UpstreamPool pool;
     private final RequestDispatcher dispatcher;
@@ -157,6 +159,8 @@
     private volatile boolean company;
     private volatile PeerFleet peers; // null: it knows of no other sidecar
     private volatile boolean successor;
+    /** Whether discovery was asked, and has answered or is known not to. */
+    private boolean discoveryAsked;
     /** Whether clients' connections are accepted, or would be if there were room. */
     private volatile boolean listening;
 
@@ -190,6 +194,7 @@
                 () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
         loop = group.next();
         watchdog = new Watchdog(loop, clock, log);
+        guard = new InvariantGuard(log::line);
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
         descriptors = new Descriptors(sockets);
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
@@ -433,14 +438,15 @@
         discovery.countIn(tally);
         ListLease lease = ListLease.usual(timing.asked(), config.drainGraceMs());
         discovery.renews(lease);
-        dispatcher.heeds(lease);
+        dispatcher.heeds(lease, guard);
+        server.heeds(guard);
         watchdog.watch(discovery);
         watchdog.watch(configReload);
         pool.chains().forEach(watchdog::watch);
         EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
         EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
-        dispatcher.mind(ofRequests);
+        dispatcher.mind(ofRequests, beforeSends);
         server.mind(List.of(beforeSends, ofRequests));
         look(beforeSends);
         look(ofRequests);
@@ -450,7 +456,10 @@
         if (timing.asked()) {
             thenListen.run();
         } else {
-            discovery.onFirstWord(thenListen);
+            discovery.onFirstWord(() -> {
+                discoveryAsked = true;
+                thenListen.run();
+            });
         }
         discovery.start();
         tallyDueMs = clock.nowMs() + TALLY_MS;
@@ -485,6 +494,9 @@
     }
 
     private ChannelFuture listen() {
+        if (!guard.starting(timing.asked() || discoveryAsked).isAllowed()) {
+            throw new IllegalStateException("clients are not served before discovery was asked");
+        }
         return server.listen(
                 new ServerBootstrap()
                         .group(group)
@@ -521,7 +533,7 @@
         Second second = tally.end(nowMs, Math.max(0, nowMs - tallyDueMs));
         tallyDueMs = Math.max(tallyDueMs + TALLY_MS, nowMs);
         if (second != null) {
-            log.line(second.line() + (peers == null ? "" : peers.tally()));
+            log.line(second.line() + " violations=" + guard.takeViolations() + (peers == null ? "" : peers.tally()));
         }
     }
 
--- a/src/main/java/ivybank/discovery/Node.java
+++ b/src/main/java/ivybank/discovery/Node.java
@@ -38,6 +38,16 @@
         return bornMs <= 0 ? 0 : processStartedMs - bornMs;
     }
 
+    /** The zone that it is listed in; empty where it is not known. */
+    public String zone() {
+        return listed == null ? "" : listed.zone();
+    }
+
+    /** The cell that it is listed in. */
+    public int cell() {
+        return listed == null ? 0 : listed.cell();
+    }
+
     @Override
     public String toString() {
         return host + " (upstream " + id + ")";
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -4,6 +4,8 @@
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.ClientRequest;
+import ivybank.invariants.Repeat;
+import ivybank.invariants.Verdict;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Stage;
 import java.util.concurrent.ScheduledFuture;
@@ -20,6 +22,20 @@
             answer.rest().leave();
         }
 
+        /** The most that its node may be told of the time that is left, in milliseconds. */
+        default double mostToldMs() {
+            return Double.POSITIVE_INFINITY;
+        }
+
+        /**
+         * Whether it may be written now. Asked right before its first byte.
+         *
+         * @param toldMs the time that its node is to be told, in milliseconds
+         */
+        default Verdict mayBeWritten(double toldMs) {
+            return Verdict.ALLOWED;
+        }
+
         /** It has ended, once. */
         void ended(Ending ending);
     }
@@ -44,6 +60,10 @@
     private UpstreamConnection connection;
     private boolean ended;
     private boolean wentOut;
+    /** How it ended, or null; and when its first byte was written, by the module's clock. */
+    private Outcome outcome;
+
+    private double writtenMs = Double.POSITIVE_INFINITY;
     /** When it was handed to the pool, and what it has waited for since. */
     double begunMs;
 
@@ -80,6 +100,11 @@
         return timer == null ? timeoutMs : timer.getDelay(TimeUnit.MICROSECONDS) / MICROS_IN_MS;
     }
 
+    /** What its node is told of that: little more than its client has left, as far as that can be known. */
+    double toldMs() {
+        return Math.min(leftMs(), listener.mostToldMs());
+    }
+
     private void stopTimer() {
         if (timer != null) {
             timer.cancel(false);
@@ -92,9 +117,22 @@
         listener.began(answer);
     }
 
-    /** The connection that it has been handed to; the request may have left on it. */
-    void connection(UpstreamConnection carrier) {
+    /** Whether it may be written now, with this time told to its node. */
+    Verdict mayBeWritten(double toldMs) {
+        return listener.mayBeWritten(toldMs);
+    }
+
+    /** It is being written on this connection; the request may have left on it from now on. */
+    void writing(UpstreamConnection carrier, double nowMs) {
         connection = carrier;
+        writtenMs = nowMs;
+    }
+
+    /** What another attempt of the same request has to know of it. */
+    public Repeat.Other asOther() {
+        boolean written = writtenMs < Double.POSITIVE_INFINITY;
+        boolean provedNotRun = outcome != null && outcome.provesNotRun();
+        return new Repeat.Other(written && !provedNotRun, node.zone(), node.cell(), writtenMs);
     }
 
     /** Stops waiting: called off, or out of time. */
@@ -130,6 +168,7 @@
             return;
         }
         ended = true;
+        outcome = ending.outcome();
         connection = null;
         stopTimer();
         listener.ended(ending);
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -145,18 +145,29 @@
         }
     }
 
+    /** Sends an attempt, unless the guard denies it: then it ends as not sent, and the connection is free. */
     void send(UpstreamAttempt next) {
+        long toldMs = Math.max(1, (long) next.toldMs());
+        if (!next.mayBeWritten((double) toldMs).isAllowed()) {
+            pool.unused(this);
+            next.end(Ending.of(Outcome.NOT_SENT));
+            return;
+        }
+        write(next, toldMs);
+    }
+
+    private void write(UpstreamAttempt next, long toldMs) {
         attempt = next;
         written = false;
         head = null;
         interimAnswers = 0;
         phaseSinceMs = pool.nowMs();
-        next.connection(this);
+        next.writing(this, phaseSinceMs);
         ClientRequest request = next.request;
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, SERVICE);
         headers.set(CALL_ID, request.callId());
-        headers.set(BUDGET, Math.max(1, (long) next.leftMs()));
+        headers.set(BUDGET, toldMs);
         if (request.idempotencyKey() != null) {
             headers.set(IDEMPOTENCY_KEY, request.idempotencyKey());
         }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -296,6 +296,11 @@
         idle.closeIf(node, connection -> connection.spare);
     }
 
+    /** Takes back a connection that was to carry a request and did not. */
+    void unused(UpstreamConnection connection) {
+        keep(connection);
+    }
+
     /** Takes back a connection whose request has been answered. */
     void handBack(UpstreamConnection connection) {
         connection.idleSinceMs = clock.nowMs();
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -77,10 +77,14 @@
                 .definedBy("ivybank.scale..")
                 .layer("supervision")
                 .definedBy("ivybank.supervision..")
+                .layer("invariants")
+                .definedBy("ivybank.invariants..")
                 .layer("transport")
                 .definedBy("ivybank.transport..")
                 .whereLayer("supervision")
                 .mayOnlyBeAccessedByLayers("daemon", "client", "upstream", "discovery", "control", "peers", "promises")
+                .whereLayer("invariants")
+                .mayOnlyBeAccessedByLayers("daemon", "client", "upstream")
                 .whereLayer("transport")
                 .mayOnlyBeAccessedByLayers("client", "upstream")
                 .whereLayer("scale")
@@ -103,6 +107,7 @@
                         "exchange",
                         "settings",
                         "promises",
+                        "invariants",
                         "emulator",
                         "scale")
                 .whereLayer("subsetting")
@@ -155,7 +160,11 @@
         noClasses()
                 .that()
                 .resideInAnyPackage(
-                        "ivybank.policy..", "ivybank.settings..", "ivybank.operations..", "ivybank.slowstart..")
+                        "ivybank.policy..",
+                        "ivybank.settings..",
+                        "ivybank.operations..",
+                        "ivybank.invariants..",
+                        "ivybank.slowstart..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage(
