--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -109,8 +109,6 @@
 
     private long heldBytes;
     private ChannelHandlerContext context;
-    /** Whether the selector is known to tell what comes here. */
-    private boolean verified;
     /** Since when reads have failed, or NaN. */
     private double blindSinceMs = Double.NaN;
     /** The request at hand, or null between requests. */
@@ -290,9 +288,7 @@
     /** Bounds what waits here: requests behind the one at hand, and answers that the client does not read. */
     private void adjustReading() {
         boolean full = !wanted && (heldBytes >= MOST_HELD || !server.hasRoomFor(0));
-        boolean reading = !pausing && !full;
-        verified &= !reading || context.channel().config().isAutoRead();
-        context.channel().config().setAutoRead(reading);
+        context.channel().config().setAutoRead(!pausing && !full);
     }
 
     /** Tells the server what of the body that is coming nobody has taken yet. */
@@ -317,14 +313,16 @@
     }
 
     /**
-     * Reads and writes once without being told to, where the selector has not told anything since it was asked last: a
-     * registration with it may have failed, which Java tells nobody.
+     * Reads and writes once without being told to: a registration with the selector may have failed, which Java tells nobody,
+     * also where it was good before and Netty has made another selector. {@code resting}: also where nothing is in hand.
      */
-    void verify() {
-        if (!verified && context.channel() instanceof SteadySocketChannel channel) {
+    void verify(boolean resting) {
+        if (!(context.channel() instanceof SteadySocketChannel channel)) {
+            return;
+        }
+        if (resting || current != null || isMute() || channel.hasPendingWrites()) {
             long before = reads;
             channel.poll();
-            verified = false; // what was found here says nothing of the selector
             if (reads != before) {
                 channel.rearm();
             }
@@ -362,7 +360,6 @@
             ctx.fireChannelReadComplete(); // a read that failed, or found nothing where the selector was not asked
             return;
         }
-        verified = true;
         blindSinceMs = Double.NaN;
         reads++;
         double nowMs = clock.nowMs();
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -38,6 +38,10 @@
     public record Limits(int comfortable, int served, int accepted, int forRequests) {}
 
     private static final long SWEEP_MS = 100;
+    /** Well within the time after which nothing may be sent for a client that has left. */
+    private static final long VERIFY_MS = 50;
+
+    private static final int VERIFICATIONS_OF_ALL = 8;
     /** Of what all clients have sent and nobody has taken up yet. */
     private static final long MOST_HELD = 4L << 20;
     /** What one connection that is used again, or is closed unused after its first request, says of them all. */
@@ -83,6 +87,7 @@
 
     private boolean company;
     private long turnedAway;
+    private long verifications;
     /** What waits on all connections, in bytes. */
     private long held;
 
@@ -134,8 +139,17 @@
     }
 
     /** Begins to look after connections and the listener; returns what does so. */
-    public Chain startSweep(EventLoop eventLoop) {
-        return PeriodicTask.start("sweep of the client's connections", eventLoop, clock, log, SWEEP_MS, this::sweep);
+    public List<Chain> startSweeps(EventLoop eventLoop) {
+        return List.of(
+                PeriodicTask.start("sweep of the client's connections", eventLoop, clock, log, SWEEP_MS, this::sweep),
+                PeriodicTask.start(
+                        "verification of the client's connections", eventLoop, clock, log, VERIFY_MS, this::verify));
+    }
+
+    /** Looks at connections of which the selector may tell nothing: often where a request is in hand, now and then at all. */
+    private void verify() {
+        boolean all = ++verifications % VERIFICATIONS_OF_ALL == 0;
+        List.copyOf(connections).forEach(connection -> connection.verify(all));
     }
 
     /** From now on tells these of each connection that is accepted. */
@@ -289,7 +303,6 @@
     private void sweep() {
         acceptor.look(); // descriptors may have come free on the other side
         double nowMs = clock.nowMs();
-        List.copyOf(connections).forEach(ClientConnection::verify);
         // When ending, those that have brought requests are kept: the client gets no others.
         List.copyOf(connections).forEach(connection -> connection.endStalled(nowMs));
         List.copyOf(connections).stream()
--- a/src/main/java/ivybank/daemon/HangupSignal.java
+++ b/src/main/java/ivybank/daemon/HangupSignal.java
@@ -8,19 +8,23 @@
  */
 final class HangupSignal {
 
+    private static Runnable action;
+    private static boolean pending;
+
     private HangupSignal() {}
 
     /**
-     * From now on runs {@code action} at each SIGHUP, on a thread of its own. Returns false where no SIGHUP will come: the
-     * process was started with the signal ignored, as by nohup, and Java leaves it so.
+     * From now on notes each SIGHUP, and runs {@code action} at it once there is one, on a thread of its own. To be called first
+     * thing: a signal that comes before ends the process. Returns false where no SIGHUP will come: the process was started with
+     * the signal ignored, as by nohup, and Java leaves it so.
      */
-    static boolean handle(Runnable action) {
+    static boolean listen() {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object acting = Proxy.newProxyInstance(
                     handler.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
-                        action.run();
+                        came();
                         return null;
                     });
             Object before = signal.getMethod("handle", signal, handler)
@@ -30,4 +34,21 @@
             throw new IllegalStateException("this Java runtime lets nobody handle SIGHUP", e);
         }
     }
+
+    private static synchronized void came() {
+        if (action == null) {
+            pending = true;
+        } else {
+            action.run();
+        }
+    }
+
+    /** Runs this at each SIGHUP from now on, and now if one has come. */
+    static synchronized void handle(Runnable atSignal) {
+        action = atSignal;
+        if (pending) {
+            pending = false;
+            action.run();
+        }
+    }
 }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.Promise;
 import ivybank.client.ClientListenerChannel;
 import ivybank.client.ClientServer;
@@ -23,6 +22,7 @@
 import ivybank.control.SiblingProcesses;
 import ivybank.discovery.Directory;
 import ivybank.discovery.Discovery;
+import ivybank.discovery.DiscoverySocketChannel;
 import ivybank.discovery.ListLease;
 import ivybank.discovery.Timing;
 import ivybank.invariants.InvariantGuard;
@@ -100,6 +100,9 @@
     private static final double LAST_PART = 0.3;
 
     private static final long POLL_MS = 5;
+    /** How often a call to discovery is looked at of which the selector has told nothing: well within a drain's grace. */
+    private static final long VERIFY_MS = 40;
+
     private static final long LISTEN_PAUSE_MS = 100;
     private static final int MOST_LISTEN_TRIES = 100;
     private static final long LONGEST_WARM_UP_MS = 3000;
@@ -207,8 +210,7 @@
                 config.settings().contract().coldMs());
         buffers =
                 new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFERS, CACHED_BUFFERS, false);
-        Bootstrap base =
-                new Bootstrap().option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true);
+        Bootstrap base = new Bootstrap().option(ChannelOption.ALLOCATOR, buffers);
         pool = new UpstreamPool(
                 loop,
                 clock,
@@ -233,7 +235,7 @@
                 log);
         discovery = new Discovery(
                 loop,
-                base.clone().channel(NioSocketChannel.class),
+                base.clone().channel(DiscoverySocketChannel.class),
                 config.discovery(),
                 file::changedDiscovery,
                 config.known().resumeFrom(config.settings().askForList()),
@@ -252,6 +254,7 @@
      */
     @SuppressWarnings("ThreadPriorityCheck") // heeded only where the JVM is told to, and nothing depends on it
     public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
+        boolean hearsHangups = HangupSignal.listen();
         SiblingProcesses company =
                 environment.containsKey(InheritedListener.VARIABLE) ? AdminStartup.join(environment) : null;
         Config config = Config.load(environment);
@@ -288,7 +291,8 @@
                 return sidecar;
             });
         }
-        if (!HangupSignal.handle(sidecar::reload)) {
+        HangupSignal.handle(sidecar::reload);
+        if (!hearsHangups) {
             log.line(
                     "SIGHUP is ignored since before the start (nohup does so) and will do nothing: the configuration is"
                             + " read again only when a connection to discovery has ended");
@@ -450,6 +454,7 @@
         server.mind(List.of(beforeSends, ofRequests));
         look(beforeSends);
         look(ofRequests);
+        every("verification of the call to discovery", VERIFY_MS, discovery::verify);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars begins with a list of "
                 + config.known().entries().size() + " nodes; limits: " + config.limits());
         dispatcher.start(config.known());
@@ -465,7 +470,7 @@
         tallyDueMs = clock.nowMs() + TALLY_MS;
         watchdog.watch(PeriodicTask.startAtRate("tally of each second", loop, clock, log, TALLY_MS, this::tally));
         every("report", REPORT_MS, this::report);
-        watchdog.watch(server.startSweep(loop));
+        server.startSweeps(loop).forEach(watchdog::watch);
         watchdog.start();
     }
 
@@ -506,7 +511,6 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.ALLOCATOR, buffers)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, LONGEST_READ)),
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -203,6 +203,13 @@
         return state == State.STOPPED || state == State.NOT_STARTED ? NEVER : dueMs;
     }
 
+    /** Looks at the call at hand without being told to, where nothing was told of it yet. To be called often. */
+    public void verify() {
+        if (current != null) {
+            current.verify();
+        }
+    }
+
     /** A step of the chain was lost: the call at hand is given up, and the next one begun. */
     @Override
     public void restart() {
--- a/src/main/java/ivybank/discovery/DiscoveryCall.java
+++ b/src/main/java/ivybank/discovery/DiscoveryCall.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Json;
 import ivybank.supervision.OutboundConnection;
+import ivybank.transport.SteadySocketChannel;
 import java.io.IOException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -87,6 +88,8 @@
     boolean firstSinceMove;
     /** Whether this watch has brought a word. */
     private boolean word;
+    /** What has come so far, in messages. */
+    private long heard;
 
     DiscoveryCall(Owner owner, Timing timing, int silentBefore, long version, long before) {
         this.owner = owner;
@@ -104,8 +107,23 @@
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext ctx) throws IOException {
+    public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+    }
+
+    /** Looks at its connection without being told to: a registration with the selector may have failed, which Java tells nobody. */
+    void verify() {
+        if (context != null && context.channel() instanceof SteadySocketChannel channel) {
+            long before = heard;
+            channel.poll();
+            if (heard != before) {
+                channel.rearm();
+            }
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) throws IOException {
         text = ctx.alloc().buffer();
         ask();
     }
@@ -159,6 +177,7 @@
         if (!owner.heeds(this)) {
             return;
         }
+        heard++;
         if (message.decoderResult().isFailure()) {
             throw new IOException("what came is no HTTP");
         }
--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -60,6 +60,8 @@
         ROSTER_ODD,
         /** Open watches fall silent and stay open; whoever calls anew is answered. */
         ROSTER_HUSH,
+        /** Open watches are reset; whoever calls anew is answered. */
+        ROSTER_RESET,
         /** Discovery moves to an address that is behind for a while. */
         ROSTER_OLD,
         /** Discovery moves: the configuration is replaced and the sidecars are signalled. */
@@ -87,6 +89,7 @@
                         ROSTER_SILENT,
                         ROSTER_ODD,
                         ROSTER_HUSH,
+                        ROSTER_RESET,
                         ROSTER_OLD,
                         ROSTER_MOVE,
                         PARTITION,
@@ -165,8 +168,11 @@
     /** How long a drained node may still be sent to, and the tolerance of the checks, in milliseconds. */
     public record Rules(double drainGraceMs, double marginMs) {}
 
-    /** How late each change reaches a sidecar, and after what time it counts as told all the same. */
-    public record Roster(double[] noticeMs, double toldMs) {}
+    /**
+     * How late each change reaches a sidecar's agent, and after what time it counts as told all the same. With {@code atOnce} what
+     * the agent has counts as told at once, whether or not a watch is open; the other time is then for silent watches only.
+     */
+    public record Roster(double[] noticeMs, double toldMs, boolean atOnce) {}
 
     /**
      * What sidecars know of one another. With {@code on}, each has a list of addresses, with {@code never} more that nobody ever
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -51,7 +51,7 @@
                 classes(root),
                 new Scenario.Traffic(
                         traffic.number("rate", 1, 20_000, 200),
-                        traffic.integer("sidecars", 1, 16, 2),
+                        traffic.integer("sidecars", 1, 48, 2),
                         traffic.number("skew", 0.1, 10, 1),
                         traffic.number("swing", 0, 0.9, 0.1)),
                 new Scenario.Clients(
@@ -71,7 +71,9 @@
                 new Scenario.Rules(
                         rules.number("drain_grace_ms", 1, 60_000, 500), rules.number("margin_ms", 0, 1000, 50)),
                 new Scenario.Roster(
-                        roster.range("notice_ms", 0, 60_000, 200, 800), roster.number("told_ms", 100, 60_000, 6000)),
+                        roster.range("notice_ms", 0, 60_000, 200, 800),
+                        roster.number("told_ms", 100, 60_000, 6000),
+                        roster.flag("at_once", false)),
                 new Scenario.Peers(
                         peers.flag("on", false),
                         peers.integer("never", 0, 200, 0),
--- a/src/main/java/ivybank/rehearsal/stand/FaultInjector.java
+++ b/src/main/java/ivybank/rehearsal/stand/FaultInjector.java
@@ -34,7 +34,8 @@
         List<Integer> hit = target.members();
         switch (fault.kind()) {
             case SILENT, SLOW, SPOIL, BREAK, REPLACE, DIE, VANISH, DEPLOY -> injectIntoNodes(fault, hit);
-            case ROSTER_SILENT, ROSTER_ODD, ROSTER_HUSH, ROSTER_OLD, ROSTER_MOVE -> injectIntoDiscovery(fault, hit);
+            case ROSTER_SILENT, ROSTER_ODD, ROSTER_HUSH, ROSTER_RESET, ROSTER_OLD, ROSTER_MOVE ->
+                injectIntoDiscovery(fault, hit);
             case KILL, TERM -> sidecarFaults.restart(fault, hit);
             case PARTITION, LINK -> sidecarFaults.breakWays(fault, hit);
             case FREEZE -> sidecarFaults.freeze(fault, hit);
@@ -104,6 +105,10 @@
                 run.recorder.event("the watches of " + count + " fall silent");
                 hit.forEach(number -> sidecars.discovery(number).hush());
             }
+            case ROSTER_RESET -> {
+                run.recorder.event("the watches of " + count + " are reset");
+                hit.forEach(number -> sidecars.discovery(number).resetWatches());
+            }
             case ROSTER_OLD -> {
                 run.recorder.event("the roster moves to an address that is " + fault.size() + " s behind");
                 hit.forEach(number -> sidecars.discovery(number).fallBehind(fault.size() * 1000));
--- a/src/main/java/ivybank/rehearsal/stand/RosterServer.java
+++ b/src/main/java/ivybank/rehearsal/stand/RosterServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -31,6 +32,10 @@
     private static final double BEAT_MS = 2000;
     private static final double OLD_CLOSES_MS = 1500;
     private static final int MOST_SNAPSHOTS = 64;
+    /** After a move, of which the sidecar is told by a signal, what is told at the new address counts this much later. */
+    private static final double MOVE_COUNTS_MS = 4000;
+    /** By then a process has asked, and what it was answered is told. */
+    private static final double LONGEST_START_MS = 8000;
 
     /** What is listed of a node. */
     record Entry(String host, String dial, String site, String kind, String health, double bornUnixMs) {
@@ -66,6 +71,10 @@
     private Channel listener;
     private long seq;
     private boolean silent;
+    /** When it last fell silent, or spoke again. */
+    private double silencedMs = Double.NEGATIVE_INFINITY;
+    /** When it moved to where it is now, unless it was called there since. */
+    private double movedMs = Double.NEGATIVE_INFINITY;
     /** Since when the open watches say nothing, or NaN. */
     private double hushedMs = Double.NaN;
 
@@ -125,15 +134,47 @@
             toWatches(list(false, changed) + "\n");
             entries.forEach(this::told);
         }
-        double toldMs = world.scenario.roster().toldMs();
-        double leftMs = Double.isNaN(hushedMs) ? toldMs : Math.max(0, hushedMs + toldMs - world.nowMs());
-        world.after(leftMs, () -> {
+        world.after(untilToldMs(), () -> {
             if (!silent && behind == null) {
                 entries.forEach(this::told);
             }
         });
     }
 
+    /** How long from now until what it has counts as told, whether or not it is heard. */
+    private double untilToldMs() {
+        double toldMs = world.scenario.roster().toldMs();
+        double silentMs = Double.isNaN(hushedMs) ? Double.NEGATIVE_INFINITY : hushedMs + toldMs - world.nowMs();
+        if (!world.scenario.roster().atOnce()) {
+            return Double.isNaN(hushedMs) ? toldMs : Math.max(0, silentMs);
+        }
+        return Math.max(0, Math.max(silentMs, movedMs + MOVE_COUNTS_MS - world.nowMs()));
+    }
+
+    /** A new process of the sidecar begins: what the agent has counts from its first moment. */
+    void processStarted() {
+        if (!world.scenario.roster().atOnce()) {
+            return;
+        }
+        double startedMs = world.nowMs();
+        hushedMs = Double.NaN;
+        world.after(LONGEST_START_MS, () -> {
+            // Else it could not ask, or has a configuration of before the move.
+            if (!silent && silencedMs < startedMs && movedMs < startedMs) {
+                list.values().forEach(this::told);
+                gone.forEach(this::told);
+            }
+        });
+    }
+
+    /** Resets open watches. */
+    void resetWatches() {
+        for (Channel watch : Set.copyOf(watches)) {
+            watch.config().setOption(ChannelOption.SO_LINGER, 0);
+            watch.close();
+        }
+    }
+
     private void enter(Entry entry) {
         if (entry.health().equals("Gone")) {
             list.remove(entry.host());
@@ -184,6 +225,7 @@
 
     void silent(boolean on) {
         silent = on;
+        silencedMs = world.nowMs();
         if (!on) {
             List<Runnable> waiting = List.copyOf(whenBack);
             whenBack.clear();
@@ -193,6 +235,7 @@
 
     /** Goes on at another port, of which the sidecar learns by its configuration. */
     void move() {
+        movedMs = world.nowMs();
         Channel old = listener;
         Set<Channel> calls = Set.copyOf(open);
         listener = listen();
@@ -257,6 +300,7 @@
                         StandardCharsets.UTF_8));
                 watches.add(ctx.channel());
                 hushedMs = Double.NaN;
+                movedMs = Double.NEGATIVE_INFINITY;
                 tellAll(); // at the latest now
             } else {
                 String body = known().toString();
--- a/src/main/java/ivybank/rehearsal/stand/SidecarGroup.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarGroup.java
@@ -124,6 +124,7 @@
             sidecar.configure(address, known);
             run.onLoop(() -> {
                 run.referee.startedAnew(number);
+                server.processStarted();
                 run.world.returns.started(number, run.world.nowMs());
                 peers.process(number, Views.Process.BETWEEN, "start of sidecar " + number);
             });
--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -20,11 +21,13 @@
     }
 
     private static final long PAUSE_MS = 5;
+    private static final int END_OF_STREAM = -1;
 
     private final TransientErrors readErrors;
     private final TransientErrors writeErrors;
     private boolean flushScheduled;
     private boolean hasRead;
+    private boolean sendsAtOnce;
 
     /**
      * One that is to be connected.
@@ -43,19 +46,33 @@
         this.writeErrors = new TransientErrors(longestMs);
     }
 
-    /** Reads and writes without being told that it is possible: a registration with the selector may have failed unseen. */
+    /**
+     * Connects, reads and writes without being told that it is possible: a registration with the selector may have failed
+     * unseen.
+     */
     public final void poll() {
         NioUnsafe unsafe = unsafe();
+        if (hasConnectedUntold()) {
+            unsafe.finishConnect();
+        }
         if (isActive() && config().isAutoRead()) {
             unsafe.read();
         }
-        if (isActive()
-                && unsafe.outboundBuffer() != null
-                && !unsafe.outboundBuffer().isEmpty()) {
+        if (isActive() && hasPendingWrites()) {
             unsafe.forceFlush();
         }
     }
 
+    private boolean hasConnectedUntold() {
+        try {
+            return isOpen()
+                    && javaChannel().isConnectionPending()
+                    && javaChannel().finishConnect();
+        } catch (IOException e) {
+            return false; // the time that a connection has to come up tells it
+        }
+    }
+
     /** Whether anything has been read since this was asked last. */
     public final boolean takeHasRead() {
         boolean read = hasRead;
@@ -72,6 +89,9 @@
     protected int doReadBytes(ByteBuf into) throws Exception {
         try {
             int count = super.doReadBytes(into);
+            if (count < END_OF_STREAM) { // Java hands back an interrupted read as another negative number
+                return readFailed();
+            }
             readErrors.succeeded();
             hasRead |= count > 0;
             return count;
@@ -79,12 +99,16 @@
             if (!readErrors.bears(e, System.nanoTime())) {
                 throw e;
             }
-            pauseReading();
-            pipeline().fireUserEventTriggered(Event.READ_FAILED);
-            return 0;
+            return readFailed();
         }
     }
 
+    private int readFailed() {
+        pauseReading();
+        pipeline().fireUserEventTriggered(Event.READ_FAILED);
+        return 0;
+    }
+
     /** Reads nothing for a moment; whoever else sets whether it reads has the last word. */
     private void pauseReading() {
         if (config().isAutoRead()) {
@@ -95,6 +119,7 @@
 
     @Override
     protected void doWrite(ChannelOutboundBuffer out) throws Exception {
+        sendAtOnce();
         try {
             super.doWrite(out);
             writeErrors.succeeded();
@@ -106,6 +131,25 @@
         }
     }
 
+    /** Has small writes sent at once. Not an option of the bootstrap: Netty closes a channel whose options can't be set. */
+    private void sendAtOnce() {
+        if (sendsAtOnce) {
+            return;
+        }
+        try {
+            javaChannel().setOption(StandardSocketOptions.TCP_NODELAY, true);
+            sendsAtOnce = true;
+        } catch (IOException e) {
+            // Tried again with the next write.
+        }
+    }
+
+    /** Whether bytes wait to be written. */
+    public final boolean hasPendingWrites() {
+        ChannelOutboundBuffer pending = unsafe().outboundBuffer();
+        return pending != null && !pending.isEmpty();
+    }
+
     private void flushLater() {
         if (!flushScheduled) {
             flushScheduled = true;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -29,6 +29,7 @@
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Stage;
+import ivybank.transport.SteadySocketChannel;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.io.ByteArrayOutputStream;
@@ -95,8 +96,8 @@
     private Ending whole;
 
     private boolean reusable;
-    /** Whether the selector is known to tell what comes here. */
-    private boolean verified;
+    /** What has come so far, in messages. */
+    private long heard;
 
     UpstreamConnection(Node node, boolean spare, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
         this.node = node;
@@ -133,15 +134,16 @@
         return channel instanceof UpstreamSocketChannel socket ? socket.unreadInput() : UnreadInput.NONE;
     }
 
-    /** Reads and writes once without being told to, where a request is out and nothing was ever told of this channel. */
+    /** Connects, reads and writes once without being told to, where something is waited for: the selector may be told nothing. */
     void verify() {
-        if (attempt != null && !verified && channel instanceof UpstreamSocketChannel socket) {
-            socket.poll();
-            boolean found = verified;
-            verified = false; // what was found here says nothing of the selector
-            if (found) {
-                socket.rearm();
-            }
+        boolean waits = attempt != null || channel != null && !channel.isActive();
+        if (!waits || !(channel instanceof UpstreamSocketChannel socket)) {
+            return;
+        }
+        long before = heard;
+        socket.poll();
+        if (heard != before) {
+            socket.rearm();
         }
     }
 
@@ -276,7 +278,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        verified = true;
+        heard++;
         if (whole != null || attempt == null) {
             reusable = false; // more than was asked for
         } else if (message.decoderResult().isFailure()) {
@@ -361,7 +363,6 @@
             rest = new BodyPipe(new BodyPipe.Source() {
                 @Override
                 public void wanted(boolean more) {
-                    verified &= !more;
                     channel.config().setAutoRead(more);
                 }
 
@@ -428,6 +429,10 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (ctx.channel() instanceof SteadySocketChannel socket && !socket.takeHasRead()) {
+            ctx.fireChannelReadComplete(); // a read that failed, or found nothing where the selector was not asked
+            return;
+        }
         boolean surplus = !reusable || decoder.holdsMore();
         if (whole != null) {
             endPhase(Stage.ANSWER_READ);
--- a/src/test/java/ivybank/LayoutTest.java
+++ b/src/test/java/ivybank/LayoutTest.java
@@ -86,7 +86,7 @@
                 .whereLayer("invariants")
                 .mayOnlyBeAccessedByLayers("daemon", "client", "upstream")
                 .whereLayer("transport")
-                .mayOnlyBeAccessedByLayers("client", "upstream")
+                .mayOnlyBeAccessedByLayers("client", "upstream", "discovery")
                 .whereLayer("scale")
                 .mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("tally")
--- a/src/test/java/ivybank/daemon/SidecarReloadTest.java
+++ b/src/test/java/ivybank/daemon/SidecarReloadTest.java
@@ -148,7 +148,8 @@
     @Test
     void aSignalToReadTheConfigurationAgainDoesNotEndTheProcess() throws Exception {
         CountDownLatch told = new CountDownLatch(2);
-        assumeTrue(HangupSignal.handle(told::countDown), "these tests run with SIGHUP ignored");
+        assumeTrue(HangupSignal.listen(), "these tests run with SIGHUP ignored");
+        HangupSignal.handle(told::countDown);
         for (int i = 0; i < 2; i++) {
             long before = told.getCount();
             new ProcessBuilder(
