Requests that stood unread wait for their client's end; a start outlasts a failing folder

Cause: where accepts or reads fail for a moment, a client's request and its end stand one behind the other; the request was read first and sent on. A pass that was interrupted counted as one that had looked at the backlog, and the listener closed over it. Records of a store were aged by the wall clock of two processes. A process whose folder could not be written did not start.

Change: what may have stood (accepts or reads failed, or it was found without being told) is taken up after one more look at the connection; the listener is asked before it closes; what a store owes is owed for a whole time from the start on; a start joins its siblings later.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -39,6 +39,8 @@
     private static final int MOST_AT_ONCE = 16;
     /** After an accept that failed: the connection that waits is reported again and again until it is taken. */
     private static final double PAUSE_MS = 10;
+    /** By then the backlog has been taken up. */
+    private static final double HELD_BACK_MS = 500;
     /** Before the listener closes: so long, up to so often, while somebody comes. */
     private static final long LAST_PASS_MS = 2;
 
@@ -62,6 +64,9 @@
     private boolean shared;
 
     private double pausedUntilMs;
+    /** When nothing was accepted last, for want of room or after a failure. */
+    private double heldBackMs = Double.NEGATIVE_INFINITY;
+
     private long accepted;
     private long acceptedAtLastLook;
     private long failures;
@@ -112,6 +117,11 @@
         return accepted;
     }
 
+    /** Whether what is accepted now may have stood in the backlog for a while, with all that its client had to say. */
+    boolean heldBackOfLate() {
+        return clock.nowMs() - heldBackMs < HELD_BACK_MS;
+    }
+
     /** A connection has been accepted. */
     void accepted(int count) {
         accepted += count;
@@ -130,6 +140,7 @@
         int free = room.getAsInt();
         boolean pausing = clock.nowMs() < pausedUntilMs;
         state = pausing ? State.PAUSING : free > 0 ? State.ACCEPTING : State.FULL;
+        heldBackMs = state == State.ACCEPTING ? heldBackMs : clock.nowMs();
         listener.config().setAutoRead(state == State.ACCEPTING);
         batch.maxMessagesPerRead(Math.max(1, Math.min(free, MOST_AT_ONCE)));
     }
@@ -198,6 +209,9 @@
     private void close(long before, int passes) {
         loop.schedule(
                 () -> {
+                    if (listener instanceof ClientListenerChannel channel) {
+                        channel.poll(); // a pass that was interrupted has looked at nothing
+                    }
                     if (accepted == before || passes == 0) {
                         listener.close();
                     } else {
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -109,6 +109,8 @@
 
     private long heldBytes;
     private ChannelHandlerContext context;
+    /** Whether what is read next may have come long ago: in the backlog, or while nothing could be read. */
+    private boolean mayHaveStood;
     /** Since when reads have failed, or NaN. */
     private double blindSinceMs = Double.NaN;
     /** The request at hand, or null between requests. */
@@ -176,6 +178,7 @@
         context = ctx;
         reader.source(this);
         freeSinceMs = clock.nowMs();
+        mayHaveStood = server.heldBackOfLate();
         server.opened(this);
     }
 
@@ -322,9 +325,13 @@
         }
         if (resting || current != null || isMute() || channel.hasPendingWrites()) {
             long before = reads;
+            boolean stood = mayHaveStood;
+            mayHaveStood = true; // what is found now may have come long ago
             channel.poll();
             if (reads != before) {
                 channel.rearm();
+            } else {
+                mayHaveStood = stood;
             }
         }
     }
@@ -335,6 +342,7 @@
         if (event == SteadySocketChannel.Event.READ_FAILED) {
             double nowMs = clock.nowMs();
             blindSinceMs = Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs;
+            mayHaveStood = true; // what comes next may stand here already
             boolean inHand = current != null && current.request != null && writing == null;
             if (inHand && nowMs - blindSinceMs > LONGEST_BLIND_MS) {
                 server.unreadable();
@@ -398,8 +406,30 @@
         answering = false;
     }
 
+    /**
+     * Guards against a client that has left while nobody read what it had sent: its end stands in the socket behind its request,
+     * and is looked for first.
+     */
     private void begin(Arrival arrival) {
         current = arrival;
+        boolean waits = mayHaveStood && arrival.request != null && arrival.request.rest() == null;
+        mayHaveStood = false;
+        if (!waits) {
+            takeUp(arrival);
+            return;
+        }
+        NextSelect.then(context.executor(), () -> {
+            if (current == arrival && context.channel().isActive()) {
+                verify(true);
+                if (current == arrival) {
+                    takeUp(arrival);
+                    next();
+                }
+            }
+        });
+    }
+
+    private void takeUp(Arrival arrival) {
         if (arrival.isSurplus()) {
             server.tooMany();
             answer(arrival, Answer.refused(server.retryAfterMs()));
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -280,6 +280,11 @@
         guard = invariants;
     }
 
+    /** Whether what is accepted now may have stood in the backlog for a while. */
+    boolean heldBackOfLate() {
+        return acceptor.heldBackOfLate();
+    }
+
     InvariantGuard guard() {
         return guard;
     }
--- a/src/main/java/ivybank/daemon/AdminStartup.java
+++ b/src/main/java/ivybank/daemon/AdminStartup.java
@@ -29,6 +29,16 @@
                 : SiblingProcesses.join(folder);
     }
 
+    /** The same, or null where the folder can't be written now: the admin endpoint joins as soon as it can. */
+    static SiblingProcesses joinIfPossible(Map<String, String> environment) {
+        try {
+            return join(environment);
+        } catch (IOException e) {
+            System.err.println("other processes of this sidecar are looked for later: " + e);
+            return null;
+        }
+    }
+
     /** Where the processes of a sidecar leave word for each other; null where there is no such place. */
     static Path folder(Map<String, String> environment) {
         String folder = environment.getOrDefault("TMPDIR", "");
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -256,7 +256,7 @@
     public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
         boolean hearsHangups = HangupSignal.listen();
         SiblingProcesses company =
-                environment.containsKey(InheritedListener.VARIABLE) ? AdminStartup.join(environment) : null;
+                environment.containsKey(InheritedListener.VARIABLE) ? AdminStartup.joinIfPossible(environment) : null;
         Config config = Config.load(environment);
         Timing standard = Timing.standard(config.settings().askForList(), config.drainGraceMs());
         // Without the file nothing of it is loaded.
--- a/src/main/java/ivybank/promises/PromiseKeeper.java
+++ b/src/main/java/ivybank/promises/PromiseKeeper.java
@@ -217,7 +217,8 @@
                 });
         found.sort(Comparator.comparingDouble(Found::atMs));
         double nowMs = clock.nowMs();
-        found.forEach(each -> promises.recovered(each.identity, each.state, each.atMs, nowMs));
+        // The wall clock may have been stepped since they were written: what is owed is owed for a whole time more.
+        found.forEach(each -> promises.recovered(each.identity, each.state, nowMs, nowMs));
         promises.trim(nowMs);
         log.line("store: " + store.report().line());
         log.line("promises: " + promises.figures().acked() + " acked and "
--- a/src/main/java/ivybank/supervision/OutboundConnection.java
+++ b/src/main/java/ivybank/supervision/OutboundConnection.java
@@ -107,17 +107,13 @@
     }
 
     private void closeForcibly() {
-        if (channel == null) {
+        if (channel == null || !channel.isOpen()) { // one that was never made is not open
             return;
         }
-        try {
-            if (channel.isRegistered()) {
-                channel.close();
-            } else {
-                channel.unsafe().closeForcibly();
-            }
-        } catch (UnsupportedOperationException e) {
-            // A channel that was never made has nothing to close.
+        if (channel.isRegistered()) {
+            channel.close();
+        } else {
+            channel.unsafe().closeForcibly();
         }
     }
 
