An accept that is interrupted holds the backlog back like one that fails

Cause: Java tells an interrupted accept as if nobody had been there, so that connections which stood in the backlog for 0.6 s counted as new, and a request went out for a client that had left.

Change: a pass in which the selector told of somebody and nobody was accepted marks what is accepted next as having stood.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -68,6 +68,10 @@
     private double heldBackMs = Double.NEGATIVE_INFINITY;
 
     private long accepted;
+    private int acceptedInPass;
+    /** Whether it is just being asked for connections of which the selector has told nothing. */
+    private boolean polling;
+
     private long acceptedAtLastLook;
     private long failures;
 
@@ -155,7 +159,7 @@
         if (state == State.ACCEPTING
                 && accepted == acceptedAtLastLook
                 && listener instanceof ClientListenerChannel channel) {
-            channel.poll();
+            poll(channel);
             if (accepted != acceptedAtLastLook) {
                 rearm();
             }
@@ -163,6 +167,12 @@
         acceptedAtLastLook = accepted;
     }
 
+    private void poll(ClientListenerChannel channel) {
+        polling = true;
+        channel.poll();
+        polling = false;
+    }
+
     /** Somebody was there of whom the selector had told nothing: it is told anew what is waited for. */
     private void rearm() {
         listener.config().setAutoRead(false);
@@ -210,7 +220,7 @@
         loop.schedule(
                 () -> {
                     if (listener instanceof ClientListenerChannel channel) {
-                        channel.poll(); // a pass that was interrupted has looked at nothing
+                        poll(channel); // a pass that was interrupted has looked at nothing
                     }
                     if (accepted == before || passes == 0) {
                         listener.close();
@@ -235,6 +245,22 @@
             return true; // it has no state of its own, and each listening channel gets it
         }
 
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object connection) {
+            acceptedInPass++;
+            ctx.fireChannelRead(connection);
+        }
+
+        /** An accept that is interrupted is told by Java as if nobody had been there. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (acceptedInPass == 0 && !polling) {
+                heldBackMs = clock.nowMs();
+            }
+            acceptedInPass = 0;
+            ctx.fireChannelReadComplete();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             failed("a connection of the client could not be accepted", cause);
