--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -219,10 +219,12 @@
     private void close(long before, int passes) {
         loop.schedule(
                 () -> {
+                    boolean unready = false;
                     if (listener instanceof ClientListenerChannel channel) {
                         poll(channel); // a pass that was interrupted has looked at nothing
+                        unready = channel.hasUnready();
                     }
-                    if (accepted == before || passes == 0) {
+                    if (accepted == before && !unready || passes == 0) {
                         listener.close();
                     } else {
                         close(accepted, passes - 1);
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Whether connections were accepted whose channels could not be made yet: they need this one to be open. */
+    boolean hasUnready() {
+        return !unready.isEmpty();
+    }
+
     private void tryUnready() {
         for (Unready each : List.copyOf(unready)) {
             try {
