The mutant that repeats a keyed request takes the guard out too

Cause: MutantsTest's mutant 'repeats a keyed one at another site' was no longer caught: InvariantGuard keeps such an attempt from being sent, so that no rule was broken.

Change: the mutant takes that out as well, so that the referee has to see the break itself, as before.

MutantsTest alone with this change: green.

--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -190,10 +190,16 @@
                     "repeats a keyed one at another site",
                     Night.KEYED,
                     List.of("rule repeat"),
-                    List.of(new Edit(
-                            "policy/Call.java",
-                            "if (spec.effect() != Balancer.Effect.KEYED) {",
-                            "if (spec.effect() != null) {"))),
+                    List.of(
+                            new Edit(
+                                    "policy/Call.java",
+                                    "if (spec.effect() != Balancer.Effect.KEYED) {",
+                                    "if (spec.effect() != null) {"),
+                            // The guard would keep it from being sent.
+                            new Edit(
+                                    "invariants/Repeat.java",
+                                    "if (spec.effect() == Effect.SAFE) {",
+                                    "if (spec.effect() != Effect.UNSAFE) {"))),
             new Mutant(
                     "loses requests on restart",
                     Night.TERM,
