--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -116,19 +116,14 @@
         return shared;
     }
 
-    /** How many connections were accepted so far. */
-    long accepted() {
-        return accepted;
-    }
-
     /** Whether what is accepted now may have stood in the backlog for a while, with all that its client had to say. */
     boolean heldBackOfLate() {
         return clock.nowMs() - heldBackMs < HELD_BACK_MS;
     }
 
     /** A connection has been accepted. */
-    void accepted(int count) {
-        accepted += count;
+    void accepted() {
+        accepted++;
     }
 
     /**
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -181,7 +181,7 @@
     }
 
     void opened(ClientConnection connection) {
-        acceptor.accepted(1);
+        acceptor.accepted();
         stallDetectors.forEach(EventLoopStallDetector::accepted);
         connections.add(connection);
         descriptors.take();
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -483,6 +483,7 @@
     private void look(EventLoopStallDetector stallDetector) {
         long periodMs = (long) stallDetector.periodMs();
         Runnable look = () -> {
+            watchdog.checkIfDue();
             if (stallDetector.look(clock.nowMs())) {
                 settle(stallDetector);
             }
--- a/src/main/java/ivybank/supervision/Watchdog.java
+++ b/src/main/java/ivybank/supervision/Watchdog.java
@@ -9,7 +9,7 @@
 
 /**
  * Restarts chains whose next step is overdue. It is checked by a timer of its own, and by whatever calls {@link #checkIfDue},
- * so that a timer that is lost is made up for by the next event. Used on one event loop.
+ * so that a timer that is lost is made up for by another one. Used on one event loop.
  */
 public final class Watchdog {
 
@@ -26,8 +26,6 @@
     /** Which timer counts: one that was replaced and comes after all does nothing. */
     private int timer;
 
-    private long restarts;
-
     public Watchdog(ScheduledExecutorService executor, Clock clock, Log log) {
         this.executor = executor;
         this.clock = clock;
@@ -44,11 +42,6 @@
         schedule();
     }
 
-    /** How many chains were restarted so far. */
-    public long restarts() {
-        return restarts;
-    }
-
     /** Checks if its own timer did not: cheap enough for each event. */
     public void checkIfDue() {
         if (clock.nowMs() > nextCheckMs + LOST_MS) {
@@ -77,7 +70,6 @@
         try {
             double overdueMs = clock.nowMs() - chain.dueMs();
             if (overdueMs > 0) {
-                restarts++;
                 log.line(chain.name() + " is overdue by " + Math.round(overdueMs) + " ms in state " + chain.state()
                         + ": started again");
                 chain.restart();
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -117,26 +117,6 @@
         return socket;
     }
 
-    /** How many descriptors its process holds. */
-    long descriptors() throws IOException {
-        try (var open = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
-            return open.count();
-        }
-    }
-
-    /** The last value of a field of the lines that it logs each second, or -1. */
-    long lastTally(String field) throws IOException {
-        long last = -1;
-        for (String line : Files.readAllLines(log())) {
-            for (String word : line.split(" ")) {
-                if (word.startsWith(field + "=")) {
-                    last = Long.parseLong(word.substring(field.length() + 1));
-                }
-            }
-        }
-        return last;
-    }
-
     /** How many connections to upstreams it counts as open in the last line of its seconds; 0 where none has any. */
     int connectionsHeld() throws IOException {
         int held = 0;
@@ -151,17 +131,6 @@
         return held;
     }
 
-    /** Sends it a signal by its name. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
-                .start()
-                .waitFor();
-    }
-
-    boolean alive() {
-        return process.isAlive();
-    }
-
     @Override
     public void close() {
         process.destroyForcibly().onExit().join();
