A polled connection that is up no longer waits for OP_CONNECT: the event loop spun

Callers saw slow answers and slow restarts while processes starved one another of cores.

Cause: SteadySocketChannel.poll calls finishConnect itself, and Netty takes OP_CONNECT out of the interest only where the selector reports it. With it left set epoll reports the socket in each pass, Java hands back no key, and Netty rebuilds the selector after 512 such passes, which copies the interest: the loop spins until that connection ends. Each rebuild registers all channels anew, which is when a failing epoll_ctl makes them deaf.

Change: the interest is taken out first. SteadySocketChannelTest failed before (interest 9, READ and CONNECT, with Netty's warning of the rebuilt selector in its output) and passes now. Elsewhere: poll is the only caller of finishConnect.

--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
@@ -53,6 +54,7 @@
     public final void poll() {
         NioUnsafe unsafe = unsafe();
         if (hasConnectedUntold()) {
+            removeAndSubmit(NioIoOps.CONNECT); // the selector would report it in each pass
             unsafe.finishConnect();
         }
         if (isActive() && config().isAutoRead()) {
