Before each send the client's socket is read out, so that no client that left is sent for

What it read was to be looked at once more for the client's end before it was taken up, but registering anew turned reading off for 5 ms, and that look reads nothing then. - Where the request was read and the read of the end behind it failed, the look counted as done.

Change: registering anew and the pause after a failed read take the channel out of the selector and leave auto-read alone, so that polling goes on. A look reads until nothing is left and says whether that succeeded; taking up and each send wait for one that did, 5 ms apart, up to the 60 ms after which a client that can't be read gets 502. One more read a send.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -25,6 +25,7 @@
 import ivybank.common.NextSelect;
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
+import ivybank.exchange.ClientLink;
 import ivybank.exchange.ClientRequest;
 import ivybank.exchange.RequestHandler;
 import ivybank.policy.Balancer.Effect;
@@ -37,7 +38,8 @@
 
 /** One connection from the client: its requests are answered one after another, in the order in which they came. */
 @SuppressWarnings("ReferenceEquality") // two arrivals of equal parts are still two
-final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read> implements BodyPipe.Source {
+final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read>
+        implements BodyPipe.Source, ClientLink {
 
     /** Requests behind the one at hand that are kept, and what each holds beside its body; what comes beyond is refused in its turn. */
     private static final int MOST_WAITING = 64;
@@ -113,6 +115,8 @@
     private boolean mayHaveStood;
     /** Since when reads have failed, or NaN. */
     private double blindSinceMs = Double.NaN;
+    /** Whether something that was just read is being taken up: what this channel holds has been looked at. */
+    private boolean inRead;
     /** The request at hand, or null between requests. */
     private Arrival current;
 
@@ -184,6 +188,16 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, RequestReader.Read message) {
+        boolean nested = inRead;
+        inRead = true;
+        try {
+            take(message);
+        } finally {
+            inRead = nested;
+        }
+    }
+
+    private void take(RequestReader.Read message) {
         if (message == RequestReader.Read.LAST) {
             arriving = arriving != null && arriving.whole() ? null : arriving;
             held();
@@ -203,7 +217,7 @@
         } else if (ended && isArriving()) {
             abort(message.status());
         } else {
-            take(message);
+            enqueue(message);
             next();
         }
     }
@@ -212,7 +226,7 @@
      * Guards memory against a client that sends without end and does not wait: the connection is read on, so that its end is
      * seen at once, and what is more than may wait is not kept but refused in its turn.
      */
-    private void take(RequestReader.Read message) {
+    private void enqueue(RequestReader.Read message) {
         Arrival arrival = surplus > 0 ? null : read(message);
         boolean behind = current != null || !waiting.isEmpty();
         if (arrival == null || behind && (waiting.size() >= MOST_WAITING || !server.hasRoomFor(arrival.bytes()))) {
@@ -327,15 +341,23 @@
             long before = reads;
             boolean stood = mayHaveStood;
             mayHaveStood = true; // what is found now may have come long ago
-            channel.poll();
+            SteadySocketChannel.Input found = channel.poll();
+            notedReading(found);
             if (reads != before) {
                 channel.rearm();
             } else {
-                mayHaveStood = stood;
+                mayHaveStood = stood || found == SteadySocketChannel.Input.FAILED;
             }
         }
     }
 
+    /** A read that finds nothing more shows as well as any other that the client can be read. */
+    private void notedReading(SteadySocketChannel.Input found) {
+        if (found == SteadySocketChannel.Input.READ_OUT) {
+            blindSinceMs = Double.NaN;
+        }
+    }
+
     /** Guards a request whose client can't be read any more: whether that has left can't be seen, so it gets its answer now. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
@@ -418,15 +440,35 @@
             takeUp(arrival);
             return;
         }
-        NextSelect.then(context.executor(), () -> {
-            if (current == arrival && context.channel().isActive()) {
-                verify(true);
-                if (current == arrival) {
-                    takeUp(arrival);
-                    next();
-                }
-            }
-        });
+        NextSelect.then(context.executor(), () -> takeUpOnceConfirmed(arrival));
+    }
+
+    private void takeUpOnceConfirmed(Arrival arrival) {
+        if (current != arrival || !context.channel().isActive()) {
+            return;
+        }
+        boolean confirmed = confirmed();
+        if (current != arrival) {
+            return; // it was failed, for its connection can't be read
+        }
+        if (confirmed) {
+            takeUp(arrival);
+            next();
+        } else if (context.channel().isActive()) {
+            context.executor().schedule(() -> takeUpOnceConfirmed(arrival), PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Guards nodes against requests whose clients have left unseen: the selector may tell nothing, or reads fail. */
+    @Override
+    public boolean confirmed() {
+        if (inRead || isArriving() || !(context.channel() instanceof SteadySocketChannel channel)) {
+            return true;
+        }
+        boolean open = channel.isActive();
+        SteadySocketChannel.Input found = open ? channel.readOut() : SteadySocketChannel.Input.NOT_READ;
+        notedReading(found);
+        return found != SteadySocketChannel.Input.FAILED && channel.isActive() == open;
     }
 
     private void takeUp(Arrival arrival) {
@@ -513,7 +555,8 @@
                         identity,
                         null,
                         message.rest(),
-                        length),
+                        length,
+                        this),
                 0,
                 keepAlive,
                 head.protocolVersion().equals(HttpVersion.HTTP_1_0));
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -6,7 +6,7 @@
  * A client's request as it goes on to upstreams; {@code idempotencyKey} is null where it came without one, {@code identity}
  * where it has none or nobody asks for it, {@code record} where nothing need be on record before it is sent. Of a long one {@code body} is the beginning and
  * {@code rest} what is still to come, {@code length} that of all or -1 where only its end will tell; its time counts from its
- * last byte, which comes after {@code arrivedMs}.
+ * last byte, which comes after {@code arrivedMs}. {@code client} is the connection on which it came.
  */
 public record ClientRequest(
         HttpMethod method,
@@ -22,7 +22,8 @@
         String identity,
         SendRecord record,
         BodyPipe rest,
-        long length) {
+        long length,
+        ClientLink client) {
 
     public ClientRequest(
             HttpMethod method,
@@ -51,7 +52,8 @@
                 identity,
                 record,
                 null,
-                body.length);
+                body.length,
+                ClientLink.NONE);
     }
 
     /** Whether its last byte has not come yet. */
@@ -75,6 +77,7 @@
                 identity,
                 kept,
                 rest,
-                length);
+                length,
+                client);
     }
 }
--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -21,12 +21,30 @@
         READ_FAILED
     }
 
+    /** What a look at a channel's input has found. */
+    public enum Input {
+        /** All that has come was read, and the peer goes on or its end has just been read. */
+        READ_OUT,
+        /** Something was read; more may stand behind it. */
+        MORE,
+        /** Reading failed. */
+        FAILED,
+        /** Nothing is to be read at the moment, or the channel has ended. */
+        NOT_READ
+    }
+
     private static final long PAUSE_MS = 5;
     private static final int END_OF_STREAM = -1;
+    /** So many reads in a row are made in search of the end of what has come. */
+    private static final int MOST_READS = 8;
 
     private final TransientErrors readErrors;
     private final TransientErrors writeErrors;
     private boolean flushScheduled;
+    /** Whether it is left out of the selector for a moment, as far as reading is concerned. */
+    private boolean suspended;
+
+    private Input lastRead = Input.NOT_READ;
     private boolean hasRead;
     private boolean sendsAtOnce;
 
@@ -49,20 +67,32 @@
 
     /**
      * Connects, reads and writes without being told that it is possible: a registration with the selector may have failed
-     * unseen.
+     * unseen. Not from within a read of this channel. Returns what the last read found.
      */
-    public final void poll() {
+    public final Input poll() {
         NioUnsafe unsafe = unsafe();
         if (hasConnectedUntold()) {
             removeAndSubmit(NioIoOps.CONNECT); // the selector would report it in each pass
             unsafe.finishConnect();
         }
+        lastRead = Input.NOT_READ;
         if (isActive() && config().isAutoRead()) {
             unsafe.read();
         }
+        Input found = lastRead;
         if (isActive() && hasPendingWrites()) {
             unsafe.forceFlush();
         }
+        return found;
+    }
+
+    /** Reads until nothing is left, or so often: what stands behind something else, an end above all, is found too. */
+    public final Input readOut() {
+        Input found = poll();
+        for (int reads = 1; found == Input.MORE && reads < MOST_READS; reads++) {
+            found = poll();
+        }
+        return found;
     }
 
     private boolean hasConnectedUntold() {
@@ -84,7 +114,7 @@
 
     /** Has the selector told anew what this channel waits for. */
     public final void rearm() {
-        pauseReading();
+        suspendReading();
     }
 
     @Override
@@ -96,6 +126,7 @@
             }
             readErrors.succeeded();
             hasRead |= count > 0;
+            lastRead = count > 0 ? Input.MORE : Input.READ_OUT;
             return count;
         } catch (IOException e) {
             if (!readErrors.bears(e, System.nanoTime())) {
@@ -106,16 +137,32 @@
     }
 
     private int readFailed() {
-        pauseReading();
+        lastRead = Input.FAILED;
+        suspendReading();
         pipeline().fireUserEventTriggered(Event.READ_FAILED);
         return 0;
     }
 
-    /** Reads nothing for a moment; whoever else sets whether it reads has the last word. */
-    private void pauseReading() {
-        if (config().isAutoRead()) {
-            config().setAutoRead(false);
-            eventLoop().schedule(() -> config().setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
+    /** Has the selector report nothing to read for a moment; polling goes on reading. */
+    private void suspendReading() {
+        if (!suspended && isRegistered()) {
+            suspended = true;
+            removeAndSubmit(NioIoOps.READ);
+            eventLoop().schedule(this::resumeReading, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void resumeReading() {
+        suspended = false;
+        if (isActive() && config().isAutoRead()) {
+            read();
+        }
+    }
+
+    @Override
+    protected void doBeginRead() throws Exception {
+        if (!suspended) {
+            super.doBeginRead();
         }
     }
 
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -17,6 +17,7 @@
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Keep-alive connections to upstreams, the most recently used first. All of it runs on one event loop. */
 public final class UpstreamPool {
@@ -52,6 +53,8 @@
 
     private static final long SWEEP_MS = 500;
     private static final long VERIFY_MS = 100;
+    /** Where a client can't be confirmed to be there, that is tried again after so long. */
+    private static final long CONFIRM_MS = 5;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
      * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
@@ -209,21 +212,21 @@
      */
     void send(UpstreamConnection connection, UpstreamAttempt attempt) {
         if (stallDetector.ofLate(clock.nowMs())) {
-            NextSelect.then(loop, () -> {
-                if (isStillWanted(connection, attempt)) {
-                    write(connection, attempt);
-                }
-            });
+            NextSelect.then(loop, () -> writeIfWanted(connection, attempt));
         } else {
             write(connection, attempt);
         }
     }
 
     /**
-     * Writes a request on a connection on which nothing stands unread. Guards against an answer that the event loop has not
+     * Writes a request whose client is there, on a connection on which nothing stands unread. Guards against an answer that the event loop has not
      * read yet: it came before the request, and would be taken for the request's own.
      */
     private void write(UpstreamConnection connection, UpstreamAttempt attempt) {
+        if (!attempt.request.client().confirmed()) {
+            loop.schedule(() -> writeIfWanted(connection, attempt), CONFIRM_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         UnreadInput unread = connection.unreadInput();
         if (unread == UnreadInput.NONE) {
             took(attempt.stage, clock.nowMs() - attempt.begunMs);
@@ -237,6 +240,12 @@
         begin(attempt);
     }
 
+    private void writeIfWanted(UpstreamConnection connection, UpstreamAttempt attempt) {
+        if (isStillWanted(connection, attempt)) {
+            write(connection, attempt);
+        }
+    }
+
     /** Whether an attempt may go on the connection that it has waited for; else that is seen to. */
     private boolean isStillWanted(UpstreamConnection connection, UpstreamAttempt attempt) {
         if (attempt.ended()) { // its request was called off meanwhile; the next one finds the connection
