Connections are accepted on a thread of their own: the event loop stood in a stuck accept

Cause: Java's native accept asks again at once on ECONNABORTED and comes back only on another outcome; it was called on the event loop, ten times a second also where nobody was there.

Change: BackgroundAccept accepts in rounds on a daemon thread and tells the event loop the outcome; the selector reports nothing in between. An accept that was interrupted or took over 10 ms counts as held back, as before. The listener closes once a look that began after the signal has found nobody.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -5,9 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
@@ -52,8 +50,6 @@
     private final Log log;
     /** How many more connections there is room for. */
     private final IntSupplier room;
-    /** How many connections a pass over the sockets accepts. */
-    private final ServerChannelRecvByteBufAllocator batch = new ServerChannelRecvByteBufAllocator();
 
     private ServerBootstrap bootstrap;
     private SocketAddress address;
@@ -68,10 +64,6 @@
     private double heldBackMs = Double.NEGATIVE_INFINITY;
 
     private long accepted;
-    private int acceptedInPass;
-    /** Whether it is just being asked for connections of which the selector has told nothing. */
-    private boolean polling;
-
     private long acceptedAtLastLook;
     private long failures;
 
@@ -86,8 +78,7 @@
      * means that the channel listens already.
      */
     ChannelFuture listen(ServerBootstrap base, EventLoop eventLoop, SocketAddress at) {
-        bootstrap = base.option(ChannelOption.RECVBUF_ALLOCATOR, batch.maxMessagesPerRead(1))
-                .handler(new Listening());
+        bootstrap = base.handler(new Listening());
         loop = eventLoop;
         address = at;
         shared = at == null;
@@ -128,7 +119,7 @@
 
     /**
      * The last resort: what waits in the backlog is taken all the same, and may be too late afterwards. As many are accepted in
-     * a pass as there is room for. Guards against those that wait where passes are long: with one in a pass a sidecar that got
+     * a round as there is room for. Guards against those that wait where passes are long: with one in a pass a sidecar that got
      * a tenth of a core read requests after 2 s; and against the last descriptors: sixteen at once took them, and the event loop
      * ended on an error that it could not even log for want of one.
      */
@@ -141,7 +132,9 @@
         state = pausing ? State.PAUSING : free > 0 ? State.ACCEPTING : State.FULL;
         heldBackMs = state == State.ACCEPTING ? heldBackMs : clock.nowMs();
         listener.config().setAutoRead(state == State.ACCEPTING);
-        batch.maxMessagesPerRead(Math.max(1, Math.min(free, MOST_AT_ONCE)));
+        if (listener instanceof ClientListenerChannel channel) {
+            channel.mostAtOnce(Math.max(1, Math.min(free, MOST_AT_ONCE)));
+        }
     }
 
     /** Looks after the listener; to be called again and again. */
@@ -154,20 +147,11 @@
         if (state == State.ACCEPTING
                 && accepted == acceptedAtLastLook
                 && listener instanceof ClientListenerChannel channel) {
-            poll(channel);
-            if (accepted != acceptedAtLastLook) {
-                rearm();
-            }
+            channel.poll();
         }
         acceptedAtLastLook = accepted;
     }
 
-    private void poll(ClientListenerChannel channel) {
-        polling = true;
-        channel.poll();
-        polling = false;
-    }
-
     /** Somebody was there of whom the selector had told nothing: it is told anew what is waited for. */
     private void rearm() {
         listener.config().setAutoRead(false);
@@ -203,30 +187,33 @@
         if (shared) {
             listener.config().setAutoRead(false);
         } else {
-            close(accepted, MOST_LAST_PASSES);
+            if (listener instanceof ClientListenerChannel channel) {
+                channel.poll(); // looks at the backlog as it is from now on
+            }
+            closeOnceDrained(accepted, MOST_LAST_PASSES);
         }
     }
 
     /**
-     * Closes the listener when a pass over the sockets has brought nobody. Guards those that stand in the backlog, with what
-     * they have sent: the event loop takes one in a pass, and may have been held up until just now.
+     * Closes the listener once nobody stands in the backlog. Guards those that do, with what they have sent: the event loop may
+     * have been held up until just now.
      */
+    private void closeOnceDrained(long before, int passes) {
+        loop.schedule(() -> close(before, passes), LAST_PASS_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void close(long before, int passes) {
-        loop.schedule(
-                () -> {
-                    boolean unready = false;
-                    if (listener instanceof ClientListenerChannel channel) {
-                        poll(channel); // a pass that was interrupted has looked at nothing
-                        unready = channel.hasUnready();
-                    }
-                    if (accepted == before && !unready || passes == 0) {
-                        listener.close();
-                    } else {
-                        close(accepted, passes - 1);
-                    }
-                },
-                LAST_PASS_MS,
-                TimeUnit.MILLISECONDS);
+        if (!(listener instanceof ClientListenerChannel channel)) {
+            listener.close();
+            return;
+        }
+        boolean drained = accepted == before && channel.isDrained();
+        if ((drained || passes == 0) && !channel.isAccepting()) {
+            channel.close();
+        } else if (passes > 0) {
+            channel.poll();
+            closeOnceDrained(accepted, passes - 1);
+        }
     }
 
     @Override
@@ -243,19 +230,13 @@
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object connection) {
-            acceptedInPass++;
-            ctx.fireChannelRead(connection);
-        }
-
-        /** An accept that is interrupted is told by Java as if nobody had been there. */
-        @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (acceptedInPass == 0 && !polling) {
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == ClientListenerChannel.Event.HELD_BACK) {
                 heldBackMs = clock.nowMs();
+            } else if (event == ClientListenerChannel.Event.FOUND_UNTOLD) {
+                rearm();
             }
-            acceptedInPass = 0;
-            ctx.fireChannelReadComplete();
+            ctx.fireUserEventTriggered(event);
         }
 
         @Override
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -1,5 +1,6 @@
 package ivybank.client;
 
+import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
@@ -14,12 +15,28 @@
     /** An accepted connection whose channel could not be made yet. */
     private record Unready(SocketChannel connection, long acceptedNanos) {}
 
+    /** Told through the pipeline, before the connections that it concerns. */
+    enum Event {
+        /** What is accepted now may have stood in the backlog: an accept was interrupted, or took long. */
+        HELD_BACK,
+        /** Connections were there of which the selector had told nothing. */
+        FOUND_UNTOLD
+    }
+
     private static final int MOST_UNREADY = 64;
     private static final long PAUSE_MS = 5;
     /** As long as a client that says nothing is kept. */
     private static final long LONGEST_UNREADY_MS = 2500;
 
+    private static final double LONG_ACCEPT_MS = 10;
+
     private final List<Unready> unready = new ArrayList<>();
+    private final BackgroundAccept background = new BackgroundAccept(javaChannel(), this::accepted);
+    private int mostAtOnce = 1;
+    /** Whether the accepts that go on were not asked for by the selector. */
+    private boolean polled;
+    /** Whether the last accepts that were begun have found nobody. */
+    private boolean emptied;
 
     /** One that is to be bound. */
     public ClientListenerChannel() {}
@@ -29,25 +46,77 @@
         super(listening);
     }
 
+    /** How many connections may be accepted at once from now on. */
+    void mostAtOnce(int most) {
+        mostAtOnce = most;
+    }
+
+    @Override
+    protected int doReadMessages(List<Object> none) {
+        accept(false);
+        return 0; // the pipeline is told of connections once they are accepted
+    }
+
+    private void accept(boolean untold) {
+        if (background.isBusy()) {
+            return;
+        }
+        polled = untold;
+        emptied = false;
+        if (isRegistered()) {
+            removeAndSubmit(NioIoOps.ACCEPT); // else the selector reports the same until it is accepted
+        }
+        background.begin(eventLoop(), mostAtOnce);
+    }
+
     @Override
-    protected int doReadMessages(List<Object> accepted) throws IOException {
-        SocketChannel connection = javaChannel().accept();
-        if (connection == null) {
-            return 0;
+    protected void doBeginRead() throws Exception {
+        if (!background.isBusy()) {
+            super.doBeginRead();
+        }
+    }
+
+    private void accepted(BackgroundAccept.Outcome outcome) {
+        boolean nobody = outcome.connections().isEmpty();
+        emptied = nobody && outcome.failure() == null;
+        if (outcome.tookMs() > LONG_ACCEPT_MS || nobody && !polled) {
+            pipeline().fireUserEventTriggered(Event.HELD_BACK);
         }
+        if (polled && !nobody) {
+            pipeline().fireUserEventTriggered(Event.FOUND_UNTOLD);
+        }
+        outcome.connections().forEach(this::open);
+        if (outcome.failure() != null) {
+            pipeline().fireExceptionCaught(outcome.failure());
+        }
+        if (isActive() && config().isAutoRead()) {
+            read();
+        }
+    }
+
+    private void open(SocketChannel connection) {
         try {
-            accepted.add(new ClientSocketChannel(this, connection));
-            return 1;
+            pipeline().fireChannelRead(new ClientSocketChannel(this, connection));
         } catch (RuntimeException | Error e) {
             keep(connection);
-            throw new IOException("an accepted connection can't be used yet: " + e, e);
+            pipeline().fireExceptionCaught(new IOException("an accepted connection can't be used yet: " + e, e));
         }
     }
 
+    /** Whether accepts go on: closing would wait for their end. */
+    boolean isAccepting() {
+        return background.isBusy();
+    }
+
+    /** Whether nobody was left in the backlog at the last look, or nobody is let in, and all who were accepted have their channels. */
+    boolean isDrained() {
+        return (emptied || !config().isAutoRead()) && unready.isEmpty() && !background.isBusy();
+    }
+
     /** Guards a client that was accepted and may have sent a request: making its channel is tried again. */
-    private void keep(SocketChannel connection) throws IOException {
+    private void keep(SocketChannel connection) {
         if (unready.size() >= MOST_UNREADY) {
-            connection.close();
+            close(connection);
             return;
         }
         unready.add(new Unready(connection, System.nanoTime()));
@@ -56,11 +125,6 @@
         }
     }
 
-    /** Whether connections were accepted whose channels could not be made yet: they need this one to be open. */
-    boolean hasUnready() {
-        return !unready.isEmpty();
-    }
-
     private void tryUnready() {
         for (Unready each : List.copyOf(unready)) {
             try {
@@ -81,8 +145,12 @@
             return;
         }
         unready.remove(late);
+        close(late.connection);
+    }
+
+    private static void close(SocketChannel connection) {
         try {
-            late.connection.close();
+            connection.close();
         } catch (IOException e) {
             // It has ended all the same.
         }
@@ -91,7 +159,7 @@
     /** Accepts without being told that somebody is there: a registration with the selector may have failed unseen. */
     void poll() {
         if (isActive() && config().isAutoRead()) {
-            unsafe().read();
+            accept(true);
         }
     }
 }
