The log is written on a thread of its own: a pipe that nobody reads stopped the event loop

Cause: Log and Netty's logger print on the event loop, and a write to a full pipe waits for its reader.

Change: standard error is a bounded queue with a writer thread; what doesn't fit is dropped and counted, and the last lines are waited for, 0.2 s at most, when the process ends.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.Promise;
 import ivybank.client.ClientListenerChannel;
 import ivybank.client.ClientServer;
+import ivybank.common.BackgroundOutput;
 import ivybank.common.Clock;
 import ivybank.common.Descriptors;
 import ivybank.common.EventLoopStallDetector;
@@ -255,6 +256,7 @@
     @SuppressWarnings("ThreadPriorityCheck") // heeded only where the JVM is told to, and nothing depends on it
     public static void serve(Map<String, String> environment, String operator) throws IOException, InputException {
         boolean hearsHangups = HangupSignal.listen();
+        BackgroundOutput output = BackgroundOutput.replaceStandardError();
         SiblingProcesses company =
                 environment.containsKey(InheritedListener.VARIABLE) ? AdminStartup.joinIfPossible(environment) : null;
         Config config = Config.load(environment);
@@ -309,12 +311,16 @@
         }
         sidecar.start();
         // The socket that others have too is never closed here: the process just ends, and nothing else is left to do.
-        Runnable end = sidecar.inherited == null
-                ? sidecar::drain
-                : () -> {
-                    sidecar.finishAll();
-                    Runtime.getRuntime().halt(ENDED_BY_SIGTERM);
-                };
+        Runnable end = () -> {
+            if (sidecar.inherited == null) {
+                sidecar.drain();
+                output.awaitWritten();
+            } else {
+                sidecar.finishAll();
+                output.awaitWritten();
+                Runtime.getRuntime().halt(ENDED_BY_SIGTERM);
+            }
+        };
         Runtime.getRuntime().addShutdownHook(new Thread(end, "drain"));
     }
 
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -33,13 +33,24 @@
     private final int port;
     private final Process process;
 
-    /** @param arguments behind {@code serve} */
-    FaultySidecar(Path folder, Path config, int port, SyscallFaults faults, String arguments) throws Exception {
+    /** Makes a pipe full and leaves it so: the process that is started next writes to it. */
+    private static final String FULL_PIPE =
+            "p=\"$TMPDIR/log.pipe\" && mkfifo \"$p\" && exec 3<>\"$p\" && head -c 65536 /dev/zero >&3 && exec >&3 2>&3 && ";
+
+    /**
+     * Starts one.
+     *
+     * @param before what the shell does first
+     * @param arguments behind {@code serve}
+     */
+    private FaultySidecar(Path folder, Path config, int port, SyscallFaults faults, String before, String arguments)
+            throws Exception {
         this.folder = folder;
         this.port = port;
         this.faults = faults;
-        String line = "ulimit -n " + SOCKETS + " && export " + faults.environment() + "&& TMPDIR='" + folder
-                + "' EDGE_CONFIG='" + config + "' " + ShortNight.program("") + "serve " + arguments;
+        String line = "ulimit -n " + SOCKETS + " && export TMPDIR='" + folder + "' && " + before + "export "
+                + faults.environment() + "&& EDGE_CONFIG='" + config + "' " + ShortNight.program("") + "serve "
+                + arguments;
         process = new ProcessBuilder("/bin/sh", "-c", line)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
@@ -60,6 +71,22 @@
     static FaultySidecar start(
             Path folder, FakeServer discovery, Upstreams upstreams, long wallClockAheadMs, String arguments)
             throws Exception {
+        return start(folder, discovery, upstreams, wallClockAheadMs, "", arguments);
+    }
+
+    /** One whose standard output and error are a full pipe that nobody reads. */
+    static FaultySidecar startWithFullLog(Path folder, FakeServer discovery, Upstreams upstreams) throws Exception {
+        return start(folder, discovery, upstreams, 0, FULL_PIPE, "");
+    }
+
+    private static FaultySidecar start(
+            Path folder,
+            FakeServer discovery,
+            Upstreams upstreams,
+            long wallClockAheadMs,
+            String before,
+            String arguments)
+            throws Exception {
         int port = freePort();
         Path config = Files.writeString(folder.resolve("config.json"), """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"ff0e5a0000000001",
@@ -75,7 +102,7 @@
                         port, discovery.address().getPort(), SOCKETS, upstreams.list()));
         SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
         faults.wallClockAhead(wallClockAheadMs);
-        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, arguments);
+        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, before, arguments);
         sidecar.awaitReady();
         return sidecar;
     }
