The last look before the listener closes is one that began after the signal

A look that was asked for while another one went on was lost too.

Change: a listener that closes is asked and not rearmed; a look asked for meanwhile follows.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -154,6 +154,9 @@
 
     /** Somebody was there of whom the selector had told nothing: it is told anew what is waited for. */
     private void rearm() {
+        if (state == State.STOPPED) {
+            return; // it is asked until it closes
+        }
         listener.config().setAutoRead(false);
         NextSelect.then(loop, this::adjust);
     }
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -35,6 +35,8 @@
     private int mostAtOnce = 1;
     /** Whether the accepts that go on were not asked for by the selector. */
     private boolean polled;
+    /** Whether somebody may have come behind the accepts that go on. */
+    private boolean lookAgain;
     /** Whether the last accepts that were begun have found nobody. */
     private boolean emptied;
 
@@ -59,6 +61,7 @@
 
     private void accept(boolean untold) {
         if (background.isBusy()) {
+            lookAgain = true;
             return;
         }
         polled = untold;
@@ -89,6 +92,10 @@
         if (outcome.failure() != null) {
             pipeline().fireExceptionCaught(outcome.failure());
         }
+        if (lookAgain) {
+            lookAgain = false;
+            poll();
+        }
         if (isActive() && config().isAutoRead()) {
             read();
         }
