A connection with an answer that is not written yet is neither idle nor closed

The same at the end of connections in a drain, of spare ones, and behind an early answer.

Change: such a connection is not free, and a close in order waits for what is to be written.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -694,9 +694,18 @@
         return requests == 1 && !partial;
     }
 
-    /** Whether no request is at hand. */
+    /** Whether no request is at hand, and no answer is left to be written. */
     private boolean isFree() {
-        return !retiring && current == null && nothingWaits();
+        return !retiring && isAnswered();
+    }
+
+    private boolean isAnswered() {
+        return current == null && nothingWaits() && !hasUnwrittenAnswer();
+    }
+
+    /** Guards answers where writes fail for a moment: closing drops what is not written yet. */
+    private boolean hasUnwrittenAnswer() {
+        return context.channel() instanceof SteadySocketChannel channel && channel.hasPendingWrites();
     }
 
     /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
@@ -747,6 +756,9 @@
             server.spared();
             return;
         }
+        if (hasUnwrittenAnswer()) {
+            return;
+        }
         closing.run();
         if (partial) {
             current = new Arrival(null, TIMED_OUT, false);
@@ -758,7 +770,7 @@
 
     /** Closes the connection if no request is at hand, {@code evenPartial}: though half a one may have come. */
     void closeIfIdle(boolean evenPartial) {
-        if (current == null && nothingWaits() && (evenPartial || !partial)) {
+        if (isAnswered() && (evenPartial || !partial)) {
             retire(() -> {});
         }
     }
@@ -789,7 +801,12 @@
     /** Closes the connection, unless a request on it would lose its answer; {@code broken}: none can be given any more. */
     private void close(boolean broken) {
         boolean unanswered = current != null && current.request != null && writing == null || !nothingWaits();
-        if (server.guard().closing(unanswered && !closing, broken).isAllowed()) {
+        if (!server.guard().closing(unanswered && !closing, broken).isAllowed()) {
+            return;
+        }
+        if (!broken && hasUnwrittenAnswer()) {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        } else {
             context.close();
         }
     }
--- /dev/null
+++ b/src/test/java/ivybank/soak/UnwrittenAnswerTest.java
@@ -0,0 +1,99 @@
+package ivybank.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import ivybank.soak.FaultySidecar.Agent;
+import ivybank.soak.FaultySidecar.Upstreams;
+import ivybank.testing.FakeServer;
+import ivybank.testing.SyscallFaults;
+import ivybank.testing.SyscallFaults.Call;
+import ivybank.testing.SyscallFaults.Errno;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Answers that can't be written for a while. */
+@Timeout(60)
+class UnwrittenAnswerTest {
+
+    private static final int UPSTREAMS = 4;
+    private static final int ASKING = 20;
+    /** With those that ask, more than are kept without need. */
+    private static final int OTHERS = 110;
+
+    private static final long SENT_MS = 300;
+    /** Longer than an idle connection is kept among many, shorter than one on which nothing is said. */
+    private static final long FAULT_MS = 550;
+
+    @TempDir
+    Path folder;
+
+    private final CountDownLatch go = new CountDownLatch(1);
+
+    private final FakeServer.Script holding = connection -> {
+        while (connection.read() != null) {
+            go.await();
+            connection.write(FakeServer.OK);
+        }
+    };
+
+    // Guards against an answer that is lost with a connection that looks idle while the answer can't be written.
+    @Test
+    void aConnectionIsNotClosedAsIdleWithItsAnswerUnwritten() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, holding);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            List<Socket> asking = connect(sidecar, ASKING);
+            for (int i = 0; i < ASKING; i++) {
+                ask(asking.get(i), "held-" + i);
+            }
+            Thread.sleep(SENT_MS);
+            sidecar.faults.fail(Call.SOCKET_WRITE, Errno.EHOSTUNREACH, SyscallFaults.ALWAYS);
+            go.countDown();
+            List<Socket> others = connect(sidecar, OTHERS);
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            List<String> lost = new ArrayList<>();
+            for (int i = 0; i < ASKING; i++) {
+                int first = firstByte(asking.get(i));
+                if (first < 0) {
+                    lost.add("held-" + i);
+                }
+            }
+            assertEquals(List.of(), lost, "each gets its answer");
+            for (Socket other : others) {
+                other.close();
+            }
+        }
+    }
+
+    private static List<Socket> connect(FaultySidecar sidecar, int count) throws IOException {
+        List<Socket> connections = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            connections.add(sidecar.connect());
+        }
+        return connections;
+    }
+
+    private static void ask(Socket connection, String id) throws IOException {
+        connection
+                .getOutputStream()
+                .write(("GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 3000\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static int firstByte(Socket connection) {
+        try {
+            return connection.getInputStream().read();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+}
