Heap of the scale run is what the last collection left, not a buffer that a thread has taken since

ScaleRunTest#noSlopeHasGrownByHalf was red at times beside load (LIST_HEAP 1525 and 2527 of 1425 bytes an entry, usually 950).

Cause, by class histograms written at each look beside ten busy processes (a trial): the heap in use rises by 486 KB for a thread's next allocation, and one look fell from 10.81 to 9.76 MB with a further collection. The heap in use counts whole allocation buffers of threads, and whether a thread had taken one between the collection and the look depends on the load. An offset of 1.06 MB over four sidecars at one size of three moves the slope by about 440 bytes an entry; at size 200 the figure was negative (-69 to -333 KB).

Change: with a collection the figure is what the collection itself reports as left (MemoryPoolMXBean.getCollectionUsage). The test is unchanged.

--- a/src/main/java/ivybank/scale/worker/Worker.java
+++ b/src/main/java/ivybank/scale/worker/Worker.java
@@ -10,6 +10,7 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryType;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -87,20 +88,31 @@
         ObjectNode usage = late.get();
         usage.put("at_ms", MonotonicTime.nowMs());
         usage.put("cpu_ms", system.getProcessCpuTime() / NANOS_IN_MS);
-        usage.put("heap_bytes", heapBytes());
+        usage.put("heap_bytes", collect ? liveBytes() : heapBytes());
         usage.put("allocated_bytes", allocatedBytes());
         return usage;
     }
 
     private static void collectGarbage() throws InterruptedException {
         double before = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < MOST_COLLECTIONS && before - heapBytes() > SAME_PART * heapBytes(); i++) {
-            before = heapBytes();
+        for (int i = 0; i < MOST_COLLECTIONS && before - liveBytes() > SAME_PART * liveBytes(); i++) {
+            before = i == 0 ? Double.POSITIVE_INFINITY : liveBytes();
             System.gc();
             Thread.sleep(COLLECTION_PAUSE_MS);
         }
     }
 
+    /**
+     * What the last garbage collection has left. The heap in use at a later moment counts whole buffers of threads that have
+     * allocated since, half a megabyte or more each ({@code -XX:TLABSize}).
+     */
+    private static long liveBytes() {
+        return ManagementFactory.getMemoryPoolMXBeans().stream()
+                .filter(pool -> pool.getType() == MemoryType.HEAP && pool.getCollectionUsage() != null)
+                .mapToLong(pool -> pool.getCollectionUsage().getUsed())
+                .sum();
+    }
+
     private static long heapBytes() {
         return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
     }
