--- a/src/main/java/ivybank/rehearsal/scenario/Scenario.java
+++ b/src/main/java/ivybank/rehearsal/scenario/Scenario.java
@@ -171,8 +171,9 @@
     /**
      * How late each change reaches a sidecar's agent, and after what time it counts as told all the same. With {@code atOnce} what
      * the agent has counts as told at once, whether or not a watch is open; the other time is then for silent watches only.
+     * With {@code asked} sidecars are told that one discovery answers all of them, which they ask.
      */
-    public record Roster(double[] noticeMs, double toldMs, boolean atOnce) {}
+    public record Roster(double[] noticeMs, double toldMs, boolean atOnce, boolean asked) {}
 
     /**
      * What sidecars know of one another. With {@code on}, each has a list of addresses, with {@code never} more that nobody ever
--- a/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
+++ b/src/main/java/ivybank/rehearsal/scenario/ScenarioReader.java
@@ -73,7 +73,8 @@
                 new Scenario.Roster(
                         roster.range("notice_ms", 0, 60_000, 200, 800),
                         roster.number("told_ms", 100, 60_000, 6000),
-                        roster.flag("at_once", false)),
+                        roster.flag("at_once", false),
+                        roster.flag("asked", false)),
                 new Scenario.Peers(
                         peers.flag("on", false),
                         peers.integer("never", 0, 200, 0),
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -117,7 +117,8 @@
         ObjectNode settings = Json.MAPPER
                 .createObjectNode()
                 .put("instances", scenario.traffic().sidecars())
-                .put("tickMs", 1.0);
+                .put("tickMs", 1.0)
+                .put("membershipMode", scenario.roster().asked() ? "ask" : "push");
         ArrayNode sites = settings.putArray("failureDomains");
         for (int i = 0; i < scenario.fleet().sites(); i++) {
             sites.add("site-" + i);
