Polling and telling the selector anew stand in one place

The same poll-and-rearm stood in three verify methods, each with its own count of what had come. The channel knows what its read found.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -338,15 +338,12 @@
             return;
         }
         if (resting || current != null || isMute() || channel.hasPendingWrites()) {
-            long before = reads;
             boolean stood = mayHaveStood;
             mayHaveStood = true; // what is found now may have come long ago
-            SteadySocketChannel.Input found = channel.poll();
+            SteadySocketChannel.Input found = channel.verify();
             notedReading(found);
-            if (reads != before) {
-                channel.rearm();
-            } else {
-                mayHaveStood = stood || found == SteadySocketChannel.Input.FAILED;
+            if (found == SteadySocketChannel.Input.READ_OUT || found == SteadySocketChannel.Input.NOT_READ) {
+                mayHaveStood = stood; // nothing was found
             }
         }
     }
--- a/src/main/java/ivybank/discovery/DiscoveryCall.java
+++ b/src/main/java/ivybank/discovery/DiscoveryCall.java
@@ -88,8 +88,6 @@
     boolean firstSinceMove;
     /** Whether this watch has brought a word. */
     private boolean word;
-    /** What has come so far, in messages. */
-    private long heard;
 
     DiscoveryCall(Owner owner, Timing timing, int silentBefore, long version, long before) {
         this.owner = owner;
@@ -114,11 +112,7 @@
     /** Looks at its connection without being told to: a registration with the selector may have failed, which Java tells nobody. */
     void verify() {
         if (context != null && context.channel() instanceof SteadySocketChannel channel) {
-            long before = heard;
-            channel.poll();
-            if (heard != before) {
-                channel.rearm();
-            }
+            channel.verify();
         }
     }
 
@@ -177,7 +171,6 @@
         if (!owner.heeds(this)) {
             return;
         }
-        heard++;
         if (message.decoderResult().isFailure()) {
             throw new IOException("what came is no HTTP");
         }
--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -86,6 +86,15 @@
         return found;
     }
 
+    /** Polls, and has the selector told anew what this channel waits for where it had not told of what came. */
+    public final Input verify() {
+        Input found = poll();
+        if (found == Input.MORE) {
+            suspendReading();
+        }
+        return found;
+    }
+
     /** Reads until nothing is left, or so often: what stands behind something else, an end above all, is found too. */
     public final Input readOut() {
         Input found = poll();
@@ -112,11 +121,6 @@
         return read;
     }
 
-    /** Has the selector told anew what this channel waits for. */
-    public final void rearm() {
-        suspendReading();
-    }
-
     @Override
     protected int doReadBytes(ByteBuf into) throws Exception {
         try {
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -96,8 +96,6 @@
     private Ending whole;
 
     private boolean reusable;
-    /** What has come so far, in messages. */
-    private long heard;
 
     UpstreamConnection(Node node, boolean spare, AnswerDecoder decoder, UpstreamPool pool, LoadReport reports) {
         this.node = node;
@@ -137,13 +135,8 @@
     /** Connects, reads and writes once without being told to, where something is waited for: the selector may be told nothing. */
     void verify() {
         boolean waits = attempt != null || channel != null && !channel.isActive();
-        if (!waits || !(channel instanceof UpstreamSocketChannel socket)) {
-            return;
-        }
-        long before = heard;
-        socket.poll();
-        if (heard != before) {
-            socket.rearm();
+        if (waits && channel instanceof UpstreamSocketChannel socket) {
+            socket.verify();
         }
     }
 
@@ -278,7 +271,6 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        heard++;
         if (whole != null || attempt == null) {
             reusable = false; // more than was asked for
         } else if (message.decoderResult().isFailure()) {
