An accept that comes back with nobody is followed by a short pause

Where each accept is interrupted Java tells it as if nobody had been there, the selector reports the backlog at once again, and rounds followed one another for as long as the fault lasted. The next round begins 5 ms later now, as after a failed read. Passed after it: StuckAcceptTest, BeginningsAndEndingsTest, SidecarConnectionsTest, GuardPathsTest.

--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -81,6 +81,7 @@
 
     private void accepted(BackgroundAccept.Outcome outcome) {
         boolean nobody = outcome.connections().isEmpty();
+        boolean interrupted = nobody && !polled && outcome.failure() == null;
         emptied = nobody && outcome.failure() == null;
         if (outcome.tookMs() > LONG_ACCEPT_MS || nobody && !polled) {
             pipeline().fireUserEventTriggered(Event.HELD_BACK);
@@ -96,6 +97,14 @@
             lookAgain = false;
             poll();
         }
+        if (interrupted) { // or another process was faster: at once it might be the same again, without end
+            eventLoop().schedule(this::goOn, PAUSE_MS, TimeUnit.MILLISECONDS);
+        } else {
+            goOn();
+        }
+    }
+
+    private void goOn() {
         if (isActive() && config().isAutoRead()) {
             read();
         }
