An interrupted write is tried again after a pause: the event loop spun on it

Cause: Java tells an interrupted write as if the socket had no room; Netty waits for room, which the selector reports at once.

Change: the second write in a row that takes nothing is followed by a pause of 5 ms. A write that found no room is followed by one that the selector asks for, which finds some, so that slow readers wait no longer.

--- a/src/main/java/ivybank/transport/SteadySocketChannel.java
+++ b/src/main/java/ivybank/transport/SteadySocketChannel.java
@@ -35,12 +35,16 @@
 
     private static final long PAUSE_MS = 5;
     private static final int END_OF_STREAM = -1;
+    /** The first one finds no room; the next is made when the selector reports some. */
+    private static final int MOST_FRUITLESS_WRITES = 2;
     /** So many reads in a row are made in search of the end of what has come. */
     private static final int MOST_READS = 8;
 
     private final TransientErrors readErrors;
     private final TransientErrors writeErrors;
     private boolean flushScheduled;
+    /** Writes in a row that have taken nothing. */
+    private int fruitlessWrites;
     /** Whether it is left out of the selector for a moment, as far as reading is concerned. */
     private boolean suspended;
 
@@ -173,9 +177,12 @@
     @Override
     protected void doWrite(ChannelOutboundBuffer out) throws Exception {
         sendAtOnce();
+        Object first = out.current();
+        long written = out.currentProgress();
         try {
             super.doWrite(out);
             writeErrors.succeeded();
+            noteProgress(out.current() != first || out.currentProgress() != written || out.isEmpty());
         } catch (IOException e) {
             if (!writeErrors.bears(e, System.nanoTime())) {
                 throw e;
@@ -184,6 +191,19 @@
         }
     }
 
+    /**
+     * Guards the event loop against a write that is interrupted again and again: Java tells it as if there were no room, and the
+     * selector reports at once that there is.
+     */
+    private void noteProgress(boolean progress) {
+        fruitlessWrites = progress ? 0 : fruitlessWrites + 1;
+        if (fruitlessWrites == MOST_FRUITLESS_WRITES) {
+            fruitlessWrites = 0;
+            removeAndSubmit(NioIoOps.WRITE);
+            flushLater();
+        }
+    }
+
     /** Has small writes sent at once. Not an option of the bootstrap: Netty closes a channel whose options can't be set. */
     private void sendAtOnce() {
         if (sendsAtOnce) {
--- a/src/test/java/ivybank/soak/UnwrittenAnswerTest.java
+++ b/src/test/java/ivybank/soak/UnwrittenAnswerTest.java
@@ -1,6 +1,7 @@
 package ivybank.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.soak.FaultySidecar.Agent;
 import ivybank.soak.FaultySidecar.Upstreams;
@@ -74,6 +75,30 @@
         }
     }
 
+    // Guards against a busy event loop: an interrupted write looks as if there were no room, and the selector reports
+    // room.
+    @Test
+    void anInterruptedWriteIsTriedAgainAfterAPause() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, holding);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            List<Socket> asking = connect(sidecar, ASKING);
+            for (int i = 0; i < ASKING; i++) {
+                ask(asking.get(i), "held-" + i);
+            }
+            Thread.sleep(SENT_MS);
+            sidecar.faults.fail(Call.SOCKET_WRITE, Errno.EINTR, SyscallFaults.ALWAYS);
+            go.countDown();
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            int writes = sidecar.faults.hits(Call.SOCKET_WRITE);
+            assertTrue(writes < FAULT_MS * ASKING, writes + " writes, more than one a ms for each answer");
+            for (Socket each : asking) {
+                assertTrue(firstByte(each) >= 0, "it gets its answer");
+            }
+        }
+    }
+
     private static List<Socket> connect(FaultySidecar sidecar, int count) throws IOException {
         List<Socket> connections = new ArrayList<>();
         for (int i = 0; i < count; i++) {
