--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -57,8 +57,8 @@
     private static final long CONFIRM_MS = 5;
     /**
      * For so long after an answer a connection is not used again. Guards a request against another one's answer: a spoilt node
-     * gives a second answer up to 25 ms after the first (10,000 of them were counted on three short days), and on a connection
-     * in use it can't be told from the answer that is awaited.
+     * gives a second answer some milliseconds after the first, and on a connection in use it can't be told from the answer that is
+     * awaited.
      */
     private static final double REST_MS = 30;
 
