--- a/src/main/java/ivybank/rehearsal/stand/SidecarFaults.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarFaults.java
@@ -97,15 +97,28 @@
             if (fault.forS() > run.scenario.peers().pauseS()) { // a shorter stop is none to the others
                 peers.process(number, Views.Process.BETWEEN, "stop of sidecar " + number);
             }
-            signal(sidecars.process(number), "STOP");
-            run.world.after(fault.forS() * 1000, () -> goOn(number));
+            run.workers.execute(() -> stopForAWhile(fault, number));
         }
     }
 
-    private void goOn(int number) {
+    /** Called on a worker: starting the program that sends a signal may take long. */
+    private void stopForAWhile(Fault fault, int number) {
+        SidecarProcess sidecar = sidecars.process(number);
+        try {
+            sidecar.signal("STOP");
+            Thread.sleep((long) (fault.forS() * 1000));
+            run.onLoop(() -> goesOn(number));
+            sidecar.signal("CONT");
+        } catch (IOException e) {
+            run.eventFromWorker(sidecar + " could not be stopped for a while: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void goesOn(int number) {
         run.recorder.event("sidecar " + number + " goes on");
         run.referee.wentOn(number, run.world.nowMs());
-        signal(sidecars.process(number), "CONT");
         peers.process(number, Views.Process.ON, "sidecar " + number + " goes on");
         double sinceMs = sidecars.downSinceMs(number);
         run.world.after(run.longestDeadlineMs(), () -> {
@@ -115,14 +128,6 @@
         });
     }
 
-    private void signal(SidecarProcess sidecar, String name) {
-        try {
-            sidecar.signal(name);
-        } catch (IOException e) {
-            run.recorder.event(sidecar + " could not be sent " + name + ": " + e.getMessage());
-        }
-    }
-
     /** Starts sidecars a second time, beside themselves. */
     void startTwice(Fault fault, List<Integer> hit) {
         hit.forEach(number -> run.workers.execute(() -> startTwin(fault, number)));
--- a/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarProcess.java
@@ -225,10 +225,13 @@
         }
     }
 
-    /** Sends it a signal by its name. */
+    /** Sends it a signal by its name, and waits until that is sent. Not on the event loop. */
     void signal(String name) throws IOException {
         if (process.isAlive()) {
-            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start();
+            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                    .start()
+                    .onExit()
+                    .join();
         }
     }
 
