A listener that is about to close lets in who is there, also in a pause of accepts

Cause, by reading, so suspected for these two calls: a pause of accepts that is on when the listener is told to close (a failed accept, or the selector being told anew) was never ended, and a listener that doesn't let in counted as drained. Now only want of room does, and each last look lets in again. BeginningsAndEndingsTest, SidecarEndTest, GuardPathsTest pass.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -191,7 +191,7 @@
             listener.config().setAutoRead(false);
         } else {
             if (listener instanceof ClientListenerChannel channel) {
-                channel.poll(); // looks at the backlog as it is from now on
+                lookAtBacklog(channel);
             }
             closeOnceDrained(accepted, MOST_LAST_PASSES);
         }
@@ -210,15 +210,23 @@
             listener.close();
             return;
         }
-        boolean drained = accepted == before && channel.isDrained();
+        boolean drained = accepted == before && (channel.isDrained() || room.getAsInt() <= 0);
         if ((drained || passes == 0) && !channel.isAccepting()) {
+            log.line("the clients' socket closes after " + (MOST_LAST_PASSES - passes) + " looks at its backlog"
+                    + (channel.isDrained() ? "" : ", with no room for who may be there"));
             channel.close();
         } else if (passes > 0) {
-            channel.poll();
+            lookAtBacklog(channel);
             closeOnceDrained(accepted, passes - 1);
         }
     }
 
+    /** Takes who is there as far as there is room, also where accepts have just paused or the selector was to be told anew. */
+    private void lookAtBacklog(ClientListenerChannel channel) {
+        channel.config().setAutoRead(room.getAsInt() > 0);
+        channel.poll();
+    }
+
     @Override
     public String toString() {
         return state.name().toLowerCase(Locale.ROOT);
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -124,9 +124,9 @@
         return background.isBusy();
     }
 
-    /** Whether nobody was left in the backlog at the last look, or nobody is let in, and all who were accepted have their channels. */
+    /** Whether nobody was left in the backlog at the last look, and all who were accepted have their channels. */
     boolean isDrained() {
-        return (emptied || !config().isAutoRead()) && unready.isEmpty() && !background.isBusy();
+        return emptied && unready.isEmpty() && !background.isBusy();
     }
 
     /** Guards a client that was accepted and may have sent a request: making its channel is tried again. */
--- a/src/main/java/ivybank/rehearsal/stand/ClientApp.java
+++ b/src/main/java/ivybank/rehearsal/stand/ClientApp.java
@@ -23,6 +23,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.function.DoublePredicate;
@@ -185,7 +186,7 @@
         }
 
         /** Its connection ended with no whole answer. */
-        void broken(boolean kept, boolean anyByte) {
+        void broken(boolean kept, boolean anyByte, String how) {
             if (over) {
                 return;
             }
@@ -197,7 +198,7 @@
                 sentAgain = true; // closed between requests, as it may be: once more on a new one
                 send();
             } else {
-                world.referee.unanswered(id, world.nowMs(), "lost its connection before an answer");
+                world.referee.unanswered(id, world.nowMs(), "lost its connection before an answer" + how);
                 end(Result.FAILED, 0, Double.NaN);
             }
         }
@@ -242,6 +243,8 @@
         private Try current;
         private boolean written;
         private boolean anyByte;
+        private double upMs = Double.NaN;
+        private double writtenMs = Double.NaN;
         private boolean kept; // it has stood idle, and may be closed at any time
 
         Connection(Try first) {
@@ -267,6 +270,7 @@
                     })
                     .connect(address)
                     .addListener(up -> {
+                        upMs = world.nowMs();
                         if (!up.isSuccess()) {
                             connections.remove(this);
                             Try waiting = current;
@@ -293,11 +297,23 @@
                     .addListener(done -> {
                         if (done.isSuccess() && current == next) {
                             written = true;
+                            writtenMs = world.nowMs();
                             world.referee.taken(next.id, world.nowMs());
                         }
                     });
         }
 
+        /** What a breach says of the connection. */
+        private String history() {
+            return String.format(
+                    Locale.ROOT,
+                    ": %s, up %.0f ms before, the request written %.0f ms before%s",
+                    kept ? "a kept one" : "a new one",
+                    world.nowMs() - upMs,
+                    world.nowMs() - writtenMs,
+                    anyByte ? ", after a part of the answer" : "");
+        }
+
         private void free() {
             kept = true;
             if (channel.isActive()) {
@@ -342,7 +358,7 @@
             if (current != null) {
                 Try lost = current;
                 current = null;
-                lost.broken(kept, anyByte);
+                lost.broken(kept, anyByte, history());
             }
         }
 
