--- a/src/test/java/ivybank/daemon/OperationsTest.java
+++ b/src/test/java/ivybank/daemon/OperationsTest.java
@@ -12,10 +12,9 @@
 import ivybank.peers.PeerFleet;
 import ivybank.peers.PeerSettings;
 import ivybank.testing.FakeServer;
-import java.io.BufferedReader;
+import ivybank.testing.SharedListener;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -46,14 +45,6 @@
 @Timeout(60)
 class OperationsTest {
 
-    /** Opens a listening socket, says its port, and becomes each program that it is told to with the socket as input. */
-    private static final String PLATFORM =
-            "use Socket; $SIG{CHLD} = q(IGNORE); $| = 1; socket(my $s, PF_INET, SOCK_STREAM, 0); bind($s, pack_sockaddr_in(0,"
-                    + " INADDR_LOOPBACK)) or die; listen($s, 1024) or die; print((sockaddr_in(getsockname($s)))[0], qq(\\n));"
-                    + " while (my $line = <STDIN>) { chomp $line; my $pid = fork();"
-                    + " if (!$pid) { open(STDIN, q(<&), $s) or die; exec q(/bin/sh), q(-c), $line or die; } print qq($pid\\n); }"
-                    + " kill q(KILL), $_ for @ARGV;";
-
     @TempDir
     Path dir;
 
@@ -62,8 +53,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(2))
             .build();
-    private Process platform;
-    private BufferedReader platformSays;
+    private SharedListener platform;
     private int port;
     private int asked;
 
@@ -102,12 +92,9 @@
     }
 
     private void startPlatform() throws IOException {
-        platform = new ProcessBuilder("perl", "-e", PLATFORM)
-                .redirectError(dir.resolve("platform.log").toFile())
-                .start();
-        toClose.add(platform::destroyForcibly);
-        platformSays = new BufferedReader(new InputStreamReader(platform.getInputStream(), StandardCharsets.UTF_8));
-        port = Integer.parseInt(platformSays.readLine());
+        platform = new SharedListener(dir.resolve("platform.log"));
+        toClose.add(platform);
+        port = platform.port();
     }
 
     /** Further settings in the environment of each process. */
@@ -139,10 +126,8 @@
             String command = "TMPDIR='" + dir + "' EDGE_INHERITED_FD=0 EDGE_CONFIG='" + config + "' " + more + "exec '"
                     + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:TieredStopAtLevel=1 -cp '"
                     + System.getProperty("java.class.path") + "' ivybank.Main serve > '" + dir.resolve(door + ".log")
-                    + "' 2>&1 9>&-\n";
-            platform.getOutputStream().write(command.getBytes(StandardCharsets.UTF_8));
-            platform.getOutputStream().flush();
-            pid = Long.parseLong(platformSays.readLine());
+                    + "' 2>&1 9>&-";
+            pid = platform.start(command);
             ProcessHandle process = ProcessHandle.of(pid).orElseThrow();
             toClose.add(process::destroyForcibly);
             while (untilItServes && !ok("GET", "/status", "")) {
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -206,7 +206,7 @@
                     List.of("rule answer"),
                     List.of(new Edit(
                             "client/ClientConnection.java",
-                            "        if (current == null && nothingWaits() && (evenPartial || !partial)) {\n"
+                            "        if (isAnswered() && (evenPartial || !partial)) {\n"
                                     + "            retire(() -> { });\n        }",
                             "        context.close();"))),
             new Mutant(
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -24,7 +24,7 @@
 final class FaultySidecar implements AutoCloseable {
 
     private static final long READY_MS = 20_000;
-    private static final int SOCKETS = 384;
+    static final int SOCKETS = 384;
     /** Among the words of a node in the line of a second, which begins with its name. */
     private static final int HELD = 2;
 
@@ -88,7 +88,17 @@
             String arguments)
             throws Exception {
         int port = freePort();
-        Path config = Files.writeString(folder.resolve("config.json"), """
+        Path config = Files.writeString(folder.resolve("config.json"), config(port, discovery, upstreams));
+        SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
+        faults.wallClockAhead(wallClockAheadMs);
+        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, before, arguments);
+        sidecar.awaitReady();
+        return sidecar;
+    }
+
+    /** The configuration of one that listens at this port. */
+    static String config(int port, FakeServer discovery, Upstreams upstreams) {
+        return """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"ff0e5a0000000001",
                  "limits":{"cores":1,"memory_mb":160,"sockets":%d},"known":%s,
                  "settings":{"instances":1,"tickMs":5,"tenants":[],
@@ -98,16 +108,10 @@
                   "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
                             "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":15000},
                   "failureDomains":["a"],"kinds":["k"]}}
-                """.formatted(
-                        port, discovery.address().getPort(), SOCKETS, upstreams.list()));
-        SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
-        faults.wallClockAhead(wallClockAheadMs);
-        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, before, arguments);
-        sidecar.awaitReady();
-        return sidecar;
+                """.formatted(port, discovery.address().getPort(), SOCKETS, upstreams.list());
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
         }
