The listener closes in the moment in which its backlog is found empty, not up to 2 ms later

Who connects between the last look and the close is reset, with a request that may be written already: 2 ms and a pass lay between them. The look's outcome closes now.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -190,10 +190,7 @@
         if (shared) {
             listener.config().setAutoRead(false);
         } else {
-            if (listener instanceof ClientListenerChannel channel) {
-                lookAtBacklog(channel);
-            }
-            closeOnceDrained(accepted, MOST_LAST_PASSES);
+            close();
         }
     }
 
@@ -201,23 +198,25 @@
      * Closes the listener once nobody stands in the backlog. Guards those that do, with what they have sent: the event loop may
      * have been held up until just now.
      */
-    private void closeOnceDrained(long before, int passes) {
-        loop.schedule(() -> close(before, passes), LAST_PASS_MS, TimeUnit.MILLISECONDS);
+    private void close() {
+        if (listener instanceof ClientListenerChannel channel) {
+            channel.closeOnceDrained(() -> log.line("the clients' socket closes: nobody stands in its backlog"));
+            closeInTime(channel, MOST_LAST_PASSES);
+        } else {
+            listener.close();
+        }
     }
 
-    private void close(long before, int passes) {
-        if (!(listener instanceof ClientListenerChannel channel)) {
-            listener.close();
+    private void closeInTime(ClientListenerChannel channel, int passes) {
+        if (!channel.isOpen()) {
             return;
         }
-        boolean drained = accepted == before && (channel.isDrained() || room.getAsInt() <= 0);
-        if ((drained || passes == 0) && !channel.isAccepting()) {
-            log.line("the clients' socket closes after " + (MOST_LAST_PASSES - passes) + " looks at its backlog"
-                    + (channel.isDrained() ? "" : ", with no room for who may be there"));
+        if ((room.getAsInt() <= 0 || passes == 0) && !channel.isAccepting()) {
+            log.line("the clients' socket closes with no room for who may be there");
             channel.close();
         } else if (passes > 0) {
             lookAtBacklog(channel);
-            closeOnceDrained(accepted, passes - 1);
+            loop.schedule(() -> closeInTime(channel, passes - 1), LAST_PASS_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -33,6 +33,8 @@
     private final List<Unready> unready = new ArrayList<>();
     private final BackgroundAccept background = new BackgroundAccept(javaChannel(), this::accepted);
     private int mostAtOnce = 1;
+    /** What is run before it closes, once nobody stands in the backlog; null while it goes on. */
+    private Runnable whenDrained;
     /** Whether the accepts that go on were not asked for by the selector. */
     private boolean polled;
     /** Whether somebody may have come behind the accepts that go on. */
@@ -48,6 +50,11 @@
         super(listening);
     }
 
+    /** From now on closes as soon as a look at the backlog finds nobody; {@code closing} is run before. */
+    void closeOnceDrained(Runnable closing) {
+        whenDrained = closing;
+    }
+
     /** How many connections may be accepted at once from now on. */
     void mostAtOnce(int most) {
         mostAtOnce = most;
@@ -96,6 +103,10 @@
         if (lookAgain) {
             lookAgain = false;
             poll();
+        } else if (whenDrained != null && isDrained()) {
+            whenDrained.run();
+            close(); // at once: who comes now would be reset
+            return;
         }
         if (interrupted) { // or another process was faster: at once it might be the same again, without end
             eventLoop().schedule(this::goOn, PAUSE_MS, TimeUnit.MILLISECONDS);
