Kit: who connects as the listener closes is owed nothing; a start that was cut short is no crash

The kit's own SIGKILL passed for a crash. A start marks nothing as up that was told to end; the mark goes with the new process.

--- a/src/main/java/ivybank/rehearsal/stand/SidecarFaults.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarFaults.java
@@ -51,6 +51,7 @@
             peers.process(number, Views.Process.OFF, "end of sidecar " + number);
         } else {
             peers.process(number, Views.Process.BETWEEN, "sidecar " + number + " is told to end");
+            sidecars.toldToEnd(number);
             // What is lost before its time is up is lost for no reason.
             run.world.after(endMs, () -> sidecars.down(number));
         }
--- a/src/main/java/ivybank/rehearsal/stand/SidecarGroup.java
+++ b/src/main/java/ivybank/rehearsal/stand/SidecarGroup.java
@@ -21,6 +21,8 @@
     private static final int SOCKETS_PER_CONNECTION = 3;
 
     private static final long SEEDS_APART = 31;
+    /** New connections go on coming for so long after a sidecar was told to end (protocol, figures). */
+    private static final double CONNECTS_AFTER_TERM_MS = 400;
     /** More of them take one another's cores for no gain. */
     private static final int STARTS_AT_ONCE = 8;
 
@@ -32,6 +34,9 @@
     /** By number, NaN while a sidecar is up and was not told to end. */
     private final List<Double> downSinceMs = new ArrayList<>();
 
+    /** By number, infinite while a sidecar was not told to end. */
+    private final List<Double> toldToEndMs = new ArrayList<>();
+
     private final Set<Integer> startedLate = new HashSet<>();
 
     /** @param folder an empty one for configurations and logs */
@@ -71,6 +76,7 @@
                 Loopback.forSidecar(run.world.net, number),
                 run.plan.seed() * SEEDS_APART + number);
         processes.add(sidecar);
+        toldToEndMs.add(Double.POSITIVE_INFINITY);
         downSinceMs.add(startedLate.contains(number) ? Double.NEGATIVE_INFINITY : Double.NaN);
         configure(number);
         clients.add(new ClientApp(
@@ -79,7 +85,8 @@
                 sidecar.listen(),
                 run.scenario.limits().sockets() / SOCKETS_PER_CONNECTION,
                 service,
-                atMs -> downSinceMs.get(number) <= atMs));
+                atMs -> downSinceMs.get(number) <= atMs,
+                atMs -> toldToEndMs.get(number) + CONNECTS_AFTER_TERM_MS < atMs));
     }
 
     /** Writes a sidecar's configuration. */
@@ -147,7 +154,9 @@
 
     private void started(int number, boolean ready, double tookMs, PeerViews peers) {
         run.recorder.started(tookMs);
-        up(number);
+        if (!processes.get(number).isExpectedToEnd()) { // it may have been ended while it started
+            up(number);
+        }
         if (ready) {
             run.world.returns.ready(number, run.world.nowMs());
         }
@@ -194,6 +203,12 @@
 
     void up(int number) {
         downSinceMs.set(number, Double.NaN);
+        toldToEndMs.set(number, Double.POSITIVE_INFINITY);
+    }
+
+    /** It has just been sent SIGTERM. */
+    void toldToEnd(int number) {
+        toldToEndMs.set(number, run.world.nowMs());
     }
 
     boolean isUp(int number) {
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -117,6 +117,12 @@
         }
     }
 
+    /** A request of the class of safe ones, with 3 s to be answered in. */
+    static byte[] request(String callId) {
+        return ("GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + callId + "\r\nX-Budget-Ms: 3000\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
     private void awaitReady() throws Exception {
         long until = System.nanoTime() + READY_MS * 1_000_000;
         while (System.nanoTime() < until) {
