Logs tell what each call to discovery ended of, the steps of a start, and late accepts

Each call that ends without an answer now says why and in which state (the first 20 in a row, then one in 100); a process says at which age it reached each step of its start, by the kernel's record of its start; an accepted connection that waits says for how long, and half a request says when it got 408.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -172,6 +172,11 @@
         }
     }
 
+    private void logDelayed(ClientListenerChannel.Delayed delayed) {
+        log.line("a connection of the client that was accepted " + Math.round(delayed.waitedMs()) + " ms ago "
+                + (delayed.used() ? "can be used now" : "is closed: it could not be used"));
+    }
+
     private void failed(String what, Throwable cause) {
         if (failures++ % LOGGED_FAILURES == 0) {
             log.line(what + ", and is tried again: " + cause);
@@ -245,6 +250,8 @@
                 heldBackMs = clock.nowMs();
             } else if (event == ClientListenerChannel.Event.FOUND_UNTOLD) {
                 rearm();
+            } else if (event instanceof ClientListenerChannel.Delayed delayed) {
+                logDelayed(delayed);
             }
             ctx.fireUserEventTriggered(event);
         }
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -121,6 +121,8 @@
     private Arrival current;
 
     private int currentId;
+    /** When this connection began to be served. */
+    private double openedMs;
     /** Since when no request has been at hand, by the module's clock. */
     private double freeSinceMs;
     /** Whether something has come that can't be read: nothing behind it is. */
@@ -181,7 +183,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
         reader.source(this);
-        freeSinceMs = clock.nowMs();
+        openedMs = clock.nowMs();
+        freeSinceMs = openedMs;
         mayHaveStood = server.heldBackOfLate();
         server.opened(this);
     }
@@ -758,6 +761,7 @@
         }
         closing.run();
         if (partial) {
+            server.halfRequest(clock.nowMs() - openedMs);
             current = new Arrival(null, TIMED_OUT, false);
             answer(current, Answer.status(TIMED_OUT));
         } else {
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -13,7 +13,12 @@
 public final class ClientListenerChannel extends NioServerSocketChannel {
 
     /** An accepted connection whose channel could not be made yet. */
-    private record Unready(SocketChannel connection, long acceptedNanos) {}
+    private record Unready(SocketChannel connection, long acceptedNanos) {
+
+        double waitedMs() {
+            return (System.nanoTime() - acceptedNanos) / NANOS_IN_MS;
+        }
+    }
 
     /** Told through the pipeline, before the connections that it concerns. */
     enum Event {
@@ -23,12 +28,21 @@
         FOUND_UNTOLD
     }
 
+    /**
+     * Told through the pipeline of a connection that was accepted and whose channel could not be made at once.
+     *
+     * @param waitedMs how long ago it was accepted, in milliseconds
+     * @param used whether its channel is there now, and it was not given up
+     */
+    record Delayed(double waitedMs, boolean used) {}
+
     private static final int MOST_UNREADY = 64;
     private static final long PAUSE_MS = 5;
     /** As long as a client that says nothing is kept. */
-    private static final long LONGEST_UNREADY_MS = 2500;
+    private static final double LONGEST_UNREADY_MS = 2500;
 
     private static final double LONG_ACCEPT_MS = 10;
+    private static final double NANOS_IN_MS = 1e6;
 
     private final List<Unready> unready = new ArrayList<>();
     private final BackgroundAccept background = new BackgroundAccept(javaChannel(), this::accepted);
@@ -143,6 +157,7 @@
     /** Guards a client that was accepted and may have sent a request: making its channel is tried again. */
     private void keep(SocketChannel connection) {
         if (unready.size() >= MOST_UNREADY) {
+            pipeline().fireUserEventTriggered(new Delayed(0, false));
             close(connection);
             return;
         }
@@ -157,6 +172,7 @@
             try {
                 ClientSocketChannel channel = new ClientSocketChannel(this, each.connection);
                 unready.remove(each);
+                pipeline().fireUserEventTriggered(new Delayed(each.waitedMs(), true));
                 pipeline().fireChannelRead(channel);
             } catch (RuntimeException | Error e) {
                 giveUpIfLate(each);
@@ -168,10 +184,11 @@
     }
 
     private void giveUpIfLate(Unready late) {
-        if (System.nanoTime() - late.acceptedNanos < TimeUnit.MILLISECONDS.toNanos(LONGEST_UNREADY_MS)) {
+        if (late.waitedMs() < LONGEST_UNREADY_MS) {
             return;
         }
         unready.remove(late);
+        pipeline().fireUserEventTriggered(new Delayed(late.waitedMs(), false));
         close(late.connection);
     }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -300,6 +300,11 @@
                 "a client's connection can't be read: its request is failed, for whether the client left can't be seen");
     }
 
+    /** Notes half a request that is answered as such, so long after its connection began to be served, in milliseconds. */
+    void halfRequest(double afterMs) {
+        log.line("half a request is answered with 408, " + Math.round(afterMs) + " ms after its connection was opened");
+    }
+
     /** Notes a connection that was about to be closed when something came on it. */
     void spared() {
         log.line("a client's connection that looked unused was not closed: a request had come on it");
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -155,6 +155,7 @@
     private final Timing timing;
     private final PooledByteBufAllocator buffers;
     private final SecondTally tally = new SecondTally();
+    private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
     private final PromiseKeeper promises; // null: none are kept
     private final CountDownLatch drained = new CountDownLatch(1);
@@ -197,6 +198,7 @@
                 e -> false,
                 () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
         loop = group.next();
+        timeline.reached("event loop made");
         watchdog = new Watchdog(loop, clock, log);
         guard = new InvariantGuard(log::line);
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
@@ -224,6 +226,7 @@
         dispatcher = new RequestDispatcher(
                 config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
         promises = store == null ? null : promises(store);
+        timeline.reached(store == null ? "no store" : "store open");
         int served = clients - refused;
         int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
         server = new ClientServer(
@@ -306,6 +309,7 @@
             Thread.currentThread().setPriority(Thread.MIN_PRIORITY);
         }
         Warmup.run(config.settings(), LONGEST_WARM_UP_MS);
+        sidecar.timeline.reached("warmed up");
         if (sidecar.inherited != null && AdminStartup.folder(environment) != null) {
             sidecar.handOver(AdminStartup.folder(environment));
         }
@@ -388,6 +392,8 @@
                     "cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
         listening = true;
+        timeline.reached("listening");
+        log.line(timeline.toString());
         if (peers != null) {
             peers.ready();
         }
@@ -468,10 +474,12 @@
             thenListen.run();
         } else {
             discovery.onFirstWord(() -> {
+                timeline.reached("discovery heard or given up for now");
                 discoveryAsked = true;
                 thenListen.run();
             });
         }
+        timeline.reached("discovery called");
         discovery.start();
         tallyDueMs = clock.nowMs() + TALLY_MS;
         watchdog.watch(PeriodicTask.startAtRate("tally of each second", loop, clock, log, TALLY_MS, this::tally));
--- /dev/null
+++ b/src/main/java/ivybank/daemon/StartTimeline.java
@@ -0,0 +1,21 @@
+package ivybank.daemon;
+
+import ivybank.common.ProcessAge;
+import java.util.Locale;
+import java.util.StringJoiner;
+
+/** When this process reached each step of its start, for the log. Used by the threads that take part in the start. */
+final class StartTimeline {
+
+    private final StringJoiner steps = new StringJoiner(", ", "start of the process, age at each step: ", "");
+
+    /** A step of the start has just been reached. */
+    synchronized void reached(String step) {
+        steps.add(String.format(Locale.ROOT, "%s %.0f ms", step, ProcessAge.nowMs()));
+    }
+
+    @Override
+    public synchronized String toString() {
+        return steps.toString();
+    }
+}
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -46,6 +46,10 @@
 
     /** What a timer of its own may be late before it counts as lost. */
     private static final double LATE_MS = 100;
+    /** The ends of so many calls in a row that brought nothing are logged one by one. */
+    private static final int MOST_LOGGED_ENDS = 20;
+    /** Of those behind them one in so many. */
+    private static final int LOGGED_ENDS = 100;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -66,6 +70,9 @@
     private int silent;
 
     private boolean reachable = true;
+    /** Calls in a row that have ended without an answer. */
+    private int endsInVain;
+
     private State state = State.NOT_STARTED;
     /** By when the state must have ended, by the module's clock. */
     private double dueMs = NEVER;
@@ -272,23 +279,32 @@
             if (call == current && local) {
                 lease.failedLocally(clock.nowMs());
             }
-            ended("not connected: " + cause.getMessage());
+            ended("not connected" + (local ? " for want of something here: " : ": ") + cause.getMessage());
         }
 
         @Override
         public void closed() {
-            ended("not connected");
+            ended(call.failure());
         }
 
         private void ended(String why) {
             if (call == current) {
                 tally.callFailed("ended");
+                logEnd(why);
                 lost(why);
             }
             again(call);
         }
     }
 
+    /** Says of each call what it ended of: lists that are not told are explained by what became of every call since. */
+    private void logEnd(String why) {
+        endsInVain++;
+        if (endsInVain <= MOST_LOGGED_ENDS || endsInVain % LOGGED_ENDS == 0) {
+            log.line("discovery: call " + endsInVain + " since the last answer ended in state " + state() + ": " + why);
+        }
+    }
+
     private void again(DiscoveryCall ended) {
         if (ended != current) {
             firstWord();
@@ -352,6 +368,7 @@
             log.line("discovery answers again, at version " + Math.max(seq, newest));
         }
         reachable = true;
+        endsInVain = 0;
         pauseMs = Timing.FIRST_PAUSE_MS;
         lease.renew(clock.nowMs());
     }
--- a/src/main/java/ivybank/discovery/DiscoveryCall.java
+++ b/src/main/java/ivybank/discovery/DiscoveryCall.java
@@ -88,6 +88,8 @@
     boolean firstSinceMove;
     /** Whether this watch has brought a word. */
     private boolean word;
+    /** What it ended of, as far as that is known here. */
+    private String failure = "its connection was closed";
 
     DiscoveryCall(Owner owner, Timing timing, int silentBefore, long version, long before) {
         this.owner = owner;
@@ -254,10 +256,16 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        owner.failed(this, String.valueOf(cause.getMessage()));
+        failure = String.valueOf(cause.getMessage());
+        owner.failed(this, failure);
         ctx.close();
     }
 
+    /** What it ended of; once it has ended. */
+    String failure() {
+        return failure;
+    }
+
     @Override
     public void handlerRemoved(ChannelHandlerContext ctx) throws IOException {
         unguard();
