A client's wait counts from its accept, not from when its connection can be used

Cause: the 2.5 s for a whole request were counted from the moment in which the channel of the accepted connection was made. That fails while getsockopt fails, and is tried again; the time in the backlog while accepts fail or are interrupted did not count either. Fix: an accepted connection carries when it was accepted and how long it may have waited before; the wait for a whole request begins there. LateAcceptTest failed before: 3,209 and 3,210 ms (GETSOCKOPT), 3,106 and 3,207 (ACCEPT). Failed try: taking an accept that finds nobody for an empty backlog; Java hands back an interrupted one the same way (3,050 ms).

--- a/src/main/java/ivybank/client/BackgroundAccept.java
+++ b/src/main/java/ivybank/client/BackgroundAccept.java
@@ -24,7 +24,7 @@
      * @param failure what ended the round, or null where nobody else waited or enough were accepted
      * @param tookMs how long it took, in milliseconds
      */
-    record Outcome(List<SocketChannel> connections, IOException failure, double tookMs) {}
+    record Outcome(List<AcceptedConnection> connections, IOException failure, double tookMs) {}
 
     private static final long IDLE_THREAD_S = 10;
     private static final double NANOS_IN_MS = 1e6;
@@ -33,6 +33,11 @@
     private final Consumer<Outcome> receiver;
     private final ThreadPoolExecutor thread;
     private boolean busy;
+    /**
+     * Since when somebody stands in the backlog whom accepts have not taken, or null; used by the thread alone. Java hands back an
+     * interrupted accept as one that found nobody, so that this ends only with a round that has taken all.
+     */
+    private Long waitingSinceNanos;
 
     /** @param receiver takes the outcome of each round, on the event loop */
     BackgroundAccept(ServerSocketChannel listener, Consumer<Outcome> receiver) {
@@ -54,15 +59,19 @@
         return busy;
     }
 
-    /** Begins a round of up to so many accepts, unless one goes on. */
-    void begin(EventLoop loop, int most) {
+    /**
+     * Begins a round of up to so many accepts, unless one goes on.
+     *
+     * @param expected whether somebody is known to be there: an accept that finds nobody was interrupted then
+     */
+    void begin(EventLoop loop, int most, boolean expected) {
         if (busy) {
             return;
         }
         busy = true;
         try {
             thread.execute(() -> {
-                Outcome outcome = accept(most);
+                Outcome outcome = accept(most, expected);
                 loop.execute(() -> end(outcome));
             });
         } catch (RuntimeException | Error e) { // no thread can be made for the moment
@@ -70,13 +79,13 @@
         }
     }
 
-    private Outcome accept(int most) {
+    private Outcome accept(int most, boolean expected) {
         long fromNanos = System.nanoTime();
-        List<SocketChannel> accepted = new ArrayList<>();
+        List<AcceptedConnection> accepted = new ArrayList<>();
         IOException failure = null;
         try {
             for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
-                accepted.add(next);
+                accepted.add(accepted(next, fromNanos));
                 if (accepted.size() >= most) {
                     break;
                 }
@@ -86,9 +95,20 @@
         } catch (RuntimeException | Error e) {
             failure = new IOException("nothing can be accepted: " + e, e);
         }
+        if (failure != null || expected && accepted.isEmpty()) {
+            waitingSinceNanos = waitingSinceNanos == null ? (Long) fromNanos : waitingSinceNanos;
+        } else if (!accepted.isEmpty() && accepted.size() < most) {
+            waitingSinceNanos = null; // all were taken
+        }
         return new Outcome(accepted, failure, (System.nanoTime() - fromNanos) / NANOS_IN_MS);
     }
 
+    private AcceptedConnection accepted(SocketChannel socket, long fromNanos) {
+        long nowNanos = System.nanoTime();
+        long sinceNanos = waitingSinceNanos == null ? fromNanos : waitingSinceNanos;
+        return new AcceptedConnection(socket, nowNanos, (nowNanos - sinceNanos) / NANOS_IN_MS);
+    }
+
     private void end(Outcome outcome) {
         busy = false;
         receiver.accept(outcome);
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -121,8 +121,8 @@
     private Arrival current;
 
     private int currentId;
-    /** When this connection began to be served. */
-    private double openedMs;
+    /** Since when the client counts as waiting for this connection to be served. */
+    private double connectedMs;
     /** Since when no request has been at hand, by the module's clock. */
     private double freeSinceMs;
     /** Whether something has come that can't be read: nothing behind it is. */
@@ -183,8 +183,8 @@
     public void channelActive(ChannelHandlerContext ctx) {
         context = ctx;
         reader.source(this);
-        openedMs = clock.nowMs();
-        freeSinceMs = openedMs;
+        freeSinceMs = clock.nowMs();
+        connectedMs = freeSinceMs - (ctx.channel() instanceof ClientSocketChannel channel ? channel.waitedMs() : 0);
         mayHaveStood = server.heldBackOfLate();
         server.opened(this);
     }
@@ -395,7 +395,7 @@
         double nowMs = clock.nowMs();
         lastReadMs = nowMs;
         if (!partial && reader.midRequest()) {
-            partialSinceMs = isMute() ? freeSinceMs : nowMs;
+            partialSinceMs = isMute() ? connectedMs : nowMs;
             unwantedMs = 0;
         }
         partial = reader.midRequest();
@@ -710,7 +710,7 @@
 
     /** Whether nothing is to be expected of it any more; {@code keepIdle} spares what has brought requests. */
     boolean isUseless(double nowMs, boolean keepIdle) {
-        double sinceMs = partial ? partialSinceMs : freeSinceMs;
+        double sinceMs = partial ? partialSinceMs : isMute() ? connectedMs : freeSinceMs;
         double mostMs = partial
                 ? longestPartialMs()
                 : isMute() ? LONGEST_MUTE_MS : keepIdle ? Double.MAX_VALUE : LONGEST_IDLE_MS;
@@ -761,7 +761,7 @@
         }
         closing.run();
         if (partial) {
-            server.halfRequest(clock.nowMs() - openedMs);
+            server.halfRequest(clock.nowMs() - connectedMs);
             current = new Arrival(null, TIMED_OUT, false);
             answer(current, Answer.status(TIMED_OUT));
         } else {
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -4,7 +4,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -12,14 +11,6 @@
 /** The socket on which clients connect. */
 public final class ClientListenerChannel extends NioServerSocketChannel {
 
-    /** An accepted connection whose channel could not be made yet. */
-    private record Unready(SocketChannel connection, long acceptedNanos) {
-
-        double waitedMs() {
-            return (System.nanoTime() - acceptedNanos) / NANOS_IN_MS;
-        }
-    }
-
     /** Told through the pipeline, before the connections that it concerns. */
     enum Event {
         /** What is accepted now may have stood in the backlog: an accept was interrupted, or took long. */
@@ -42,9 +33,10 @@
     private static final double LONGEST_UNREADY_MS = 2500;
 
     private static final double LONG_ACCEPT_MS = 10;
-    private static final double NANOS_IN_MS = 1e6;
 
-    private final List<Unready> unready = new ArrayList<>();
+    /** Accepted connections whose channels could not be made yet. */
+    private final List<AcceptedConnection> unready = new ArrayList<>();
+
     private final BackgroundAccept background = new BackgroundAccept(javaChannel(), this::accepted);
     private int mostAtOnce = 1;
     /** What is run before it closes, once nobody stands in the backlog; null while it goes on. */
@@ -90,7 +82,7 @@
         if (isRegistered()) {
             removeAndSubmit(NioIoOps.ACCEPT); // else the selector reports the same until it is accepted
         }
-        background.begin(eventLoop(), mostAtOnce);
+        background.begin(eventLoop(), mostAtOnce, !untold);
     }
 
     @Override
@@ -135,7 +127,7 @@
         }
     }
 
-    private void open(SocketChannel connection) {
+    private void open(AcceptedConnection connection) {
         try {
             pipeline().fireChannelRead(new ClientSocketChannel(this, connection));
         } catch (RuntimeException | Error e) {
@@ -155,24 +147,24 @@
     }
 
     /** Guards a client that was accepted and may have sent a request: making its channel is tried again. */
-    private void keep(SocketChannel connection) {
+    private void keep(AcceptedConnection connection) {
         if (unready.size() >= MOST_UNREADY) {
             pipeline().fireUserEventTriggered(new Delayed(0, false));
             close(connection);
             return;
         }
-        unready.add(new Unready(connection, System.nanoTime()));
+        unready.add(connection);
         if (unready.size() == 1) {
             eventLoop().schedule(this::tryUnready, PAUSE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
     private void tryUnready() {
-        for (Unready each : List.copyOf(unready)) {
+        for (AcceptedConnection each : List.copyOf(unready)) {
             try {
-                ClientSocketChannel channel = new ClientSocketChannel(this, each.connection);
+                ClientSocketChannel channel = new ClientSocketChannel(this, each);
                 unready.remove(each);
-                pipeline().fireUserEventTriggered(new Delayed(each.waitedMs(), true));
+                pipeline().fireUserEventTriggered(new Delayed(each.acceptedAgoMs(), true));
                 pipeline().fireChannelRead(channel);
             } catch (RuntimeException | Error e) {
                 giveUpIfLate(each);
@@ -183,18 +175,18 @@
         }
     }
 
-    private void giveUpIfLate(Unready late) {
-        if (late.waitedMs() < LONGEST_UNREADY_MS) {
+    private void giveUpIfLate(AcceptedConnection late) {
+        if (late.acceptedAgoMs() < LONGEST_UNREADY_MS) {
             return;
         }
         unready.remove(late);
-        pipeline().fireUserEventTriggered(new Delayed(late.waitedMs(), false));
-        close(late.connection);
+        pipeline().fireUserEventTriggered(new Delayed(late.acceptedAgoMs(), false));
+        close(late);
     }
 
-    private static void close(SocketChannel connection) {
+    private static void close(AcceptedConnection connection) {
         try {
-            connection.close();
+            connection.socket().close();
         } catch (IOException e) {
             // It has ended all the same.
         }
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -300,9 +300,9 @@
                 "a client's connection can't be read: its request is failed, for whether the client left can't be seen");
     }
 
-    /** Notes half a request that is answered as such, so long after its connection began to be served, in milliseconds. */
+    /** Notes half a request that is answered as such, so long after its client began to wait, in milliseconds. */
     void halfRequest(double afterMs) {
-        log.line("half a request is answered with 408, " + Math.round(afterMs) + " ms after its connection was opened");
+        log.line("half a request is answered with 408, " + Math.round(afterMs) + " ms after its client connected");
     }
 
     /** Notes a connection that was about to be closed when something came on it. */
--- a/src/main/java/ivybank/client/ClientSocketChannel.java
+++ b/src/main/java/ivybank/client/ClientSocketChannel.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import ivybank.transport.SteadySocketChannel;
-import java.nio.channels.SocketChannel;
 
 /** A connection that a client has made. */
 final class ClientSocketChannel extends SteadySocketChannel {
@@ -10,7 +9,15 @@
     /** As long as a client that says nothing is kept: one on which no read succeeds says no more. */
     private static final double LONGEST_FAILURE_MS = 2500;
 
-    ClientSocketChannel(Channel parent, SocketChannel accepted) {
-        super(parent, accepted, LONGEST_FAILURE_MS);
+    private final AcceptedConnection accepted;
+
+    ClientSocketChannel(Channel parent, AcceptedConnection accepted) {
+        super(parent, accepted.socket(), LONGEST_FAILURE_MS);
+        this.accepted = accepted;
+    }
+
+    /** For how long its client counts as waiting, in milliseconds. */
+    double waitedMs() {
+        return accepted.waitedMs();
     }
 }
--- /dev/null
+++ b/src/test/java/ivybank/soak/LateAcceptTest.java
@@ -0,0 +1,71 @@
+package ivybank.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import ivybank.soak.FaultySidecar.Agent;
+import ivybank.soak.FaultySidecar.Upstreams;
+import ivybank.testing.SyscallFaults;
+import ivybank.testing.SyscallFaults.Call;
+import ivybank.testing.SyscallFaults.Errno;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Clients whose connections can't be accepted or used at once, and that never send a whole request. */
+@Timeout(60)
+class LateAcceptTest {
+
+    /** What a client that never sends a whole request is told, or closed, within; as the rehearsal's rules have it. */
+    private static final long OWED_MS = 3000;
+
+    private static final long FAULT_MS = 600;
+    private static final List<String> WORDS = List.of("", "GET /read HTTP/1.1\r\nHost");
+
+    @TempDir
+    Path folder;
+
+    // Guards against a wait that begins anew when a connection that was accepted long ago can be used at last.
+    @ParameterizedTest
+    @CsvSource({"GETSOCKOPT, ENOBUFS", "ACCEPT, EMFILE", "ACCEPT, EINTR"})
+    void whoNeverSendsAWholeRequestIsToldInTimeHoweverLateItsConnectionIsServed(Call call, Errno errno)
+            throws Exception {
+        try (Upstreams upstreams = new Upstreams(1);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
+            long connectedNanos = System.nanoTime();
+            List<Socket> clients = new ArrayList<>();
+            for (String words : WORDS) {
+                Socket client = sidecar.connect();
+                client.getOutputStream().write(words.getBytes(StandardCharsets.US_ASCII));
+                clients.add(client);
+            }
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            List<String> late = new ArrayList<>();
+            for (int i = 0; i < clients.size(); i++) {
+                awaitAnswerOrEnd(clients.get(i));
+                long tookMs = (System.nanoTime() - connectedNanos) / 1_000_000;
+                if (tookMs > OWED_MS) {
+                    late.add("'" + WORDS.get(i) + "' was told after " + tookMs + " ms");
+                }
+            }
+            assertEquals(List.of(), late);
+        }
+    }
+
+    private static void awaitAnswerOrEnd(Socket client) {
+        try {
+            client.getInputStream().read();
+        } catch (IOException e) {
+            // A reset is an end, and a read that takes too long is late.
+        }
+    }
+}
