A request that stood unread counts as having come when reads began to fail

What callers saw: a server was told more time than their client had left. Behind 0.6 s in which getsockopt, accepts or reads failed, a request with a budget of 1000 ms was told on with 968, 965 and 966 ms where 369, 390 and 393 were left; 150 ms more are allowed. Cause: the deadline of a request counts from when it was read, and only a stall of the event loop was taken for a sign that it may have come before. Fix: a request carries since when it may have stood in a socket that could not be read; its deadline and what servers are told count from there, as behind a stall. LateAcceptTest.aServerIsTold... failed before on all three calls. Failed try: with the backlog counted for 500 ms at most, as for half a request: 593 ms were told of 386.

--- a/src/main/java/ivybank/client/AcceptedConnection.java
+++ b/src/main/java/ivybank/client/AcceptedConnection.java
@@ -17,6 +17,7 @@
      */
     private static final double MOST_COUNTED_BACKLOG_MS = 500;
 
+    private static final double LONGEST_BACKLOG_MS = 2000;
     private static final double NANOS_IN_MS = 1e6;
 
     /** How long ago it was accepted, in milliseconds. */
@@ -28,4 +29,9 @@
     double waitedMs() {
         return acceptedAgoMs() + Math.min(backlogMs, MOST_COUNTED_BACKLOG_MS);
     }
+
+    /** For how long its client may have waited at most, in milliseconds; where accepts failed for longer, some have just come. */
+    double mostWaitedMs() {
+        return acceptedAgoMs() + Math.min(backlogMs, LONGEST_BACKLOG_MS);
+    }
 }
--- a/src/main/java/ivybank/client/BackgroundAccept.java
+++ b/src/main/java/ivybank/client/BackgroundAccept.java
@@ -28,16 +28,17 @@
 
     private static final long IDLE_THREAD_S = 10;
     private static final double NANOS_IN_MS = 1e6;
+    private static final long NOBODY_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     private final ServerSocketChannel listener;
     private final Consumer<Outcome> receiver;
     private final ThreadPoolExecutor thread;
     private boolean busy;
-    /**
-     * Since when somebody stands in the backlog whom accepts have not taken, or null; used by the thread alone. Java hands back an
-     * interrupted accept as one that found nobody, so that this ends only with a round that has taken all.
-     */
+    // Used by the thread alone.
+    /** Since when somebody stands in the backlog whom accepts have not taken, or null. */
     private Long waitingSinceNanos;
+    /** When an accept has last found nobody, or failed, although somebody was there. */
+    private long leftNanos = System.nanoTime();
 
     /** @param receiver takes the outcome of each round, on the event loop */
     BackgroundAccept(ServerSocketChannel listener, Consumer<Outcome> receiver) {
@@ -95,11 +96,8 @@
         } catch (RuntimeException | Error e) {
             failure = new IOException("nothing can be accepted: " + e, e);
         }
-        if (failure != null || expected && accepted.isEmpty()) {
-            waitingSinceNanos = waitingSinceNanos == null ? (Long) fromNanos : waitingSinceNanos;
-        } else if (!accepted.isEmpty() && accepted.size() < most) {
-            waitingSinceNanos = null; // all were taken
-        }
+        boolean left = failure != null || expected && accepted.isEmpty();
+        noteWaiting(accepted.size(), most, left, fromNanos);
         return new Outcome(accepted, failure, (System.nanoTime() - fromNanos) / NANOS_IN_MS);
     }
 
@@ -109,6 +107,19 @@
         return new AcceptedConnection(socket, nowNanos, (nowNanos - sinceNanos) / NANOS_IN_MS);
     }
 
+    /**
+     * Java hands back an interrupted accept as one that found nobody. So that shows that nobody waits only where nobody was expected
+     * to, and has not been for a while.
+     */
+    private void noteWaiting(int taken, int most, boolean left, long fromNanos) {
+        if (left) {
+            waitingSinceNanos = waitingSinceNanos == null ? (Long) fromNanos : waitingSinceNanos;
+            leftNanos = fromNanos;
+        } else if (taken > 0 ? taken < most : fromNanos - leftNanos > NOBODY_AFTER_NANOS) {
+            waitingSinceNanos = null;
+        }
+    }
+
     private void end(Outcome outcome) {
         busy = false;
         receiver.accept(outcome);
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -113,7 +113,7 @@
     private ChannelHandlerContext context;
     /** Whether what is read next may have come long ago: in the backlog, or while nothing could be read. */
     private boolean mayHaveStood;
-    /** Since when reads have failed, or NaN. */
+    /** Since when nothing could be read here: reads failed, or the connection could not be used yet. NaN once one has succeeded. */
     private double blindSinceMs = Double.NaN;
     /** Whether something that was just read is being taken up: what this channel holds has been looked at. */
     private boolean inRead;
@@ -184,7 +184,11 @@
         context = ctx;
         reader.source(this);
         freeSinceMs = clock.nowMs();
-        connectedMs = freeSinceMs - (ctx.channel() instanceof ClientSocketChannel channel ? channel.waitedMs() : 0);
+        connectedMs = freeSinceMs;
+        if (ctx.channel() instanceof ClientSocketChannel channel) {
+            connectedMs = freeSinceMs - channel.accepted().waitedMs();
+            blindSinceMs = freeSinceMs - channel.accepted().mostWaitedMs();
+        }
         mayHaveStood = server.heldBackOfLate();
         server.opened(this);
     }
@@ -540,6 +544,7 @@
             return new Arrival(null, TOO_LARGE, false); // what is on record is kept whole
         }
         long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
+        double nowMs = clock.nowMs();
         return new Arrival(
                 new ClientRequest(
                         method,
@@ -550,7 +555,8 @@
                         requestClass,
                         server.tenantOf(head.headers().get(CALLER)),
                         "1".equals(head.headers().get(AGAIN)),
-                        clock.nowMs(),
+                        nowMs,
+                        Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs,
                         budgetMs,
                         identity,
                         null,
--- a/src/main/java/ivybank/client/ClientSocketChannel.java
+++ b/src/main/java/ivybank/client/ClientSocketChannel.java
@@ -16,8 +16,8 @@
         this.accepted = accepted;
     }
 
-    /** For how long its client counts as waiting, in milliseconds. */
-    double waitedMs() {
-        return accepted.waitedMs();
+    /** The connection as it was accepted. */
+    AcceptedConnection accepted() {
+        return accepted;
     }
 }
--- a/src/main/java/ivybank/daemon/RequestDeadline.java
+++ b/src/main/java/ivybank/daemon/RequestDeadline.java
@@ -22,15 +22,16 @@
     private RequestDeadline() {}
 
     /**
-     * The time by which a request has to be answered. One that stood in a socket while the event loop stalled has been out for
-     * longer than since it was read. Not all of the stall is taken off, and a little is left in any case: the request may also
+     * The time by which a request has to be answered. One that stood in a socket while the event loop stalled, or while nothing
+     * could be read there, has been out for longer than since it was read. Not all of that is taken off, and a little is left in any case: the request may also
      * have come just now, and could be served.
      */
     static double atMs(ClientRequest request, double nowMs, EventLoopStallDetector stalls) {
         double leastMs = nowMs + Math.min(LEAST_LEFT_MS, LEAST_LEFT_PART * request.budgetMs());
         double byReadingMs = request.arrivedMs() + request.budgetMs();
-        double byStallMs = stalls.earliestMs(nowMs) + LATE_MS + request.budgetMs();
-        return Math.min(byReadingMs, Math.max(leastMs, byStallMs));
+        double earliestMs = Math.min(request.earliestArrivalMs(), stalls.earliestMs(nowMs));
+        double byArrivalMs = earliestMs + LATE_MS + request.budgetMs();
+        return Math.min(byReadingMs, Math.max(leastMs, byArrivalMs));
     }
 
     /** What is kept of the request's time for the way of the answer. */
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -6,7 +6,8 @@
  * A client's request as it goes on to upstreams; {@code idempotencyKey} is null where it came without one, {@code identity}
  * where it has none or nobody asks for it, {@code record} where nothing need be on record before it is sent. Of a long one {@code body} is the beginning and
  * {@code rest} what is still to come, {@code length} that of all or -1 where only its end will tell; its time counts from its
- * last byte, which comes after {@code arrivedMs}. {@code client} is the connection on which it came.
+ * last byte, which comes after {@code arrivedMs}: when it was read. {@code earliestArrivalMs}: since when it may have stood in a
+ * socket that could not be read before that. {@code client} is the connection on which it came.
  */
 public record ClientRequest(
         HttpMethod method,
@@ -18,6 +19,7 @@
         int tenant,
         boolean repeat,
         double arrivedMs,
+        double earliestArrivalMs,
         double budgetMs,
         String identity,
         SendRecord record,
@@ -48,6 +50,7 @@
                 tenant,
                 repeat,
                 arrivedMs,
+                arrivedMs,
                 budgetMs,
                 identity,
                 record,
@@ -73,6 +76,7 @@
                 tenant,
                 repeat,
                 arrivedMs,
+                earliestArrivalMs,
                 budgetMs,
                 identity,
                 kept,
--- a/src/test/java/ivybank/soak/LateAcceptTest.java
+++ b/src/test/java/ivybank/soak/LateAcceptTest.java
@@ -1,6 +1,7 @@
 package ivybank.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.soak.FaultySidecar.Agent;
 import ivybank.soak.FaultySidecar.Upstreams;
@@ -13,6 +14,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,6 +30,16 @@
     private static final long OWED_MS = 3000;
 
     private static final long FAULT_MS = 600;
+    /** What the client of a whole request gives it. */
+    private static final long BUDGET_MS = 1000;
+
+    private static final String REQUEST =
+            "GET /read?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: late\r\nX-Budget-Ms: " + BUDGET_MS + "\r\n\r\n";
+    /** What a server may be told beyond that. */
+    private static final long TOLD_SLACK_MS = 150;
+    /** From the send to the answer, at least. */
+    private static final long ANSWERED_MS = 5;
+
     private static final List<String> WORDS = List.of("", "GET /read HTTP/1.1\r\nHost");
 
     @TempDir
@@ -61,6 +75,30 @@
         }
     }
 
+    // Guards against a server that is told more time than the client of a connection that was read late has left.
+    @ParameterizedTest
+    @CsvSource({"GETSOCKOPT, ENOBUFS", "ACCEPT, EMFILE", "SOCKET_READ, ETIMEDOUT"})
+    void aServerIsToldWhatTheClientHasLeftHoweverLateItsConnectionIsRead(Call call, Errno errno) throws Exception {
+        try (Upstreams upstreams = new Upstreams(1);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
+            long sentNanos = System.nanoTime();
+            Socket client = sidecar.connect();
+            client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            assertTrue(client.getInputStream().read() >= 0, "it is answered");
+            long leftMs = BUDGET_MS - (System.nanoTime() - sentNanos) / 1_000_000;
+            String sent = upstreams.servers.get(0).requests.poll(5, TimeUnit.SECONDS);
+            Matcher told = Pattern.compile("X-Budget-Ms: (\\d+)").matcher(sent);
+            assertTrue(told.find(), sent);
+            // What it has left is looked at once it is answered: some ms later.
+            long mostMs = leftMs + TOLD_SLACK_MS + ANSWERED_MS;
+            assertTrue(Long.parseLong(told.group(1)) <= mostMs, told.group() + " of " + leftMs + " ms");
+        }
+    }
+
     private static void awaitAnswerOrEnd(Socket client) {
         try {
             client.getInputStream().read();
