Discovery is followed from the first moment of a process, not once it is ready

Cause: the first call to discovery came behind the opening of the store, which is tried for up to 10 s while its folder is full, and behind the warm-up. Changes count as told 6 s after discovery had them and could be reached, from the first moment of a process. Fix: the module and discovery start as soon as there is an event loop; store, admin endpoint and warm-up come beside them, and the listener when all is there.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -146,7 +146,6 @@
     private final Descriptors descriptors;
     private final UpstreamPool pool;
     private final RequestDispatcher dispatcher;
-    private final ClientServer server;
     private final Discovery discovery;
     private final Log log;
     private final Clock clock;
@@ -157,7 +156,14 @@
     private final SecondTally tally = new SecondTally();
     private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
-    private final PromiseKeeper promises; // null: none are kept
+    private final StoreSettings store; // null: no promises are kept
+    private final int clientSockets;
+    /** Done once clients may be served as far as discovery is concerned: it was asked, or need not be before. */
+    private final Promise<Void> askedEnough;
+
+    private boolean follows;
+    private volatile PromiseKeeper promises; // null: none are kept, or not yet
+    private volatile ClientServer server; // null until it is prepared
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ServerSocketChannel inherited; // null: it listens by itself
     private volatile Handover handover; // null: no other process takes over
@@ -169,6 +175,8 @@
     /** Whether clients' connections are accepted, or would be if there were room. */
     private volatile boolean listening;
 
+    private final EventLoopStallDetector beforeSends;
+    private final EventLoopStallDetector ofRequests;
     private final ConfigReload configReload;
     private final DrainSequence drain;
 
@@ -187,6 +195,7 @@
             ServerSocketChannel inherited)
             throws IOException {
         this.inherited = inherited;
+        this.store = store;
         this.config = config;
         this.drainTimes = drainTimes;
         this.timing = timing;
@@ -198,14 +207,14 @@
                 e -> false,
                 () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
         loop = group.next();
+        askedEnough = loop.newPromise();
         timeline.reached("event loop made");
         watchdog = new Watchdog(loop, clock, log);
         guard = new InvariantGuard(log::line);
         int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
         descriptors = new Descriptors(sockets);
         int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
-        int clients = Math.max(1, (int) (sockets * CLIENT_PART));
-        int refused = Math.max(1, (int) (clients * REFUSED_PART));
+        clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
         UpstreamPool.Limits limits = UpstreamPool.Limits.usual(
                 upstreams,
                 (int) config.connectTimeoutMs(),
@@ -225,18 +234,6 @@
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         dispatcher = new RequestDispatcher(
                 config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
-        promises = store == null ? null : promises(store);
-        timeline.reached(store == null ? "no store" : "store open");
-        int served = clients - refused;
-        int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
-        server = new ClientServer(
-                config.settings(),
-                promises == null ? dispatcher : promises,
-                clock,
-                new ClientServer.Limits(comfortable, served, clients, Math.max(2, config.sockets() / FOR_REQUESTS)),
-                descriptors,
-                store == null ? null : store.promises().header(),
-                log);
         discovery = new Discovery(
                 loop,
                 base.clone().channel(DiscoverySocketChannel.class),
@@ -249,6 +246,29 @@
                 log);
         configReload = new ConfigReload(loop, file, discovery::moveTo, clock, log);
         drain = new DrainSequence(clock, log);
+        beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
+        ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
+    }
+
+    /**
+     * Opens the store and makes the clients' side. May take long where the system fails it for a moment, so that discovery is
+     * followed before.
+     */
+    private void prepare() throws IOException {
+        promises = store == null ? null : openPromises();
+        timeline.reached(store == null ? "no store" : "store open");
+        int refused = Math.max(1, (int) (clientSockets * REFUSED_PART));
+        int served = clientSockets - refused;
+        int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
+        int forRequests = Math.max(2, config.sockets() / FOR_REQUESTS);
+        server = new ClientServer(
+                config.settings(),
+                promises == null ? dispatcher : promises,
+                clock,
+                new ClientServer.Limits(comfortable, served, clientSockets, forRequests),
+                descriptors,
+                store == null ? null : store.promises().header(),
+                log);
     }
 
     /**
@@ -278,6 +298,8 @@
                 timing,
                 more == null ? null : more.store(),
                 InheritedListener.listener(environment));
+        sidecar.follow();
+        sidecar.prepare();
         if (more != null && more.peers() != null) {
             sidecar.among(
                     Peers.of(
@@ -366,7 +388,7 @@
         EventLoopTasks.execute(loop, () -> watchdog.watch(rounds));
     }
 
-    private PromiseKeeper promises(StoreSettings store) throws IOException {
+    private PromiseKeeper openPromises() throws IOException {
         try {
             PromiseKeeper keeper = StartRetry.call(
                     "opening the store",
@@ -381,10 +403,20 @@
         }
     }
 
-    /** Starts the module with the list as it was last known, then listens and follows discovery. */
+    /** Follows discovery, and listens once all is there that clients need. */
     InetSocketAddress start() throws IOException {
+        follow();
+        if (server == null) {
+            prepare();
+        }
         Promise<Channel> bound = loop.newPromise();
-        loop.execute(() -> begin(bound));
+        askedEnough.addListener(asked -> {
+            if (asked.isSuccess()) {
+                serve(bound);
+            } else {
+                bound.tryFailure(asked.cause());
+            }
+        });
         bound.awaitUninterruptibly();
         if (!bound.isSuccess()) {
             group.shutdownGracefully();
@@ -421,9 +453,13 @@
                 loop);
     }
 
-    private void begin(Promise<Channel> bound) {
+    /** Begins to serve clients. On the event loop. */
+    private void serve(Promise<Channel> bound) {
         try {
-            follow(() -> listen(bound, 1));
+            server.heeds(guard);
+            server.mind(List.of(beforeSends, ofRequests));
+            server.startSweeps(loop).forEach(watchdog::watch);
+            listen(bound, 1);
         } catch (RuntimeException e) {
             bound.tryFailure(e);
         }
@@ -444,26 +480,36 @@
     }
 
     /**
-     * Starts the module with the list as it was last known, and discovery. Guards nodes that have begun to drain before this
-     * process was there: where lists are pushed, what the agent has counts as told from a process's first moment, so that
-     * nothing is served before the agent has been asked, and has answered or is seen not to.
+     * Starts the module with the list as it was last known, and discovery: before anything that may take long, for what discovery
+     * tells counts from the first moment of a process. Guards nodes that have begun to drain before this process was there: where
+     * lists are pushed nothing is served before the agent has been asked, and has answered or is seen not to.
      */
-    private void follow(Runnable thenListen) {
+    private void follow() {
+        if (follows) {
+            return;
+        }
+        follows = true;
+        loop.execute(() -> {
+            try {
+                beginToFollow();
+            } catch (RuntimeException e) {
+                askedEnough.tryFailure(e);
+            }
+        });
+    }
+
+    private void beginToFollow() {
         pool.countIn(tally);
         dispatcher.countIn(tally);
         discovery.countIn(tally);
         ListLease lease = ListLease.usual(timing.asked(), config.drainGraceMs());
         discovery.renews(lease);
         dispatcher.heeds(lease, guard);
-        server.heeds(guard);
         watchdog.watch(discovery);
         watchdog.watch(configReload);
         pool.chains().forEach(watchdog::watch);
-        EventLoopStallDetector beforeSends = EventLoopStallDetector.beforeSends(config.drainGraceMs(), clock.nowMs());
-        EventLoopStallDetector ofRequests = EventLoopStallDetector.ofRequests(clock.nowMs());
         pool.mind(beforeSends);
         dispatcher.mind(ofRequests, beforeSends);
-        server.mind(List.of(beforeSends, ofRequests));
         look(beforeSends);
         look(ofRequests);
         every("verification of the call to discovery", VERIFY_MS, discovery::verify);
@@ -471,12 +517,12 @@
                 + config.known().entries().size() + " nodes; limits: " + config.limits());
         dispatcher.start(config.known());
         if (timing.asked()) {
-            thenListen.run();
+            askedEnough.trySuccess(null);
         } else {
             discovery.onFirstWord(() -> {
                 timeline.reached("discovery heard or given up for now");
                 discoveryAsked = true;
-                thenListen.run();
+                askedEnough.trySuccess(null);
             });
         }
         timeline.reached("discovery called");
@@ -484,7 +530,6 @@
         tallyDueMs = clock.nowMs() + TALLY_MS;
         watchdog.watch(PeriodicTask.startAtRate("tally of each second", loop, clock, log, TALLY_MS, this::tally));
         every("report", REPORT_MS, this::report);
-        server.startSweeps(loop).forEach(watchdog::watch);
         watchdog.start();
     }
 
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -3,6 +3,8 @@
 import ivybank.testing.FakeServer;
 import ivybank.testing.ShortNight;
 import ivybank.testing.SyscallFaults;
+import ivybank.testing.SyscallFaults.Call;
+import ivybank.testing.SyscallFaults.Errno;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -88,14 +90,33 @@
             String arguments)
             throws Exception {
         int port = freePort();
-        Path config = Files.writeString(folder.resolve("config.json"), config(port, discovery, upstreams));
         SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
         faults.wallClockAhead(wallClockAheadMs);
-        FaultySidecar sidecar = new FaultySidecar(folder, config, port, faults, before, arguments);
+        FaultySidecar sidecar = begin(folder, port, config(port, discovery, upstreams), faults, before, arguments);
         sidecar.awaitReady();
         return sidecar;
     }
 
+    /** One that asks for lists and keeps a store; its folder is full from the start on, so that it does not get ready. */
+    static FaultySidecar beginWithFullFolder(Path folder, FakeServer discovery, Upstreams upstreams) throws Exception {
+        int port = freePort();
+        SyscallFaults faults = new SyscallFaults(folder.resolve("faults"));
+        faults.fail(Call.FULL_FOLDER, Errno.ENOSPC, SyscallFaults.ALWAYS);
+        Path operator = Files.writeString(
+                folder.resolve("operator.toml"),
+                "[store]\nfolder = \"" + folder.resolve("store") + "\"\nfirst_start = \"make\"\n");
+        String asking = config(port, discovery, upstreams)
+                .replace("\"instances\":1", "\"instances\":1,\"membershipMode\":\"ask\"");
+        return begin(folder, port, asking, faults, "", "--operator '" + operator + "'");
+    }
+
+    private static FaultySidecar begin(
+            Path folder, int port, String config, SyscallFaults faults, String before, String arguments)
+            throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        return new FaultySidecar(folder, file, port, faults, before, arguments);
+    }
+
     /** The configuration of one that listens at this port. */
     static String config(int port, FakeServer discovery, Upstreams upstreams) {
         return """
@@ -123,7 +144,7 @@
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
-    private void awaitReady() throws Exception {
+    void awaitReady() throws Exception {
         long until = System.nanoTime() + READY_MS * 1_000_000;
         while (System.nanoTime() < until) {
             if (!process.isAlive()) {
@@ -236,12 +257,15 @@
         private final Upstreams upstreams;
         private final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
         final AtomicInteger calls = new AtomicInteger();
+        /** Whether it has nothing to say to anyone, as while discovery is down. */
+        private volatile boolean silent;
 
         Agent(Upstreams upstreams) throws IOException {
             this.upstreams = upstreams;
             server = new FakeServer(connection -> {
                 calls.incrementAndGet();
                 for (String call = connection.read(); call != null; call = connection.read()) {
+                    awaitWord();
                     String list = upstreams.list();
                     if (call.contains("stream=1")) {
                         connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
@@ -258,13 +282,25 @@
             return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
         }
 
-        private static void beat(FakeServer.Connection connection) throws IOException, InterruptedException {
+        private void beat(FakeServer.Connection connection) throws IOException, InterruptedException {
             while (true) {
                 Thread.sleep(2000);
+                awaitWord();
                 connection.write(chunk(""));
             }
         }
 
+        private void awaitWord() throws InterruptedException {
+            while (silent) {
+                Thread.sleep(5);
+            }
+        }
+
+        /** From now on says nothing, or answers what has waited meanwhile. */
+        void silence(boolean on) {
+            silent = on;
+        }
+
         /** Tells the list as it is now on all open watches. */
         void tell() {
             for (FakeServer.Connection watch : List.copyOf(watches)) {
