A call to discovery is heard out where reads fail here, and the lease covers all such spans

Cause: reads failed for 460 ms; a call was closed after 100 ms of that, with the answer unread in its socket, and the next one met an agent that was silent by then. The lease, which stops sends by a list that may be old, ran only where a socket could not be made. Fix: a call that can't be read or written is kept until it is read out, up to 3 s. The lease follows the spans in which nothing was heard, whatever the reason was here; a call that discovery leaves unanswered covers its time. Where lists are asked for it also runs from the start of the process.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -19,6 +19,7 @@
 import ivybank.common.EventLoopStallDetector;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
+import ivybank.common.ProcessAge;
 import ivybank.control.AdminTarget;
 import ivybank.control.SiblingProcesses;
 import ivybank.discovery.Directory;
@@ -503,6 +504,7 @@
         dispatcher.countIn(tally);
         discovery.countIn(tally);
         ListLease lease = ListLease.usual(timing.asked(), config.drainGraceMs());
+        lease.beginsAt(clock.nowMs() - ProcessAge.nowMs());
         discovery.renews(lease);
         dispatcher.heeds(lease, guard);
         watchdog.watch(discovery);
--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -172,7 +172,8 @@
             return;
         }
         tally.called();
-        DiscoveryCall call = new DiscoveryCall(this, timing, silent, timing.asksForAll(silent) ? -1 : seq, newest);
+        DiscoveryCall call =
+                new DiscoveryCall(this, timing, clock, silent, timing.asksForAll(silent) ? -1 : seq, newest);
         current = call;
         enter(State.CONNECTING, timing.connectMs());
         Bootstrap calling = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
@@ -222,6 +223,9 @@
     public void restart() {
         DiscoveryCall lost = current;
         cancelNextStart();
+        if (lost != null && state != State.PAUSING) {
+            lease.ended(clock.nowMs(), false);
+        }
         try {
             start();
         } finally {
@@ -264,6 +268,7 @@
     /** Hears of the end of one call, however it came about. */
     private final class CallEnd implements OutboundConnection.Listener {
         private final DiscoveryCall call;
+        private final double begunMs = clock.nowMs();
 
         CallEnd(DiscoveryCall call) {
             this.call = call;
@@ -276,19 +281,20 @@
 
         @Override
         public void failed(Throwable cause, boolean local) {
-            if (call == current && local) {
-                lease.failedLocally(clock.nowMs());
+            if (call == current && !local) {
+                lease.asked(begunMs); // it can't be reached
             }
-            ended("not connected" + (local ? " for want of something here: " : ": ") + cause.getMessage());
+            ended(local, "not connected" + (local ? " for want of something here: " : ": ") + cause.getMessage());
         }
 
         @Override
         public void closed() {
-            ended(call.failure());
+            ended(false, call.failure());
         }
 
-        private void ended(String why) {
+        private void ended(boolean here, String why) {
             if (call == current) {
+                lease.ended(clock.nowMs(), here);
                 tally.callFailed("ended");
                 logEnd(why);
                 lost(why);
@@ -351,6 +357,34 @@
         }
     }
 
+    @Override
+    public void asked(DiscoveryCall call) {
+        if (call == current) {
+            lease.asked(clock.nowMs());
+        }
+    }
+
+    @Override
+    public void unreadableForNow(DiscoveryCall call) {
+        if (call == current) {
+            lease.unreadable(clock.nowMs());
+        }
+    }
+
+    @Override
+    public void readOut(DiscoveryCall call) {
+        if (call == current) {
+            lease.readOut();
+        }
+    }
+
+    @Override
+    public void listed(DiscoveryCall call, double askedMs, boolean spoilt) {
+        if (call == current) {
+            lease.heardList(askedMs, spoilt);
+        }
+    }
+
     /**
      * There is life in the call at hand. Guards against pauses that stay long: a watch that had come up well and brought
      * nothing but empty lines left them as they had grown, and its next break was answered seconds late.
@@ -370,7 +404,7 @@
         reachable = true;
         endsInVain = 0;
         pauseMs = Timing.FIRST_PAUSE_MS;
-        lease.renew(clock.nowMs());
+        lease.heard();
     }
 
     @Override
--- a/src/main/java/ivybank/discovery/DiscoveryCall.java
+++ b/src/main/java/ivybank/discovery/DiscoveryCall.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import ivybank.common.Clock;
 import ivybank.common.Json;
 import ivybank.supervision.OutboundConnection;
 import ivybank.transport.SteadySocketChannel;
@@ -30,6 +31,15 @@
         /** Whether what this call brings still counts. */
         boolean heeds(DiscoveryCall call);
 
+        /** Its request is with discovery from now on. */
+        void asked(DiscoveryCall call);
+
+        /** It can't be read at the moment. */
+        void unreadableForNow(DiscoveryCall call);
+
+        /** All that had come on it has been read, and it goes on. */
+        void readOut(DiscoveryCall call);
+
         /** It waits now for a list, or for what comes next on its watch, for so many milliseconds at most. */
         void waits(DiscoveryCall call, boolean watching, long mostMs);
 
@@ -42,6 +52,14 @@
         /** Something came that can't be read: only the whole list makes up for what it may have said. */
         void unreadable(DiscoveryCall call);
 
+        /**
+         * It was answered with a list; its watch is yet to follow.
+         *
+         * @param askedMs when it was asked for
+         * @param spoilt whether it could not be read for a while meanwhile
+         */
+        void listed(DiscoveryCall call, double askedMs, boolean spoilt);
+
         /** It was answered with this status, which is no list. */
         void refused(int status);
 
@@ -62,6 +80,8 @@
 
     private static final String LIST = "/registry/instances";
     private static final String WATCH = LIST + "?stream=1&index=";
+    private static final String NO_ANSWER = "no answer within ";
+    private static final String SILENT_FOR = "silent for ";
     private static final int OK = 200;
     private static final int MOST_BYTES = 4 << 20;
     /** What has come while the event loop was held up is looked at before anything counts as missing. */
@@ -69,6 +89,7 @@
 
     private final Owner owner;
     private final Timing timing;
+    private final Clock clock;
     /** Watches in a row that had fallen silent when this call was begun. */
     private final int silentBefore;
     /** The connection that it is on. */
@@ -88,12 +109,22 @@
     boolean firstSinceMove;
     /** Whether this watch has brought a word. */
     private boolean word;
+    /** Whether its last request has been written, when, and whether anything has come in answer. */
+    private boolean delivered;
+
+    private double askedMs;
+    private boolean answered;
+    /** Whether it can't be read at the moment, and whether that was so since its last request. */
+    private boolean unreadable;
+
+    private boolean spoilt;
     /** What it ended of, as far as that is known here. */
     private String failure = "its connection was closed";
 
-    DiscoveryCall(Owner owner, Timing timing, int silentBefore, long version, long before) {
+    DiscoveryCall(Owner owner, Timing timing, Clock clock, int silentBefore, long version, long before) {
         this.owner = owner;
         this.timing = timing;
+        this.clock = clock;
         this.silentBefore = silentBefore;
         this.version = version;
         this.before = Math.max(version, before);
@@ -114,10 +145,24 @@
     /** Looks at its connection without being told to: a registration with the selector may have failed, which Java tells nobody. */
     void verify() {
         if (context != null && context.channel() instanceof SteadySocketChannel channel) {
-            channel.verify();
+            SteadySocketChannel.Input found = channel.verify();
+            if (unreadable && found == SteadySocketChannel.Input.READ_OUT && channel.isActive()) {
+                unreadable = false;
+                owner.readOut(this);
+            }
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == SteadySocketChannel.Event.READ_FAILED) {
+            unreadable = true;
+            spoilt = true;
+            owner.unreadableForNow(this);
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) throws IOException {
         text = ctx.alloc().buffer();
@@ -126,14 +171,31 @@
 
     private void ask() throws IOException {
         watching = version >= 0;
-        guard(timing.firstAnswerMs(), "no answer within ");
+        delivered = false;
+        answered = false;
+        spoilt = unreadable;
+        askedMs = clock.nowMs();
+        guard(timing.firstAnswerMs(), NO_ANSWER);
         if (watching) {
             values = new ListValues(MOST_BYTES);
         }
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, watching ? WATCH + version : LIST);
         request.headers().set(HttpHeaderNames.HOST, "discovery");
-        context.writeAndFlush(request);
+        context.writeAndFlush(request).addListener(written -> {
+            if (written.isSuccess()) {
+                delivered();
+            }
+        });
+    }
+
+    /** Writing it may have taken long: only from now on can it be answered. */
+    private void delivered() {
+        delivered = true;
+        owner.asked(this);
+        if (!answered) {
+            guard(timing.firstAnswerMs(), NO_ANSWER);
+        }
     }
 
     /** What it waits for now, and for how long: only that, or what goes before it, ends the wait, not any byte. */
@@ -146,10 +208,7 @@
                         () -> {
                             guard = context.channel()
                                     .eventLoop()
-                                    .schedule(
-                                            () -> missed(what + mostMs + " ms"),
-                                            ONE_MORE_PASS_MS,
-                                            TimeUnit.MILLISECONDS);
+                                    .schedule(() -> missed(mostMs, what), ONE_MORE_PASS_MS, TimeUnit.MILLISECONDS);
                         },
                         mostMs,
                         TimeUnit.MILLISECONDS);
@@ -161,11 +220,16 @@
         }
     }
 
-    private void missed(String what) {
+    /** Guards what stands unread in the socket: closing would drop it, and this machine is the reason that it was not read. */
+    private void missed(long mostMs, String what) {
+        if (unreadable || !delivered) {
+            guard(mostMs, what);
+            return;
+        }
         if (watching) {
             owner.silent(this, word);
         }
-        exceptionCaught(context, new IOException(what));
+        exceptionCaught(context, new IOException(what + mostMs + " ms"));
     }
 
     @Override
@@ -176,12 +240,13 @@
         if (message.decoderResult().isFailure()) {
             throw new IOException("what came is no HTTP");
         }
+        answered = true;
         if (message instanceof HttpResponse response) {
             if (response.status().code() != OK) {
                 owner.refused(response.status().code());
                 throw new IOException("it answers " + response.status().code());
             }
-            guard(watching ? timing.wordMs(silentBefore) : timing.silenceMs(), "silent for ");
+            guard(watching ? timing.wordMs(silentBefore) : timing.silenceMs(), SILENT_FOR);
         }
         if (message instanceof HttpContent content) {
             if (watching) {
@@ -210,6 +275,7 @@
         }
         text.clear();
         read(list);
+        owner.listed(this, askedMs, spoilt);
         ask();
     }
 
@@ -224,7 +290,7 @@
             read(value);
         }
         if (piece.isSignOfLife()) {
-            guard(timing.silenceMs(), "silent for ");
+            guard(timing.silenceMs(), SILENT_FOR);
             word = true;
             owner.alive(this);
         }
--- a/src/main/java/ivybank/discovery/DiscoverySocketChannel.java
+++ b/src/main/java/ivybank/discovery/DiscoverySocketChannel.java
@@ -5,8 +5,11 @@
 /** A connection to discovery. */
 public final class DiscoverySocketChannel extends SteadySocketChannel {
 
-    /** Less than a drain's grace: a call on which nothing can be read is followed by another one. */
-    private static final double LONGEST_FAILURE_MS = 100;
+    /**
+     * As long as a watch may be silent. What discovery has told stands in the socket meanwhile, and would be lost with it; another
+     * call fares no better, for Linux reports an error of one connection once.
+     */
+    private static final double LONGEST_FAILURE_MS = 3000;
 
     public DiscoverySocketChannel() {
         super(LONGEST_FAILURE_MS);
--- a/src/test/java/ivybank/soak/Load.java
+++ b/src/test/java/ivybank/soak/Load.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -13,7 +14,10 @@
     private final FaultySidecar sidecar;
     private final long betweenMs;
     private final AtomicBoolean over = new AtomicBoolean();
+    private static final String SERVED = "HTTP/1.1 200";
+
     private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
 
     /** @param betweenMs what each client waits between an answer and its next request, in milliseconds */
     Load(FaultySidecar sidecar, int clients, long betweenMs) {
@@ -27,6 +31,11 @@
         }
     }
 
+    /** Requests that were served so far, and not refused or failed. */
+    int served() {
+        return served.get();
+    }
+
     /** Requests that were answered so far. */
     int answered() {
         return answered.get();
@@ -51,9 +60,13 @@
     private void request(Socket socket, String id) throws IOException {
         socket.getOutputStream().write(FaultySidecar.request(id));
         byte[] bytes = new byte[1024];
-        if (socket.getInputStream().read(bytes) > 0) {
+        int count = socket.getInputStream().read(bytes);
+        if (count > 0) {
             answered.incrementAndGet();
         }
+        if (count >= SERVED.length() && new String(bytes, 0, count, StandardCharsets.US_ASCII).startsWith(SERVED)) {
+            served.incrementAndGet();
+        }
     }
 
     @Override
