A process's age is by the monotonic clock since its first line; views keep their logs

The list of a process's start counts as heard when the process began. Its age came from the kernel's record, which a clock that is led elsewhere does not share; now it is the time since the first line of the program and 1 s for what the runtime takes before. ViewsTest keeps its folder where it fails, as its entry had neither the processes' logs nor the kit's.

--- a/src/main/java/ivybank/Main.java
+++ b/src/main/java/ivybank/Main.java
@@ -1,6 +1,7 @@
 package ivybank;
 
 import ivybank.cli.Ivybank;
+import ivybank.common.ProcessAge;
 import ivybank.daemon.Sidecar;
 import ivybank.simhost.SimHost;
 import ivybank.toml.InputException;
@@ -16,6 +17,7 @@
 
     /** The two hosts take a short cut past the command line: a restart has half a core. */
     public static void main(String[] args) {
+        ProcessAge.sinceFirstLineMs();
         String host = args.length == 0 ? "" : args[0];
         boolean operator = args.length == 3 && host.equals("serve") && args[1].equals("--operator");
         try {
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -299,7 +299,7 @@
                 timing,
                 more == null ? null : more.store(),
                 InheritedListener.listener(environment));
-        sidecar.follow();
+        sidecar.follow(ProcessAge.mostMs());
         sidecar.prepare();
         if (more != null && more.peers() != null) {
             sidecar.among(
@@ -406,7 +406,7 @@
 
     /** Follows discovery, and listens once all is there that clients need. */
     InetSocketAddress start() throws IOException {
-        follow();
+        follow(0);
         if (server == null) {
             prepare();
         }
@@ -484,27 +484,30 @@
      * Starts the module with the list as it was last known, and discovery: before anything that may take long, for what discovery
      * tells counts from the first moment of a process. Guards nodes that have begun to drain before this process was there: where
      * lists are pushed nothing is served before the agent has been asked, and has answered or is seen not to.
+     *
+     * @param listAgeMs how old the list that the process began with may be, in milliseconds
      */
-    private void follow() {
+    private void follow(double listAgeMs) {
         if (follows) {
             return;
         }
         follows = true;
+        double listAtMs = clock.nowMs() - listAgeMs;
         loop.execute(() -> {
             try {
-                beginToFollow();
+                beginToFollow(listAtMs);
             } catch (RuntimeException e) {
                 askedEnough.tryFailure(e);
             }
         });
     }
 
-    private void beginToFollow() {
+    private void beginToFollow(double listAtMs) {
         pool.countIn(tally);
         dispatcher.countIn(tally);
         discovery.countIn(tally);
         ListLease lease = ListLease.usual(timing.asked(), config.drainGraceMs());
-        lease.beginsAt(clock.nowMs() - ProcessAge.nowMs());
+        lease.beginsAt(listAtMs);
         discovery.renews(lease);
         dispatcher.heeds(lease, guard);
         watchdog.watch(discovery);
--- a/src/main/java/ivybank/daemon/StartTimeline.java
+++ b/src/main/java/ivybank/daemon/StartTimeline.java
@@ -7,11 +7,12 @@
 /** When this process reached each step of its start, for the log. Used by the threads that take part in the start. */
 final class StartTimeline {
 
-    private final StringJoiner steps = new StringJoiner(", ", "start of the process, age at each step: ", "");
+    private final StringJoiner steps =
+            new StringJoiner(", ", "start of the process, time since its first line at each step: ", "");
 
     /** A step of the start has just been reached. */
     synchronized void reached(String step) {
-        steps.add(String.format(Locale.ROOT, "%s %.0f ms", step, ProcessAge.nowMs()));
+        steps.add(String.format(Locale.ROOT, "%s %.0f ms", step, ProcessAge.sinceFirstLineMs()));
     }
 
     @Override
--- a/src/test/java/ivybank/rehearsal/ViewsTest.java
+++ b/src/test/java/ivybank/rehearsal/ViewsTest.java
@@ -21,6 +21,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What sidecars see of one another: real processes with faults between them, and the kit's own judgement of it. */
@@ -30,7 +31,7 @@
     private static final String FIVE = ShortNight.TOML.replace("rate = 50\nsidecars = 1", "rate = 60\nsidecars = 5")
             + "[peers]\non = true\nnever = 2\n";
 
-    @TempDir
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
     Path dir;
 
     @Test
