--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -32,8 +32,6 @@
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.peers.PeerFleet;
-import ivybank.policy.Balancer.RequestClass;
-import ivybank.policy.Balancer.Settings;
 import ivybank.policy.LoadShiftingBalancer;
 import ivybank.promises.PromiseKeeper;
 import ivybank.supervision.Chain;
@@ -74,33 +72,11 @@
     /** Of what a client sends the system holds little more than this: its end may stand behind all that. */
     private static final int READ_AHEAD_BYTES = 256 * 1024;
 
-    private static final int RESERVED_DESCRIPTORS = 24; // for the listener, discovery, files and the selector
-    /** Of the other descriptors, together more than all: what one side leaves the other may use. */
-    private static final double UPSTREAM_PART = 0.5;
-
-    private static final double CLIENT_PART = 0.7;
-    /** Of all descriptors: the client may have a third for requests, and must not run out of them. */
-    private static final double COMFORTABLE_PART = 0.31;
-
-    private static final int FOR_REQUESTS = 3;
-    private static final double REFUSED_PART = 0.06; // of the client's: connections that are only told to come back
     /** A node with many connections open is slower; an idle one costs as much as a new one within a few seconds. */
     private static final double LONGEST_IDLE_MS = 3000;
 
     private static final double PART_OF_IDLE_LIMIT = 0.5;
     private static final long REPORT_MS = 10_000;
-    /** After the signal new connections still come for up to 0.4 s. */
-    private static final long STOP_LISTENING_MS = 600;
-
-    private static final long LEAST_LISTENING_MS = 450;
-    /** The process is left the longest deadline, or so much if that is less, and a while more to end in. */
-    private static final double LONGEST_TIME_TO_END_MS = 3000;
-
-    private static final double MORE_TIME_TO_END_MS = 700;
-    private static final double END_MARGIN_MS = 200;
-    /** Of the longest time in which an answer is of use: what is taken last is left this much, and most take less. */
-    private static final double LAST_PART = 0.3;
-
     private static final long POLL_MS = 5;
     /** How often a call to discovery is looked at of which the selector has told nothing: well within a drain's grace. */
     private static final long VERIFY_MS = 40;
@@ -111,35 +87,6 @@
     private static final long LONGEST_DRAIN_S = 15;
     private static final int ENDED_BY_SIGTERM = 143;
 
-    /**
-     * When, after the signal to end, the listener closes, when the connections of the client do, and when what is still
-     * open then is failed.
-     */
-    record DrainTimes(long stopListeningMs, long stopServingMs, long failRestMs) {
-
-        /**
-         * Serves for about as long as the process is left. Guards against a gap that nobody needed: the next process
-         * comes when this one's time is up, however early it has ended. What is taken last may be failed in the end, and
-         * would have found nobody otherwise; it does harm where a process is killed sooner than it was promised.
-         */
-        static DrainTimes longest(Settings settings) {
-            double deadlineMs = settings.classes().stream()
-                    .mapToDouble(RequestClass::deadlineMs)
-                    .max()
-                    .orElse(0);
-            double answerMs = settings.classes().stream()
-                    .mapToDouble(spec -> spec.lateWorth() > 0 ? spec.deadlineMs() : spec.aimMs())
-                    .max()
-                    .orElse(0);
-            double allMs = Math.min(LONGEST_TIME_TO_END_MS, deadlineMs) + MORE_TIME_TO_END_MS - END_MARGIN_MS;
-            // Where deadlines are short the listener closes sooner, so that what it took last can still be answered.
-            long stopListeningMs =
-                    Math.max(LEAST_LISTENING_MS, Math.min(STOP_LISTENING_MS, (long) (allMs - LAST_PART * answerMs)));
-            return new DrainTimes(
-                    stopListeningMs, Math.max(stopListeningMs, (long) (allMs - LAST_PART * answerMs)), (long) allMs);
-        }
-    }
-
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Watchdog watchdog;
@@ -158,7 +105,7 @@
     private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
     private final StoreSettings store; // null: no promises are kept
-    private final int clientSockets;
+    private final ClientServer.Limits clientLimits;
     /** Done once clients may be served as far as discovery is concerned: it was asked, or need not be before. */
     private final Promise<Void> askedEnough;
 
@@ -212,12 +159,11 @@
         timeline.reached("event loop made");
         watchdog = new Watchdog(loop, clock, log);
         guard = new InvariantGuard(log::line);
-        int sockets = Math.max(2, config.sockets() - RESERVED_DESCRIPTORS);
-        descriptors = new Descriptors(sockets);
-        int upstreams = Math.max(1, (int) (sockets * UPSTREAM_PART));
-        clientSockets = Math.max(1, (int) (sockets * CLIENT_PART));
+        DescriptorShares shares = DescriptorShares.of(config.sockets());
+        descriptors = new Descriptors(shares.all());
+        clientLimits = shares.clients();
         UpstreamPool.Limits limits = UpstreamPool.Limits.usual(
-                upstreams,
+                shares.upstreams(),
                 (int) config.connectTimeoutMs(),
                 Math.min(LONGEST_IDLE_MS, PART_OF_IDLE_LIMIT * config.connectionIdleMs()),
                 config.settings().contract().coldMs());
@@ -258,15 +204,11 @@
     private void prepare() throws IOException {
         promises = store == null ? null : openPromises();
         timeline.reached(store == null ? "no store" : "store open");
-        int refused = Math.max(1, (int) (clientSockets * REFUSED_PART));
-        int served = clientSockets - refused;
-        int comfortable = Math.min(served, (int) (config.sockets() * COMFORTABLE_PART));
-        int forRequests = Math.max(2, config.sockets() / FOR_REQUESTS);
         server = new ClientServer(
                 config.settings(),
                 promises == null ? dispatcher : promises,
                 clock,
-                new ClientServer.Limits(comfortable, served, clientSockets, forRequests),
+                clientLimits,
                 descriptors,
                 store == null ? null : store.promises().header(),
                 log);
--- a/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
+++ b/src/test/java/ivybank/daemon/BeginningsAndEndingsTest.java
@@ -124,7 +124,7 @@
         CountDownLatch halted = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
         options.lines = HaltingLines.at("told to end", halted, go);
-        options.drainTimes = new Sidecar.DrainTimes(1, 2000, 3000);
+        options.drainTimes = new DrainTimes(1, 2000, 3000);
         try (node;
                 SidecarRig rig =
                         new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
@@ -151,7 +151,7 @@
         FakeServer hangs = new FakeServer(
                 connection -> connection.socket.getInputStream().transferTo(OutputStream.nullOutputStream()));
         options.deadlineMs = 600;
-        options.drainTimes = new Sidecar.DrainTimes(100, 300, 500);
+        options.drainTimes = new DrainTimes(100, 300, 500);
         try (hangs;
                 SidecarRig rig =
                         new SidecarRig(dir, FakeServer.nobody(), host("s-1", hangs.address(), "Ready"), options)) {
@@ -182,7 +182,7 @@
     @Test
     void anAnswerThatIsStillInTheBufferKeepsTheProcess() throws Exception {
         FakeServer node = FakeServer.answering("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000));
-        options.drainTimes = new Sidecar.DrainTimes(1, 50, 4000);
+        options.drainTimes = new DrainTimes(1, 50, 4000);
         try (node;
                 SidecarRig rig =
                         new SidecarRig(dir, FakeServer.nobody(), host("s-1", node.address(), "Ready"), options)) {
--- a/src/test/java/ivybank/daemon/LongBodiesTest.java
+++ b/src/test/java/ivybank/daemon/LongBodiesTest.java
@@ -89,7 +89,7 @@
                 new ConfigFile(environment),
                 new Log(new PrintStream(OutputStream.nullOutputStream()), clock),
                 clock,
-                new Sidecar.DrainTimes(0, 0, 2000),
+                new DrainTimes(0, 0, 2000),
                 Timing.standard(false, 500),
                 null,
                 null);
--- a/src/test/java/ivybank/daemon/PromiseKeeperTest.java
+++ b/src/test/java/ivybank/daemon/PromiseKeeperTest.java
@@ -85,7 +85,7 @@
                 new ConfigFile(environment),
                 new Log(new PrintStream(said, true, StandardCharsets.UTF_8), clock),
                 clock,
-                new Sidecar.DrainTimes(10, 20, 200),
+                new DrainTimes(10, 20, 200),
                 Timing.standard(false, 500),
                 OperatorFile.read(operator).store(),
                 null);
--- a/src/test/java/ivybank/daemon/SidecarEndTest.java
+++ b/src/test/java/ivybank/daemon/SidecarEndTest.java
@@ -33,7 +33,7 @@
             while (connection.read() != null) { // takes requests and answers none
             }
         }));
-        drainTimes = new Sidecar.DrainTimes(0, 0, 300);
+        drainTimes = new DrainTimes(0, 0, 300);
         String hosts = IntStream.range(0, 12)
                 .mapToObj(i -> host("s-" + i, upstream.address(), "Ready"))
                 .collect(Collectors.joining(","));
@@ -66,7 +66,7 @@
                 connection.write(FakeServer.OK);
             }
         }));
-        drainTimes = new Sidecar.DrainTimes(1000, 2000, 10_000);
+        drainTimes = new DrainTimes(1000, 2000, 10_000);
         start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
         Client inHand = client();
         Client kept = client();
@@ -93,27 +93,27 @@
     }
 
     /** What the longest deadline allows, where the configuration's texts are replaced one after another. */
-    private Sidecar.DrainTimes longestDrainTimes(String... textsAndReplacements) throws IOException {
+    private DrainTimes longestDrainTimes(String... textsAndReplacements) throws IOException {
         config(FakeServer.nobody(), "", 99);
         String text = Files.readString(dir.resolve("config.json"));
         for (int i = 0; i < textsAndReplacements.length; i += 2) {
             text = text.replace(textsAndReplacements[i], textsAndReplacements[i + 1]);
         }
         Path file = Files.writeString(dir.resolve("replaced.json"), text);
-        return Sidecar.DrainTimes.longest(
+        return DrainTimes.longest(
                 Config.load(Map.of("EDGE_CONFIG", file.toString())).settings());
     }
 
     @Test
     void servesAfterTheSignalToEndForAsLongAsItCanAnswer() throws Exception {
-        Sidecar.DrainTimes times = longestDrainTimes("6000", "2400", "5000", "800", "1500", "600");
+        DrainTimes times = longestDrainTimes("6000", "2400", "5000", "800", "1500", "600");
         assertEquals(2400 + 700 - 200, times.failRestMs());
         assertEquals(times.failRestMs() - 240, times.stopServingMs());
     }
 
     @Test
     void withShortDeadlinesTheListenerClosesWhileWhatItTookLastCanStillBeAnswered() throws Exception {
-        Sidecar.DrainTimes times = longestDrainTimes(":6000", ":100", ":5000", ":100", ":1500", ":80");
+        DrainTimes times = longestDrainTimes(":6000", ":100", ":5000", ":100", ":1500", ":80");
         assertEquals(100 + 700 - 200, times.failRestMs());
         assertTrue(
                 times.stopListeningMs() <= times.failRestMs() - 30 && times.stopListeningMs() >= 450, times.toString());
@@ -129,7 +129,7 @@
                 connection.write(FakeServer.OK);
             }
         }));
-        drainTimes = new Sidecar.DrainTimes(0, 6000, 10_000);
+        drainTimes = new DrainTimes(0, 6000, 10_000);
         start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
@@ -161,7 +161,7 @@
 
     @Test
     void aConnectionThatSaysNothingIsClosedAlsoAfterTheSignalToEnd() throws Exception {
-        drainTimes = new Sidecar.DrainTimes(0, 6000, 10_000);
+        drainTimes = new DrainTimes(0, 6000, 10_000);
         start(FakeServer.nobody(), host("s-1", FakeServer.nobody(), "Ready"));
         Client kept = client();
         assertEquals(200, kept.status(ready()));
@@ -179,7 +179,7 @@
             while (connection.read() != null) { // takes requests and answers none
             }
         }));
-        drainTimes = new Sidecar.DrainTimes(0, 0, 300);
+        drainTimes = new DrainTimes(0, 0, 300);
         start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
         Client inHand = client();
         inHand.write(submit(5000));
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -36,7 +36,7 @@
         String extraClasses = "";
         PrintStream lines = new PrintStream(OutputStream.nullOutputStream());
         Clock clock = Clock.system();
-        Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0, 10_000);
+        DrainTimes drainTimes = new DrainTimes(0, 0, 10_000);
     }
 
     final InetSocketAddress address;
--- a/src/test/java/ivybank/daemon/SidecarTestBase.java
+++ b/src/test/java/ivybank/daemon/SidecarTestBase.java
@@ -41,7 +41,7 @@
             System.currentTimeMillis(),
             () -> frozenNanos.get() != 0 ? frozenNanos.get() : System.nanoTime() + aheadNanos.get());
     PrintStream lines = new PrintStream(OutputStream.nullOutputStream());
-    Sidecar.DrainTimes drainTimes = new Sidecar.DrainTimes(0, 0, 10_000);
+    DrainTimes drainTimes = new DrainTimes(0, 0, 10_000);
     InetSocketAddress address;
     /** The clients' socket where the platform keeps it, else null. */
     ServerSocketChannel inherited;
