Client connections: what waits, what a request becomes and statuses have files of their own

ClientConnection had 840 lines with three jobs. The bounded queue behind the request at hand is WaitingRequests, what was read becomes an Arrival in ArrivalParser, and the statuses that stood in two classes are HttpStatus. No change in behaviour; 840 to 689 lines.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -14,8 +14,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,14 +24,10 @@
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientLink;
-import ivybank.exchange.ClientRequest;
 import ivybank.exchange.RequestHandler;
-import ivybank.policy.Balancer.Effect;
 import ivybank.transport.SteadySocketChannel;
 import java.io.IOException;
 import java.math.BigDecimal;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /** One connection from the client: its requests are answered one after another, in the order in which they came. */
@@ -41,32 +35,12 @@
 final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.Read>
         implements BodyPipe.Source, ClientLink {
 
-    /** Requests behind the one at hand that are kept, and what each holds beside its body; what comes beyond is refused in its turn. */
-    private static final int MOST_WAITING = 64;
-    /** How many are refused in their turn; what comes beyond is not looked at any more. */
-    private static final int MOST_SURPLUS = 1024;
-
-    private static final int REQUEST_BYTES = 1024;
     /** How much of a body is read on where nobody takes it, so that the client's end behind it is seen. */
     private static final long MOST_HELD = 512 * 1024;
     /** Where a client sends more than is of use: after so many reads, for so long nothing is read. */
     private static final int READS_AT_ONCE = 64;
 
     private static final long PAUSE_MS = 5;
-    private static final String READY_PATH = "/health/ready";
-    private static final String CALL_ID = "X-Call-Id";
-    private static final String CALLER = "X-Caller";
-    private static final String BUDGET = "X-Budget-Ms";
-    private static final String AGAIN = "X-Again";
-    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-    private static final int OK = 200;
-    private static final int BAD_REQUEST = 400;
-    private static final int NOT_FOUND = 404;
-    private static final int NOT_ALLOWED = 405;
-    private static final int TIMED_OUT = 408;
-    private static final int TOO_LARGE = 413;
-    private static final int CONFLICT = 409;
-    private static final int UNAVAILABLE = 503;
     /** A client that connects has something to ask: by then it has, or it won't. */
     private static final double LONGEST_MUTE_MS = 2500;
     /** For a head, which a client may take 2 s for; and for a body this many bytes in a ms at least: half of what is slow. */
@@ -76,7 +50,6 @@
     /** For so long a request may be in hand whose client can't be read: its leaving would go unseen. */
     private static final double LONGEST_BLIND_MS = 60;
 
-    private static final int FAILED = 502;
     /** A client that takes nothing more of a long answer is given up. */
     private static final double LONGEST_STALL_MS = 15_000;
 
@@ -94,13 +67,8 @@
     private final ClientServer server;
     private final RequestHandler driver;
     private final Clock clock;
-    private final Deque<Arrival> waiting = new ArrayDeque<>(1);
-    /** What those waiting hold, in bytes. */
-    private long waitingBytes;
-    /** Behind those: how many are to be refused, and the status that what can't be read behind them is owed, or 0. */
-    private int surplus;
-
-    private int statusBehind;
+    private final WaitingRequests waiting;
+    private final ArrivalParser parser;
     private boolean answering;
     /** Whether the last answer has been written that this connection will bring. */
     private boolean done;
@@ -150,33 +118,13 @@
     /** Whether it is closed once the request has come that was answered before its end. */
     private boolean closing;
 
-    /** A request as it came, or the status of one that is not to be passed on. */
-    private record Arrival(ClientRequest request, int status, boolean keepAlive, boolean old) {
-
-        /** One that is more than may wait. */
-        private static final Arrival SURPLUS = new Arrival(null, UNAVAILABLE, true);
-        /** The last of those that is answered. */
-        private static final Arrival LAST_SURPLUS = new Arrival(null, UNAVAILABLE, false);
-
-        boolean isSurplus() {
-            return this == SURPLUS || this == LAST_SURPLUS;
-        }
-
-        Arrival(ClientRequest request, int status, boolean keepAlive) {
-            this(request, status, keepAlive, false);
-        }
-
-        /** What it holds while it waits. */
-        long bytes() {
-            return (long) REQUEST_BYTES + (request == null ? 0 : request.body().length);
-        }
-    }
-
     ClientConnection(RequestReader reader, ClientServer server, RequestHandler driver, Clock clock) {
         this.reader = reader;
         this.server = server;
         this.driver = driver;
         this.clock = clock;
+        this.waiting = new WaitingRequests(server);
+        this.parser = new ArrivalParser(server, clock, this);
     }
 
     @Override
@@ -210,7 +158,9 @@
             held();
             if (closing) {
                 close(false);
-            } else if (current != null && current.request != null && current.request.rest() != null) {
+            } else if (current != null
+                    && current.request() != null
+                    && current.request().rest() != null) {
                 driver.arrived(currentId);
             }
             return;
@@ -234,56 +184,29 @@
      * seen at once, and what is more than may wait is not kept but refused in its turn.
      */
     private void enqueue(RequestReader.Read message) {
-        Arrival arrival = surplus > 0 ? null : read(message);
-        boolean behind = current != null || !waiting.isEmpty();
-        if (arrival == null || behind && (waiting.size() >= MOST_WAITING || !server.hasRoomFor(arrival.bytes()))) {
-            if (message.rest() != null) {
-                message.rest().leave();
-            }
-            if (message.head() == null) {
-                statusBehind = message.status();
-            } else if (surplus < MOST_SURPLUS) {
-                surplus++;
-            } else {
-                statusBehind = UNAVAILABLE;
-                ended = true;
-                reader.stop();
-            }
+        Arrival arrival = waiting.hasSurplus() ? null : parser.read(message, blindSinceMs);
+        if (arrival == null || !waiting.add(arrival, current != null)) {
+            refuseInItsTurn(message);
             return;
         }
-        arriving = arrival.request == null ? arriving : message.rest() == null ? arriving : message.rest();
-        waiting.addLast(arrival);
-        waits(arrival.bytes());
+        arriving = arrival.request() == null ? arriving : message.rest() == null ? arriving : message.rest();
     }
 
-    private void waits(long bytes) {
-        waitingBytes += bytes;
-        server.holds(bytes);
-    }
-
-    /** What is to be answered next, or null. */
-    private Arrival poll() {
-        if (!waiting.isEmpty()) {
-            Arrival arrival = waiting.pollFirst();
-            waits(-arrival.bytes());
-            return arrival;
+    private void refuseInItsTurn(RequestReader.Read message) {
+        if (message.rest() != null) {
+            message.rest().leave();
         }
-        if (surplus > 0) {
-            surplus--;
-            return Arrival.SURPLUS;
+        if (message.head() == null) {
+            waiting.endWith(message.status());
+        } else if (!waiting.addSurplus()) {
+            ended = true;
+            reader.stop();
         }
-        int status = statusBehind;
-        statusBehind = 0;
-        return status == 0 ? null : status == UNAVAILABLE ? Arrival.LAST_SURPLUS : new Arrival(null, status, false);
-    }
-
-    private boolean nothingWaits() {
-        return waiting.isEmpty() && surplus == 0 && statusBehind == 0;
     }
 
     /** Whether the last byte of the request at hand is still to come. */
     private boolean isArriving() {
-        return current != null && current.request != null && current.request.arriving();
+        return current != null && current.request() != null && current.request().arriving();
     }
 
     /** Answers the request at hand, which will never be whole, and so has not run. */
@@ -369,7 +292,7 @@
             double nowMs = clock.nowMs();
             blindSinceMs = Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs;
             mayHaveStood = true; // what comes next may stand here already
-            boolean inHand = current != null && current.request != null && writing == null;
+            boolean inHand = current != null && current.request() != null && writing == null;
             if (inHand && nowMs - blindSinceMs > LONGEST_BLIND_MS) {
                 server.unreadable();
                 failAtHand();
@@ -407,7 +330,7 @@
             held();
             adjustReading();
         }
-        if ((ended || surplus > 0) && !pausing && reads % READS_AT_ONCE == 0) {
+        if ((ended || waiting.hasSurplus()) && !pausing && reads % READS_AT_ONCE == 0) {
             pauseReading();
         }
         ctx.fireChannelReadComplete();
@@ -423,7 +346,7 @@
                 && !done
                 && context.channel().isActive()
                 && context.channel().isWritable()) {
-            Arrival arrival = poll();
+            Arrival arrival = waiting.poll();
             if (arrival == null) {
                 break;
             }
@@ -438,7 +361,8 @@
      */
     private void begin(Arrival arrival) {
         current = arrival;
-        boolean waits = mayHaveStood && arrival.request != null && arrival.request.rest() == null;
+        boolean waits =
+                mayHaveStood && arrival.request() != null && arrival.request().rest() == null;
         mayHaveStood = false;
         if (!waits) {
             takeUp(arrival);
@@ -479,95 +403,22 @@
         if (arrival.isSurplus()) {
             server.tooMany();
             answer(arrival, Answer.refused(server.retryAfterMs()));
-        } else if (arrival.request == null) {
-            answer(arrival, Answer.status(arrival.status));
-        } else if (driver.isOpen(arrival.request.callId())) {
+        } else if (arrival.request() == null) {
+            answer(arrival, Answer.status(arrival.status()));
+        } else if (driver.isOpen(arrival.request().callId())) {
             // Guards against one client that would have another one's request run twice, or be answered in its place.
-            answer(arrival, Answer.status(CONFLICT));
+            answer(arrival, Answer.status(HttpStatus.CONFLICT));
         } else if (server.overfull()) {
-            current = new Arrival(arrival.request, 0, false);
+            current = new Arrival(arrival.request(), 0, false);
             answer(current, Answer.refused(server.retryAfterMs()));
         } else if (server.takesTheLast()) {
             answer(arrival, Answer.refused(server.retryAfterMs()));
         } else {
-            int id = driver.request(arrival.request, answer -> answer(arrival, answer));
+            int id = driver.request(arrival.request(), answer -> answer(arrival, answer));
             currentId = current == arrival ? id : 0;
         }
     }
 
-    private Arrival read(RequestReader.Read message) {
-        if (message.head() == null) {
-            return new Arrival(null, message.status(), false);
-        }
-        Arrival arrival = arrival(message);
-        if (message.rest() != null && arrival.request == null) {
-            message.rest().leave();
-            return new Arrival(null, arrival.status, false);
-        }
-        return arrival;
-    }
-
-    private Arrival arrival(RequestReader.Read message) {
-        HttpRequest head = message.head();
-        boolean keepAlive = HttpUtil.isKeepAlive(head);
-        String uri = RequestFields.originForm(head.uri());
-        int end = uri.indexOf('?');
-        String path = end < 0 ? uri : uri.substring(0, end);
-        if (path.equals(READY_PATH)) {
-            return new Arrival(null, server.ready() ? OK : UNAVAILABLE, keepAlive);
-        }
-        int slash = path.indexOf('/', 1);
-        int requestClass = server.classOf(slash < 0 ? path : path.substring(0, slash));
-        if (requestClass < 0) {
-            return new Arrival(null, NOT_FOUND, keepAlive);
-        }
-        HttpMethod method = server.effectOf(requestClass) == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        if (!head.method().equals(method)) {
-            return new Arrival(null, NOT_ALLOWED, keepAlive);
-        }
-        RequestFields fields = new RequestFields(head.headers());
-        String id = fields.token(CALL_ID);
-        int budgetMs = fields.milliseconds(BUDGET);
-        boolean strayBody = method.equals(HttpMethod.GET) && message.body().length > 0;
-        if (id == null
-                || budgetMs <= 0
-                || !fields.isTokenOrAbsent(IDEMPOTENCY_KEY)
-                || !RequestFields.isPlain(uri)
-                || strayBody) {
-            return new Arrival(null, BAD_REQUEST, keepAlive);
-        }
-        String identity = server.identityHeader() == null ? null : fields.token(server.identityHeader());
-        if (server.identityHeader() != null && !fields.isTokenOrAbsent(server.identityHeader())) {
-            return new Arrival(null, BAD_REQUEST, keepAlive); // it must not be taken for one without an identity
-        }
-        if (message.rest() != null && server.identityHeader() != null) {
-            return new Arrival(null, TOO_LARGE, false); // what is on record is kept whole
-        }
-        long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
-        double nowMs = clock.nowMs();
-        return new Arrival(
-                new ClientRequest(
-                        method,
-                        uri,
-                        id,
-                        fields.token(IDEMPOTENCY_KEY),
-                        message.body(),
-                        requestClass,
-                        server.tenantOf(head.headers().get(CALLER)),
-                        "1".equals(head.headers().get(AGAIN)),
-                        nowMs,
-                        Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs,
-                        budgetMs,
-                        identity,
-                        null,
-                        message.rest(),
-                        length,
-                        this),
-                0,
-                keepAlive,
-                head.protocolVersion().equals(HttpVersion.HTTP_1_0));
-    }
-
     private void answer(Arrival arrival, Answer answer) {
         if (current != arrival || !context.channel().isActive()) {
             if (answer.rest() != null) {
@@ -575,9 +426,9 @@
             }
             return;
         }
-        boolean early = arrival.request != null && arrival.request.arriving();
+        boolean early = arrival.request() != null && arrival.request().arriving();
         if (early) {
-            arrival.request.rest().leave();
+            arrival.request().rest().leave();
         }
         if (answer.rest() != null) {
             pass(arrival, answer, early);
@@ -617,7 +468,8 @@
     }
 
     private boolean keepsAlive(Arrival arrival) {
-        return arrival.keepAlive && !(nothingWaits() && (server.draining() || requests == 1 && server.closesAtOnce()));
+        return arrival.keepAlive()
+                && !(waiting.isEmpty() && (server.draining() || requests == 1 && server.closesAtOnce()));
     }
 
     /** An answer has been written. Guards one that came early: closing on a request half read would spoil it. */
@@ -641,10 +493,10 @@
         setType(headers, answer);
         if (answer.length() >= 0) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
-        } else if (!arrival.old) {
+        } else if (!arrival.old()) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        boolean keepAlive = keepsAlive(arrival) && !early && !(arrival.old && answer.length() < 0);
+        boolean keepAlive = keepsAlive(arrival) && !early && !(arrival.old() && answer.length() < 0);
         HttpUtil.setKeepAlive(response, keepAlive);
         context.write(response);
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
@@ -706,7 +558,7 @@
     }
 
     private boolean isAnswered() {
-        return current == null && nothingWaits() && !hasUnwrittenAnswer();
+        return current == null && waiting.isEmpty() && !hasUnwrittenAnswer();
     }
 
     /** Guards answers where writes fail for a moment: closing drops what is not written yet. */
@@ -735,7 +587,7 @@
             close(true);
         } else if (slow && isArriving() && !ended) {
             ended = true;
-            abort(TIMED_OUT);
+            abort(HttpStatus.TIMED_OUT);
         }
     }
 
@@ -768,8 +620,8 @@
         closing.run();
         if (partial) {
             server.halfRequest(clock.nowMs() - connectedMs);
-            current = new Arrival(null, TIMED_OUT, false);
-            answer(current, Answer.status(TIMED_OUT));
+            current = new Arrival(null, HttpStatus.TIMED_OUT, false);
+            answer(current, Answer.status(HttpStatus.TIMED_OUT));
         } else {
             close(false);
         }
@@ -786,7 +638,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.closed(this);
         if (current != null) {
-            BodyPipe unfinished = isArriving() ? current.request.rest() : null;
+            BodyPipe unfinished = isArriving() ? current.request().rest() : null;
             current = null;
             driver.clientLeft(currentId);
             if (writing != null) {
@@ -796,18 +648,15 @@
                 unfinished.end(false);
             }
         }
-        server.holds(-waitingBytes - heldBytes);
-        waitingBytes = 0;
+        waiting.leave();
+        server.holds(-heldBytes);
         heldBytes = 0;
         arriving = null;
-        waiting.stream()
-                .filter(arrival -> arrival.request != null && arrival.request.rest() != null)
-                .forEach(arrival -> arrival.request.rest().leave());
     }
 
     /** Closes the connection, unless a request on it would lose its answer; {@code broken}: none can be given any more. */
     private void close(boolean broken) {
-        boolean unanswered = current != null && current.request != null && writing == null || !nothingWaits();
+        boolean unanswered = current != null && current.request() != null && writing == null || !waiting.isEmpty();
         if (!server.guard().closing(unanswered && !closing, broken).isAllowed()) {
             return;
         }
@@ -821,7 +670,7 @@
     /** Guards a request in hand against a fault of this program: it is failed, which its client is told. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        boolean inHand = context != null && current != null && current.request != null && writing == null;
+        boolean inHand = context != null && current != null && current.request() != null && writing == null;
         if (cause instanceof IOException || !inHand || ended) {
             ctx.close();
             return;
@@ -834,7 +683,7 @@
     private void failAtHand() {
         ended = true;
         driver.clientLeft(currentId);
-        current = new Arrival(current.request, 0, false, current.old);
-        answer(current, Answer.status(FAILED));
+        current = new Arrival(current.request(), 0, false, current.old());
+        answer(current, Answer.status(HttpStatus.BAD_GATEWAY));
     }
 }
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -37,10 +37,6 @@
         static final Read LAST = new Read(null, null, 0, null);
     }
 
-    private static final int BAD_REQUEST = 400;
-    private static final int TOO_LARGE = 413;
-    private static final int EXPECTATION_FAILED = 417;
-
     private final RequestDecoder decoder;
     private BodyPipe.Source source;
     private HttpRequest head;
@@ -146,7 +142,7 @@
     /** Takes a part of a request; returns the status that it is owed if it can't be used, else 0. */
     private int take(ChannelHandlerContext ctx, HttpObject message) throws IOException {
         if (message.decoderResult().isFailure()) {
-            return BAD_REQUEST;
+            return HttpStatus.BAD_REQUEST;
         }
         if (message instanceof HttpRequest next) {
             int status = begin(ctx, next);
@@ -158,7 +154,7 @@
             ByteBuf part = content.content();
             bodyBytes += part.readableBytes();
             if (bodyBytes > Framing.MAX_BODY) {
-                return TOO_LARGE;
+                return HttpStatus.TOO_LARGE;
             }
             if (rest == null && bodyBytes > Framing.MOST_WHOLE) {
                 rest = new BodyPipe(source);
@@ -180,17 +176,17 @@
         head = next;
         body = new ByteArrayOutputStream(0);
         if (!Framing.isClear(next)) {
-            return BAD_REQUEST;
+            return HttpStatus.BAD_REQUEST;
         }
         if (Framing.isTooLong(next)) {
-            return TOO_LARGE;
+            return HttpStatus.TOO_LARGE;
         }
         if (HttpUtil.is100ContinueExpected(next)) {
             // A client that waits for leave to send its body is given it at once.
             ctx.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         } else if (next.headers().contains(HttpHeaderNames.EXPECT)) {
-            return EXPECTATION_FAILED;
+            return HttpStatus.EXPECTATION_FAILED;
         }
         return 0;
     }
