A call to discovery that can't be read is tried every 5 ms, not every 40

While it can't be read the list lapses, and clients are refused; the end of the failure was seen up to 40 ms late. Found by LateAcceptTest beside load: a request that was read within those was refused, so that no server was told anything.

--- a/src/main/java/ivybank/discovery/DiscoveryCall.java
+++ b/src/main/java/ivybank/discovery/DiscoveryCall.java
@@ -86,6 +86,8 @@
     private static final int MOST_BYTES = 4 << 20;
     /** What has come while the event loop was held up is looked at before anything counts as missing. */
     private static final long ONE_MORE_PASS_MS = 1;
+    /** How soon after a read that failed the next one is tried. */
+    private static final long READ_OUT_PAUSE_MS = 5;
 
     private final Owner owner;
     private final Timing timing;
@@ -118,6 +120,7 @@
     private boolean unreadable;
 
     private boolean spoilt;
+    private boolean readOutScheduled;
     /** What it ended of, as far as that is known here. */
     private String failure = "its connection was closed";
 
@@ -159,10 +162,27 @@
             unreadable = true;
             spoilt = true;
             owner.unreadableForNow(this);
+            readOutSoon();
         }
         ctx.fireUserEventTriggered(event);
     }
 
+    /** Guards clients: while it can't be read nothing may be sent on after a while, so that its end is not waited for. */
+    private void readOutSoon() {
+        if (!readOutScheduled) {
+            readOutScheduled = true;
+            context.channel()
+                    .eventLoop()
+                    .schedule(
+                            () -> {
+                                readOutScheduled = false;
+                                verify();
+                            },
+                            READ_OUT_PAUSE_MS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) throws IOException {
         text = ctx.alloc().buffer();
