A connection that can't be read is not closed as unused

Cause: a connection counts as unused by what was read on it; while reads fail nothing is. Fix: it is left open until it can be read. One on which nothing was ever read is answered with 408 after 2.8 s, so that who really says nothing is still told within 3 s.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -43,6 +43,8 @@
     private static final long PAUSE_MS = 5;
     /** A client that connects has something to ask: by then it has, or it won't. */
     private static final double LONGEST_MUTE_MS = 2500;
+    /** Where reads fail it may have asked: it is answered with 408 by then, within the 3 s in which who says nothing is told. */
+    private static final double LONGEST_UNREAD_MS = 2800;
     /** For a head, which a client may take 2 s for; and for a body this many bytes in a ms at least: half of what is slow. */
     private static final double LONGEST_PARTIAL_MS = 2500;
 
@@ -614,12 +616,13 @@
             server.spared();
             return;
         }
-        if (hasUnwrittenAnswer()) {
-            return;
+        boolean blind = !Double.isNaN(blindSinceMs);
+        if (hasUnwrittenAnswer() || blind && !isOwedAnEnd()) {
+            return; // what stands there unread would go with it
         }
         closing.run();
-        if (partial) {
-            server.halfRequest(clock.nowMs() - connectedMs);
+        if (partial || blind) {
+            server.toldUnread(clock.nowMs() - connectedMs);
             current = new Arrival(null, HttpStatus.TIMED_OUT, false);
             answer(current, Answer.status(HttpStatus.TIMED_OUT));
         } else {
@@ -627,6 +630,11 @@
         }
     }
 
+    /** Whether its client has waited for an answer or an end for almost as long as it has to, whatever stands there unread. */
+    private boolean isOwedAnEnd() {
+        return partial || isMute() && clock.nowMs() - connectedMs >= LONGEST_UNREAD_MS;
+    }
+
     /** Closes the connection if no request is at hand, {@code evenPartial}: though half a one may have come. */
     void closeIfIdle(boolean evenPartial) {
         if (isAnswered() && (evenPartial || !partial)) {
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -300,9 +300,10 @@
                 "a client's connection can't be read: its request is failed, for whether the client left can't be seen");
     }
 
-    /** Notes half a request that is answered as such, so long after its client began to wait, in milliseconds. */
-    void halfRequest(double afterMs) {
-        log.line("half a request is answered with 408, " + Math.round(afterMs) + " ms after its client connected");
+    /** Notes that who sent half a request, or can't be read, is told so, so long after it began to wait, in milliseconds. */
+    void toldUnread(double afterMs) {
+        log.line("half a request, or one that can't be read, is answered with 408, " + Math.round(afterMs)
+                + " ms after its client connected");
     }
 
     /** Notes a connection that was about to be closed when something came on it. */
--- a/src/test/java/ivybank/soak/LateAcceptTest.java
+++ b/src/test/java/ivybank/soak/LateAcceptTest.java
@@ -14,9 +14,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,6 +32,8 @@
     private static final long OWED_MS = 3000;
 
     private static final long FAULT_MS = 600;
+    /** For how long a client that says nothing is kept. */
+    private static final long MUTE_MS = 2500;
     /** What the client of a whole request gives it. */
     private static final long BUDGET_MS = 1000;
 
@@ -47,26 +51,29 @@
 
     // Guards against a wait that begins anew when a connection that was accepted long ago can be used at last.
     @ParameterizedTest
-    @CsvSource({"GETSOCKOPT, ENOBUFS", "ACCEPT, EMFILE", "ACCEPT, EINTR"})
-    void whoNeverSendsAWholeRequestIsToldInTimeHoweverLateItsConnectionIsServed(Call call, Errno errno)
+    @CsvSource({"GETSOCKOPT, ENOBUFS, 0", "ACCEPT, EMFILE, 0", "ACCEPT, EINTR, 0", "SOCKET_READ, ETIMEDOUT, 2450"})
+    void whoNeverSendsAWholeRequestIsToldInTimeHoweverLateItsConnectionIsServed(Call call, Errno errno, long afterMs)
             throws Exception {
         try (Upstreams upstreams = new Upstreams(1);
                 Agent agent = new Agent(upstreams);
                 FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
-            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
+            if (afterMs == 0) { // before they connect
+                sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
+            }
             long connectedNanos = System.nanoTime();
-            List<Socket> clients = new ArrayList<>();
+            List<CompletableFuture<Long>> told = new ArrayList<>();
             for (String words : WORDS) {
                 Socket client = sidecar.connect();
                 client.getOutputStream().write(words.getBytes(StandardCharsets.US_ASCII));
-                clients.add(client);
+                told.add(CompletableFuture.supplyAsync(() -> nanosOfAnswerOrEnd(client)));
             }
+            Thread.sleep(afterMs);
+            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
             Thread.sleep(FAULT_MS);
             sidecar.faults.healAll();
             List<String> late = new ArrayList<>();
-            for (int i = 0; i < clients.size(); i++) {
-                awaitAnswerOrEnd(clients.get(i));
-                long tookMs = (System.nanoTime() - connectedNanos) / 1_000_000;
+            for (int i = 0; i < WORDS.size(); i++) {
+                long tookMs = (told.get(i).join() - connectedNanos) / 1_000_000;
                 if (tookMs > OWED_MS) {
                     late.add("'" + WORDS.get(i) + "' was told after " + tookMs + " ms");
                 }
@@ -100,11 +107,28 @@
         }
     }
 
-    private static void awaitAnswerOrEnd(Socket client) {
+    // Guards a request that stands unread in a connection on which nothing has come for as long as that may take.
+    @Test
+    void aConnectionThatCanNotBeReadIsNotClosedAsUnused() throws Exception {
+        try (Upstreams upstreams = new Upstreams(1);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            Socket client = sidecar.connect();
+            Thread.sleep(MUTE_MS - FAULT_MS / 2);
+            sidecar.faults.fail(Call.SOCKET_READ, Errno.ETIMEDOUT, SyscallFaults.ALWAYS);
+            client.getOutputStream().write(FaultySidecar.request("stands"));
+            Thread.sleep(FAULT_MS);
+            sidecar.faults.healAll();
+            assertTrue(client.getInputStream().read() >= 0, "it is answered");
+        }
+    }
+
+    private static long nanosOfAnswerOrEnd(Socket client) {
         try {
             client.getInputStream().read();
         } catch (IOException e) {
             // A reset is an end, and a read that takes too long is late.
         }
+        return System.nanoTime();
     }
 }
