Failing reads and what may have stood before them are told apart on a client's connection

A connection that could not be used for a while counted as one whose reads fail until its first read was complete: a second read that fails in that same pass would have failed its request.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -83,8 +83,10 @@
     private ChannelHandlerContext context;
     /** Whether what is read next may have come long ago: in the backlog, or while nothing could be read. */
     private boolean mayHaveStood;
-    /** Since when nothing could be read here: reads failed, or the connection could not be used yet. NaN once one has succeeded. */
+    /** Since when reads have failed, or NaN. */
     private double blindSinceMs = Double.NaN;
+    /** Since when what is read next may have stood here: reads failed, or the connection could not be used yet; or NaN. */
+    private double stoodSinceMs = Double.NaN;
     /** Whether something that was just read is being taken up: what this channel holds has been looked at. */
     private boolean inRead;
     /** The request at hand, or null between requests. */
@@ -137,7 +139,7 @@
         connectedMs = freeSinceMs;
         if (ctx.channel() instanceof ClientSocketChannel channel) {
             connectedMs = freeSinceMs - channel.accepted().waitedMs();
-            blindSinceMs = freeSinceMs - channel.accepted().mostWaitedMs();
+            stoodSinceMs = freeSinceMs - channel.accepted().mostWaitedMs();
         }
         mayHaveStood = server.heldBackOfLate();
         server.opened(this);
@@ -186,7 +188,7 @@
      * seen at once, and what is more than may wait is not kept but refused in its turn.
      */
     private void enqueue(RequestReader.Read message) {
-        Arrival arrival = waiting.hasSurplus() ? null : parser.read(message, blindSinceMs);
+        Arrival arrival = waiting.hasSurplus() ? null : parser.read(message, stoodSinceMs);
         if (arrival == null || !waiting.add(arrival, current != null)) {
             refuseInItsTurn(message);
             return;
@@ -283,16 +285,22 @@
     /** A read that finds nothing more shows as well as any other that the client can be read. */
     private void notedReading(SteadySocketChannel.Input found) {
         if (found == SteadySocketChannel.Input.READ_OUT) {
-            blindSinceMs = Double.NaN;
+            canBeRead();
         }
     }
 
+    private void canBeRead() {
+        blindSinceMs = Double.NaN;
+        stoodSinceMs = Double.NaN;
+    }
+
     /** Guards a request whose client can't be read any more: whether that has left can't be seen, so it gets its answer now. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event == SteadySocketChannel.Event.READ_FAILED) {
             double nowMs = clock.nowMs();
             blindSinceMs = Double.isNaN(blindSinceMs) ? nowMs : blindSinceMs;
+            stoodSinceMs = Double.isNaN(stoodSinceMs) ? nowMs : stoodSinceMs;
             mayHaveStood = true; // what comes next may stand here already
             boolean inHand = current != null && current.request() != null && writing == null;
             if (inHand && nowMs - blindSinceMs > LONGEST_BLIND_MS) {
@@ -319,7 +327,7 @@
             ctx.fireChannelReadComplete(); // a read that failed, or found nothing where the selector was not asked
             return;
         }
-        blindSinceMs = Double.NaN;
+        canBeRead();
         reads++;
         double nowMs = clock.nowMs();
         lastReadMs = nowMs;
