--- a/src/main/java/ivybank/client/ArrivalParser.java
+++ b/src/main/java/ivybank/client/ArrivalParser.java
@@ -65,47 +65,56 @@
         if (!head.method().equals(method)) {
             return new Arrival(null, HttpStatus.NOT_ALLOWED, keepAlive);
         }
-        RequestFields fields = new RequestFields(head.headers());
-        String id = fields.token(CALL_ID);
-        int budgetMs = fields.milliseconds(BUDGET);
+        int status = statusOfFields(message, uri, method);
+        if (status > 0) {
+            // What is on record is kept whole, so that a long one can't go on.
+            return new Arrival(null, status, keepAlive && status != HttpStatus.TOO_LARGE);
+        }
+        return new Arrival(
+                request(message, uri, requestClass, earliestMs),
+                0,
+                keepAlive,
+                head.protocolVersion().equals(HttpVersion.HTTP_1_0));
+    }
+
+    /** What a request is owed whose fields don't say what they must, or 0 where they do. */
+    private int statusOfFields(RequestReader.Read message, String uri, HttpMethod method) {
+        RequestFields fields = new RequestFields(message.head().headers());
         boolean strayBody = method.equals(HttpMethod.GET) && message.body().length > 0;
-        if (id == null
-                || budgetMs <= 0
+        if (fields.token(CALL_ID) == null
+                || fields.milliseconds(BUDGET) <= 0
                 || !fields.isTokenOrAbsent(IDEMPOTENCY_KEY)
                 || !RequestFields.isPlain(uri)
                 || strayBody) {
-            return new Arrival(null, HttpStatus.BAD_REQUEST, keepAlive);
-        }
-        String identity = server.identityHeader() == null ? null : fields.token(server.identityHeader());
-        if (server.identityHeader() != null && !fields.isTokenOrAbsent(server.identityHeader())) {
-            return new Arrival(
-                    null, HttpStatus.BAD_REQUEST, keepAlive); // it must not be taken for one without an identity
+            return HttpStatus.BAD_REQUEST;
         }
-        if (message.rest() != null && server.identityHeader() != null) {
-            return new Arrival(null, HttpStatus.TOO_LARGE, false); // what is on record is kept whole
+        String identityHeader = server.identityHeader();
+        if (identityHeader != null && !fields.isTokenOrAbsent(identityHeader)) {
+            return HttpStatus.BAD_REQUEST; // it must not be taken for one without an identity
         }
-        long length = message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L);
+        return message.rest() != null && identityHeader != null ? HttpStatus.TOO_LARGE : 0;
+    }
+
+    private ClientRequest request(RequestReader.Read message, String uri, int requestClass, double earliestMs) {
+        HttpRequest head = message.head();
+        RequestFields fields = new RequestFields(head.headers());
         double nowMs = clock.nowMs();
-        return new Arrival(
-                new ClientRequest(
-                        method,
-                        uri,
-                        id,
-                        fields.token(IDEMPOTENCY_KEY),
-                        message.body(),
-                        requestClass,
-                        server.tenantOf(head.headers().get(CALLER)),
-                        "1".equals(head.headers().get(AGAIN)),
-                        nowMs,
-                        Double.isNaN(earliestMs) ? nowMs : earliestMs,
-                        budgetMs,
-                        identity,
-                        null,
-                        message.rest(),
-                        length,
-                        client),
-                0,
-                keepAlive,
-                head.protocolVersion().equals(HttpVersion.HTTP_1_0));
+        return new ClientRequest(
+                head.method(),
+                uri,
+                fields.token(CALL_ID),
+                fields.token(IDEMPOTENCY_KEY),
+                message.body(),
+                requestClass,
+                server.tenantOf(head.headers().get(CALLER)),
+                "1".equals(head.headers().get(AGAIN)),
+                nowMs,
+                Double.isNaN(earliestMs) ? nowMs : earliestMs,
+                fields.milliseconds(BUDGET),
+                server.identityHeader() == null ? null : fields.token(server.identityHeader()),
+                null,
+                message.rest(),
+                message.rest() == null ? message.body().length : HttpUtil.getContentLength(head, -1L),
+                client);
     }
 }
