--- a/src/main/java/ivybank/discovery/Discovery.java
+++ b/src/main/java/ivybank/discovery/Discovery.java
@@ -89,6 +89,8 @@
     private Runnable firstWord = () -> {};
     private Tally tally = Tally.NONE;
     private ListLease lease = ListLease.unlimited();
+    /** Whether the log has it that the list has lapsed. */
+    private boolean listLapsed;
 
     /**
      * @param where may return null: then the address stays
@@ -216,6 +218,17 @@
         if (current != null) {
             current.verify();
         }
+        logLapse(lease.hasLapsed(clock.nowMs()));
+    }
+
+    private void logLapse(boolean lapsed) {
+        if (lapsed != listLapsed) {
+            listLapsed = lapsed;
+            log.line(
+                    lapsed
+                            ? "discovery: this machine may have missed a change; nothing is sent by the list before discovery answers"
+                            : "discovery: the list holds again");
+        }
     }
 
     /** A step of the chain was lost: the call at hand is given up, and the next one begun. */
