A request on a connection that could not be used for long waits for its client's end

Cause: what may have stood in a connection is taken up only once its end has been looked for. A new connection counted as such for 0.5 s after the last failed accept; this one could not be used for 578 ms, because getsockopt failed, and was then read and sent on in one pass. Evidence: the log has 'accepted 578 ms ago can be used now' for it; the client left 20 ms after it had connected. Fix: each connection that took over 10 ms from its accept to its channel counts, by the time that it carries.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -49,6 +49,8 @@
     private static final double LONGEST_PARTIAL_MS = 2500;
 
     private static final double LEAST_BYTES_IN_MS = 32;
+    /** What lies between a connection and its channel where neither accepts nor anything else fails. */
+    private static final double USUAL_ACCEPT_MS = 10;
     /** For so long a request may be in hand whose client can't be read: its leaving would go unseen. */
     private static final double LONGEST_BLIND_MS = 60;
 
@@ -137,11 +139,12 @@
         reader.source(this);
         freeSinceMs = clock.nowMs();
         connectedMs = freeSinceMs;
+        mayHaveStood = server.heldBackOfLate();
         if (ctx.channel() instanceof ClientSocketChannel channel) {
             connectedMs = freeSinceMs - channel.accepted().waitedMs();
             stoodSinceMs = freeSinceMs - channel.accepted().mostWaitedMs();
+            mayHaveStood |= channel.accepted().mostWaitedMs() > USUAL_ACCEPT_MS;
         }
-        mayHaveStood = server.heldBackOfLate();
         server.opened(this);
     }
 
--- a/src/test/java/ivybank/soak/DepartedWhileUnreadTest.java
+++ b/src/test/java/ivybank/soak/DepartedWhileUnreadTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Clients ask and leave while their sidecar can't see it: nothing is sent for them later than 0.1 s after their end. */
 @Timeout(60)
@@ -30,6 +32,9 @@
     private static final int CONNECTIONS = 32;
     private static final int ROUNDS = 8;
     private static final long FAULT_MS = 50;
+    /** As long as the soak has calls fail at the most. */
+    private static final long LONG_FAULT_MS = 700;
+
     /** So that the rounds come at different moments of what the sidecar does each 400 ms. */
     private static final long APART_MS = 380;
 
@@ -90,6 +95,28 @@
         }
     }
 
+    // Guards against a send for a client that left before its connection could be used.
+    @ParameterizedTest
+    @CsvSource({"GETSOCKOPT, ENOBUFS", "ACCEPT, EMFILE", "ACCEPT, EINTR"})
+    void aRequestOnAConnectionThatCouldNotBeUsedForLongIsNotSent(Call call, Errno errno) throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, stamping);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            askedOnce(sidecar, UPSTREAMS); // idle connections to upstreams: a send waits for nothing
+            Thread.sleep(APART_MS);
+            sidecar.faults.fail(call, errno, SyscallFaults.ALWAYS);
+            for (int i = 0; i < CONNECTIONS; i++) {
+                Socket connection = sidecar.connect();
+                write(connection, REQUEST_HEAD + rest("late-" + i));
+                leave("late-" + i, connection);
+            }
+            Thread.sleep(LONG_FAULT_MS);
+            sidecar.faults.healAll();
+            Thread.sleep(AFTER_MS);
+            assertNothingLate(sidecar);
+        }
+    }
+
     /** Has clients ask and leave on connections of which the selector knows nothing any more. */
     private void leaveUnregistered(FaultySidecar sidecar, String name) throws Exception {
         List<Socket> connections = askedOnce(sidecar, CONNECTIONS / ROUNDS);
