--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -342,9 +342,10 @@
                     List.of("rule answer"),
                     List.of(new Edit(
                             "client/ClientConnection.java",
-                            "        } else if (arrival.request == null) {\n",
-                            "        } else if (arrival.request == null && arrival.status == BAD_REQUEST) {\n            return;\n"
-                                    + "        } else if (arrival.request == null) {\n"))),
+                            "        } else if (arrival.request() == null) {\n",
+                            "        } else if (arrival.request() == null && arrival.status() == HttpStatus.BAD_REQUEST) {\n"
+                                    + "            return;\n"
+                                    + "        } else if (arrival.request() == null) {\n"))),
             new Mutant(
                     "repeats what was broken in between",
                     Night.BROKEN,
