A listener does not close on an interrupted accept that looks like an empty backlog

Cause: Java hands back an interrupted accept as one that found nobody, and the last look before the listener closes took that for an empty backlog. Fix: a round of accepts tells whether somebody may be left whom the selector had told of; the listener closes once nobody is, within 2 s as before. ClosingListenerTest failed before: eight of eight clients lost their answers.

--- a/src/main/java/ivybank/client/BackgroundAccept.java
+++ b/src/main/java/ivybank/client/BackgroundAccept.java
@@ -22,9 +22,10 @@
      *
      * @param connections those that were accepted
      * @param failure what ended the round, or null where nobody else waited or enough were accepted
+     * @param somebodyLeft whether somebody may stand in the backlog still
      * @param tookMs how long it took, in milliseconds
      */
-    record Outcome(List<AcceptedConnection> connections, IOException failure, double tookMs) {}
+    record Outcome(List<AcceptedConnection> connections, IOException failure, boolean somebodyLeft, double tookMs) {}
 
     private static final long IDLE_THREAD_S = 10;
     private static final double NANOS_IN_MS = 1e6;
@@ -76,7 +77,8 @@
                 loop.execute(() -> end(outcome));
             });
         } catch (RuntimeException | Error e) { // no thread can be made for the moment
-            loop.execute(() -> end(new Outcome(List.of(), new IOException("nothing can be accepted: " + e, e), 0)));
+            loop.execute(
+                    () -> end(new Outcome(List.of(), new IOException("nothing can be accepted: " + e, e), true, 0)));
         }
     }
 
@@ -98,7 +100,8 @@
         }
         boolean left = failure != null || expected && accepted.isEmpty();
         noteWaiting(accepted.size(), most, left, fromNanos);
-        return new Outcome(accepted, failure, (System.nanoTime() - fromNanos) / NANOS_IN_MS);
+        boolean somebodyLeft = waitingSinceNanos != null || accepted.size() >= most;
+        return new Outcome(accepted, failure, somebodyLeft, (System.nanoTime() - fromNanos) / NANOS_IN_MS);
     }
 
     private AcceptedConnection accepted(SocketChannel socket, long fromNanos) {
--- a/src/main/java/ivybank/client/ClientListenerChannel.java
+++ b/src/main/java/ivybank/client/ClientListenerChannel.java
@@ -95,7 +95,7 @@
     private void accepted(BackgroundAccept.Outcome outcome) {
         boolean nobody = outcome.connections().isEmpty();
         boolean interrupted = nobody && !polled && outcome.failure() == null;
-        emptied = nobody && outcome.failure() == null;
+        emptied = nobody && !outcome.somebodyLeft();
         if (outcome.tookMs() > LONG_ACCEPT_MS || nobody && !polled) {
             pipeline().fireUserEventTriggered(Event.HELD_BACK);
         }
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -164,6 +164,11 @@
         throw new IOException("the sidecar was not ready in time");
     }
 
+    /** Sends it SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
     Path log() {
         return folder.resolve("sidecar.log");
     }
