--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,7 +2,7 @@
 # Runs this case; see claim.txt. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-timeout -k 2 110 java -Xmx512m -cp "$root/review/target" StoppedBody "$root" "$here"
+timeout -k 2 110 java -Xmx512m -cp "$root/review/target" DepartedClients "$root" "$here"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
