--- a/review/stand/Kit.java
+++ b/review/stand/Kit.java
@@ -28,8 +28,8 @@
         int run(Kit kit) throws Exception;
     }
 
-    /** False with TROUBLE=0: the same case without its disruption. */
-    final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    /** Whether the case has its disruption; without it, the rule has to hold. */
+    final boolean trouble;
 
     final Path root;
     final Path folder;
@@ -37,16 +37,25 @@
     private final long startNanos = System.nanoTime();
     private final List<SidecarProcess> processes = new ArrayList<>();
 
-    private Kit(Path root, Path caseFolder) throws IOException {
+    private Kit(Path root, Path caseFolder, boolean trouble) throws IOException {
         this.root = root;
+        this.trouble = trouble;
         this.folder = Files.createTempDirectory("review");
         this.record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
     }
 
-    /** Runs a case and ends this process with its exit code. */
+    /**
+     * Runs a case and ends this process with its exit code.
+     *
+     * @param arguments the repository's folder, the case's folder, and the value of TROUBLE: 0 for no disruption
+     */
     static void main(String[] arguments, Case body) throws IOException {
         int code = NOT_RUN;
-        Kit kit = new Kit(Path.of(arguments[0]).toAbsolutePath(), Path.of(arguments[1]).toAbsolutePath());
+        Kit kit = new Kit(
+                Path.of(arguments[0]).toAbsolutePath(),
+                Path.of(arguments[1]).toAbsolutePath(),
+                !"0".equals(arguments[2]));
+        kit.note(kit.trouble ? "with the disruption" : "TROUBLE=0: without the disruption");
         Thread ender = new Thread(kit::close);
         Runtime.getRuntime().addShutdownHook(ender);
         try {
