Parts of long bodies are reserved in one budget, and the log shows it

Change: BodyPipe reserves each part in MessageMemory (new package, pure) from its read until it is written or dropped. The report, each 10 s, has a line with the reserved bytes and with what the allocator has in use. Limits are derived from those of the virtual machine; nothing obeys them yet, so behaviour is as before.

--- a/src/main/java/ivybank/client/AnswerWriter.java
+++ b/src/main/java/ivybank/client/AnswerWriter.java
@@ -103,9 +103,9 @@
         streamedBody = answer.remainingBody();
         streamedBody.attach(new BodyPipe.Sink() {
             @Override
-            public void write(ByteBuf part) {
+            public void write(ByteBuf part, Runnable released) {
                 BodyPipe pipe = streamedBody;
-                context.writeAndFlush(new DefaultHttpContent(part));
+                context.writeAndFlush(new DefaultHttpContent(part)).addListener(done -> released.run());
                 pipe.setDemand(context.channel().isWritable());
             }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -13,6 +13,7 @@
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
 import ivybank.invariants.InvariantGuard;
+import ivybank.memory.MessageMemory;
 import ivybank.operations.Standby;
 import ivybank.policy.Balancer.Effect;
 import ivybank.policy.Balancer.RequestClass;
@@ -87,6 +88,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final String identityHeader;
     private List<EventLoopStallDetector> stallDetectors = List.of();
+    private MessageMemory memory = MessageMemory.unlimited();
     private InvariantGuard guard = new InvariantGuard(line -> {});
     private final ClientAcceptor acceptor;
     private final ConnectionEndLog ends;
@@ -153,7 +155,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 RequestDecoder decoder = new RequestDecoder();
-                RequestReader reader = new RequestReader(decoder);
+                RequestReader reader = new RequestReader(decoder, memory);
                 channel.pipeline()
                         .addLast(
                                 decoder,
@@ -193,6 +195,11 @@
         stallDetectors = detectors;
     }
 
+    /** Sets the memory in which messages are reserved. Must be called before the first connection is accepted. */
+    public void setMemory(MessageMemory messages) {
+        memory = messages;
+    }
+
     String identityHeader() {
         return identityHeader;
     }
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -16,6 +16,7 @@
 import ivybank.common.Framing;
 import ivybank.common.NextSelect;
 import ivybank.exchange.BodyPipe;
+import ivybank.memory.MessageMemory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 
@@ -38,6 +39,7 @@
     }
 
     private final RequestDecoder decoder;
+    private final MessageMemory memory;
     private BodyPipe.Source source;
     private HttpRequest head;
     private ByteArrayOutputStream body;
@@ -49,8 +51,10 @@
 
     private ByteBuf finalChunk;
 
-    RequestReader(RequestDecoder decoder) {
+    /** @param memory where bodies are reserved */
+    RequestReader(RequestDecoder decoder, MessageMemory memory) {
         this.decoder = decoder;
+        this.memory = memory;
     }
 
     /** Sets the source that is notified of the demand for the rest of a long request. */
@@ -158,7 +162,7 @@
                 return HttpStatus.CONTENT_TOO_LARGE;
             }
             if (remainingBody == null && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
-                remainingBody = new BodyPipe(source);
+                remainingBody = new BodyPipe(source, memory);
                 ctx.fireChannelRead(new RequestEvent(head, body.toByteArray(), 0, remainingBody));
                 body = null;
             }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -28,6 +28,7 @@
 import ivybank.discovery.ListLease;
 import ivybank.discovery.Timing;
 import ivybank.invariants.InvariantGuard;
+import ivybank.memory.MessageMemory;
 import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -113,6 +114,7 @@
     private final DrainTimes drainTimes;
     private final Timing timing;
     private final PooledByteBufAllocator buffers;
+    private final MessageMemory memory;
     private final SecondTally tally = new SecondTally();
     private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
@@ -183,6 +185,7 @@
                 config.settings().contract().coldMs());
         buffers = new PooledByteBufAllocator(
                 true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFER_COUNT, CACHED_BUFFER_COUNT, false);
+        memory = MemoryShares.ofProcess();
         Bootstrap base = new Bootstrap().option(ChannelOption.ALLOCATOR, buffers);
         pool = new UpstreamPool(
                 loop,
@@ -192,6 +195,7 @@
                 new LoadReport(config.settings().reportFields()),
                 base.clone().channel(UpstreamSocketChannel.class),
                 log);
+        pool.setMemory(memory);
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         dispatcher = new RequestDispatcher(
                 config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
@@ -226,6 +230,7 @@
                 descriptors,
                 store == null ? null : store.promises().header(),
                 log);
+        server.setMemory(memory);
     }
 
     /**
@@ -582,6 +587,10 @@
                     + " descriptors or, while draining, of connections so far");
             log.line(server.endedConnections());
         }
+        if (counts != null || memory.isInUse()) {
+            log.line("memory of messages: " + memory + "; direct buffers in use: " + buffers.pinnedDirectMemory()
+                    + " bytes in chunks of " + buffers.metric().usedDirectMemory());
+        }
         if (counts != null && promises != null) {
             log.line(promises.statusLine());
         }
--- a/src/main/java/ivybank/exchange/BodyPipe.java
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -1,14 +1,17 @@
 package ivybank.exchange;
 
 import io.netty.buffer.ByteBuf;
+import ivybank.memory.MessageMemory;
+import ivybank.memory.Reservation;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /**
  * The remaining part of a long body, passed from the side that reads it to the side that writes it. Buffers what has
  * been read until it is consumed. Meanwhile, and whenever the writer can't accept more, the reader is requested to
- * stop, so that the buffer holds little more than what the reader still reads after that request. Ends once: completed
- * or aborted by the reader, or abandoned by the writer. Used on one event loop.
+ * stop, so that the buffer holds little more than what the reader still reads after that request. Each part is reserved
+ * in the memory of the process from when it is read until it is written. Ends once: completed or aborted by the reader, or
+ * abandoned by the writer. Used on one event loop.
  */
 public final class BodyPipe {
 
@@ -25,7 +28,12 @@
     /** The side that writes the body; it owns the buffers passed to it. */
     public interface Sink {
 
-        void write(ByteBuf part);
+        /**
+         * Writes a part.
+         *
+         * @param released run once the part takes no memory any more, because it has been written or dropped
+         */
+        void write(ByteBuf part, Runnable released);
 
         /**
          * Notifies that nothing more follows.
@@ -35,8 +43,12 @@
         void ended(boolean complete);
     }
 
+    /** A part of the body, and the memory that it takes. */
+    private record Part(ByteBuf bytes, Reservation memory) {}
+
     private final Source source;
-    private final Deque<ByteBuf> buffered = new ArrayDeque<>();
+    private final MessageMemory memory;
+    private final Deque<Part> buffered = new ArrayDeque<>();
     private long bufferedBytes;
     private Sink sink;
     private boolean attached;
@@ -49,8 +61,14 @@
     private boolean endDelivered;
     private boolean abandoned;
 
-    public BodyPipe(Source source) {
+    /**
+     * Creates a pipe.
+     *
+     * @param memory where the parts are reserved
+     */
+    public BodyPipe(Source source, MessageMemory memory) {
         this.source = source;
+        this.memory = memory;
     }
 
     /** Passes on a part of the body; takes ownership of the buffer. */
@@ -59,7 +77,7 @@
             part.release();
             return;
         }
-        buffered.addLast(part);
+        buffered.addLast(new Part(part, memory.reservePart(part.readableBytes())));
         bufferedBytes += part.readableBytes();
         deliver();
         if (!buffered.isEmpty() && !abandoned) {
@@ -90,9 +108,9 @@
         }
         delivering = true;
         while (sink != null && !paused && !buffered.isEmpty()) {
-            ByteBuf part = buffered.pollFirst();
-            bufferedBytes -= part.readableBytes();
-            sink.write(part);
+            Part part = buffered.pollFirst();
+            bufferedBytes -= part.bytes().readableBytes();
+            sink.write(part.bytes(), part.memory()::release);
         }
         delivering = false;
         if (sink != null && ended && !endDelivered && buffered.isEmpty()) {
@@ -150,8 +168,9 @@
     }
 
     private void release() {
-        while (!buffered.isEmpty()) {
-            buffered.pollFirst().release();
+        for (Part part = buffered.pollFirst(); part != null; part = buffered.pollFirst()) {
+            part.bytes().release();
+            part.memory().release();
         }
         bufferedBytes = 0;
     }
--- /dev/null
+++ b/src/main/java/ivybank/memory/MessageMemory.java
@@ -0,0 +1,62 @@
+package ivybank.memory;
+
+/**
+ * The memory that all messages in progress take in this process, in its two kinds: arrays on the heap, which hold what is
+ * kept whole, and the buffers outside the heap in which bytes are read and written. Whoever keeps bytes of a message reserves
+ * them here. Used on one event loop.
+ */
+public final class MessageMemory {
+
+    /**
+     * What a buffered part takes beside its bytes: objects on the heap, and the unused rest of the buffer in which it was
+     * read.
+     */
+    private static final long PART_OVERHEAD_BYTES = 256;
+
+    private final MemoryBudget heap;
+    private final MemoryBudget direct;
+
+    /**
+     * Creates the budgets.
+     *
+     * @param heapLimitBytes the limit for arrays on the heap, in bytes
+     * @param directLimitBytes the limit for buffers outside the heap, in bytes
+     */
+    public MessageMemory(long heapLimitBytes, long directLimitBytes) {
+        heap = new MemoryBudget(heapLimitBytes);
+        direct = new MemoryBudget(directLimitBytes);
+    }
+
+    /** Returns budgets that are never used up. */
+    public static MessageMemory unlimited() {
+        return new MessageMemory(Long.MAX_VALUE / 2, Long.MAX_VALUE / 2);
+    }
+
+    /** Returns the budget for arrays on the heap. */
+    public MemoryBudget heap() {
+        return heap;
+    }
+
+    /** Returns the budget for buffers outside the heap. */
+    public MemoryBudget direct() {
+        return direct;
+    }
+
+    /** Reserves a buffered part, even beyond the limit: its bytes have been read already. */
+    public Reservation reservePart(int bytes) {
+        Reservation reservation = new Reservation(direct);
+        reservation.resize(bytes + PART_OVERHEAD_BYTES);
+        return reservation;
+    }
+
+    /** Returns whether anything is reserved. */
+    public boolean isInUse() {
+        return heap.reservedBytes() + direct.reservedBytes() > 0;
+    }
+
+    /** Returns the state of both budgets, for the log. */
+    @Override
+    public String toString() {
+        return "heap " + heap + "; direct " + direct;
+    }
+}
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -201,8 +202,8 @@
      * Writes a part of a request. A reset that a write detects first closes the channel like a normal close, and a truncated answer
      * without a length then seemed complete.
      */
-    private void writePart(ByteBuf part) {
-        channel.writeAndFlush(new DefaultHttpContent(part)).addListener(write -> broken |= !write.isSuccess());
+    private ChannelFuture writePart(ByteBuf part) {
+        return channel.writeAndFlush(new DefaultHttpContent(part)).addListener(write -> broken |= !write.isSuccess());
     }
 
     private void requestWritten(UpstreamAttempt sent, boolean whole) {
@@ -227,12 +228,13 @@
         }
 
         @Override
-        public void write(ByteBuf part) {
+        public void write(ByteBuf part, Runnable released) {
             if (attempt != sent) {
                 part.release();
+                released.run();
                 return;
             }
-            writePart(part);
+            writePart(part).addListener(done -> released.run());
             updateUpload(channel.isWritable());
         }
 
@@ -362,17 +364,19 @@
             failMalformed("is too long to be recorded");
         } else {
             forwardedBytes = (long) body.size() + part.readableBytes();
-            rest = new BodyPipe(new BodyPipe.Source() {
-                @Override
-                public void setDemand(boolean more) {
-                    channel.config().setAutoRead(more);
-                }
-
-                @Override
-                public void abandoned() {
-                    close();
-                }
-            });
+            rest = new BodyPipe(
+                    new BodyPipe.Source() {
+                        @Override
+                        public void setDemand(boolean more) {
+                            channel.config().setAutoRead(more);
+                        }
+
+                        @Override
+                        public void abandoned() {
+                            close();
+                        }
+                    },
+                    pool.memory());
             rest.write(part.retain());
             lastPartMs = pool.nowMs();
             watchStall(attempt);
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -8,6 +8,7 @@
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
 import ivybank.discovery.Node;
+import ivybank.memory.MessageMemory;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.supervision.PeriodicTask;
 import ivybank.supervision.SupervisedTask;
@@ -78,6 +79,7 @@
     private final PeriodicTask verification;
     private final IdleConnections idle = new IdleConnections();
     private Tally tally = Tally.NONE;
+    private MessageMemory memory = MessageMemory.unlimited();
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
     private boolean idleDisabled;
     private long malformedAnswers;
@@ -110,6 +112,16 @@
         opener.setTally(counts);
     }
 
+    /** Sets the memory in which messages are reserved. Must be called before the first one is sent. */
+    public void setMemory(MessageMemory messages) {
+        memory = messages;
+    }
+
+    /** Returns the memory in which messages are reserved. */
+    MessageMemory memory() {
+        return memory;
+    }
+
     /** Returns the periodic tasks that close idle connections, find lost ones, and check those without events. */
     public List<SupervisedTask> tasks() {
         return List.of(sweep, verification);
--- a/src/test/java/ivybank/upstream/UpstreamOutcomesTest.java
+++ b/src/test/java/ivybank/upstream/UpstreamOutcomesTest.java
@@ -307,8 +307,9 @@
                         public void answerStarted(Answer answer) {
                             answer.remainingBody().attach(new BodyPipe.Sink() {
                                 @Override
-                                public void write(ByteBuf part) {
+                                public void write(ByteBuf part, Runnable released) {
                                     part.release();
+                                    released.run();
                                 }
 
                                 @Override
