Long bodies return their memory with their request, and all of them keep one limit

Cause: whoever answered a request dropped its body only where the last byte had not come, and a client that left dropped it only then, too. A body that had come whole and that no attempt had taken kept its buffers for good. The limit of 4 MB did not help, as the server's count was kept apart from the buffers: it forgot a body with its connection or with the next body, and what stood in outbound buffers was in no count.

Change: the end of a request drops its body, whatever state it is in, and so does a client that leaves. Reads from upstreams are 16 KiB at most, as those from clients. Related: a part that could not be written ends the answer or the attempt instead of leaving a gap; whole messages count while they are written.

Weighed against the local release in answer() alone: it mends this case, but not a client that leaves, nor the bodies of many slow nodes, whose limits multiply to more than there is.

--- a/src/main/java/ivybank/client/AnswerWriter.java
+++ b/src/main/java/ivybank/client/AnswerWriter.java
@@ -19,6 +19,8 @@
 import ivybank.common.Clock;
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
+import ivybank.memory.MessageMemory;
+import ivybank.memory.Reservation;
 import java.math.BigDecimal;
 
 /** Writes the answers of one client connection, at once or as their bodies arrive. Used on one event loop. */
@@ -40,6 +42,7 @@
 
     private final ChannelHandlerContext context;
     private final Clock clock;
+    private final MessageMemory memory;
     /** The rest of the answer being written, or null; and the time since when the client has not read any of it, or NaN. */
     private BodyPipe streamedBody;
 
@@ -50,9 +53,11 @@
     /** The number of answers that are not written completely. */
     private int unwrittenAnswers;
 
-    AnswerWriter(ChannelHandlerContext context, Clock clock) {
+    /** @param memory where answers are reserved that are being written */
+    AnswerWriter(ChannelHandlerContext context, Clock clock, MessageMemory memory) {
         this.context = context;
         this.clock = clock;
+        this.memory = memory;
     }
 
     /** Writes an answer whose body is at hand. */
@@ -73,7 +78,8 @@
                             .toPlainString());
         }
         HttpUtil.setKeepAlive(response, keepAlive);
-        return counted(context.writeAndFlush(response));
+        Reservation copy = memory.reservePart(answer.body().length);
+        return counted(context.writeAndFlush(response)).addListener(done -> copy.release());
     }
 
     /** Returns whether a client can tell the end of an answer without the end of its connection. */
@@ -105,7 +111,12 @@
             @Override
             public void write(ByteBuf part, Runnable released) {
                 BodyPipe pipe = streamedBody;
-                context.writeAndFlush(new DefaultHttpContent(part)).addListener(done -> released.run());
+                context.writeAndFlush(new DefaultHttpContent(part)).addListener(done -> {
+                    released.run();
+                    if (!done.isSuccess()) {
+                        breakOff(pipe, end);
+                    }
+                });
                 pipe.setDemand(context.channel().isWritable());
             }
 
@@ -117,6 +128,15 @@
         });
     }
 
+    /** Ends a streamed answer of which a part could not be written: nothing behind the gap may reach the client. */
+    private void breakOff(BodyPipe pipe, StreamEnd end) {
+        if (streamedBody == pipe && context.channel().isActive()) {
+            streamedBody = null;
+            pipe.abandon();
+            end.ended(false);
+        }
+    }
+
     /** Writes the end of a streamed answer. */
     ChannelFuture writeStreamEnd() {
         return counted(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
--- a/src/main/java/ivybank/client/Arrival.java
+++ b/src/main/java/ivybank/client/Arrival.java
@@ -30,6 +30,13 @@
         return this == SURPLUS || this == LAST_SURPLUS;
     }
 
+    /** Drops what is held of the request, which is answered or can't be answered any more. */
+    void release() {
+        if (request != null) {
+            request.release();
+        }
+    }
+
     /** Returns the memory that the request counts for while it waits, in bytes. */
     long bytes() {
         return (long) REQUEST_BYTES + (request == null ? 0 : request.body().length);
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -20,11 +20,15 @@
         implements BodyPipe.Source, ClientLink {
 
     /** The limit up to which a body is read while nobody consumes it, so that the client's disconnect behind it is noticed. */
-    private static final long MAX_BUFFERED_BODY_BYTES = 512 * 1024;
+    private static final long MAX_READ_AHEAD_BYTES = 512 * 1024;
     /** After this many reads of input that is discarded, reading pauses for the read delay. */
     private static final int READS_BEFORE_PAUSE = 64;
 
     private static final long READ_DELAY_MS = 5;
+    /** The time that a long request must have left when its last byte is read; with a short budget, half of the budget. */
+    private static final double MIN_LEFT_MS = 500;
+
+    private static final double MIN_LEFT_FRACTION = 0.5;
     /** The timeout for the first byte of a request on a new connection. */
     private static final double SILENT_TIMEOUT_MS = 2500;
     /**
@@ -72,10 +76,13 @@
     private AnswerWriter answers;
     /** Whether reading is paused for the read delay. */
     private boolean readPaused;
-    /** The request body being received, or null; and how much of it is buffered. */
+    /** The time since when nothing is read, because nobody consumes what has been read; otherwise NaN. */
+    private double unreadSinceMs = Double.NaN;
+    /** The earliest time at which a body may have been complete in the socket, if it has not been found empty since; or NaN. */
+    private double earliestEndMs = Double.NaN;
+    /** The request body being received, or null. */
     private BodyPipe incomingBody;
 
-    private long bufferedBytes;
     private ChannelHandlerContext context;
     /** Whether the next input may have arrived long ago: in the backlog, or while nothing could be read. */
     private boolean mayBeDelayed;
@@ -139,7 +146,7 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
         closer = new ConnectionCloser(ctx, server.guard(), this::isRequestOwed);
-        answers = new AnswerWriter(ctx, clock);
+        answers = new AnswerWriter(ctx, clock, server.memory());
     }
 
     @Override
@@ -170,13 +177,15 @@
     private void receive(RequestReader.RequestEvent message) {
         if (message == RequestReader.RequestEvent.BODY_COMPLETE) {
             incomingBody = incomingBody != null && incomingBody.isComplete() ? null : incomingBody;
-            reportBufferedBytes();
+            adjustReading();
             if (closeAfterRequest) {
                 closer.endAfterAnswers(EndReason.LAST_ANSWER);
             } else if (current != null
                     && current.request() != null
                     && current.request().remainingBody() != null) {
-                handler.bodyCompleted(currentId);
+                double nowMs = clock.nowMs();
+                handler.bodyCompleted(currentId, Double.isNaN(earliestEndMs) ? nowMs : earliestEndMs);
+                earliestEndMs = Double.NaN;
             }
             return;
         }
@@ -185,9 +194,10 @@
             server.connectionReused();
         }
         if (closeAfterRequest) {
+            dropBody(message);
             closer.endAfterAnswers(EndReason.LAST_ANSWER);
         } else if (inputEnded && isRequestIncomplete()) {
-            abort(message.status());
+            abort(Answer.status(message.status()));
         } else {
             enqueue(message);
             processNext();
@@ -209,10 +219,15 @@
                 : message.remainingBody() == null ? incomingBody : message.remainingBody();
     }
 
-    private void refuseInOrder(RequestReader.RequestEvent message) {
+    /** Drops the body of a request that is not processed. */
+    private static void dropBody(RequestReader.RequestEvent message) {
         if (message.remainingBody() != null) {
             message.remainingBody().abandon();
         }
+    }
+
+    private void refuseInOrder(RequestReader.RequestEvent message) {
+        dropBody(message);
         if (message.head() == null) {
             waiting.endWithStatus(message.status());
         } else if (!waiting.addSurplus()) {
@@ -227,10 +242,10 @@
     }
 
     /** Answers the current request, which will never be complete and so has not run. */
-    private void abort(int status) {
+    private void abort(Answer failure) {
         Arrival arrival = current;
         handler.clientDisconnected(currentId);
-        answer(arrival, Answer.status(status));
+        answer(arrival, failure);
     }
 
     @Override
@@ -249,17 +264,23 @@
         setDemand(true); // the rest of the body is still read
     }
 
-    /** Pauses or resumes reading, which bounds the buffered part of a body that nobody consumes. */
+    /** Pauses or resumes reading, which bounds the part of a body that is held here. */
     private void adjustReading() {
-        boolean full = !bodyDemanded && (bufferedBytes >= MAX_BUFFERED_BODY_BYTES || !server.hasCapacityFor(0));
-        context.channel().config().setAutoRead(!readPaused && !full);
+        boolean reads = bodyDemanded || mayReadAhead();
+        if (reads) {
+            unreadSinceMs = Double.NaN;
+        } else if (Double.isNaN(unreadSinceMs)) {
+            unreadSinceMs = clock.nowMs();
+            earliestEndMs = unreadSinceMs;
+        }
+        context.channel().config().setAutoRead(reads && !readPaused);
     }
 
-    /** Reports to the server how much of the incoming body is buffered. */
-    private void reportBufferedBytes() {
-        long buffered = incomingBody == null ? 0 : incomingBody.bufferedBytes();
-        server.addBufferedBytes(buffered - bufferedBytes);
-        bufferedBytes = buffered;
+    /** Returns whether input may be read although nobody consumes the body that it belongs to. */
+    private boolean mayReadAhead() {
+        return incomingBody == null
+                || incomingBody.heldBytes() < MAX_READ_AHEAD_BYTES
+                        && server.memory().mayReadAhead();
     }
 
     /**
@@ -289,6 +310,7 @@
         if (!(context.channel() instanceof RetryingSocketChannel channel)) {
             return;
         }
+        adjustReading(); // there may be memory again for a body that nobody consumes
         if (evenIdle || current != null || isSilent() || channel.hasPendingWrites()) {
             boolean wasDelayed = mayBeDelayed;
             mayBeDelayed = true; // input found now may have arrived long ago
@@ -352,6 +374,11 @@
             ctx.fireChannelReadComplete(); // the read failed, or was a poll that found nothing
             return;
         }
+        if (ctx.channel() instanceof RetryingSocketChannel channel
+                && channel.isDrained()
+                && !reader.hasCompleteBody()) {
+            earliestEndMs = Double.NaN;
+        }
         noteReadable();
         readCount++;
         double nowMs = clock.nowMs();
@@ -362,7 +389,6 @@
         }
         partial = reader.isMidRequest();
         if (incomingBody != null) {
-            reportBufferedBytes();
             adjustReading();
         }
         if ((inputEnded || waiting.hasSurplus()) && !readPaused && readCount % READS_BEFORE_PAUSE == 0) {
@@ -471,9 +497,7 @@
             abandonBody(answer);
             return;
         }
-        if (answeredEarly) {
-            arrival.request().remainingBody().abandon();
-        }
+        arrival.release();
         if (answer.remainingBody() != null) {
             boolean staysOpen = keepAlive && AnswerWriter.hasKnownEnd(answer, arrival.http10());
             answers.stream(
@@ -620,14 +644,29 @@
         return PARTIAL_HEAD_TIMEOUT_MS + reader.bodyBytes() / MIN_BODY_BYTES_PER_MS;
     }
 
-    /** Ends requests that arrive too slowly, and connections on which the client has stopped reading a long answer. */
+    /** Returns whether the rest of a request has stood unread for so long that it could hardly be served in time. */
+    private boolean isOverdueUnread(double nowMs) {
+        if (!isRequestIncomplete()) {
+            return false;
+        }
+        double budgetMs = current.request().budgetMs();
+        return nowMs - unreadSinceMs >= budgetMs - Math.min(MIN_LEFT_MS, MIN_LEFT_FRACTION * budgetMs);
+    }
+
+    /**
+     * Ends requests that arrive too slowly, and connections on which the client has stopped reading a long answer. Refuses a
+     * request whose rest was not read in time, for lack of memory or because its node does not read: its client may have
+     * sent the last byte, and its node has not got it.
+     */
     void endStalled(double nowMs) {
         boolean tooSlow = partial && bodyDemanded && nowMs - partialSinceMs - notDemandedMs > partialTimeoutMs();
         if (tooSlow && closeAfterRequest || answers.isStalled(nowMs)) {
             closer.abort(EndReason.CLIENT_STALLED, null);
         } else if (tooSlow && isRequestIncomplete() && !inputEnded) {
             inputEnded = true;
-            abort(HttpStatus.REQUEST_TIMEOUT);
+            abort(Answer.status(HttpStatus.REQUEST_TIMEOUT));
+        } else if (isOverdueUnread(nowMs)) {
+            abort(Answer.refused(server.retryAfterMs()));
         }
     }
 
@@ -693,20 +732,25 @@
                         closer.error());
         server.connectionClosed(this);
         if (current != null) {
-            BodyPipe unfinished = isRequestIncomplete() ? current.request().remainingBody() : null;
-            current = null;
-            handler.clientDisconnected(currentId);
-            answers.abandon();
-            if (unfinished != null) {
-                unfinished.end(false);
-            }
+            abandonCurrent();
         }
         waiting.abandon();
-        server.addBufferedBytes(-bufferedBytes);
-        bufferedBytes = 0;
         incomingBody = null;
     }
 
+    /** Drops the current request, whose client has left. */
+    private void abandonCurrent() {
+        Arrival abandoned = current;
+        BodyPipe unfinished = isRequestIncomplete() ? abandoned.request().remainingBody() : null;
+        current = null;
+        handler.clientDisconnected(currentId);
+        answers.abandon();
+        if (unfinished != null) {
+            unfinished.end(false);
+        }
+        abandoned.release();
+    }
+
     /** Returns whether a request that was received has no answer yet, and one can still be given. */
     private boolean isRequestOwed() {
         boolean inProgress = current != null && current.request() != null && !answers.isStreaming();
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -56,7 +56,7 @@
     private static final long POLL_INTERVAL_MS = 50;
 
     private static final int POLLS_PER_FULL_POLL = 8;
-    /** The limit on what all clients have sent and nobody has processed yet. */
+    /** The limit on the requests that wait behind others on their connections. */
     private static final long MAX_BUFFERED_BYTES = 4L << 20;
     /** The weight in {@code reuseRatio} of one connection that is reused, or is closed unused after its first request. */
     private static final double REUSE_STEP = 0.05;
@@ -200,6 +200,10 @@
         memory = messages;
     }
 
+    MessageMemory memory() {
+        return memory;
+    }
+
     String identityHeader() {
         return identityHeader;
     }
--- a/src/main/java/ivybank/client/RequestQueue.java
+++ b/src/main/java/ivybank/client/RequestQueue.java
@@ -92,10 +92,7 @@
     /** Drops the queued requests, which can't be answered any more. */
     void abandon() {
         addBufferedBytes(-waitingBytes);
-        waiting.stream()
-                .filter(arrival ->
-                        arrival.request() != null && arrival.request().remainingBody() != null)
-                .forEach(arrival -> arrival.request().remainingBody().abandon());
+        waiting.forEach(Arrival::release);
         waiting.clear();
         surplus = 0;
         finalStatus = 0;
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -67,6 +67,11 @@
         return !unreadable && (head != null || decoder.hasPartialInput());
     }
 
+    /** Returns whether the last byte of a long request has been read that has not been passed on yet. */
+    boolean hasCompleteBody() {
+        return completedBody != null;
+    }
+
     /** Stops parsing input. */
     void stop() {
         unreadable = true;
--- a/src/main/java/ivybank/daemon/Exchange.java
+++ b/src/main/java/ivybank/daemon/Exchange.java
@@ -24,6 +24,8 @@
     final ClientRequest request;
     /** The deadline, or {@link #NO_DEADLINE_YET} while the last byte has not arrived. */
     double deadlineMs;
+    /** When the last byte of a long request was read. */
+    private double completedMs;
 
     /**
      * The earliest time at which the request may have arrived: it may have been buffered in its socket during an event
@@ -52,6 +54,12 @@
         return deadlineMs == NO_DEADLINE_YET;
     }
 
+    /** Records that the last byte of a long request has been read, and when it has to be answered. */
+    void completed(double readMs, double newDeadlineMs) {
+        completedMs = readMs;
+        deadlineMs = newDeadlineMs;
+    }
+
     /**
      * Returns whether the part of a long request that an earlier attempt sent is gone, so that the request cannot be
      * sent again.
@@ -68,8 +76,7 @@
         if (request.remainingBody() == null) {
             return startedMs;
         }
-        double arrivedMs = isArriving() ? nowMs : deadlineMs - request.budgetMs();
-        return Math.max(startedMs, arrivedMs);
+        return Math.max(startedMs, isArriving() ? nowMs : completedMs);
     }
 
     /** Returns the maximum time that the client has left; its whole budget while the last byte has not arrived. */
--- a/src/main/java/ivybank/daemon/RequestDeadline.java
+++ b/src/main/java/ivybank/daemon/RequestDeadline.java
@@ -36,10 +36,23 @@
      * subtracted, and a minimum is always left: the request may also have arrived just now, and could still be served.
      */
     static double atMs(ClientRequest request, double nowMs, EventLoopStallDetector stalls) {
-        double minDeadlineMs = nowMs + Math.min(MIN_LEFT_MS, MIN_LEFT_FRACTION * request.budgetMs());
-        double byReadTimeMs = request.arrivedMs() + request.budgetMs();
-        double earliestMs = Math.min(request.earliestArrivalMs(), stalls.earliestArrivalMs(nowMs));
-        double byArrivalTimeMs = earliestMs + MAX_LATE_MS + request.budgetMs();
+        return atMs(request.budgetMs(), request.arrivedMs(), request.earliestArrivalMs(), nowMs, stalls);
+    }
+
+    /**
+     * Returns the time by which a long request has to be answered whose last byte has just been read.
+     *
+     * @param earliestMs the earliest time at which that byte may have arrived
+     */
+    static double atMs(ClientRequest request, double earliestMs, double nowMs, EventLoopStallDetector stalls) {
+        return atMs(request.budgetMs(), nowMs, earliestMs, nowMs, stalls);
+    }
+
+    private static double atMs(
+            double budgetMs, double readMs, double earliestMs, double nowMs, EventLoopStallDetector stalls) {
+        double minDeadlineMs = nowMs + Math.min(MIN_LEFT_MS, MIN_LEFT_FRACTION * budgetMs);
+        double byReadTimeMs = readMs + budgetMs;
+        double byArrivalTimeMs = Math.min(earliestMs, stalls.earliestArrivalMs(nowMs)) + MAX_LATE_MS + budgetMs;
         return Math.min(byReadTimeMs, Math.max(minDeadlineMs, byArrivalTimeMs));
     }
 
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -241,16 +241,17 @@
     }
 
     @Override
-    public void bodyCompleted(int id) {
+    public void bodyCompleted(int id, double earliestMs) {
         Exchange exchange = exchanges.get(id);
         if (exchange != null && !exchange.closed && exchange.isArriving()) {
-            double budgetMs = exchange.request.budgetMs();
-            exchange.deadlineMs = clock.nowMs() + budgetMs;
+            double nowMs = clock.nowMs();
+            exchange.completed(nowMs, RequestDeadline.atMs(exchange.request, earliestMs, nowMs, deadlineStalls));
+            double leftMs = exchange.deadlineMs - nowMs;
             if (exchange.streamingAttempt < 0) {
-                startBackstop(exchange, budgetMs);
+                startBackstop(exchange, leftMs);
             }
             events.deliver(() -> balancer.bodyCompleted(
-                    clock.nowMs(), id, Math.max(0, budgetMs - RequestDeadline.reserveMs(exchange.request))));
+                    clock.nowMs(), id, Math.max(0, leftMs - RequestDeadline.reserveMs(exchange.request))));
         }
     }
 
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -65,8 +65,8 @@
     private static final int PAGE_BYTES = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB, because messages are small and memory is scarce
     /**
-     * The buffer sizes of one read from a client. Requests are small, and pipelined requests beyond those being served
-     * wait here.
+     * The buffer sizes of one read from a client or an upstream. Messages are small, and pipelined requests beyond those
+     * being served wait here. A body that nobody takes can hold one read, whatever memory there is.
      */
     private static final int MIN_READ_BYTES = 512;
 
@@ -147,6 +147,7 @@
      *
      * @param store the settings of the store of promises; null for none
      * @param inherited the clients' listening socket, shared with other processes; null to listen as configured
+     * @param memory the limits on what messages in progress take
      */
     Sidecar(
             Config config,
@@ -156,8 +157,10 @@
             DrainTimes drainTimes,
             Timing timing,
             StoreSettings store,
-            ServerSocketChannel inherited)
+            ServerSocketChannel inherited,
+            MessageMemory memory)
             throws IOException {
+        this.memory = memory;
         this.inherited = inherited;
         this.store = store;
         this.config = config;
@@ -185,7 +188,6 @@
                 config.settings().contract().coldMs());
         buffers = new PooledByteBufAllocator(
                 true, 0, 1, PAGE_BYTES, CHUNK_ORDER, CACHED_BUFFER_COUNT, CACHED_BUFFER_COUNT, false);
-        memory = MemoryShares.ofProcess();
         Bootstrap base = new Bootstrap().option(ChannelOption.ALLOCATOR, buffers);
         pool = new UpstreamPool(
                 loop,
@@ -193,7 +195,7 @@
                 limits,
                 descriptors,
                 new LoadReport(config.settings().reportFields()),
-                base.clone().channel(UpstreamSocketChannel.class),
+                base.clone().channel(UpstreamSocketChannel.class).option(ChannelOption.RECVBUF_ALLOCATOR, readSizes()),
                 log);
         pool.setMemory(memory);
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
@@ -260,7 +262,8 @@
                 DrainTimes.longest(config.settings()),
                 timing,
                 operatorFile == null ? null : operatorFile.store(),
-                InheritedListener.listener(environment, log));
+                InheritedListener.listener(environment, log),
+                MemoryShares.ofProcess());
         sidecar.follow(ProcessAge.maxMs());
         sidecar.prepare();
         if (operatorFile != null && operatorFile.peers() != null) {
@@ -529,6 +532,10 @@
         });
     }
 
+    private static AdaptiveRecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+    }
+
     private ChannelFuture listen() {
         if (!guard.checkStart(timing.asked() || discoveryAsked).isAllowed()) {
             throw new IllegalStateException("clients must not be served before discovery was asked");
@@ -542,9 +549,7 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.ALLOCATOR, buffers)
-                        .childOption(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)),
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readSizes()),
                 loop,
                 inherited == null ? config.listen() : null);
     }
--- a/src/main/java/ivybank/exchange/BodyPipe.java
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -49,7 +49,9 @@
     private final Source source;
     private final MessageMemory memory;
     private final Deque<Part> buffered = new ArrayDeque<>();
-    private long bufferedBytes;
+    /** What has been read and not been written yet, in bytes. */
+    private long heldBytes;
+
     private Sink sink;
     private boolean attached;
     /** Whether the sink can't accept more at the moment. */
@@ -78,10 +80,15 @@
             return;
         }
         buffered.addLast(new Part(part, memory.reservePart(part.readableBytes())));
-        bufferedBytes += part.readableBytes();
+        heldBytes += part.readableBytes();
         deliver();
-        if (!buffered.isEmpty() && !abandoned) {
-            source.setDemand(false);
+        updateDemand();
+    }
+
+    /** Tells the source whether more is to be read now. */
+    private void updateDemand() {
+        if (!ended && !abandoned) {
+            source.setDemand(sink != null && !paused && buffered.isEmpty() && memory.mayStream(heldBytes));
         }
     }
 
@@ -108,9 +115,7 @@
         }
         delivering = true;
         while (sink != null && !paused && !buffered.isEmpty()) {
-            Part part = buffered.pollFirst();
-            bufferedBytes -= part.bytes().readableBytes();
-            sink.write(part.bytes(), part.memory()::release);
+            write(buffered.pollFirst());
         }
         delivering = false;
         if (sink != null && ended && !endDelivered && buffered.isEmpty()) {
@@ -119,6 +124,15 @@
         }
     }
 
+    private void write(Part part) {
+        int bytes = part.bytes().readableBytes();
+        sink.write(part.bytes(), () -> {
+            heldBytes -= bytes;
+            part.memory().release();
+            updateDemand();
+        });
+    }
+
     /** Returns whether a sink is or was attached; what it has received is no longer available to another. */
     public boolean isAttached() {
         return attached;
@@ -129,9 +143,9 @@
         return ended && complete;
     }
 
-    /** Returns how much is buffered, in bytes. */
-    public long bufferedBytes() {
-        return bufferedBytes;
+    /** Returns how much has been read and not been written yet, in bytes. */
+    public long heldBytes() {
+        return heldBytes;
     }
 
     /** Attaches the sink, which gets the buffered part and what follows. */
@@ -139,18 +153,14 @@
         attached = true;
         sink = newSink;
         deliver();
-        if (!ended && !abandoned && !paused) {
-            source.setDemand(true);
-        }
+        updateDemand();
     }
 
     /** Sets whether the sink can accept more at the moment. */
     public void setDemand(boolean more) {
         paused = !more;
         deliver();
-        if (!ended && !abandoned) {
-            source.setDemand(!paused && buffered.isEmpty());
-        }
+        updateDemand();
     }
 
     /** Drops the rest, which nobody will consume. */
@@ -169,9 +179,9 @@
 
     private void release() {
         for (Part part = buffered.pollFirst(); part != null; part = buffered.pollFirst()) {
+            heldBytes -= part.bytes().readableBytes();
             part.bytes().release();
             part.memory().release();
         }
-        bufferedBytes = 0;
     }
 }
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -77,6 +77,13 @@
         return remainingBody != null && !remainingBody.isComplete();
     }
 
+    /** Drops what is held of its body. Called once it is answered or its client has left: nothing of it is sent any more. */
+    public void release() {
+        if (remainingBody != null) {
+            remainingBody.abandon();
+        }
+    }
+
     /** Returns the same request with a record that must be made before it is sent. */
     public ClientRequest withSendRecord(SendRecord newSendRecord) {
         return new ClientRequest(
--- a/src/main/java/ivybank/exchange/RequestHandler.java
+++ b/src/main/java/ivybank/exchange/RequestHandler.java
@@ -17,8 +17,12 @@
     /** Handles a request and returns its number. {@code client} receives its one final answer, possibly before this returns. */
     int handle(ClientRequest request, Consumer<Answer> client);
 
-    /** Notifies that the last byte of a long request has been received, from which on its time counts. */
-    void bodyCompleted(int number);
+    /**
+     * Notifies that the last byte of a long request has been received, from which on its time counts.
+     *
+     * @param earliestMs the earliest time at which it may have arrived, if it could not be read at once, in milliseconds
+     */
+    void bodyCompleted(int number, double earliestMs);
 
     /**
      * Cancels a request that needs no answer from this handler any more: its client has disconnected, or its connection
--- a/src/main/java/ivybank/memory/MessageMemory.java
+++ b/src/main/java/ivybank/memory/MessageMemory.java
@@ -42,6 +42,21 @@
         return direct;
     }
 
+    /** Returns whether more of a body may be read that nobody writes yet. */
+    public boolean mayReadAhead() {
+        return !direct.isScarce();
+    }
+
+    /**
+     * Returns whether more of a body may be read that is being written. Where memory is used up, each body may still have one
+     * part at a time, so that all of them proceed at the pace of those who read them.
+     *
+     * @param heldBytes what has been read of the body and not been written yet, in bytes
+     */
+    public boolean mayStream(long heldBytes) {
+        return heldBytes == 0 || !direct.isExhausted();
+    }
+
     /** Reserves a buffered part, even beyond the limit: its bytes have been read already. */
     public Reservation reservePart(int bytes) {
         Reservation reservation = new Reservation(direct);
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -427,8 +427,9 @@
     }
 
     @Override
-    public void bodyCompleted(int number) {
-        dispatcher.bodyCompleted(number); // long requests are not recorded and keep the dispatcher's numbers
+    public void bodyCompleted(int number, double earliestMs) {
+        dispatcher.bodyCompleted(
+                number, earliestMs); // long requests are not recorded and keep the dispatcher's numbers
     }
 
     @Override
--- a/src/main/java/ivybank/transport/RetryingSocketChannel.java
+++ b/src/main/java/ivybank/transport/RetryingSocketChannel.java
@@ -51,6 +51,9 @@
     private boolean readSuspended;
 
     private ReadResult lastRead = ReadResult.NOT_READ;
+    /** Whether the last read returned less than it could have. */
+    private boolean drained;
+
     private boolean hasRead;
     private boolean noDelaySet;
     private IOException writeError;
@@ -146,7 +149,9 @@
             return 0;
         }
         try {
+            int space = buffer.writableBytes();
             int count = super.doReadBytes(buffer);
+            drained = count < space;
             if (count < END_OF_STREAM) { // Java returns another negative number for an interrupted read
                 return readFailed();
             }
@@ -174,6 +179,11 @@
         return 0;
     }
 
+    /** Returns whether the last successful read has left nothing in the socket. */
+    public final boolean isDrained() {
+        return drained;
+    }
+
     /** Returns the error after which nothing can be read any more, or null. */
     public final IOException readError() {
         return readError;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -28,6 +28,7 @@
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
+import ivybank.memory.Reservation;
 import ivybank.policy.Balancer.Outcome;
 import ivybank.tally.Stage;
 import ivybank.transport.RetryingSocketChannel;
@@ -167,6 +168,18 @@
         phaseSinceMs = pool.nowMs();
         next.writeStarted(this, phaseSinceMs);
         ClientRequest request = next.request;
+        HttpHeaders headers = headers(request, budgetMs);
+        if (request.remainingBody() == null) {
+            writeWhole(next, headers);
+            return;
+        }
+        channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
+        writePart(Unpooled.wrappedBuffer(request.body()));
+        upload = request.remainingBody();
+        upload.attach(new Upload(next));
+    }
+
+    private static HttpHeaders headers(ClientRequest request, long budgetMs) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, SERVICE);
         headers.set(CALL_ID, request.callId());
@@ -181,13 +194,11 @@
                 headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
         }
-        if (request.remainingBody() != null) {
-            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
-            writePart(Unpooled.wrappedBuffer(request.body()));
-            upload = request.remainingBody();
-            upload.attach(new Upload(next));
-            return;
-        }
+        return headers;
+    }
+
+    private void writeWhole(UpstreamAttempt next, HttpHeaders headers) {
+        ClientRequest request = next.request;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 request.method(),
@@ -195,15 +206,24 @@
                 Unpooled.wrappedBuffer(request.body()),
                 headers,
                 EmptyHttpHeaders.INSTANCE);
-        channel.writeAndFlush(message).addListener(write -> requestWritten(next, write.isSuccess()));
+        Reservation copy = pool.memory().reservePart(request.body().length);
+        channel.writeAndFlush(message).addListener(write -> {
+            copy.release();
+            requestWritten(next, write.isSuccess());
+        });
     }
 
     /**
      * Writes a part of a request. A reset that a write detects first closes the channel like a normal close, and a truncated answer
-     * without a length then seemed complete.
+     * without a length then seemed complete. Nothing is sent behind a part that could not be written, whatever the reason.
      */
     private ChannelFuture writePart(ByteBuf part) {
-        return channel.writeAndFlush(new DefaultHttpContent(part)).addListener(write -> broken |= !write.isSuccess());
+        return channel.writeAndFlush(new DefaultHttpContent(part)).addListener(write -> {
+            if (!write.isSuccess()) {
+                broken = true;
+                close();
+            }
+        });
     }
 
     private void requestWritten(UpstreamAttempt sent, boolean whole) {
--- a/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
+++ b/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
@@ -7,6 +7,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.discovery.Timing;
+import ivybank.memory.MessageMemory;
 import ivybank.operator.OperatorFile;
 import ivybank.testing.FakeServer;
 import ivybank.testing.LateListener;
@@ -88,7 +89,8 @@
                 new DrainTimes(10, 20, 200),
                 Timing.standard(false, 500),
                 OperatorFile.read(operator).store(),
-                null);
+                null,
+                MessageMemory.unlimited());
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -3,6 +3,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.discovery.Timing;
+import ivybank.memory.MessageMemory;
 import ivybank.testing.FakeServer;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -36,6 +37,7 @@
         String extraClasses = "";
         PrintStream logLines = new PrintStream(OutputStream.nullOutputStream());
         Clock clock = Clock.system();
+        MessageMemory memory = MessageMemory.unlimited();
         DrainTimes drainTimes = new DrainTimes(0, 0, 10_000);
     }
 
@@ -80,7 +82,8 @@
                 options.drainTimes,
                 Timing.standard(false, config.drainGraceMs()),
                 null,
-                null);
+                null,
+                options.memory);
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/SidecarTestBase.java
+++ b/src/test/java/ivybank/daemon/SidecarTestBase.java
@@ -3,6 +3,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.discovery.Timing;
+import ivybank.memory.MessageMemory;
 import ivybank.testing.FakeServer;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -71,7 +72,8 @@
                 drainTimes,
                 Timing.standard(false, 500),
                 null,
-                inherited);
+                inherited,
+                MessageMemory.unlimited());
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/StreamedBodiesTest.java
+++ b/src/test/java/ivybank/daemon/StreamedBodiesTest.java
@@ -10,6 +10,7 @@
 import ivybank.common.Clock;
 import ivybank.common.Log;
 import ivybank.discovery.Timing;
+import ivybank.memory.MessageMemory;
 import ivybank.testing.FakeServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -92,7 +93,8 @@
                 new DrainTimes(0, 0, 2000),
                 Timing.standard(false, 500),
                 null,
-                null);
+                null,
+                MessageMemory.unlimited());
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/promises/PromiseRequestHandlerTest.java
+++ b/src/test/java/ivybank/promises/PromiseRequestHandlerTest.java
@@ -161,7 +161,7 @@
         }
 
         @Override
-        public void bodyCompleted(int number) {}
+        public void bodyCompleted(int number, double earliestMs) {}
 
         @Override
         public void clientDisconnected(int number) {
