Bodies that are kept whole are in one limit, and what exceeds it is refused

Cause: a body that is being received grew in an array of up to twice its size that no limit counted, and neither did the body of a request in progress or of an answer that is being received. Each had a bound of its own, 64 KiB, and there may be 700 clients and 500 upstream connections: 45 and 33 MB, in a heap of 48 MB that holds everything else, too.

Evidence: 'Terminating due to java.lang.OutOfMemoryError: Java heap space' at 650 clients with 57,600 bytes each; with the arrays counted, the same crowd asks for more than the 16.2 MB of the budget and stays there.

Change: BodyBuffer collects a body and reserves the array in the heap budget of MessageMemory (a third of the heap); an array is never larger than what was announced. The reservation goes with the request until it is answered and its last attempt has ended. Where nothing is left, who needs more is refused with 503, which frees what it had for the others; up to 4 KiB is kept in any case, so usual requests are served throughout. From half of the budget on, clients that have stopped within a body for 0.6 s are ended with 408, as they are already where connections are scarce. An answer that there is no memory for is forwarded as it comes. The beginning of a long body is a part of its pipe now, and leaves memory once it is written; requests that wait behind others count here instead of in a limit of their own.

Failed before: UnfinishedBodiesTest, 'Terminating due to java.lang.OutOfMemoryError: Java heap space'; WholeBodyMemoryTest, 0 of 20 refused, and requests in progress took no memory (timed out; one of its three tests, on answers, guards new code).

--- a/src/main/java/ivybank/client/AnswerWriter.java
+++ b/src/main/java/ivybank/client/AnswerWriter.java
@@ -88,7 +88,7 @@
     }
 
     /**
-     * Writes the beginning of a long answer, and the rest as it arrives.
+     * Writes the head of a long answer, and the body as it arrives.
      *
      * @param http10 whether the client uses HTTP/1.0, which has no chunks
      */
@@ -105,7 +105,6 @@
         }
         HttpUtil.setKeepAlive(response, keepAlive);
         context.write(response);
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
         streamedBody = answer.remainingBody();
         streamedBody.attach(new BodyPipe.Sink() {
             @Override
--- a/src/main/java/ivybank/client/Arrival.java
+++ b/src/main/java/ivybank/client/Arrival.java
@@ -13,14 +13,11 @@
  */
 record Arrival(ClientRequest request, int status, boolean keepAlive, boolean http10) {
 
-    /** A request beyond the number that may wait; it is refused. */
+    /** A request beyond what may wait or be kept; it is refused. */
     static final Arrival SURPLUS = new Arrival(null, HttpStatus.SERVICE_UNAVAILABLE, true);
     /** The last such request that is answered; the connection is closed after it. */
     static final Arrival LAST_SURPLUS = new Arrival(null, HttpStatus.SERVICE_UNAVAILABLE, false);
 
-    /** The estimated size of a request without its body, in bytes. */
-    private static final int REQUEST_BYTES = 1024;
-
     Arrival(ClientRequest request, int status, boolean keepAlive) {
         this(request, status, keepAlive, false);
     }
@@ -36,9 +33,4 @@
             request.release();
         }
     }
-
-    /** Returns the memory that the request counts for while it waits, in bytes. */
-    long bytes() {
-        return (long) REQUEST_BYTES + (request == null ? 0 : request.body().length);
-    }
 }
--- a/src/main/java/ivybank/client/ArrivalParser.java
+++ b/src/main/java/ivybank/client/ArrivalParser.java
@@ -38,14 +38,16 @@
      */
     Arrival parse(RequestReader.RequestEvent message, double earliestMs) {
         if (message.head() == null) {
-            return new Arrival(null, message.status(), false);
+            return message.status() == HttpStatus.SERVICE_UNAVAILABLE
+                    ? Arrival.LAST_SURPLUS
+                    : new Arrival(null, message.status(), false);
         }
         Arrival arrival = parseHead(message, earliestMs);
-        if (message.remainingBody() != null && arrival.request() == null) {
-            message.remainingBody().abandon();
-            return new Arrival(null, arrival.status(), false);
+        if (arrival.request() != null) {
+            return arrival;
         }
-        return arrival;
+        message.release();
+        return message.remainingBody() == null ? arrival : new Arrival(null, arrival.status(), false);
     }
 
     private Arrival parseHead(RequestReader.RequestEvent message, double earliestMs) {
@@ -81,7 +83,8 @@
     /** Returns the status to answer to a request whose header fields are invalid, or 0 if they are valid. */
     private int invalidFieldsStatus(RequestReader.RequestEvent message, String uri, HttpMethod method) {
         RequestFields fields = new RequestFields(message.head().headers());
-        boolean unexpectedBody = method.equals(HttpMethod.GET) && message.body().length > 0;
+        boolean unexpectedBody =
+                method.equals(HttpMethod.GET) && (message.body().length > 0 || message.remainingBody() != null);
         if (fields.token(CALL_ID_HEADER) == null
                 || fields.milliseconds(BUDGET_HEADER) <= 0
                 || !fields.isTokenOrAbsent(IDEMPOTENCY_KEY_HEADER)
@@ -106,6 +109,7 @@
                 fields.token(CALL_ID_HEADER),
                 fields.token(IDEMPOTENCY_KEY_HEADER),
                 message.body(),
+                message.memory(),
                 requestClass,
                 server.tenantOf(head.headers().get(CALLER_HEADER)),
                 "1".equals(head.headers().get(RETRY_HEADER)),
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -138,7 +138,7 @@
         this.server = server;
         this.handler = handler;
         this.clock = clock;
-        this.waiting = new RequestQueue(server);
+        this.waiting = new RequestQueue(server.memory());
         this.parser = new ArrivalParser(server, clock, this);
     }
 
@@ -194,7 +194,7 @@
             server.connectionReused();
         }
         if (closeAfterRequest) {
-            dropBody(message);
+            message.release();
             closer.endAfterAnswers(EndReason.LAST_ANSWER);
         } else if (inputEnded && isRequestIncomplete()) {
             abort(Answer.status(message.status()));
@@ -219,15 +219,8 @@
                 : message.remainingBody() == null ? incomingBody : message.remainingBody();
     }
 
-    /** Drops the body of a request that is not processed. */
-    private static void dropBody(RequestReader.RequestEvent message) {
-        if (message.remainingBody() != null) {
-            message.remainingBody().abandon();
-        }
-    }
-
     private void refuseInOrder(RequestReader.RequestEvent message) {
-        dropBody(message);
+        message.release();
         if (message.head() == null) {
             waiting.endWithStatus(message.status());
         } else if (!waiting.addSurplus()) {
@@ -596,6 +589,11 @@
         return unused && isFree();
     }
 
+    /** Returns whether the client has stopped within the body of a request that is not in progress yet. */
+    boolean hasStalledRequest(double nowMs) {
+        return partial && reader.bodyBytes() > 0 && isSurplus(nowMs);
+    }
+
     /** Returns whether no further request is to be expected, given that clients do not reuse connections. */
     boolean isSingleUseSurplus(double nowMs) {
         return isSilent()
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -56,8 +56,6 @@
     private static final long POLL_INTERVAL_MS = 50;
 
     private static final int POLLS_PER_FULL_POLL = 8;
-    /** The limit on the requests that wait behind others on their connections. */
-    private static final long MAX_BUFFERED_BYTES = 4L << 20;
     /** The weight in {@code reuseRatio} of one connection that is reused, or is closed unused after its first request. */
     private static final double REUSE_STEP = 0.05;
 
@@ -111,8 +109,6 @@
     private boolean otherProcessPresent;
     private long refusedRequests;
     private long polls;
-    /** The bytes that are queued on all connections. */
-    private long bufferedBytes;
 
     /** @param identityHeader the header field that identifies a request over all its retries; null if none is used */
     public ClientServer(
@@ -334,15 +330,6 @@
                 && ++closeCandidates % CLOSE_CANDIDATES_PER_KEPT != 0;
     }
 
-    /** Returns whether this many more bytes may be queued. */
-    boolean hasCapacityFor(long bytes) {
-        return bufferedBytes + bytes < MAX_BUFFERED_BYTES;
-    }
-
-    void addBufferedBytes(long bytes) {
-        bufferedBytes += bytes;
-    }
-
     /** Counts a request that is refused because too many are queued on its connection. */
     void countRefusal() {
         refusedRequests++;
@@ -403,6 +390,9 @@
                 .filter(connection -> connection.hasTimedOut(nowMs, ending))
                 .forEach(connection -> evict(connection, EndReason.IDLE_TIMEOUT));
         evict(connections.size());
+        if (memory.mustEndStalledRequests()) {
+            evict(connections.size(), EndReason.SURPLUS, connection -> connection.hasStalledRequest(nowMs));
+        }
         Standby standby = standby();
         if (standby.compareTo(Standby.CLOSING_IDLE) >= 0) {
             closeIdle(standby == Standby.CLOSING_ALL);
--- a/src/main/java/ivybank/client/RequestQueue.java
+++ b/src/main/java/ivybank/client/RequestQueue.java
@@ -1,5 +1,7 @@
 package ivybank.client;
 
+import ivybank.memory.MessageMemory;
+import ivybank.memory.Reservation;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -14,10 +16,12 @@
     /** The maximum number of requests that are refused in order; input beyond is not parsed. */
     private static final int MAX_SURPLUS = 1024;
 
-    private final ClientServer server;
+    /** The estimated size of a request without its body, in bytes. */
+    private static final int REQUEST_BYTES = 1024;
+
+    private final MessageMemory memory;
+    private final Reservation reservation;
     private final Deque<Arrival> waiting = new ArrayDeque<>(1);
-    /** The memory that the kept requests count for, in bytes. */
-    private long waitingBytes;
     /**
      * The number of requests behind those that are to be refused, and the status that answers malformed input behind them,
      * or 0.
@@ -26,9 +30,10 @@
 
     private int finalStatus;
 
-    /** @param server limits the bytes that are queued on all connections */
-    RequestQueue(ClientServer server) {
-        this.server = server;
+    /** @param memory where the requests are reserved; their bodies are already */
+    RequestQueue(MessageMemory memory) {
+        this.memory = memory;
+        this.reservation = memory.newArray();
     }
 
     /**
@@ -38,11 +43,11 @@
      */
     boolean offer(Arrival arrival, boolean behindAnother) {
         boolean mustWait = behindAnother || !waiting.isEmpty();
-        if (mustWait && (waiting.size() >= MAX_WAITING || !server.hasCapacityFor(arrival.bytes()))) {
+        if (mustWait && (waiting.size() >= MAX_WAITING || !memory.mayQueue())) {
             return false;
         }
         waiting.addLast(arrival);
-        addBufferedBytes(arrival.bytes());
+        reserveWaiting();
         return true;
     }
 
@@ -74,7 +79,7 @@
     Arrival poll() {
         if (!waiting.isEmpty()) {
             Arrival arrival = waiting.pollFirst();
-            addBufferedBytes(-arrival.bytes());
+            reserveWaiting();
             return arrival;
         }
         if (surplus > 0) {
@@ -91,15 +96,14 @@
 
     /** Drops the queued requests, which can't be answered any more. */
     void abandon() {
-        addBufferedBytes(-waitingBytes);
         waiting.forEach(Arrival::release);
         waiting.clear();
+        reserveWaiting();
         surplus = 0;
         finalStatus = 0;
     }
 
-    private void addBufferedBytes(long bytes) {
-        waitingBytes += bytes;
-        server.addBufferedBytes(bytes);
+    private void reserveWaiting() {
+        memory.resize(reservation, (long) waiting.size() * REQUEST_BYTES);
     }
 }
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -15,10 +15,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Framing;
 import ivybank.common.NextSelect;
+import ivybank.exchange.BodyBuffer;
 import ivybank.exchange.BodyPipe;
 import ivybank.memory.MessageMemory;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
+import ivybank.memory.Reservation;
 
 /**
  * Assembles requests and passes them on as {@link RequestEvent}s: complete ones, and the beginning of those too long to be
@@ -32,17 +32,39 @@
      * A complete request; the beginning of a long one, with its {@code remainingBody}; the end of all valid input, with a
      * {@code status}; or {@link #BODY_COMPLETE}.
      */
-    record RequestEvent(HttpRequest head, byte[] body, int status, BodyPipe remainingBody) {
+    record RequestEvent(HttpRequest head, byte[] body, Reservation memory, int status, BodyPipe remainingBody) {
+
+        private static final byte[] NO_BODY = {};
 
         /** The last byte of a long request has been read. */
-        static final RequestEvent BODY_COMPLETE = new RequestEvent(null, null, 0, null);
+        static final RequestEvent BODY_COMPLETE = invalid(0);
+
+        static RequestEvent invalid(int status) {
+            return new RequestEvent(null, NO_BODY, Reservation.NONE, status, null);
+        }
+
+        static RequestEvent whole(HttpRequest head, BodyBuffer body) {
+            return new RequestEvent(head, body.toArray(), body.reservation(), 0, null);
+        }
+
+        static RequestEvent streamed(HttpRequest head, BodyPipe body) {
+            return new RequestEvent(head, NO_BODY, Reservation.NONE, 0, body);
+        }
+
+        /** Drops the body of a request that is not processed. */
+        void release() {
+            memory.release();
+            if (remainingBody != null) {
+                remainingBody.abandon();
+            }
+        }
     }
 
     private final RequestDecoder decoder;
     private final MessageMemory memory;
     private BodyPipe.Source source;
     private HttpRequest head;
-    private ByteArrayOutputStream body;
+    private BodyBuffer body;
     private BodyPipe remainingBody;
     private long bodyBytes;
     private boolean unreadable;
@@ -84,7 +106,7 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         completeBody(ctx);
         if (unreadable) {
             return;
@@ -94,20 +116,25 @@
             stop();
             BodyPipe abortedBody = remainingBody;
             reset();
-            ctx.fireChannelRead(new RequestEvent(null, null, status, null));
+            ctx.fireChannelRead(RequestEvent.invalid(status));
             if (abortedBody != null) {
                 abortedBody.end(false);
             }
         } else if (message instanceof LastHttpContent) {
-            BodyPipe endedBody = remainingBody;
-            RequestEvent complete = endedBody != null ? null : new RequestEvent(head, body.toByteArray(), 0, null);
+            endRequest(ctx);
+        }
+    }
+
+    private void endRequest(ChannelHandlerContext ctx) {
+        if (remainingBody != null) {
+            completedBody = remainingBody;
             reset();
-            if (endedBody != null) {
-                completedBody = endedBody;
-                NextSelect.runAfter(ctx.executor(), () -> completeBody(ctx));
-            } else {
-                ctx.fireChannelRead(complete);
-            }
+            NextSelect.runAfter(ctx.executor(), () -> completeBody(ctx));
+        } else {
+            RequestEvent complete = RequestEvent.whole(head, body);
+            body = null; // it belongs to the request from now on
+            reset();
+            ctx.fireChannelRead(complete);
         }
     }
 
@@ -134,6 +161,7 @@
             finalChunk.release();
             finalChunk = null;
         }
+        dropBody();
     }
 
     @Override
@@ -142,15 +170,22 @@
         ctx.fireChannelInactive();
     }
 
+    private void dropBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
     private void reset() {
         head = null;
-        body = null;
+        dropBody();
         remainingBody = null;
         bodyBytes = 0;
     }
 
     /** Accepts a part of a request, and returns the status to answer if it is invalid, else 0. */
-    private int accept(ChannelHandlerContext ctx, HttpObject message) throws IOException {
+    private int accept(ChannelHandlerContext ctx, HttpObject message) {
         if (message.decoderResult().isFailure()) {
             return HttpStatus.BAD_REQUEST;
         }
@@ -160,37 +195,46 @@
                 return status;
             }
         }
-        if (message instanceof HttpContent content) {
-            ByteBuf part = content.content();
-            bodyBytes += part.readableBytes();
-            if (bodyBytes > Framing.MAX_BODY_BYTES) {
-                return HttpStatus.CONTENT_TOO_LARGE;
-            }
-            if (remainingBody == null && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
-                remainingBody = new BodyPipe(source, memory);
-                ctx.fireChannelRead(new RequestEvent(head, body.toByteArray(), 0, remainingBody));
-                body = null;
-            }
-            if (remainingBody != null && message instanceof LastHttpContent) {
-                finalChunk = part.retain(); // sending it would complete the request at the node
-            } else if (remainingBody != null) {
-                remainingBody.write(part.retain());
-            } else {
-                part.readBytes(body, part.readableBytes());
-            }
+        return message instanceof HttpContent content ? acceptContent(ctx, content) : 0;
+    }
+
+    private int acceptContent(ChannelHandlerContext ctx, HttpContent content) {
+        ByteBuf part = content.content();
+        bodyBytes += part.readableBytes();
+        if (bodyBytes > Framing.MAX_BODY_BYTES) {
+            return HttpStatus.CONTENT_TOO_LARGE;
+        }
+        if (remainingBody == null && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
+            streamBody(ctx);
+        }
+        if (remainingBody == null) {
+            return body.tryAppend(part) ? 0 : HttpStatus.SERVICE_UNAVAILABLE;
+        }
+        if (content instanceof LastHttpContent) {
+            finalChunk = part.retain(); // sending it would complete the request at the node
+        } else {
+            remainingBody.write(part.retain());
         }
         return 0;
     }
 
+    /** Passes on the request, whose body is too long to be kept whole. */
+    private void streamBody(ChannelHandlerContext ctx) {
+        remainingBody = new BodyPipe(source, memory);
+        remainingBody.write(Unpooled.wrappedBuffer(body.toArray()), body.reservation());
+        body = null; // it belongs to the pipe from now on
+        ctx.fireChannelRead(RequestEvent.streamed(head, remainingBody));
+    }
+
     private int acceptHead(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
-        body = new ByteArrayOutputStream(0);
         if (!Framing.isUnambiguous(request)) {
             return HttpStatus.BAD_REQUEST;
         }
         if (Framing.isTooLong(request)) {
             return HttpStatus.CONTENT_TOO_LARGE;
         }
+        body = new BodyBuffer(memory, HttpUtil.getContentLength(request, -1L));
         if (HttpUtil.is100ContinueExpected(request)) {
             // A client that waits for 100 Continue gets it at once.
             ctx.writeAndFlush(new DefaultFullHttpResponse(
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -211,6 +211,7 @@
                 arriving ? Exchange.NO_DEADLINE_YET : RequestDeadline.atMs(request, clock.nowMs(), deadlineStalls);
         double earliestMs = Math.min(request.earliestArrivalMs(), forwardStalls.earliestArrivalMs(clock.nowMs()));
         Exchange exchange = new Exchange(++lastId, request, deadlineMs, earliestMs, client);
+        request.memory().retain();
         exchanges.put(exchange.id, exchange);
         openIds.add(request.callId());
         unanswered++;
@@ -380,8 +381,8 @@
     }
 
     private void forget(Exchange exchange) {
-        if (exchange.closed && exchange.inFlight == 0) {
-            exchanges.remove(exchange.id);
+        if (exchange.closed && exchange.inFlight == 0 && exchanges.remove(exchange.id) != null) {
+            exchange.request.memory().release();
         }
     }
 
--- a/src/main/java/ivybank/exchange/Answer.java
+++ b/src/main/java/ivybank/exchange/Answer.java
@@ -7,9 +7,9 @@
  *
  * @param status the HTTP status
  * @param contentType the media type of the body, or null
- * @param body the body, or the beginning of a long one
+ * @param body the body; empty for a long one
  * @param retryAfterMs the delay to announce in Retry-After, in milliseconds; 0 for none
- * @param remainingBody the rest of a long body, or null
+ * @param remainingBody a long body, or null
  * @param contentLength the length of the whole body in bytes, or -1 if it is unknown until its end
  */
 public record Answer(
@@ -25,9 +25,9 @@
         return new Answer(200, contentType, body, 0);
     }
 
-    /** Returns an answer whose remaining body is still to come. */
-    public static Answer streamed(String contentType, byte[] body, BodyPipe remainingBody, long contentLength) {
-        return new Answer(200, contentType, body, 0, remainingBody, contentLength);
+    /** Returns an answer whose body is still to come. */
+    public static Answer streamed(String contentType, BodyPipe remainingBody, long contentLength) {
+        return new Answer(200, contentType, NO_BODY, 0, remainingBody, contentLength);
     }
 
     public static Answer refused(double retryAfterMs) {
--- a/src/main/java/ivybank/exchange/BodyPipe.java
+++ b/src/main/java/ivybank/exchange/BodyPipe.java
@@ -75,11 +75,21 @@
 
     /** Passes on a part of the body; takes ownership of the buffer. */
     public void write(ByteBuf part) {
+        write(part, memory.reservePart(part.readableBytes()));
+    }
+
+    /**
+     * Passes on a part of the body; takes ownership of the buffer.
+     *
+     * @param reservation the memory that the buffer takes, which is released with it
+     */
+    public void write(ByteBuf part, Reservation reservation) {
         if (abandoned || ended || !part.isReadable()) {
             part.release();
+            reservation.release();
             return;
         }
-        buffered.addLast(new Part(part, memory.reservePart(part.readableBytes())));
+        buffered.addLast(new Part(part, reservation));
         heldBytes += part.readableBytes();
         deliver();
         updateDemand();
--- a/src/main/java/ivybank/exchange/ClientRequest.java
+++ b/src/main/java/ivybank/exchange/ClientRequest.java
@@ -1,6 +1,7 @@
 package ivybank.exchange;
 
 import io.netty.handler.codec.http.HttpMethod;
+import ivybank.memory.Reservation;
 
 /**
  * A client's request to be forwarded to an upstream.
@@ -9,7 +10,8 @@
  * @param uri the request target
  * @param callId the ID that the client gave it
  * @param idempotencyKey the key that identifies retries of it, or null
- * @param body the body, or the beginning of a long one
+ * @param body the body; empty for a long one
+ * @param memory the memory that the body takes, which each holder of the request releases
  * @param requestClass the index of its class
  * @param tenant the index of its tenant
  * @param clientRetry whether the client marked it as a retry
@@ -18,7 +20,7 @@
  * @param budgetMs the time that the client allows, in milliseconds
  * @param identity the value that identifies it over all its retries; null if it has none or none is used
  * @param sendRecord the record that must be made before it is sent, or null
- * @param remainingBody the rest of a long body, or null
+ * @param remainingBody a long body, or null
  * @param contentLength the length of the whole body in bytes, or -1 if it is unknown until its end
  * @param client the connection on which it was received
  */
@@ -28,6 +30,7 @@
         String callId,
         String idempotencyKey,
         byte[] body,
+        Reservation memory,
         int requestClass,
         int tenant,
         boolean clientRetry,
@@ -59,6 +62,7 @@
                 callId,
                 idempotencyKey,
                 body,
+                Reservation.NONE,
                 requestClass,
                 tenant,
                 clientRetry,
@@ -77,8 +81,12 @@
         return remainingBody != null && !remainingBody.isComplete();
     }
 
-    /** Drops what is held of its body. Called once it is answered or its client has left: nothing of it is sent any more. */
+    /**
+     * Releases the memory of its body for the connection on which it was received, once it is answered or its client has
+     * left: nothing of it is sent any more.
+     */
     public void release() {
+        memory.release();
         if (remainingBody != null) {
             remainingBody.abandon();
         }
@@ -92,6 +100,7 @@
                 callId,
                 idempotencyKey,
                 body,
+                memory,
                 requestClass,
                 tenant,
                 clientRetry,
--- a/src/main/java/ivybank/memory/MessageMemory.java
+++ b/src/main/java/ivybank/memory/MessageMemory.java
@@ -12,6 +12,8 @@
      * read.
      */
     private static final long PART_OVERHEAD_BYTES = 256;
+    /** The size up to which a body is kept whatever memory is left: that of usual requests. */
+    private static final long ALWAYS_KEPT_BYTES = 4096;
 
     private final MemoryBudget heap;
     private final MemoryBudget direct;
@@ -42,6 +44,38 @@
         return direct;
     }
 
+    /** Returns an empty reservation for an array on the heap. */
+    public Reservation newArray() {
+        return new Reservation(heap);
+    }
+
+    /**
+     * Reserves an array that is to have this many bytes, and returns whether it may. Where memory is used up, a body that
+     * needs more is not kept: its request is refused, and returns what it has, which others need to become complete.
+     */
+    public boolean tryGrow(Reservation array, long bytes) {
+        if (bytes <= ALWAYS_KEPT_BYTES) {
+            resize(array, bytes);
+            return true;
+        }
+        return array.tryResize(bytes);
+    }
+
+    /** Reserves an array that is to have this many bytes, even beyond the limit. */
+    public void resize(Reservation array, long bytes) {
+        array.resize(bytes);
+    }
+
+    /** Returns whether a request may be kept that waits behind another one of its connection. */
+    public boolean mayQueue() {
+        return !heap.isExhausted();
+    }
+
+    /** Returns whether connections are to be ended whose clients have stopped within a request. */
+    public boolean mustEndStalledRequests() {
+        return heap.isScarce();
+    }
+
     /** Returns whether more of a body may be read that nobody writes yet. */
     public boolean mayReadAhead() {
         return !direct.isScarce();
--- a/src/main/java/ivybank/memory/Reservation.java
+++ b/src/main/java/ivybank/memory/Reservation.java
@@ -39,7 +39,7 @@
 
     /** Adds a holder, which has to release the reservation as well. */
     public Reservation retain() {
-        holders++;
+        holders += budget == null ? 0 : 1;
         return this;
     }
 
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -26,6 +26,7 @@
 import ivybank.common.Framing;
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
+import ivybank.exchange.BodyBuffer;
 import ivybank.exchange.BodyPipe;
 import ivybank.exchange.ClientRequest;
 import ivybank.memory.Reservation;
@@ -34,8 +35,6 @@
 import ivybank.transport.RetryingSocketChannel;
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -77,7 +76,8 @@
     private UpstreamAttempt attempt;
     private boolean written;
     private HttpResponse head;
-    private ByteArrayOutputStream body;
+    /** The body of the answer, while it is kept whole, or null. */
+    private BodyBuffer body;
     /** The rest of a long answer that is being forwarded, or null. */
     private BodyPipe rest;
 
@@ -174,7 +174,6 @@
             return;
         }
         channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
-        writePart(Unpooled.wrappedBuffer(request.body()));
         upload = request.remainingBody();
         upload.attach(new Upload(next));
     }
@@ -339,7 +338,8 @@
             failMalformed("has too many interim responses or switches protocols");
         } else {
             head = response;
-            body = new ByteArrayOutputStream();
+            dropBody();
+            body = new BodyBuffer(pool.memory(), HttpUtil.getContentLength(response, -1L));
             if (!interim) {
                 pool.responseStarted(node, pool.nowMs() - phaseSinceMs);
                 endPhase(Stage.FIRST_BYTE);
@@ -365,18 +365,16 @@
             }
             return;
         }
-        if (body.size() + part.readableBytes() > Framing.MAX_BUFFERED_BODY_BYTES) {
+        boolean isLong = body.size() + part.readableBytes() > Framing.MAX_BUFFERED_BODY_BYTES;
+        boolean isRecorded = attempt.request.sendRecord() != null;
+        if (!isLong && isRecorded) {
+            body.append(part); // it can't be forwarded before it is recorded
+        } else if (isLong || !body.tryAppend(part)) {
             forwardAnswer(part);
-            return;
-        }
-        try {
-            part.readBytes(body, part.readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("writing to memory never fails", e);
         }
     }
 
-    /** Starts to forward an answer that is too long to be buffered. */
+    /** Starts to forward an answer that is too long to be kept whole, or that there is no memory for. */
     private void forwardAnswer(ByteBuf part) {
         if (outcome() != Outcome.OK) {
             finish(Ending.of(outcome()), false); // the body of a failure is not used
@@ -384,6 +382,8 @@
             failMalformed("is too long to be recorded");
         } else {
             forwardedBytes = (long) body.size() + part.readableBytes();
+            BodyBuffer beginning = body;
+            body = null; // it belongs to the pipe from now on
             rest = new BodyPipe(
                     new BodyPipe.Source() {
                         @Override
@@ -397,14 +397,12 @@
                         }
                     },
                     pool.memory());
+            rest.write(Unpooled.wrappedBuffer(beginning.toArray()), beginning.reservation());
             rest.write(part.retain());
             lastPartMs = pool.nowMs();
             watchStall(attempt);
             attempt.forwardAnswer(Answer.streamed(
-                    head.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                    body.toByteArray(),
-                    rest,
-                    HttpUtil.getContentLength(head, -1L)));
+                    head.headers().get(HttpHeaderNames.CONTENT_TYPE), rest, HttpUtil.getContentLength(head, -1L)));
         }
     }
 
@@ -445,14 +443,20 @@
                 outcome,
                 reports.read(head.headers().getAll(LOAD_REPORT)),
                 served ? head.headers().get(HttpHeaderNames.CONTENT_TYPE) : null,
-                served ? body.toByteArray() : null);
+                served && body != null ? body.toArray() : null);
         reusable = written && HttpUtil.isKeepAlive(head);
         if (rest != null) {
             rest.end(true);
             channel.config().setAutoRead(true);
         }
         head = null;
-        body = null;
+    }
+
+    private void dropBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
     }
 
     @Override
@@ -504,6 +508,7 @@
             upload = null;
         }
         head = null;
+        BodyBuffer answered = body;
         body = null;
         pendingEnding = null;
         answeredMs = pool.nowMs();
@@ -520,6 +525,9 @@
         if (ended != null) {
             ended.end(ending);
         }
+        if (answered != null) {
+            answered.release(); // the client's connection has reserved what it writes
+        }
     }
 
     @Override
