Each request is sent only behind a look into its client's socket, also right after a stop

Cause, three links of one chain. The socket is looked into before each send, but not where the request is processed within the read that has brought it, which is the usual way; there only estimates of a delay helped. (1) The pass that follows a stop ended before the accepting thread had handed over its first connections, so they counted as new. (2) Their wait counted from when that thread got to run, not from when its round was requested. (3) Where a look within the handler's call found a reset, the request was answered before its number was known, so the attempt was not cancelled; 5 ms later it asked again, and a closed connection counted as one whose client is present.

Change: a whole request is processed once the read has ended, so the look is real in all cases and needs no estimate. A stop is followed as long as connections are being accepted or opened. A round's connections wait since it was requested. A request that was answered here while it was passed on is cancelled, and nobody is present on a closed connection.

--- a/src/main/java/ivybank/client/BackgroundAccept.java
+++ b/src/main/java/ivybank/client/BackgroundAccept.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +25,7 @@
      * @param connections the accepted connections
      * @param failure what ended the round, or null if the backlog was found empty or the maximum was reached
      * @param backlogMayRemain whether clients may still be in the backlog
-     * @param durationMs how long the round took, in milliseconds
+     * @param durationMs the time since the round was requested, in milliseconds
      */
     record Outcome(
             List<AcceptedConnection> connections, IOException failure, boolean backlogMayRemain, double durationMs) {}
@@ -35,7 +36,7 @@
 
     private final ServerSocketChannel listener;
     private final Consumer<Outcome> receiver;
-    private final ThreadPoolExecutor executor;
+    private final Executor executor;
     private boolean busy;
     // Used by the accepting thread alone.
     /** The time since when clients have been in the backlog that accepts did not take, or null. */
@@ -45,9 +46,18 @@
 
     /** @param receiver receives the outcome of each round, on the event loop */
     BackgroundAccept(ServerSocketChannel listener, Consumer<Outcome> receiver) {
+        this(listener, receiver, newExecutor());
+    }
+
+    /** @param executor runs the rounds, one at a time */
+    BackgroundAccept(ServerSocketChannel listener, Consumer<Outcome> receiver, Executor executor) {
         this.listener = listener;
         this.receiver = receiver;
-        executor = new ThreadPoolExecutor(
+        this.executor = executor;
+    }
+
+    private static Executor newExecutor() {
+        ThreadPoolExecutor executor = new ThreadPoolExecutor(
                 1,
                 1,
                 THREAD_IDLE_TIMEOUT_S,
@@ -55,6 +65,7 @@
                 new LinkedBlockingQueue<>(),
                 BackgroundAccept::newDaemonThread);
         executor.allowCoreThreadTimeOut(true);
+        return executor;
     }
 
     private static Thread newDaemonThread(Runnable task) {
@@ -69,7 +80,8 @@
     }
 
     /**
-     * Starts a round of up to {@code max} accepts, unless one is running.
+     * Starts a round of up to {@code max} accepts, unless one is running. Its connections count as waiting from now on, however
+     * late the thread gets to run.
      *
      * @param expected whether a client is known to be waiting: an accept that finds none has been interrupted then
      */
@@ -78,9 +90,10 @@
             return;
         }
         busy = true;
+        long requestedNanos = System.nanoTime();
         try {
             executor.execute(() -> {
-                Outcome outcome = accept(max, expected);
+                Outcome outcome = accept(max, expected, requestedNanos);
                 loop.execute(() -> complete(outcome));
             });
         } catch (RuntimeException | Error e) { // no thread can be created at the moment
@@ -88,13 +101,12 @@
         }
     }
 
-    private Outcome accept(int max, boolean expected) {
-        long startNanos = System.nanoTime();
+    private Outcome accept(int max, boolean expected, long requestedNanos) {
         List<AcceptedConnection> accepted = new ArrayList<>();
         IOException failure = null;
         try {
             for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
-                accepted.add(accepted(next, startNanos));
+                accepted.add(accepted(next, requestedNanos));
                 if (accepted.size() >= max) {
                     break;
                 }
@@ -105,14 +117,14 @@
             failure = new IOException("accept failed: " + e, e);
         }
         boolean inconclusive = failure != null || expected && accepted.isEmpty();
-        updateWaitingSince(accepted.size(), max, inconclusive, startNanos);
+        updateWaitingSince(accepted.size(), max, inconclusive, requestedNanos);
         boolean backlogMayRemain = waitingSinceNanos != null || accepted.size() >= max;
-        return new Outcome(accepted, failure, backlogMayRemain, (System.nanoTime() - startNanos) / NANOS_IN_MS);
+        return new Outcome(accepted, failure, backlogMayRemain, (System.nanoTime() - requestedNanos) / NANOS_IN_MS);
     }
 
-    private AcceptedConnection accepted(SocketChannel socket, long startNanos) {
+    private AcceptedConnection accepted(SocketChannel socket, long requestedNanos) {
         long nowNanos = System.nanoTime();
-        long sinceNanos = waitingSinceNanos == null ? startNanos : waitingSinceNanos;
+        long sinceNanos = waitingSinceNanos == null ? requestedNanos : waitingSinceNanos;
         return new AcceptedConnection(socket, nowNanos, (nowNanos - sinceNanos) / NANOS_IN_MS);
     }
 
@@ -121,13 +133,13 @@
      * backlog empty. An empty result therefore proves an empty backlog only if no client was expected and the last
      * inconclusive round is long enough ago.
      */
-    private void updateWaitingSince(int acceptedCount, int max, boolean inconclusive, long startNanos) {
+    private void updateWaitingSince(int acceptedCount, int max, boolean inconclusive, long requestedNanos) {
         if (inconclusive) {
-            waitingSinceNanos = waitingSinceNanos == null ? (Long) startNanos : waitingSinceNanos;
-            lastInconclusiveNanos = startNanos;
+            waitingSinceNanos = waitingSinceNanos == null ? (Long) requestedNanos : waitingSinceNanos;
+            lastInconclusiveNanos = requestedNanos;
         } else if (acceptedCount > 0
                 ? acceptedCount < max
-                : startNanos - lastInconclusiveNanos > EMPTY_BACKLOG_DELAY_NANOS) {
+                : requestedNanos - lastInconclusiveNanos > EMPTY_BACKLOG_DELAY_NANOS) {
             waitingSinceNanos = null;
         }
     }
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -13,6 +13,7 @@
 import ivybank.transport.RetryingSocketChannel;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** A client's connection. Its requests are answered one after another, in the order in which they arrived. */
 @SuppressWarnings("ReferenceEquality") // two arrivals with equal components are still two
@@ -410,19 +411,30 @@
     }
 
     /**
-     * Starts a request. If its input was delayed, the connection is checked first: the client may have disconnected
-     * meanwhile, with its end of stream unread in the socket behind the request.
+     * Starts a request. One that is complete is not processed within the read that has brought it: the client may have
+     * disconnected meanwhile, with its end of stream unread in the socket behind the request, and the socket can be looked
+     * into before the request is sent only once the read has ended. If its input was delayed, all sockets are read first.
      */
     private void startRequest(Arrival arrival) {
         current = arrival;
-        boolean checkFirst =
-                mayBeDelayed && arrival.request() != null && arrival.request().remainingBody() == null;
+        boolean delayed = mayBeDelayed;
         mayBeDelayed = false;
-        if (!checkFirst) {
+        if (arrival.request() == null || arrival.request().remainingBody() != null) {
             process(arrival);
-            return;
+        } else if (delayed) {
+            NextSelect.runAfter(context.executor(), () -> processOnceConfirmed(arrival));
+        } else if (processingRead) {
+            context.executor().execute(() -> processOnceRead(arrival));
+        } else {
+            process(arrival);
+        }
+    }
+
+    private void processOnceRead(Arrival arrival) {
+        if (current == arrival && context.channel().isActive()) {
+            process(arrival);
+            processNext();
         }
-        NextSelect.runAfter(context.executor(), () -> processOnceConfirmed(arrival));
     }
 
     private void processOnceConfirmed(Arrival arrival) {
@@ -450,11 +462,12 @@
         if (processingRead || isRequestIncomplete() || !(context.channel() instanceof RetryingSocketChannel channel)) {
             return true;
         }
-        boolean open = channel.isActive();
-        RetryingSocketChannel.ReadResult found =
-                open ? channel.readUntilEmpty() : RetryingSocketChannel.ReadResult.NOT_READ;
+        if (!channel.isActive()) {
+            return false;
+        }
+        RetryingSocketChannel.ReadResult found = channel.readUntilEmpty();
         noteReadResult(found);
-        return found != RetryingSocketChannel.ReadResult.FAILED && channel.isActive() == open;
+        return found != RetryingSocketChannel.ReadResult.FAILED && channel.isActive();
     }
 
     private void process(Arrival arrival) {
@@ -474,8 +487,24 @@
         } else if (server.takesReservedConnection()) {
             answer(arrival, Answer.refused(server.retryAfterMs()));
         } else {
-            int id = handler.handle(arrival.request(), answer -> answer(arrival, answer));
-            currentId = current == arrival ? id : 0;
+            forward(arrival);
+        }
+    }
+
+    /**
+     * Passes a request to the handler. Sending it at once may show that its client has left: it is then answered here before
+     * the handler has returned its number, and cancelled afterwards.
+     */
+    private void forward(Arrival arrival) {
+        AtomicBoolean answeredByHandler = new AtomicBoolean();
+        int id = handler.handle(arrival.request(), answer -> {
+            answeredByHandler.set(true);
+            answer(arrival, answer);
+        });
+        if (current == arrival) {
+            currentId = id;
+        } else if (!answeredByHandler.get()) {
+            handler.clientDisconnected(id);
         }
     }
 
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -210,7 +210,12 @@
 
     /** Returns whether no connection is open, and none is being accepted or opened. */
     public boolean isWithoutConnections() {
-        return connections.isEmpty() && !acceptor.hasUnopenedConnections();
+        return connections.isEmpty() && !hasUnopenedConnections();
+    }
+
+    /** Returns whether connections are being accepted, or have been accepted and are not open yet. */
+    public boolean hasUnopenedConnections() {
+        return acceptor.hasUnopenedConnections();
     }
 
     /** Returns the request class that a path begins with, or -1. */
--- a/src/main/java/ivybank/common/EventLoopStallDetector.java
+++ b/src/main/java/ivybank/common/EventLoopStallDetector.java
@@ -95,10 +95,12 @@
 
     /**
      * Notifies that all sockets have been read once more. Returns whether another pass is needed because a connection was
-     * accepted in this one.
+     * accepted in this one or is still to be opened.
+     *
+     * @param connectionsToOpen whether connections are being accepted, on another thread, and are not open yet
      */
-    public boolean passCompleted(double nowMs) {
-        settling = accepted && nowMs < settlingEndMs;
+    public boolean passCompleted(double nowMs, boolean connectionsToOpen) {
+        settling = (accepted || connectionsToOpen) && nowMs < settlingEndMs;
         accepted = false;
         return settling;
     }
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -526,7 +526,8 @@
 
     private void settle(EventLoopStallDetector stallDetector) {
         NextSelect.runAfter(loop, () -> {
-            if (stallDetector.passCompleted(clock.nowMs())) {
+            boolean connectionsToOpen = server != null && server.hasUnopenedConnections();
+            if (stallDetector.passCompleted(clock.nowMs(), connectionsToOpen)) {
                 settle(stallDetector);
             }
         });
--- a/src/test/java/ivybank/common/EventLoopStallDetectorTest.java
+++ b/src/test/java/ivybank/common/EventLoopStallDetectorTest.java
@@ -80,7 +80,7 @@
         assertFalse(stallDetector.check(nextMs), "the stall is detected only once");
         assertTrue(stallDetector.isStalled(nextMs + 5));
         assertEquals(1000, stallDetector.earliestArrivalMs(nextMs + 5));
-        assertFalse(stallDetector.passCompleted(nextMs + 10));
+        assertFalse(stallDetector.passCompleted(nextMs + 10, false));
         assertFalse(stallDetector.isStalled(nextMs + 10));
         assertEquals(nextMs + 10, stallDetector.earliestArrivalMs(nextMs + 10));
     }
@@ -94,13 +94,27 @@
     void stallLastsForAFullPassAfterTheLastLateCheck(EventLoopStallDetector stallDetector) {
         assertTrue(stallDetector.check(STALL_END_MS));
         assertFalse(stallDetector.check(STALL_END_MS + 300), "the stall is being followed already");
-        assertTrue(stallDetector.passCompleted(STALL_END_MS + 301));
+        assertTrue(stallDetector.passCompleted(STALL_END_MS + 301, false));
         assertTrue(stallDetector.isStalled(STALL_END_MS + 302));
         assertEquals(1000, stallDetector.earliestArrivalMs(STALL_END_MS + 302));
-        assertFalse(stallDetector.passCompleted(STALL_END_MS + 320));
+        assertFalse(stallDetector.passCompleted(STALL_END_MS + 320, false));
         assertFalse(stallDetector.isStalled(STALL_END_MS + 320));
     }
 
+    // Guards against a stall that counts as over while the connections that came in it are still being accepted.
+    @ParameterizedTest
+    @MethodSource("detectors")
+    void stallLastsWhileConnectionsAreStillToBeOpened(EventLoopStallDetector stallDetector) {
+        stallDetector.check(STALL_END_MS);
+        assertTrue(stallDetector.passCompleted(STALL_END_MS + 2, true));
+        assertTrue(stallDetector.isStalled(STALL_END_MS + 3));
+        stallDetector.connectionAccepted();
+        assertTrue(
+                stallDetector.passCompleted(STALL_END_MS + 4, false), "what it has brought is read in the next pass");
+        assertFalse(stallDetector.passCompleted(STALL_END_MS + 6, false));
+        assertFalse(stallDetector.isStalled(STALL_END_MS + 6));
+    }
+
     /**
      * Connections accepted one after another count as having waited in the backlog, however long each pass takes, up to a
      * limit.
@@ -111,7 +125,7 @@
         stallDetector.check(STALL_END_MS);
         double nowMs = STALL_END_MS;
         stallDetector.connectionAccepted();
-        while (stallDetector.passCompleted(nowMs)) {
+        while (stallDetector.passCompleted(nowMs, false)) {
             assertTrue(stallDetector.isStalled(nowMs));
             assertEquals(1000, stallDetector.earliestArrivalMs(nowMs));
             nowMs += 0.7 * stallDetector.periodMs();
--- a/src/test/java/ivybank/soak/DepartedWhileUnreadTest.java
+++ b/src/test/java/ivybank/soak/DepartedWhileUnreadTest.java
@@ -41,6 +41,10 @@
     /** What the rule allows, and a hold-up of the process between a look and a write. */
     private static final long BOUND_MS = 100 + 150;
 
+    private static final long STOP_MS = BOUND_MS + 50;
+    /** Longer than a pass over the sockets, and too short to count as a delay by itself. */
+    private static final int HANDOVER_DELAY_MS = 6;
+
     private static final long AFTER_MS = 1000;
     private static final int HALF = 500;
     private static final String REQUEST_HEAD = "GET /read?obj=1 HTTP/1.1\r\n";
@@ -70,7 +74,7 @@
                 Thread.sleep(APART_MS);
             }
             Thread.sleep(AFTER_MS);
-            assertNothingLate(sidecar);
+            assertNothingLate(sidecar, CONNECTIONS);
         }
     }
 
@@ -91,7 +95,7 @@
             Thread.sleep(AFTER_MS);
             sidecar.faults.healAll();
             Thread.sleep(AFTER_MS);
-            assertNothingLate(sidecar);
+            assertNothingLate(sidecar, CONNECTIONS);
         }
     }
 
@@ -113,7 +117,31 @@
             Thread.sleep(LONG_FAULT_MS);
             sidecar.faults.healAll();
             Thread.sleep(AFTER_MS);
-            assertNothingLate(sidecar);
+            assertNothingLate(sidecar, CONNECTIONS);
+        }
+    }
+
+    // Guards against a send for a client that left during a stop, where its connection is handed over after the stop
+    // was
+    // followed.
+    @Test
+    void aRequestOnAConnectionThatIsAcceptedLateAfterAStopIsNotSent() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, stamping);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            askedOnce(sidecar, UPSTREAMS); // idle connections to upstreams: a send waits for nothing
+            sidecar.faults.delayAccepts(HANDOVER_DELAY_MS);
+            for (int round = 0; round < ROUNDS; round++) {
+                Thread.sleep(APART_MS);
+                sidecar.signal("STOP");
+                Socket connection = sidecar.connect();
+                write(connection, REQUEST_HEAD + rest("late-" + round));
+                leave("late-" + round, connection);
+                Thread.sleep(STOP_MS);
+                sidecar.signal("CONT");
+            }
+            Thread.sleep(AFTER_MS);
+            assertNothingLate(sidecar, ROUNDS);
         }
     }
 
@@ -163,7 +191,7 @@
         return request.substring(from + CALL_ID.length()).lines().findFirst().orElseThrow();
     }
 
-    private void assertNothingLate(FaultySidecar sidecar) throws IOException {
+    private void assertNothingLate(FaultySidecar sidecar, int clients) throws IOException {
         List<String> late = new ArrayList<>();
         leftNanos.forEach((callId, leftAt) -> {
             long afterMs = TimeUnit.NANOSECONDS.toMillis(arrivedNanos.getOrDefault(callId, leftAt) - leftAt);
@@ -172,6 +200,6 @@
             }
         });
         assertEquals(List.of(), late);
-        assertTrue(leftNanos.size() == CONNECTIONS && sidecar.connect().isConnected(), "all have left, and it goes on");
+        assertTrue(leftNanos.size() == clients && sidecar.connect().isConnected(), "all have left, and it goes on");
     }
 }
