When a client's connection is read is decided in a class of its own

Change: BodyReading holds them. Two corrections on the way: a body that has ended leaves no pause behind for the next one on its connection, and a request is refused as overdue, or counts from the pause, only where memory was the reason; a node that reads slowly is handled as before.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -20,16 +20,10 @@
 final class ClientConnection extends SimpleChannelInboundHandler<RequestReader.RequestEvent>
         implements BodyPipe.Source, ClientLink {
 
-    /** The limit up to which a body is read while nobody consumes it, so that the client's disconnect behind it is noticed. */
-    private static final long MAX_READ_AHEAD_BYTES = 512 * 1024;
     /** After this many reads of input that is discarded, reading pauses for the read delay. */
     private static final int READS_BEFORE_PAUSE = 64;
 
     private static final long READ_DELAY_MS = 5;
-    /** The time that a long request must have left when its last byte is read; with a short budget, half of the budget. */
-    private static final double MIN_LEFT_MS = 500;
-
-    private static final double MIN_LEFT_FRACTION = 0.5;
     /** The timeout for the first byte of a request on a new connection. */
     private static final double SILENT_TIMEOUT_MS = 2500;
     /**
@@ -75,15 +69,7 @@
     private boolean answering;
     private ConnectionCloser closer;
     private AnswerWriter answers;
-    /** Whether reading is paused for the read delay. */
-    private boolean readPaused;
-    /** The time since when nothing is read, because nobody consumes what has been read; otherwise NaN. */
-    private double unreadSinceMs = Double.NaN;
-    /** The earliest time at which a body may have been complete in the socket, if it has not been found empty since; or NaN. */
-    private double earliestEndMs = Double.NaN;
-    /** The request body being received, or null. */
-    private BodyPipe incomingBody;
-
+    private BodyReading reading;
     private ChannelHandlerContext context;
     /** Whether the next input may have arrived long ago: in the backlog, or while nothing could be read. */
     private boolean mayBeDelayed;
@@ -115,14 +101,6 @@
     private double lastReadMs;
     /** The number of requests that were received, in full or in part if long. */
     private int requests;
-    /**
-     * Whether the rest of a long request is to be read now; the time since when reading it has been suspended; and the
-     * total duration of the earlier suspensions for this request, in milliseconds.
-     */
-    private boolean bodyDemanded = true;
-
-    private double notDemandedSinceMs;
-    private double notDemandedMs;
     /** Whether the connection is closed once the rest of a request has been read that was answered early. */
     private boolean closeAfterRequest;
     /** Whether this side ends the connection as soon as nothing is queued on it. */
@@ -148,6 +126,7 @@
         context = ctx;
         closer = new ConnectionCloser(ctx, server.guard(), this::isRequestOwed);
         answers = new AnswerWriter(ctx, clock, server.memory());
+        reading = new BodyReading(ctx, clock, server.memory());
     }
 
     @Override
@@ -177,16 +156,14 @@
 
     private void receive(RequestReader.RequestEvent message) {
         if (message == RequestReader.RequestEvent.BODY_COMPLETE) {
-            incomingBody = incomingBody != null && incomingBody.isComplete() ? null : incomingBody;
-            adjustReading();
+            double earliestMs = reading.takeEarliestEndMs();
+            reading.bodyEnded();
             if (closeAfterRequest) {
                 closer.endAfterAnswers(EndReason.LAST_ANSWER);
             } else if (current != null
                     && current.request() != null
                     && current.request().remainingBody() != null) {
-                double nowMs = clock.nowMs();
-                handler.bodyCompleted(currentId, Double.isNaN(earliestEndMs) ? nowMs : earliestEndMs);
-                earliestEndMs = Double.NaN;
+                handler.bodyCompleted(currentId, earliestMs);
             }
             return;
         }
@@ -215,9 +192,9 @@
             refuseInOrder(message);
             return;
         }
-        incomingBody = arrival.request() == null
-                ? incomingBody
-                : message.remainingBody() == null ? incomingBody : message.remainingBody();
+        if (arrival.request() != null && message.remainingBody() != null) {
+            reading.bodyStarted(message.remainingBody());
+        }
     }
 
     private void refuseInOrder(RequestReader.RequestEvent message) {
@@ -244,13 +221,7 @@
 
     @Override
     public void setDemand(boolean more) {
-        if (more != bodyDemanded) {
-            bodyDemanded = more;
-            double nowMs = clock.nowMs();
-            notDemandedMs += more ? nowMs - notDemandedSinceMs : 0;
-            notDemandedSinceMs = nowMs;
-            adjustReading();
-        }
+        reading.setDemand(more);
     }
 
     @Override
@@ -258,42 +229,6 @@
         setDemand(true); // the rest of the body is still read
     }
 
-    /** Pauses or resumes reading, which bounds the part of a body that is held here. */
-    private void adjustReading() {
-        boolean reads = bodyDemanded || mayReadAhead();
-        if (reads) {
-            unreadSinceMs = Double.NaN;
-        } else if (Double.isNaN(unreadSinceMs)) {
-            unreadSinceMs = clock.nowMs();
-            earliestEndMs = unreadSinceMs;
-        }
-        context.channel().config().setAutoRead(reads && !readPaused);
-    }
-
-    /** Returns whether input may be read although nobody consumes the body that it belongs to. */
-    private boolean mayReadAhead() {
-        return incomingBody == null
-                || incomingBody.heldBytes() < MAX_READ_AHEAD_BYTES
-                        && server.memory().mayReadAhead();
-    }
-
-    /**
-     * Pauses reading of input that is discarded. Such input is still read, since the client's disconnect may follow it, but
-     * at a limited rate.
-     */
-    private void pauseReading() {
-        readPaused = true;
-        adjustReading();
-        context.executor()
-                .schedule(
-                        () -> {
-                            readPaused = false;
-                            adjustReading();
-                        },
-                        READ_DELAY_MS,
-                        TimeUnit.MILLISECONDS);
-    }
-
     /**
      * Reads and writes without being notified by the selector: registering with it may have failed, which Java does not
      * report, even if it worked before and Netty has replaced the selector.
@@ -304,7 +239,7 @@
         if (!(context.channel() instanceof RetryingSocketChannel channel)) {
             return;
         }
-        adjustReading(); // there may be memory again for a body that nobody consumes
+        reading.adjust(); // there may be memory again for a body that nobody consumes
         if (evenIdle || current != null || isSilent() || channel.hasPendingWrites()) {
             boolean wasDelayed = mayBeDelayed;
             mayBeDelayed = true; // input found now may have arrived long ago
@@ -371,7 +306,7 @@
         if (ctx.channel() instanceof RetryingSocketChannel channel
                 && channel.isDrained()
                 && !reader.hasCompleteBody()) {
-            earliestEndMs = Double.NaN;
+            reading.socketDrained();
         }
         noteReadable();
         readCount++;
@@ -379,14 +314,12 @@
         lastReadMs = nowMs;
         if (!partial && reader.isMidRequest()) {
             partialSinceMs = isSilent() ? connectedMs : nowMs;
-            notDemandedMs = 0;
+            reading.requestStarted();
         }
         partial = reader.isMidRequest();
-        if (incomingBody != null) {
-            adjustReading();
-        }
-        if ((inputEnded || waiting.hasSurplus()) && !readPaused && readCount % READS_BEFORE_PAUSE == 0) {
-            pauseReading();
+        reading.adjust();
+        if ((inputEnded || waiting.hasSurplus()) && !reading.isPaused() && readCount % READS_BEFORE_PAUSE == 0) {
+            reading.pause(); // what is discarded is still read, as the disconnect may follow it, but at a limited rate
         }
         ctx.fireChannelReadComplete();
     }
@@ -576,7 +509,7 @@
         written.addListener(done -> answerWritten(done.cause()));
         if (answeredEarly && !inputEnded) {
             closeAfterRequest = true;
-            adjustReading();
+            reading.adjust();
         } else if (keepAlive) {
             processNext();
         } else {
@@ -671,28 +604,22 @@
         return PARTIAL_HEAD_TIMEOUT_MS + reader.bodyBytes() / MIN_BODY_BYTES_PER_MS;
     }
 
-    /** Returns whether the rest of a request has stood unread for so long that it could hardly be served in time. */
-    private boolean isOverdueUnread(double nowMs) {
-        if (!isRequestIncomplete()) {
-            return false;
-        }
-        double budgetMs = current.request().budgetMs();
-        return nowMs - unreadSinceMs >= budgetMs - Math.min(MIN_LEFT_MS, MIN_LEFT_FRACTION * budgetMs);
-    }
-
     /**
      * Ends requests that arrive too slowly, and connections on which the client has stopped reading a long answer. Refuses a
-     * request whose rest was not read in time, for lack of memory or because its node does not read: its client may have
-     * sent the last byte, and its node has not got it.
+     * request whose rest could not be read in time for lack of memory: its client may have sent the last byte, and its node
+     * has not got it.
      */
     void endStalled(double nowMs) {
-        boolean tooSlow = partial && bodyDemanded && nowMs - partialSinceMs - notDemandedMs > partialTimeoutMs();
+        boolean tooSlow = partial
+                && reading.isDemanded()
+                && nowMs - partialSinceMs - reading.notDemandedMs() > partialTimeoutMs();
         if (tooSlow && closeAfterRequest || answers.isStalled(nowMs)) {
             closer.abort(EndReason.CLIENT_STALLED, null);
         } else if (tooSlow && isRequestIncomplete() && !inputEnded) {
             inputEnded = true;
             abort(Answer.status(HttpStatus.REQUEST_TIMEOUT));
-        } else if (isOverdueUnread(nowMs)) {
+        } else if (isRequestIncomplete()
+                && reading.isOverdue(nowMs, current.request().budgetMs())) {
             abort(Answer.refused(server.retryAfterMs()));
         }
     }
@@ -762,7 +689,6 @@
             abandonCurrent();
         }
         waiting.abandon();
-        incomingBody = null;
     }
 
     /** Drops the current request, whose client has left. */
