--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -169,13 +169,24 @@
         next.writeStarted(this, phaseSinceMs);
         ClientRequest request = next.request;
         HttpHeaders headers = headers(request, budgetMs);
-        if (request.remainingBody() == null) {
-            writeWhole(next, headers);
+        if (request.remainingBody() != null) {
+            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
+            upload = request.remainingBody();
+            upload.attach(new Upload(next));
             return;
         }
-        channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers));
-        upload = request.remainingBody();
-        upload.attach(new Upload(next));
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+        Reservation copy = pool.memory().reservePart(request.body().length);
+        channel.writeAndFlush(message).addListener(write -> {
+            copy.release();
+            requestWritten(next, write.isSuccess());
+        });
     }
 
     private static HttpHeaders headers(ClientRequest request, long budgetMs) {
@@ -196,22 +207,6 @@
         return headers;
     }
 
-    private void writeWhole(UpstreamAttempt next, HttpHeaders headers) {
-        ClientRequest request = next.request;
-        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method(),
-                request.uri(),
-                Unpooled.wrappedBuffer(request.body()),
-                headers,
-                EmptyHttpHeaders.INSTANCE);
-        Reservation copy = pool.memory().reservePart(request.body().length);
-        channel.writeAndFlush(message).addListener(write -> {
-            copy.release();
-            requestWritten(next, write.isSuccess());
-        });
-    }
-
     /**
      * Writes a part of a request. A reset that a write detects first closes the channel like a normal close, and a truncated answer
      * without a length then seemed complete. Nothing is sent behind a part that could not be written, whatever the reason.
