Mutants follow the code that they change, and one of them takes out two checks

With that mended the mutant that sends for a client that has left was not caught any more: the look before each send, which now says no on a closed connection, kept its sends back.

Change: forget() removes the exchange in a statement of its own again. The mutant also takes the new answer of the look back, so it is the same faulty program as before; what has to be seen of it is unchanged.

--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -381,7 +381,8 @@
     }
 
     private void forget(Exchange exchange) {
-        if (exchange.closed && exchange.inFlight == 0 && exchanges.remove(exchange.id) != null) {
+        if (exchange.closed && exchange.inFlight == 0 && exchanges.containsKey(exchange.id)) {
+            exchanges.remove(exchange.id);
             exchange.request.memory().release();
         }
     }
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -213,10 +213,16 @@
                     "sends for a client that has left",
                     Night.LEAVING,
                     List.of("rule departed"),
-                    List.of(new Edit(
-                            "client/ClientConnection.java",
-                            "            current = null;\n            handler.clientDisconnected(currentId);",
-                            "            current = null;"))),
+                    List.of(
+                            new Edit(
+                                    "client/ClientConnection.java",
+                                    "        current = null;\n        handler.clientDisconnected(currentId);",
+                                    "        current = null;"),
+                            // The look before each send would keep it from being sent.
+                            new Edit(
+                                    "client/ClientConnection.java",
+                                    "        if (!channel.isActive()) {\n            return false;\n        }",
+                                    "        if (!channel.isActive()) {\n            return true;\n        }"))),
             new Mutant(
                     "exits with an answer owed",
                     Night.TERM,
