The log tells memory each second, and which timer ended an attempt or a request

Change: behind the line of each second one with resident size, heap, direct buffers, budgets and client connections by state; a line for each attempt that a timer ends (request written, answer so far), and for each request that is refused because its last byte was not read in time. The limit of three lines a second for each kind is a class of its own now, which the log of connection ends uses as well.

--- a/src/main/java/ivybank/client/BodyReading.java
+++ b/src/main/java/ivybank/client/BodyReading.java
@@ -127,6 +127,15 @@
         return takenMs;
     }
 
+    /** Returns why the rest of a request is not read, since when, and what is held of it, for the log. */
+    String describe(double nowMs) {
+        return (demanded ? "" : "its node takes nothing, ")
+                + (Double.isNaN(withheldSinceMs)
+                        ? ""
+                        : "memory is scarce since " + Math.round(nowMs - withheldSinceMs) + " ms, ")
+                + (body == null ? 0 : body.heldBytes()) + " bytes are held";
+    }
+
     /**
      * Returns whether the rest of a request was withheld for so long that it could hardly be served in time.
      *
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -539,6 +539,17 @@
         }
     }
 
+    /** Returns what the connection is doing. */
+    ConnectionState state() {
+        if (answers.isStreaming()) {
+            return ConnectionState.ANSWERING;
+        }
+        if (current != null) {
+            return ConnectionState.IN_PROGRESS;
+        }
+        return partial ? ConnectionState.RECEIVING : ConnectionState.IDLE;
+    }
+
     double freeSinceMs() {
         return freeSinceMs;
     }
@@ -620,6 +631,7 @@
             abort(Answer.status(HttpStatus.REQUEST_TIMEOUT));
         } else if (isRequestIncomplete()
                 && reading.isOverdue(nowMs, current.request().budgetMs())) {
+            server.logOverdue(current.request().callId(), reading.describe(nowMs));
             abort(Answer.refused(server.retryAfterMs()));
         }
     }
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -10,6 +10,7 @@
 import ivybank.common.Clock;
 import ivybank.common.DescriptorBudget;
 import ivybank.common.EventLoopStallDetector;
+import ivybank.common.LineLimit;
 import ivybank.common.Log;
 import ivybank.exchange.RequestHandler;
 import ivybank.invariants.InvariantGuard;
@@ -22,12 +23,14 @@
 import ivybank.supervision.SupervisedTask;
 import java.net.SocketAddress;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /** Listens for clients and manages their connections. */
 public final class ClientServer {
@@ -90,6 +93,7 @@
     private InvariantGuard guard = new InvariantGuard(line -> {});
     private final ClientAcceptor acceptor;
     private final ConnectionEndLog ends;
+    private final LineLimit<EndReason> overdueLines = new LineLimit<>();
     private long connectionIds;
     private long cancelledRetirements;
 
@@ -381,6 +385,21 @@
                 + " ms after its client connected");
     }
 
+    /** Logs that a request is refused whose last byte may have been in its socket for almost all of its time. */
+    void logOverdue(String callId, String reading) {
+        if (overdueLines.allows(EndReason.REQUEST_TIMEOUT, clock.nowMs())) {
+            log.line("request " + callId + " is refused, its last byte was not read in time: " + reading);
+        }
+    }
+
+    /** Returns the open connections by what they are doing, for the log. */
+    public String connectionStates() {
+        Map<ConnectionState, Long> states = connections.stream()
+                .collect(Collectors.groupingBy(
+                        ClientConnection::state, () -> new EnumMap<>(ConnectionState.class), Collectors.counting()));
+        return states.toString();
+    }
+
     /** Counts a connection that was about to be closed as unused when input was found on it. */
     void countRetirementCancelled() {
         cancelledRetirements++;
--- a/src/main/java/ivybank/client/ConnectionEndLog.java
+++ b/src/main/java/ivybank/client/ConnectionEndLog.java
@@ -1,6 +1,7 @@
 package ivybank.client;
 
 import ivybank.common.Clock;
+import ivybank.common.LineLimit;
 import ivybank.common.Log;
 import java.util.EnumMap;
 import java.util.Locale;
@@ -13,14 +14,10 @@
  */
 final class ConnectionEndLog {
 
-    private static final int MAX_LINES_PER_SECOND = 3;
-    private static final double SECOND_MS = 1000;
-
     private final Log log;
     private final Clock clock;
     private final Map<EndReason, Long> counts = new EnumMap<>(EndReason.class);
-    private final Map<EndReason, Integer> linesThisSecond = new EnumMap<>(EndReason.class);
-    private double secondStartedMs = Double.NEGATIVE_INFINITY;
+    private final LineLimit<EndReason> lines = new LineLimit<>();
 
     ConnectionEndLog(Log log, Clock clock) {
         this.log = log;
@@ -37,22 +34,13 @@
      */
     void ended(long connectionId, EndReason reason, UnansweredState unanswered, double quietMs, Throwable error) {
         counts.merge(reason, 1L, Long::sum);
-        if ((unanswered.isOwed() || error != null) && mayLog(reason)) {
+        if ((unanswered.isOwed() || error != null) && lines.allows(reason, clock.nowMs())) {
             log.line("client connection " + connectionId + " ended: " + name(reason) + ", "
                     + Math.round(quietMs) + " ms after its last input or answer; " + unanswered
                     + (error == null ? "" : "; " + error));
         }
     }
 
-    private boolean mayLog(EndReason reason) {
-        double nowMs = clock.nowMs();
-        if (nowMs - secondStartedMs >= SECOND_MS) {
-            secondStartedMs = nowMs;
-            linesThisSecond.clear();
-        }
-        return linesThisSecond.merge(reason, 1, Integer::sum) <= MAX_LINES_PER_SECOND;
-    }
-
     /** Returns the counts by reason on one line. */
     String summary() {
         return counts.entrySet().stream()
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -20,6 +20,7 @@
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
 import ivybank.common.ProcessAge;
+import ivybank.common.ResidentMemory;
 import ivybank.control.AdminTarget;
 import ivybank.control.SiblingProcesses;
 import ivybank.discovery.Directory;
@@ -578,9 +579,21 @@
         tallyDueMs = Math.max(tallyDueMs + TALLY_INTERVAL_MS, nowMs);
         if (second != null) {
             log.line(second.line() + " violations=" + guard.takeNewViolations() + (peers == null ? "" : peers.tally()));
+            log.line(memoryLine());
         }
     }
 
+    private String memoryLine() {
+        Runtime runtime = Runtime.getRuntime();
+        long heapBytes = runtime.totalMemory();
+        return "memory: resident " + ResidentMemory.kibibytes() + " KiB; heap "
+                + (heapBytes - runtime.freeMemory()) + " of " + heapBytes + " bytes; direct "
+                + buffers.pinnedDirectMemory() + " in chunks of "
+                + buffers.metric().usedDirectMemory()
+                + " bytes; messages: " + memory + "; client connections "
+                + (server == null ? "none" : server.connectionStates());
+    }
+
     private void report() {
         String counts = dispatcher.counters().report();
         if (counts != null) {
@@ -594,8 +607,7 @@
             log.line(server.endedConnections());
         }
         if (counts != null || memory.isInUse()) {
-            log.line("memory of messages: " + memory + "; direct buffers in use: " + buffers.pinnedDirectMemory()
-                    + " bytes in chunks of " + buffers.metric().usedDirectMemory());
+            log.line(memoryLine());
         }
         if (counts != null && promises != null) {
             log.line(promises.statusLine());
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -83,8 +83,6 @@
 
     /** The number of bytes of the long answer that have arrived. */
     private long forwardedBytes;
-    /** The time at which the last part of the long answer arrived, by the clock of the decision module. */
-    private double lastPartMs;
     /** The rest of a long request that is being forwarded, or null. */
     private BodyPipe upload;
 
@@ -93,6 +91,8 @@
     private boolean broken;
 
     private int interimResponses;
+    /** The time at which the last part of the answer arrived, by the clock of the decision module. */
+    private double lastInputMs;
     /**
      * The time at which the request was written or the head of its answer arrived, by the clock of the decision module.
      */
@@ -132,6 +132,24 @@
         }
     }
 
+    /** Returns how far the current attempt has come, for the log. */
+    String progress() {
+        String request = written
+                ? "request written"
+                : upload == null ? "request not written" : "request not written, " + upload.heldBytes() + " bytes held";
+        if (head == null) {
+            return request + ", no answer";
+        }
+        long received = rest != null ? forwardedBytes : body.size();
+        return request + ", answer " + head.status().code() + " with " + received + " bytes so far, last input "
+                + Math.round(pool.nowMs() - lastInputMs) + " ms ago";
+    }
+
+    /** Logs that a timer of this program ends the current attempt. */
+    void reportTimeout(String timer) {
+        pool.reportTimeout(attempt, timer, progress());
+    }
+
     /** Checks for unread input; unless there is none, the connection must be closed. */
     UnreadInput unreadInput() {
         return channel instanceof UpstreamSocketChannel socket ? socket.unreadInput() : UnreadInput.NONE;
@@ -289,6 +307,7 @@
                         .schedule(
                                 () -> {
                                     if (attempt == sent && upload != null) {
+                                        reportTimeout("the node reads nothing");
                                         finish(Ending.of(Outcome.CONNECT_FAILED), false);
                                     }
                                 },
@@ -305,6 +324,7 @@
         } else if (message instanceof HttpResponse response) {
             startResponse(response);
         }
+        lastInputMs = pool.nowMs();
         if (message instanceof HttpContent content && head != null) {
             addBody(content.content());
             if (message instanceof LastHttpContent && head != null) {
@@ -352,7 +372,6 @@
     private void addBody(ByteBuf part) {
         if (rest != null) {
             forwardedBytes += part.readableBytes();
-            lastPartMs = pool.nowMs();
             if (forwardedBytes > Framing.MAX_BODY_BYTES) {
                 failMalformed("is too long");
             } else {
@@ -394,7 +413,6 @@
                     pool.memory());
             rest.write(Unpooled.wrappedBuffer(beginning.toArray()), beginning.reservation());
             rest.write(part.retain());
-            lastPartMs = pool.nowMs();
             watchStall(attempt);
             attempt.forwardAnswer(Answer.streamed(
                     head.headers().get(HttpHeaderNames.CONTENT_TYPE), rest, HttpUtil.getContentLength(head, -1L)));
@@ -412,9 +430,9 @@
                                 return;
                             }
                             if (!channel.config().isAutoRead()) {
-                                lastPartMs = pool.nowMs(); // the client is what stalls
+                                lastInputMs = pool.nowMs(); // the client is what stalls
                             }
-                            if (pool.nowMs() - lastPartMs > pool.stallMs()) {
+                            if (pool.nowMs() - lastInputMs > pool.stallMs()) {
                                 failMalformed("stalls after " + forwardedBytes + " bytes");
                             } else {
                                 watchStall(passing);
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -5,6 +5,7 @@
 import ivybank.common.Clock;
 import ivybank.common.DescriptorBudget;
 import ivybank.common.EventLoopStallDetector;
+import ivybank.common.LineLimit;
 import ivybank.common.Log;
 import ivybank.common.NextSelect;
 import ivybank.discovery.Node;
@@ -81,6 +82,7 @@
     private Tally tally = Tally.NONE;
     private MessageMemory memory = MessageMemory.unlimited();
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
+    private final LineLimit<String> timeoutLines = new LineLimit<>();
     private boolean idleDisabled;
     private long malformedAnswers;
 
@@ -143,6 +145,14 @@
         log.line("an answer of " + node + " " + reason + ": attempt failed, connection closed");
     }
 
+    /** Logs that a timer of this program ends an attempt, and how far the attempt had come. */
+    void reportTimeout(UpstreamAttempt attempt, String timer, String progress) {
+        if (timeoutLines.allows(timer, clock.nowMs())) {
+            log.line("attempt of request " + attempt.request.callId() + " at " + attempt.node + " ended: " + timer
+                    + "; " + progress);
+        }
+    }
+
     /** Logs input that arrived when no answer was expected. */
     void reportUnexpectedInput(UpstreamConnection connection) {
         log.line(connection.node + " sent unexpected input " + Math.round(clock.nowMs() - connection.idleSinceMs)
