Stand-ins of the soak's tests have files of their own

They are top-level classes of the package now. A sidecar 'as deployed' takes the runtime's options from the deploy file instead of repeating two of them, and its limits can be given. No test changes what it checks.

--- a/src/test/java/ivybank/soak/AcceptAtShutdownTest.java
+++ b/src/test/java/ivybank/soak/AcceptAtShutdownTest.java
@@ -2,8 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ivybank.soak.FaultySidecar.Agent;
-import ivybank.soak.FaultySidecar.Upstreams;
 import ivybank.testing.SyscallFaults;
 import java.net.InetAddress;
 import java.net.Socket;
--- a/src/test/java/ivybank/soak/ClosingListenerTest.java
+++ b/src/test/java/ivybank/soak/ClosingListenerTest.java
@@ -2,8 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import ivybank.soak.FaultySidecar.Agent;
-import ivybank.soak.FaultySidecar.Upstreams;
 import ivybank.testing.Pause;
 import ivybank.testing.SyscallFaults;
 import ivybank.testing.SyscallFaults.Call;
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -1,5 +1,6 @@
 package ivybank.soak;
 
+import ivybank.testing.DeployedOptions;
 import ivybank.testing.FakeServer;
 import ivybank.testing.ShortNight;
 import ivybank.testing.SyscallFaults;
@@ -13,14 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
-import java.util.Locale;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 /** One sidecar as a process of its own, whose system calls a test can make fail. */
 final class FaultySidecar implements AutoCloseable {
@@ -33,7 +27,8 @@
     /** The limits of a process: on its file descriptors, and by options of the Java runtime beside its heap. */
     private record Limits(int sockets, String runtimeOptions) {}
 
-    private static final Limits DEPLOYED = new Limits(1024, "-XX:MaxDirectMemorySize=24m -XX:+ExitOnOutOfMemoryError");
+    private static final int DEPLOYED_SOCKETS = 1024;
+    private static final int DEPLOYED_MEMORY_MB = 160;
 
     final SyscallFaults faults;
     final Path folder;
@@ -92,12 +87,25 @@
 
     /** One with the limits of the deployment on descriptors and memory; it ends where its heap is used up. */
     static FaultySidecar startAsDeployed(Path folder, FakeServer discovery, Upstreams upstreams) throws Exception {
+        return startAsDeployed(folder, discovery, upstreams, DEPLOYED_MEMORY_MB, DEPLOYED_SOCKETS);
+    }
+
+    /** The same with these limits, which stand in its settings. */
+    static FaultySidecar startAsDeployed(
+            Path folder, FakeServer discovery, Upstreams upstreams, int memoryMb, int sockets) throws Exception {
         int port = freePort();
-        String config =
-                config(port, discovery, upstreams).replace("\"sockets\":" + SOCKETS, "\"sockets\":" + DEPLOYED.sockets);
+        String config = config(port, discovery, upstreams)
+                .replace("\"sockets\":" + SOCKETS, "\"sockets\":" + sockets)
+                .replace("\"memory_mb\":160", "\"memory_mb\":" + memoryMb);
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        FaultySidecar sidecar =
-                new FaultySidecar(folder, file, port, DEPLOYED, new SyscallFaults(folder.resolve("faults")), "", "");
+        FaultySidecar sidecar = new FaultySidecar(
+                folder,
+                file,
+                port,
+                new Limits(sockets, DeployedOptions.read()),
+                new SyscallFaults(folder.resolve("faults")),
+                "",
+                "");
         sidecar.awaitReady();
         return sidecar;
     }
@@ -245,140 +253,4 @@
         signals.close();
         process.destroyForcibly().onExit().join();
     }
-
-    /** Upstreams that answer at once, and the list that names them. */
-    static final class Upstreams implements AutoCloseable {
-        final List<FakeServer> servers;
-        private final String[] health;
-        private final long[] bornMs;
-        private long seq = 1;
-
-        Upstreams(int count) throws IOException {
-            this(count, connection -> {
-                while (connection.read() != null) {
-                    connection.write(FakeServer.OK);
-                }
-            });
-        }
-
-        Upstreams(int count, FakeServer.Script script) throws IOException {
-            servers = new ArrayList<>();
-            for (int i = 0; i < count; i++) {
-                servers.add(new FakeServer(script));
-            }
-            health = new String[count];
-            Arrays.fill(health, "Ready");
-            bornMs = new long[count];
-        }
-
-        synchronized String list() {
-            return "{\"seq\":" + seq + ",\"whole\":true,\"hosts\":["
-                    + IntStream.range(0, health.length).mapToObj(this::entry).collect(Collectors.joining(","))
-                    + "]}";
-        }
-
-        private String entry(int number) {
-            return String.format(
-                    Locale.ROOT,
-                    "{\"host\":\"s-%d\",\"dial\":\"127.0.0.1:%d\",\"site\":\"a\",\"class\":\"k\",\"block\":1,"
-                            + "\"health\":\"%s\",\"share\":1.0,\"born_ms\":%d}",
-                    number,
-                    servers.get(number).address().getPort(),
-                    health[number],
-                    bornMs[number]);
-        }
-
-        /** Changes what is listed of an upstream. */
-        synchronized void set(int number, String state, long startedMs) {
-            health[number] = state;
-            bornMs[number] = startedMs;
-            seq++;
-        }
-
-        @Override
-        public void close() throws IOException {
-            for (FakeServer server : servers) {
-                server.close();
-            }
-        }
-    }
-
-    /** An agent that pushes lists: it answers at once with what it has, and tells changes on its open watches. */
-    static final class Agent implements AutoCloseable {
-        final FakeServer server;
-        private final Upstreams upstreams;
-        private final List<FakeServer.Connection> watches = new CopyOnWriteArrayList<>();
-        final AtomicInteger calls = new AtomicInteger();
-        /** Whether it has nothing to say to anyone, as while discovery is down. */
-        private volatile boolean silent;
-
-        Agent(Upstreams upstreams) throws IOException {
-            this.upstreams = upstreams;
-            server = new FakeServer(connection -> {
-                calls.incrementAndGet();
-                for (String call = connection.read(); call != null; call = connection.read()) {
-                    awaitWord();
-                    String list = upstreams.list();
-                    if (call.contains("stream=1")) {
-                        connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
-                        watches.add(connection);
-                        beat(connection);
-                    } else {
-                        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
-                    }
-                }
-            });
-        }
-
-        private static String chunk(String line) {
-            return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-        }
-
-        private void beat(FakeServer.Connection connection) throws IOException, InterruptedException {
-            while (true) {
-                Thread.sleep(2000);
-                awaitWord();
-                connection.write(chunk(""));
-            }
-        }
-
-        private void awaitWord() throws InterruptedException {
-            while (silent) {
-                Thread.sleep(5);
-            }
-        }
-
-        /** From now on says nothing, or answers what has waited meanwhile. */
-        void silence(boolean on) {
-            silent = on;
-        }
-
-        /** Tells the list as it is now on all open watches. */
-        void tell() {
-            for (FakeServer.Connection watch : List.copyOf(watches)) {
-                try {
-                    watch.write(chunk(upstreams.list()));
-                } catch (IOException e) {
-                    watches.remove(watch);
-                }
-            }
-        }
-
-        /** Resets all open watches. */
-        void resetWatches() throws IOException {
-            for (FakeServer.Connection watch : List.copyOf(watches)) {
-                watches.remove(watch);
-                watch.reset();
-            }
-        }
-
-        boolean hasWatch() {
-            return !watches.isEmpty();
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-        }
-    }
 }
--- a/src/test/java/ivybank/soak/StartWhileCallsFailTest.java
+++ b/src/test/java/ivybank/soak/StartWhileCallsFailTest.java
@@ -1,7 +1,5 @@
 package ivybank.soak;
 
-import ivybank.soak.FaultySidecar.Agent;
-import ivybank.soak.FaultySidecar.Upstreams;
 import ivybank.testing.SyscallFaults;
 import ivybank.testing.SyscallFaults.Call;
 import ivybank.testing.SyscallFaults.Errno;
--- a/src/test/java/ivybank/soak/SteppedClockTest.java
+++ b/src/test/java/ivybank/soak/SteppedClockTest.java
@@ -2,8 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ivybank.soak.FaultySidecar.Agent;
-import ivybank.soak.FaultySidecar.Upstreams;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
--- a/src/test/java/ivybank/soak/UnwrittenAnswerTest.java
+++ b/src/test/java/ivybank/soak/UnwrittenAnswerTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ivybank.soak.FaultySidecar.Agent;
-import ivybank.soak.FaultySidecar.Upstreams;
 import ivybank.testing.FakeServer;
 import ivybank.testing.SyscallFaults;
 import ivybank.testing.SyscallFaults.Call;
