--- a/src/test/java/ivybank/soak/AskingClients.java
+++ b/src/test/java/ivybank/soak/AskingClients.java
@@ -33,6 +33,7 @@
 
     private final int port;
     private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
     private final List<String> lost = new CopyOnWriteArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean over;
@@ -52,6 +53,11 @@
         return answered.get();
     }
 
+    /** Requests that were served, and not refused or failed. */
+    int served() {
+        return served.get();
+    }
+
     /** Requests that got no answer in time, with how. */
     List<String> lost() {
         return lost;
@@ -121,6 +127,7 @@
             if (fields.contains("connection: close")) {
                 connection.close();
             }
+            served.addAndGet(fields.startsWith("http/1.1 200") ? 1 : 0);
             return Outcome.ANSWERED;
         } catch (SocketTimeoutException e) {
             return Outcome.LOST;
