A request's time counts from when its last byte can have been in the socket

While the node takes nothing and 512 KiB are held, nothing is read, and only the stall timeout of 5 s ended the attempt; a node that takes a little at a time began that timeout anew. Three places counted such time: memory that is withheld, sockets that can't be read, a late accept. Change: LastByteTime alone tells since when the last byte may have been there: since the socket was last found empty, and not before so much was read that the sockets could hold the rest. A request is refused in time by it; one of which more is missing than sockets hold is not (a test with 20 MB at 6 MB/s, with a length and in chunks). While a body is held back, half of its time after the last look so much more is read that a client which writes on is seen. What is open at its deadline and can't have run is refused, and not failed. A client that sends nothing more of a request for 2.7 s is told by then: a rate alone allowed 18 s after 0.5 MB. WholeBodyMemoryTest#clientsThatStopWithinTheirBodiesAreToldInTime has no way left to miss its 3 s.

--- a/src/main/java/ivybank/client/ArrivalParser.java
+++ b/src/main/java/ivybank/client/ArrivalParser.java
@@ -33,8 +33,7 @@
     /**
      * Parses a message.
      *
-     * @param earliestMs the earliest time from which it may have been in a socket that could not be read, in milliseconds;
-     *     NaN if it was not delayed
+     * @param earliestMs the earliest time at which its last byte may have been in the socket, in milliseconds
      */
     Arrival parse(RequestReader.RequestEvent message, double earliestMs) {
         if (message.head() == null) {
@@ -114,7 +113,7 @@
                 server.tenantOf(head.headers().get(CALLER_HEADER)),
                 "1".equals(head.headers().get(RETRY_HEADER)),
                 nowMs,
-                Double.isNaN(earliestMs) ? nowMs : earliestMs,
+                earliestMs,
                 fields.milliseconds(BUDGET_HEADER),
                 server.identityHeader() == null ? null : fields.token(server.identityHeader()),
                 null,
--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -38,6 +38,8 @@
     private static final double PARTIAL_HEAD_TIMEOUT_MS = 2500;
 
     private static final double MIN_BODY_BYTES_PER_MS = 32;
+    /** The timeout for a client that sends nothing more of a request: it is told within 3 s. */
+    private static final double STOPPED_TIMEOUT_MS = 2700;
     /** The usual delay between accepting a connection and activating its channel, if nothing fails. */
     private static final double USUAL_ACCEPT_DELAY_MS = 10;
     /** The timeout for a request whose connection is unreadable: a disconnect of the client would go unnoticed. */
@@ -75,11 +77,8 @@
     private boolean mayBeDelayed;
     /** The time since when reads have failed, or NaN. */
     private double unreadableSinceMs = Double.NaN;
-    /**
-     * The earliest time at which the next input may have arrived, if reads failed or the connection could not be used yet;
-     * otherwise NaN.
-     */
-    private double delayedSinceMs = Double.NaN;
+
+    private LastByteTime lastByte;
     /** Whether input is being processed, so that what this channel holds has just been read. */
     private boolean processingRead;
     /** The request being processed, or null between requests. */
@@ -126,7 +125,8 @@
         context = ctx;
         closer = new ConnectionCloser(ctx, server.guard(), this::isRequestOwed);
         answers = new AnswerWriter(ctx, clock, server.memory());
-        reading = new BodyReading(ctx, clock, server.memory());
+        lastByte = new LastByteTime(clock.nowMs());
+        reading = new BodyReading(ctx, clock, server.memory(), lastByte);
     }
 
     @Override
@@ -137,8 +137,10 @@
         mayBeDelayed = server.recentlyDelayed();
         if (ctx.channel() instanceof ClientSocketChannel channel) {
             connectedMs = freeSinceMs - channel.acceptedConnection().waitedMs();
-            delayedSinceMs = freeSinceMs - channel.acceptedConnection().maxWaitedMs();
+            lastByte.acceptedLate(freeSinceMs - channel.acceptedConnection().maxWaitedMs());
             mayBeDelayed |= channel.acceptedConnection().maxWaitedMs() > USUAL_ACCEPT_DELAY_MS;
+        } else {
+            reading.foundEmpty();
         }
         server.connectionOpened(this);
     }
@@ -156,7 +158,7 @@
 
     private void receive(RequestReader.RequestEvent message) {
         if (message == RequestReader.RequestEvent.BODY_COMPLETE) {
-            double earliestMs = reading.takeEarliestEndMs();
+            double earliestMs = lastByte.earliestMs(clock.nowMs());
             reading.bodyEnded();
             if (closeAfterRequest) {
                 closer.endAfterAnswers(EndReason.LAST_ANSWER);
@@ -187,13 +189,13 @@
      * are not kept but refused in order; the connection is still read, so that a disconnect is noticed at once.
      */
     private void enqueue(RequestReader.RequestEvent message) {
-        Arrival arrival = waiting.hasSurplus() ? null : parser.parse(message, delayedSinceMs);
+        Arrival arrival = waiting.hasSurplus() ? null : parser.parse(message, lastByte.earliestMs(clock.nowMs()));
         if (arrival == null || !waiting.offer(arrival, current != null)) {
             refuseInOrder(message);
             return;
         }
         if (arrival.request() != null && message.remainingBody() != null) {
-            reading.bodyStarted(message.remainingBody());
+            reading.bodyStarted(arrival.request());
         }
     }
 
@@ -256,12 +258,12 @@
     private void noteReadResult(RetryingSocketChannel.ReadResult found) {
         if (found == RetryingSocketChannel.ReadResult.EXHAUSTED) {
             noteReadable();
+            reading.foundEmpty();
         }
     }
 
     private void noteReadable() {
         unreadableSinceMs = Double.NaN;
-        delayedSinceMs = Double.NaN;
     }
 
     /**
@@ -273,7 +275,7 @@
         if (event == RetryingSocketChannel.Event.READ_FAILED) {
             double nowMs = clock.nowMs();
             unreadableSinceMs = Double.isNaN(unreadableSinceMs) ? nowMs : unreadableSinceMs;
-            delayedSinceMs = Double.isNaN(delayedSinceMs) ? nowMs : delayedSinceMs;
+            lastByte.unwatched(nowMs);
             mayBeDelayed = true; // input read next may have been waiting already
             boolean inProgress = current != null && current.request() != null && !answers.isStreaming();
             if (inProgress && nowMs - unreadableSinceMs > UNREADABLE_REQUEST_TIMEOUT_MS) {
@@ -303,11 +305,8 @@
             ctx.fireChannelReadComplete(); // the read failed, or was a poll that found nothing
             return;
         }
-        if (ctx.channel() instanceof RetryingSocketChannel channel
-                && channel.isDrained()
-                && !reader.hasCompleteBody()) {
-            reading.socketDrained();
-        }
+        boolean empty = !(ctx.channel() instanceof RetryingSocketChannel channel) || channel.isDrained();
+        reading.readEnded(empty && !reader.hasCompleteBody(), reader.bodyBytes());
         noteReadable();
         readCount++;
         double nowMs = clock.nowMs();
@@ -607,7 +606,12 @@
         double timeoutMs = partial
                 ? partialTimeoutMs()
                 : isSilent() ? SILENT_TIMEOUT_MS : keepIdle ? Double.MAX_VALUE : IDLE_TIMEOUT_MS;
-        return isFree() && nowMs - sinceMs >= timeoutMs;
+        return isFree() && (nowMs - sinceMs >= timeoutMs || hasStopped(nowMs));
+    }
+
+    /** Returns whether the client has stopped within a request, and not because this side reads no more of it. */
+    private boolean hasStopped(double nowMs) {
+        return partial && lastByte.isWatched() && nowMs - lastReadMs >= STOPPED_TIMEOUT_MS;
     }
 
     /** Returns the timeout for the part of a request that has been received. */
@@ -621,16 +625,16 @@
      * has not got it.
      */
     void endStalled(double nowMs) {
-        boolean tooSlow = partial
-                && reading.isDemanded()
-                && nowMs - partialSinceMs - reading.notDemandedMs() > partialTimeoutMs();
+        boolean tooSlow = hasStopped(nowMs)
+                || partial
+                        && reading.isDemanded()
+                        && nowMs - partialSinceMs - reading.notDemandedMs() > partialTimeoutMs();
         if (tooSlow && closeAfterRequest || answers.isStalled(nowMs)) {
             closer.abort(EndReason.CLIENT_STALLED, null);
         } else if (tooSlow && isRequestIncomplete() && !inputEnded) {
             inputEnded = true;
             abort(Answer.status(HttpStatus.REQUEST_TIMEOUT));
-        } else if (isRequestIncomplete()
-                && reading.isOverdue(nowMs, current.request().budgetMs())) {
+        } else if (isRequestIncomplete() && reading.isOverdue(nowMs)) {
             server.logOverdue(current.request().callId(), reading.describe(nowMs));
             abort(Answer.refused(server.retryAfterMs()));
         }
--- a/src/main/java/ivybank/daemon/Exchange.java
+++ b/src/main/java/ivybank/daemon/Exchange.java
@@ -97,6 +97,11 @@
         }
     }
 
+    /** Returns whether no attempt can have run the request, so that it may be refused. */
+    boolean hasNotRun() {
+        return attempts.stream().noneMatch(UpstreamAttempt::mayHaveRun);
+    }
+
     /** Returns whether the request is neither answered nor being answered. */
     boolean isUnanswered() {
         return !closed && streamingAttempt < 0;
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -285,8 +285,13 @@
         if (!exchange.closed) {
             counters.expired++;
             log.line("request " + exchange.id + " of class " + exchange.request.requestClass()
-                    + " was still open at its deadline after " + exchange.attempts.size() + " attempts: failed");
-            answer(exchange, Answer.status(GATEWAY_TIMEOUT));
+                    + " was still open at its deadline after " + exchange.attempts.size() + " attempts: "
+                    + (exchange.hasNotRun() ? "refused" : "failed"));
+            answer(
+                    exchange,
+                    exchange.hasNotRun()
+                            ? Answer.refused(settings.limits().maxRetryAfterMs())
+                            : Answer.status(GATEWAY_TIMEOUT));
             events.deliver(() -> balancer.clientDisconnected(clock.nowMs(), exchange.id));
         }
     }
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -143,6 +143,11 @@
         return new RepeatRisk.OtherAttempt(written && !provedNotRun, node.zone(), node.cell(), writtenMs);
     }
 
+    /** Returns whether the request may have run by this attempt: its last byte was written, and nothing proves that it has not. */
+    public boolean mayHaveRun() {
+        return ended ? !outcome.provesNotRun() : connection != null && connection.written();
+    }
+
     /** Stops waiting, because the attempt was cancelled or has timed out. */
     public void stop(Outcome ifSent) {
         if (ended) {
--- a/src/test/java/ivybank/soak/HeldBackRequestTest.java
+++ b/src/test/java/ivybank/soak/HeldBackRequestTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Nodes that stop reading within a long request, or read it slowly, while its client has written all of it. */
 @Timeout(60)
@@ -35,6 +36,12 @@
     private static final int SMALL_BUFFER_BYTES = 8 * 1024;
     private static final int READ_BEFORE_STOP_BYTES = 12_727;
     private static final int STEP_MS = 20;
+    private static final int LONG_BODY_BYTES = 20_000_000;
+    /** Some 6 MB a second. */
+    private static final int TAKEN_BYTES = 65_536;
+
+    private static final int TAKEN_EACH_MS = 10;
+    private static final String LAST_CHUNK = "0\r\n\r\n";
 
     @TempDir
     Path folder;
@@ -84,24 +91,65 @@
         }
     }
 
+    // Guards against a refusal of a long body that its node takes slowly, but within the request's time.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLongBodyThatItsNodeTakesIsServed(boolean chunked) throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, connection -> takeAll(connection, chunked));
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.startAsDeployed(folder, agent.server, upstreams);
+                Socket socket = sidecar.connect()) {
+            byte[] body = new byte[LONG_BODY_BYTES];
+            Arrays.fill(body, (byte) 'x');
+            socket.getOutputStream().write(head("served", chunked, LONG_BODY_BYTES));
+            socket.getOutputStream().write(body);
+            socket.getOutputStream().write(end(chunked));
+            socket.setSoTimeout(WAIT_MS);
+            assertEquals("HTTP/1.1 200", new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII));
+        }
+    }
+
+    private static void takeAll(FakeServer.Connection connection, boolean chunked)
+            throws IOException, InterruptedException {
+        InputStream in = connection.socket.getInputStream();
+        byte[] piece = new byte[TAKEN_BYTES];
+        String head = LongAnswers.head(in);
+        long left = LONG_BODY_BYTES;
+        String last = "";
+        while (head != null && (chunked ? !last.endsWith(LAST_CHUNK) : left > 0)) {
+            int count = in.read(piece);
+            left -= count;
+            last = new String(piece, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
+            Thread.sleep(TAKEN_EACH_MS);
+        }
+        connection.write(FakeServer.OK);
+    }
+
+    private static byte[] head(String callId, boolean chunked, int bytes) {
+        return ("POST /submit?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + callId + "\r\nX-Budget-Ms: " + BUDGET_MS
+                        + "\r\n"
+                        + (chunked
+                                ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(bytes) + "\r\n"
+                                : "Content-Length: " + bytes + "\r\n\r\n"))
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static byte[] end(boolean chunked) {
+        return (chunked ? "\r\n0\r\n\r\n" : "").getBytes(StandardCharsets.US_ASCII);
+    }
+
     /** Returns the time from the last byte that the client has written to its answer, in milliseconds. */
     private static long answeredAfterMs(FaultySidecar sidecar, String callId, boolean chunked) throws IOException {
         try (Socket socket = sidecar.connect()) {
             byte[] body = new byte[BODY_BYTES];
             Arrays.fill(body, (byte) 'x');
             OutputStream out = socket.getOutputStream();
-            out.write(("POST /submit?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + callId + "\r\nX-Budget-Ms: "
-                            + BUDGET_MS
-                            + "\r\n"
-                            + (chunked
-                                    ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(BODY_BYTES) + "\r\n"
-                                    : "Content-Length: " + BODY_BYTES + "\r\n\r\n"))
-                    .getBytes(StandardCharsets.US_ASCII));
+            out.write(head(callId, chunked, BODY_BYTES));
             long[] sentNanos = {Long.MAX_VALUE};
             Thread writer = new Thread(() -> {
                 try {
                     out.write(body);
-                    out.write((chunked ? "\r\n0\r\n\r\n" : "").getBytes(StandardCharsets.US_ASCII));
+                    out.write(end(chunked));
                     sentNanos[0] = System.nanoTime();
                 } catch (IOException e) {
                     // it has been answered before its end
