An answer that is arriving is not ended by its attempt's timeout

Change: one rule. From its head (200) on an answer has the time of the whole request; one whose head tells more than 64 KiB is passed on from its first byte; where the time ends while a body is coming, it is passed on as it is. What has stopped by then, or has to be recorded first, ends as before: two tests show that it is refused in time. The module's decisions are unchanged.

--- a/src/main/java/ivybank/daemon/AttemptSender.java
+++ b/src/main/java/ivybank/daemon/AttemptSender.java
@@ -84,7 +84,7 @@
      */
     void send(Exchange exchange, Node node, double timeoutMs, boolean immediate) {
         double nowMs = clock.nowMs();
-        double remainingMs = exchange.deadlineMs - RequestDeadline.reserveMs(exchange.request) - nowMs;
+        double remainingMs = remainingMs(exchange, nowMs);
         double attemptTimeoutMs = timeoutMs == 0 ? remainingMs : Math.min(timeoutMs, remainingMs);
         int number = exchange.attempts.size();
         UpstreamAttempt attempt =
@@ -103,6 +103,11 @@
         send(exchange, attempt);
     }
 
+    /** Returns how long a request has left until its answer has to be returned. */
+    private static double remainingMs(Exchange exchange, double nowMs) {
+        return exchange.deadlineMs - RequestDeadline.reserveMs(exchange.request) - nowMs;
+    }
+
     private UpstreamAttempt.Listener listener(Exchange exchange, Node node, int number, double attemptStartMs) {
         return new UpstreamAttempt.Listener() {
             @Override
@@ -115,6 +120,11 @@
                 return exchange.minClientRemainingMs(clock.nowMs()) + MAX_FORWARDED_BUDGET_EXCESS_MS;
             }
 
+            @Override
+            public double requestRemainingMs() {
+                return exchange.closed ? 0 : remainingMs(exchange, clock.nowMs());
+            }
+
             @Override
             public Verdict mayBeWritten(double budgetMs) {
                 return guard.checkSend(transmission(exchange, node, number, budgetMs));
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -27,6 +27,11 @@
             return Double.POSITIVE_INFINITY;
         }
 
+        /** Returns how long the request has left until its answer has to be returned, in milliseconds. */
+        default double requestRemainingMs() {
+            return 0;
+        }
+
         /**
          * Returns whether the attempt may be written now. Called right before its first byte.
          *
@@ -53,6 +58,8 @@
     }
 
     private static final double MICROS_PER_MS = 1000;
+    /** The shortest time for which an attempt goes on with an answer that is arriving. */
+    private static final double MIN_EXTENSION_MS = 1;
 
     public final Node node;
     final ClientRequest request;
@@ -97,8 +104,27 @@
 
     /** Starts the timeout. Before that, the attempt may take as long as its request takes to arrive. */
     void startTimer(EventLoop loop) {
+        startTimer(loop, timeoutMs);
+    }
+
+    private void startTimer(EventLoop loop, double delayMs) {
         stopTimer();
-        timer = loop.schedule(() -> stop(Outcome.TIMEOUT), (long) (timeoutMs * MICROS_PER_MS), TimeUnit.MICROSECONDS);
+        timer = loop.schedule(() -> timedOut(loop), (long) (delayMs * MICROS_PER_MS), TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * Ends the attempt, unless its answer is arriving. Such an answer has the time of the whole request, and belongs to the client
+     * from then on: a node that writes slowly has not failed.
+     */
+    private void timedOut(EventLoop loop) {
+        UpstreamConnection carrier = connection;
+        boolean arriving = !ended && carrier != null && carrier.hasAnswerBegun();
+        double leftMs = arriving ? listener.requestRemainingMs() : 0;
+        if (leftMs >= MIN_EXTENSION_MS) {
+            startTimer(loop, leftMs);
+        } else if (!arriving || !carrier.forwardArrivingAnswer()) {
+            stop(Outcome.TIMEOUT);
+        }
     }
 
     /**
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -48,6 +48,9 @@
 
     private static final long UPLOAD_STALL_TIMEOUT_MS = 5000;
     private static final double STALL_CHECKS = 5; // within the stall timeout
+    /** The longest pause within a body after which it still counts as arriving. */
+    private static final double MAX_ARRIVAL_GAP_MS = 1000;
+
     private static final int MAX_INTERIM_RESPONSES = 16;
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
@@ -379,7 +382,8 @@
             }
             return;
         }
-        boolean isLong = body.size() + part.readableBytes() > Framing.MAX_BUFFERED_BODY_BYTES;
+        boolean isLong = Math.max(HttpUtil.getContentLength(head, 0L), (long) body.size() + part.readableBytes())
+                > Framing.MAX_BUFFERED_BODY_BYTES;
         boolean isRecorded = attempt.request.sendRecord() != null;
         if (!isLong && isRecorded) {
             body.append(part); // it can't be forwarded before it is recorded
@@ -388,7 +392,25 @@
         }
     }
 
-    /** Starts to forward an answer that is too long to be kept whole, or that there is no memory for. */
+    /** Returns whether the head of an answer has come that can be served. */
+    boolean hasAnswerBegun() {
+        return head != null && outcome() == Outcome.OK;
+    }
+
+    /**
+     * Forwards an answer that is not whole when its time ends, if its body is arriving. Returns false if it can't be: nothing of
+     * it came lately, or it has to be recorded before.
+     */
+    boolean forwardArrivingAnswer() {
+        boolean arriving = body != null && body.size() > 0 && pool.nowMs() - lastInputMs <= MAX_ARRIVAL_GAP_MS;
+        if (!arriving || attempt.request.sendRecord() != null) {
+            return false;
+        }
+        forwardAnswer(Unpooled.EMPTY_BUFFER);
+        return true;
+    }
+
+    /** Starts to forward an answer that is too long to be kept whole, that there is no memory for, or whose time ends. */
     private void forwardAnswer(ByteBuf part) {
         if (outcome() != Outcome.OK) {
             finish(Ending.of(outcome()), false); // the body of a failure is not used
--- a/src/test/java/ivybank/soak/ArrivingAnswerTest.java
+++ b/src/test/java/ivybank/soak/ArrivingAnswerTest.java
@@ -1,6 +1,7 @@
 package ivybank.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.testing.FakeServer;
 import java.io.IOException;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Nodes that write a long answer slowly and begin its body late, and never stop. */
 @Timeout(60)
@@ -31,6 +33,9 @@
     private static final int STEP_BYTES = 2000;
     private static final int STEP_MS = 20;
     private static final int BUDGET_MS = 2500;
+    /** So much later an answer only earns nothing. */
+    private static final int LATE_MS = 500;
+
     private static final int WAIT_MS = 5000;
 
     @TempDir
@@ -78,6 +83,26 @@
         }
     }
 
+    // Guards against a client that waits beyond its time for an answer which its node has stopped writing.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1000})
+    void anAnswerThatStopsIsRefusedInTime(int bytes) throws Exception {
+        FakeServer.Script stopping = connection -> {
+            connection.read();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + "x".repeat(bytes));
+            connection.read();
+        };
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, stopping);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.startAsDeployed(folder, agent.server, upstreams)) {
+            long sentNanos = System.nanoTime();
+            String answer = answer(sidecar, "stopping");
+            long tookMs = (System.nanoTime() - sentNanos) / 1_000_000;
+            assertTrue(answer.startsWith("answer: HTTP/1.1 503"), answer);
+            assertTrue(tookMs <= BUDGET_MS + LATE_MS, "refused after " + tookMs + " ms");
+        }
+    }
+
     /** Returns "whole", or what came instead. */
     private static String answer(FaultySidecar sidecar, String callId) throws IOException {
         try (Socket socket = sidecar.connect()) {
