Heads keep the fields that are used, and are reserved with their bodies

A request's head is reserved in the heap budget with its body, by its size; where there is no memory for it, it is refused. The queue's own estimate is gone.

--- a/src/main/java/ivybank/client/ArrivalParser.java
+++ b/src/main/java/ivybank/client/ArrivalParser.java
@@ -1,13 +1,18 @@
 package ivybank.client;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import ivybank.common.Clock;
+import ivybank.common.KeptHeaders;
 import ivybank.exchange.ClientLink;
 import ivybank.exchange.ClientRequest;
 import ivybank.policy.Balancer.Effect;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Converts messages read on one connection into requests to forward, or into the status to answer if they are not forwarded. */
 final class ArrivalParser {
@@ -19,10 +24,34 @@
     private static final String RETRY_HEADER = "X-Again";
     private static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
 
+    private static final List<String> USED_HEADERS = List.of(
+            CALL_ID_HEADER,
+            CALLER_HEADER,
+            BUDGET_HEADER,
+            RETRY_HEADER,
+            IDEMPOTENCY_KEY_HEADER,
+            HttpHeaderNames.CONTENT_LENGTH.toString(),
+            HttpHeaderNames.TRANSFER_ENCODING.toString(),
+            HttpHeaderNames.CONNECTION.toString(),
+            HttpHeaderNames.EXPECT.toString());
+
     private final ClientServer server;
     private final Clock clock;
     private final ClientLink client;
 
+    /**
+     * Returns a factory of headers that keep the fields which are used of a request.
+     *
+     * @param identityHeader one more field that is used, or null
+     */
+    static HttpHeadersFactory headersFactory(String identityHeader) {
+        List<String> names = new ArrayList<>(USED_HEADERS);
+        if (identityHeader != null) {
+            names.add(identityHeader);
+        }
+        return KeptHeaders.factory(names);
+    }
+
     /** @param client the connection on which the messages are read */
     ArrivalParser(ClientServer server, Clock clock, ClientLink client) {
         this.server = server;
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import ivybank.common.Clock;
@@ -151,10 +152,11 @@
      * @param address the address, or null if the channel is already listening
      */
     public ChannelFuture listen(ServerBootstrap bootstrap, EventLoop eventLoop, SocketAddress address) {
+        HttpHeadersFactory headers = ArrivalParser.headersFactory(identityHeader);
         bootstrap.childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-                RequestDecoder decoder = new RequestDecoder();
+                RequestDecoder decoder = new RequestDecoder(headers);
                 RequestReader reader = new RequestReader(decoder, memory);
                 channel.pipeline()
                         .addLast(
--- a/src/main/java/ivybank/client/RequestDecoder.java
+++ b/src/main/java/ivybank/client/RequestDecoder.java
@@ -1,15 +1,24 @@
 package ivybank.client;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.ReferenceCountUtil;
+import ivybank.common.KeptHeaders;
+import java.util.List;
 
 /** A strict version of Netty's request decoder, which also reports whether a partial request has been received. */
 final class RequestDecoder extends HttpRequestDecoder {
 
     private boolean discarding;
 
+    /** @param headers creates the header fields of requests; those of trailers are dropped */
+    RequestDecoder(HttpHeadersFactory headers) {
+        super(new HttpDecoderConfig().setHeadersFactory(headers).setTrailersFactory(KeptHeaders.factory(List.of())));
+    }
+
     /**
      * Discards all further input. It is still read, so that an end of stream behind it is noticed, but not parsed, which
      * would take too long.
--- a/src/main/java/ivybank/client/RequestQueue.java
+++ b/src/main/java/ivybank/client/RequestQueue.java
@@ -1,7 +1,6 @@
 package ivybank.client;
 
 import ivybank.memory.MessageMemory;
-import ivybank.memory.Reservation;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -16,11 +15,7 @@
     /** The maximum number of requests that are refused in order; input beyond is not parsed. */
     private static final int MAX_SURPLUS = 1024;
 
-    /** The estimated size of a request without its body, in bytes. */
-    private static final int REQUEST_BYTES = 1024;
-
     private final MessageMemory memory;
-    private final Reservation reservation;
     private final Deque<Arrival> waiting = new ArrayDeque<>(1);
     /**
      * The number of requests behind those that are to be refused, and the status that answers malformed input behind them,
@@ -30,10 +25,9 @@
 
     private int finalStatus;
 
-    /** @param memory where the requests are reserved; their bodies are already */
+    /** @param memory decides whether requests may wait */
     RequestQueue(MessageMemory memory) {
         this.memory = memory;
-        this.reservation = memory.newArray();
     }
 
     /**
@@ -47,7 +41,6 @@
             return false;
         }
         waiting.addLast(arrival);
-        reserveWaiting();
         return true;
     }
 
@@ -78,9 +71,7 @@
     /** Returns what is to be answered next, or null. */
     Arrival poll() {
         if (!waiting.isEmpty()) {
-            Arrival arrival = waiting.pollFirst();
-            reserveWaiting();
-            return arrival;
+            return waiting.pollFirst();
         }
         if (surplus > 0) {
             surplus--;
@@ -98,12 +89,7 @@
     void abandon() {
         waiting.forEach(Arrival::release);
         waiting.clear();
-        reserveWaiting();
         surplus = 0;
         finalStatus = 0;
     }
-
-    private void reserveWaiting() {
-        memory.resize(reservation, (long) waiting.size() * REQUEST_BYTES);
-    }
 }
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Framing;
+import ivybank.common.KeptHeaders;
 import ivybank.common.NextSelect;
 import ivybank.exchange.BodyBuffer;
 import ivybank.exchange.BodyPipe;
@@ -47,8 +48,8 @@
             return new RequestEvent(head, body.toArray(), body.reservation(), 0, null);
         }
 
-        static RequestEvent streamed(HttpRequest head, BodyPipe body) {
-            return new RequestEvent(head, NO_BODY, Reservation.NONE, 0, body);
+        static RequestEvent streamed(HttpRequest head, Reservation memory, BodyPipe body) {
+            return new RequestEvent(head, NO_BODY, memory, 0, body);
         }
 
         /** Drops the body of a request that is not processed. */
@@ -60,6 +61,9 @@
         }
     }
 
+    /** What a request takes beside the texts of its head and its body, in bytes of heap. */
+    private static final int HEAD_OVERHEAD_BYTES = 1024;
+
     private final RequestDecoder decoder;
     private final MessageMemory memory;
     private BodyPipe.Source source;
@@ -221,9 +225,10 @@
     /** Passes on the request, whose body is too long to be kept whole. */
     private void streamBody(ChannelHandlerContext ctx) {
         remainingBody = new BodyPipe(source, memory);
+        Reservation headMemory = body.takeHead();
         remainingBody.write(Unpooled.wrappedBuffer(body.toArray()), body.reservation());
         body = null; // it belongs to the pipe from now on
-        ctx.fireChannelRead(RequestEvent.streamed(head, remainingBody));
+        ctx.fireChannelRead(RequestEvent.streamed(head, headMemory, remainingBody));
     }
 
     private int acceptHead(ChannelHandlerContext ctx, HttpRequest request) {
@@ -234,7 +239,11 @@
         if (Framing.isTooLong(request)) {
             return HttpStatus.CONTENT_TOO_LARGE;
         }
-        body = new BodyBuffer(memory, HttpUtil.getContentLength(request, -1L));
+        int headBytes = HEAD_OVERHEAD_BYTES + request.uri().length() + KeptHeaders.heapBytes(request.headers());
+        body = new BodyBuffer(memory, HttpUtil.getContentLength(request, -1L), headBytes);
+        if (!body.tryReserveHead()) {
+            return HttpStatus.SERVICE_UNAVAILABLE;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             // A client that waits for 100 Continue gets it at once.
             ctx.writeAndFlush(new DefaultFullHttpResponse(
--- a/src/main/java/ivybank/exchange/BodyBuffer.java
+++ b/src/main/java/ivybank/exchange/BodyBuffer.java
@@ -17,6 +17,9 @@
     private final MessageMemory memory;
     private final Reservation reservation;
     private final long expectedBytes;
+    /** What the head of the message takes, which is reserved together with the body. */
+    private int headBytes;
+
     private byte[] bytes = {};
     private int size;
 
@@ -25,11 +28,27 @@
      *
      * @param memory where the body is reserved
      * @param expectedBytes the announced length of the body, or -1 if it is unknown
+     * @param headBytes what the head of the message takes, in bytes of heap
      */
-    public BodyBuffer(MessageMemory memory, long expectedBytes) {
+    public BodyBuffer(MessageMemory memory, long expectedBytes, int headBytes) {
         this.memory = memory;
         this.reservation = memory.newArray();
         this.expectedBytes = expectedBytes;
+        this.headBytes = headBytes;
+    }
+
+    /** Reserves the head if there is memory for it, and returns whether there is. */
+    public boolean tryReserveHead() {
+        return memory.tryGrow(reservation, headBytes);
+    }
+
+    /** Returns a reservation of the head alone, which the caller releases; that of this buffer is left with the body. */
+    public Reservation takeHead() {
+        Reservation head = memory.newArray();
+        memory.resize(reservation, reservation.bytes() - headBytes);
+        memory.resize(head, headBytes);
+        headBytes = 0;
+        return head;
     }
 
     /** Returns the number of bytes collected. */
@@ -40,7 +59,7 @@
     /** Appends a part if there is memory for it, and returns whether there is. */
     public boolean tryAppend(ByteBuf part) {
         int capacity = capacityFor(size + part.readableBytes());
-        if (!memory.tryGrow(reservation, capacity)) {
+        if (!memory.tryGrow(reservation, (long) headBytes + capacity)) {
             return false;
         }
         copy(part, capacity);
@@ -50,7 +69,7 @@
     /** Appends a part even where memory is used up: it can't be done without. */
     public void append(ByteBuf part) {
         int capacity = capacityFor(size + part.readableBytes());
-        memory.resize(reservation, capacity);
+        memory.resize(reservation, (long) headBytes + capacity);
         copy(part, capacity);
     }
 
@@ -76,12 +95,12 @@
     public byte[] toArray() {
         if (size < bytes.length) {
             bytes = Arrays.copyOf(bytes, size);
-            memory.resize(reservation, size);
+            memory.resize(reservation, (long) headBytes + size);
         }
         return bytes;
     }
 
-    /** Returns the reservation of the array. Whoever takes the array over releases it. */
+    /** Returns the reservation of head and array. Whoever takes them over releases it. */
     public Reservation reservation() {
         return reservation;
     }
--- a/src/main/java/ivybank/upstream/ConnectionOpener.java
+++ b/src/main/java/ivybank/upstream/ConnectionOpener.java
@@ -92,7 +92,7 @@
 
     /** Opens a connection and passes it to the receiver once it is established, or null if it cannot be established. */
     void open(Node node, boolean spare, Consumer<UpstreamConnection> receiver) {
-        ResponseDecoder decoder = new ResponseDecoder();
+        ResponseDecoder decoder = new ResponseDecoder(UpstreamConnection.USED_HEADERS);
         UpstreamConnection connection = new UpstreamConnection(node, spare, decoder, pool, reports);
         Opening opening = new Opening(connection, receiver, pool.nowMs());
         register(connection, opening);
--- a/src/main/java/ivybank/upstream/ResponseDecoder.java
+++ b/src/main/java/ivybank/upstream/ResponseDecoder.java
@@ -1,12 +1,21 @@
 package ivybank.upstream;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import ivybank.common.KeptHeaders;
+import java.util.List;
 
 /** A strict version of Netty's response decoder, which also reports input beyond the responses that it has decoded. */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    /** @param headers creates the header fields of responses; those of trailers are dropped */
+    ResponseDecoder(HttpHeadersFactory headers) {
+        super(new HttpDecoderConfig().setHeadersFactory(headers).setTrailersFactory(KeptHeaders.factory(List.of())));
+    }
+
     /** Returns whether undecoded bytes follow the last response. */
     boolean hasRemainingInput() {
         return actualReadableBytes() > 0;
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import ivybank.common.Framing;
+import ivybank.common.KeptHeaders;
 import ivybank.discovery.Node;
 import ivybank.exchange.Answer;
 import ivybank.exchange.BodyBuffer;
@@ -36,6 +38,7 @@
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamSocketChannel.UnreadInput;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -62,6 +65,16 @@
     private static final String BUDGET = "X-Budget-Ms";
     private static final String SERVICE = "api.internal";
 
+    /** The header fields that are used of an answer. */
+    static final HttpHeadersFactory USED_HEADERS = KeptHeaders.factory(List.of(
+            HttpHeaderNames.CONTENT_LENGTH.toString(),
+            HttpHeaderNames.TRANSFER_ENCODING.toString(),
+            HttpHeaderNames.CONNECTION.toString(),
+            HttpHeaderNames.CONTENT_TYPE.toString(),
+            HttpHeaderNames.UPGRADE.toString(),
+            REJECTED,
+            LOAD_REPORT));
+
     final Node node;
     /** The address to which the connection leads; its node may have moved since. */
     final SocketAddress address;
@@ -357,7 +370,7 @@
         } else {
             head = response;
             dropBody();
-            body = new BodyBuffer(pool.memory(), HttpUtil.getContentLength(response, -1L));
+            body = new BodyBuffer(pool.memory(), HttpUtil.getContentLength(response, -1L), 0);
             if (!interim) {
                 pool.responseStarted(node, pool.nowMs() - phaseSinceMs);
                 endPhase(Stage.FIRST_BYTE);
