One table from the settings' limits to what is admitted keeps the process in its memory

Change: MemoryTable (pure) divides the limit of the settings among the runtime, the program, connections, messages and what they leave behind, and the log shows the rows and their sum at the start. Connections, the budgets of messages and the size of one read follow from it; processes that run side by side have half of the limit each. A limit that is too small is told in the log, and the least is admitted.

--- a/src/main/java/ivybank/daemon/DescriptorShares.java
+++ b/src/main/java/ivybank/daemon/DescriptorShares.java
@@ -35,8 +35,18 @@
      * @param descriptors the maximum number of descriptors of the process
      */
     static DescriptorShares of(int descriptors) {
+        return of(descriptors, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns the shares of a process.
+     *
+     * @param descriptors the maximum number of descriptors of the process
+     * @param maxClients the client connections for which there is memory
+     */
+    static DescriptorShares of(int descriptors, int maxClients) {
         int total = Math.max(2, descriptors - RESERVED);
-        int maxAccepted = Math.max(1, (int) (total * CLIENT_FRACTION));
+        int maxAccepted = Math.max(1, Math.min(maxClients, (int) (total * CLIENT_FRACTION)));
         int maxServed = maxAccepted - Math.max(1, (int) (maxAccepted * REFUSED_FRACTION));
         int evictionThreshold = Math.min(maxServed, (int) (descriptors * EVICTION_THRESHOLD_FRACTION));
         int requestConnections = Math.max(2, descriptors / REQUEST_DIVISOR);
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -29,7 +29,6 @@
 import ivybank.discovery.ListLease;
 import ivybank.discovery.Timing;
 import ivybank.invariants.InvariantGuard;
-import ivybank.memory.MessageMemory;
 import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -72,7 +71,6 @@
     private static final int MIN_READ_BYTES = 512;
 
     private static final int INITIAL_READ_BYTES = 1024;
-    private static final int MAX_READ_BYTES = 16 * 1024;
     private static final int CACHED_BUFFER_COUNT = 32;
     /**
      * The receive buffer of client sockets. The kernel buffers little more than this, and the end of a client's
@@ -88,6 +86,7 @@
 
     private static final double IDLE_LIMIT_FRACTION = 0.5;
     private static final long REPORT_INTERVAL_MS = 10_000;
+    private static final long HEAP_CHECK_INTERVAL_MS = 50;
     private static final long DRAIN_POLL_INTERVAL_MS = 5;
     /**
      * The interval at which a call to discovery is checked although the selector reports nothing: well within a drain's
@@ -115,7 +114,7 @@
     private final DrainTimes drainTimes;
     private final Timing timing;
     private final PooledByteBufAllocator buffers;
-    private final MessageMemory memory;
+    private final ProcessMemory memory;
     private final SecondTally tally = new SecondTally();
     private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
@@ -148,7 +147,7 @@
      *
      * @param store the settings of the store of promises; null for none
      * @param inherited the clients' listening socket, shared with other processes; null to listen as configured
-     * @param memory the limits on what messages in progress take
+     * @param memory the limits on what this process takes
      */
     Sidecar(
             Config config,
@@ -159,7 +158,7 @@
             Timing timing,
             StoreSettings store,
             ServerSocketChannel inherited,
-            MessageMemory memory)
+            ProcessMemory memory)
             throws IOException {
         this.memory = memory;
         this.inherited = inherited;
@@ -179,7 +178,8 @@
         timeline.reached("event loop created");
         watchdog = new Watchdog(loop, clock, log);
         guard = new InvariantGuard(log::line);
-        DescriptorShares shares = DescriptorShares.of(config.sockets());
+        DescriptorShares shares =
+                DescriptorShares.of(config.sockets(), memory.table().clientConnections());
         descriptors = new DescriptorBudget(shares.total());
         clientLimits = shares.clients();
         UpstreamPool.Limits limits = UpstreamPool.Limits.standard(
@@ -198,7 +198,7 @@
                 new LoadReport(config.settings().reportFields()),
                 base.clone().channel(UpstreamSocketChannel.class).option(ChannelOption.RECVBUF_ALLOCATOR, readSizes()),
                 log);
-        pool.setMemory(memory);
+        pool.setMemory(memory.messages());
         Directory directory = new Directory(config.zones(), config.kinds(), pool::closeIdle);
         dispatcher = new RequestDispatcher(
                 config.settings(), config.seed(), LoadShiftingBalancer::new, loop, clock, directory, pool, log);
@@ -233,7 +233,7 @@
                 descriptors,
                 store == null ? null : store.promises().header(),
                 log);
-        server.setMemory(memory);
+        server.setMemory(memory.messages());
     }
 
     /**
@@ -264,7 +264,9 @@
                 timing,
                 operatorFile == null ? null : operatorFile.store(),
                 InheritedListener.listener(environment, log),
-                MemoryShares.ofProcess());
+                ProcessMemory.ofProcess(
+                        config.memoryMb(),
+                        DescriptorShares.of(config.sockets()).clients().maxAccepted()));
         sidecar.follow(ProcessAge.maxMs());
         sidecar.prepare();
         if (operatorFile != null && operatorFile.peers() != null) {
@@ -337,7 +339,10 @@
     @Override
     public void siblingPresent(boolean present) {
         siblingPresent = present;
-        loop.execute(() -> server.setOtherProcessPresent(present));
+        loop.execute(() -> {
+            server.setOtherProcessPresent(present);
+            memory.shareAmong(present ? 2 : 1, log);
+        });
         if (peers != null && (!present || !successor)) { // of two processes, the later one represents the sidecar
             loop.execute(() -> peers.hush(present));
         }
@@ -490,6 +495,8 @@
         every("verification of the call to discovery", VERIFY_INTERVAL_MS, discovery::verify);
         log.line(config.name() + " of " + config.settings().sidecars() + " sidecars starts with a list of "
                 + config.known().entries().size() + " nodes; limits: " + config.limitsSummary());
+        log.line("memory of this process: " + memory.table()
+                + (memory.table().fits() ? "" : "; it does not fit, the least is admitted"));
         dispatcher.start(config.known());
         if (timing.asked()) {
             discoveryReady.trySuccess(null);
@@ -505,6 +512,7 @@
         tallyDueMs = clock.nowMs() + TALLY_INTERVAL_MS;
         watchdog.watch(PeriodicTask.startAtRate("tally per second", loop, clock, log, TALLY_INTERVAL_MS, this::tally));
         every("report", REPORT_INTERVAL_MS, this::report);
+        every("check of the heap", HEAP_CHECK_INTERVAL_MS, () -> memory.check(clock, log));
         watchdog.start();
     }
 
@@ -534,8 +542,9 @@
         });
     }
 
-    private static AdaptiveRecvByteBufAllocator readSizes() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+    private AdaptiveRecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(
+                MIN_READ_BYTES, INITIAL_READ_BYTES, memory.table().readBytes());
     }
 
     private ChannelFuture listen() {
@@ -590,7 +599,7 @@
                 + (heapBytes - runtime.freeMemory()) + " of " + heapBytes + " bytes; direct "
                 + buffers.pinnedDirectMemory() + " in chunks of "
                 + buffers.metric().usedDirectMemory()
-                + " bytes; messages: " + memory + "; client connections "
+                + " bytes; messages: " + memory.messages() + "; client connections "
                 + (server == null ? "none" : server.connectionStates());
     }
 
@@ -606,7 +615,7 @@
                     + " descriptors or, while draining, of connections so far");
             log.line(server.endedConnections());
         }
-        if (counts != null || memory.isInUse()) {
+        if (counts != null || memory.messages().isInUse()) {
             log.line(memoryLine());
         }
         if (counts != null && promises != null) {
--- a/src/main/java/ivybank/memory/MemoryBudget.java
+++ b/src/main/java/ivybank/memory/MemoryBudget.java
@@ -6,7 +6,7 @@
  */
 public final class MemoryBudget {
 
-    private final long limitBytes;
+    private long limitBytes;
     private long reservedBytes;
     private long peakBytes;
 
@@ -15,6 +15,11 @@
         this.limitBytes = limitBytes;
     }
 
+    /** Changes the limit; what is reserved beyond it stays reserved. */
+    void setLimitBytes(long newLimitBytes) {
+        limitBytes = newLimitBytes;
+    }
+
     /** Returns how many bytes are reserved. */
     public long reservedBytes() {
         return reservedBytes;
--- /dev/null
+++ b/src/main/java/ivybank/memory/MemoryTable.java
@@ -0,0 +1,158 @@
+package ivybank.memory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/**
+ * What the memory of a process goes to: one row for each role, whose sum is within the limit of the settings. What is admitted
+ * follows from it: connections, and the bytes of messages on the heap and outside of it. Pure.
+ */
+public final class MemoryTable {
+
+    /**
+     * What a process may take.
+     *
+     * @param memoryBytes the limit on the whole process, in bytes; 0 for none
+     * @param maxHeapBytes the most that the virtual machine takes for its heap, in bytes
+     * @param maxDirectBytes the most that it takes for buffers outside the heap, in bytes
+     * @param clientConnections the client connections for which there are descriptors
+     */
+    public record Limits(long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections) {}
+
+    /**
+     * One role.
+     *
+     * @param number how many there are of it
+     * @param bytesEach the bytes for each
+     */
+    public record Row(String role, long number, long bytesEach) {
+
+        /** Returns the bytes for all. */
+        public long bytes() {
+            return number * bytesEach;
+        }
+    }
+
+    private static final long MEBIBYTE = 1L << 20;
+
+    /** The virtual machine, its compiled code and class data, the libraries, and the stacks of its threads. */
+    private static final long RUNTIME_BYTES = 60 * MEBIBYTE;
+    /** The young generation of the heap, the program's own objects, and the list of nodes. */
+    private static final long HEAP_BASE_BYTES = 12 * MEBIBYTE;
+    /** The pipeline of one client connection, its request, and the head that is being received. */
+    private static final long CONNECTION_BYTES = 8 * 1024;
+    /** The part of what the runtime leaves that buffers outside the heap take. */
+    private static final double DIRECT_PART = 0.25;
+    /** The allocator keeps chunks that are used in part, and each connection may read once more when nothing is left. */
+    private static final int DIRECT_DIVISOR = 3;
+    /** As much as messages take is left to what they leave behind until the next garbage collection. */
+    private static final int HEAP_DIVISOR = 2;
+    /** Where the limit is too small, a few requests at a time are still served. */
+    private static final long MIN_HEAP_BYTES = HEAP_BASE_BYTES + 4 * MEBIBYTE;
+
+    private static final long MIN_DIRECT_BYTES = 2 * MEBIBYTE;
+    private static final long MIN_MESSAGE_BYTES = MEBIBYTE;
+    /** The part of the buffers outside the heap that single reads of all connections may take. */
+    private static final int READ_DIVISOR = 2;
+
+    private static final int MIN_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private final long limitBytes;
+    private final int clientConnections;
+    private final long heapBytes;
+    private final long directBytes;
+
+    private MemoryTable(long limitBytes, int clientConnections, long heapBytes, long directBytes) {
+        this.limitBytes = limitBytes;
+        this.clientConnections = clientConnections;
+        this.heapBytes = heapBytes;
+        this.directBytes = directBytes;
+    }
+
+    /** Returns the table of a process with these limits. */
+    public static MemoryTable of(Limits limits) {
+        if (limits.memoryBytes() <= 0) {
+            return new MemoryTable(0, limits.clientConnections(), limits.maxHeapBytes(), limits.maxDirectBytes());
+        }
+        long leftBytes = Math.max(0, limits.memoryBytes() - RUNTIME_BYTES);
+        long directBytes = within(MIN_DIRECT_BYTES, (long) (DIRECT_PART * leftBytes), limits.maxDirectBytes());
+        long heapBytes = within(MIN_HEAP_BYTES, leftBytes - directBytes, limits.maxHeapBytes());
+        long connections = (heapBytes - HEAP_BASE_BYTES) / HEAP_DIVISOR / CONNECTION_BYTES;
+        return new MemoryTable(
+                limits.memoryBytes(), (int) Math.min(limits.clientConnections(), connections), heapBytes, directBytes);
+    }
+
+    private static long within(long least, long wanted, long most) {
+        return Math.min(most, Math.max(least, wanted));
+    }
+
+    /** Returns the most that the heap may take, in bytes. */
+    public long heapBytes() {
+        return heapBytes;
+    }
+
+    /** Returns how many client connections are accepted. */
+    public int clientConnections() {
+        return clientConnections;
+    }
+
+    /** Returns what messages may take on the heap, in bytes. */
+    public long messageHeapBytes() {
+        long leftBytes = heapBytes - HEAP_BASE_BYTES - clientConnections * CONNECTION_BYTES;
+        return Math.max(MIN_MESSAGE_BYTES, leftBytes / HEAP_DIVISOR);
+    }
+
+    /** Returns what messages may take outside the heap, in bytes. */
+    public long messageDirectBytes() {
+        return Math.max(MIN_MESSAGE_BYTES, directBytes / DIRECT_DIVISOR);
+    }
+
+    /** Returns the largest buffer of one read, in bytes: a power of two. */
+    public int readBytes() {
+        long bytes = directBytes / READ_DIVISOR / Math.max(1, clientConnections);
+        return (int) Math.max(MIN_READ_BYTES, Math.min(MAX_READ_BYTES, Long.highestOneBit(Math.max(1, bytes))));
+    }
+
+    /** Returns whether all rows together are within the limit. */
+    public boolean fits() {
+        return limitBytes == 0 || sumBytes() <= limitBytes;
+    }
+
+    /** Returns the sum of all rows, in bytes. */
+    public long sumBytes() {
+        return rows().stream().mapToLong(Row::bytes).sum();
+    }
+
+    /** Returns the rows. */
+    public List<Row> rows() {
+        List<Row> rows = new ArrayList<>();
+        rows.add(new Row("runtime", 1, RUNTIME_BYTES));
+        rows.add(new Row("heap of the program", 1, HEAP_BASE_BYTES));
+        rows.add(new Row("client connections", clientConnections, CONNECTION_BYTES));
+        rows.add(new Row("messages on the heap", 1, messageHeapBytes()));
+        long connectionBytes = clientConnections * CONNECTION_BYTES;
+        long garbageBytes = heapBytes - HEAP_BASE_BYTES - connectionBytes - messageHeapBytes();
+        rows.add(new Row("garbage", 1, Math.max(0, garbageBytes)));
+        rows.add(new Row("messages outside the heap", 1, messageDirectBytes()));
+        rows.add(new Row("allocator", 1, Math.max(0, directBytes - messageDirectBytes())));
+        return rows;
+    }
+
+    /** Returns the rows, their sum and the limit, for the log. */
+    @Override
+    public String toString() {
+        return rows().stream()
+                        .map(row -> row.role() + " " + (row.number() > 1 ? row.number() + " x " : "")
+                                + inMebibytes(row.bytesEach()))
+                        .collect(Collectors.joining(", "))
+                + "; sum " + inMebibytes(sumBytes()) + " of "
+                + (limitBytes == 0 ? "no limit" : inMebibytes(limitBytes)) + " MiB";
+    }
+
+    private static String inMebibytes(long bytes) {
+        return String.format(Locale.ROOT, "%.2f", (double) bytes / MEBIBYTE);
+    }
+}
--- a/src/main/java/ivybank/memory/MessageMemory.java
+++ b/src/main/java/ivybank/memory/MessageMemory.java
@@ -34,6 +34,12 @@
         return new MessageMemory(Long.MAX_VALUE / 2, Long.MAX_VALUE / 2);
     }
 
+    /** Changes the limits of both budgets, in bytes; what is reserved beyond them stays reserved. */
+    public void setLimits(long heapLimitBytes, long directLimitBytes) {
+        heap.setLimitBytes(heapLimitBytes);
+        direct.setLimitBytes(directLimitBytes);
+    }
+
     /** Returns the budget for arrays on the heap. */
     public MemoryBudget heap() {
         return heap;
--- a/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
+++ b/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
@@ -90,7 +90,7 @@
                 Timing.standard(false, 500),
                 OperatorFile.read(operator).store(),
                 null,
-                MessageMemory.unlimited());
+                ProcessMemory.withBudgets(MessageMemory.unlimited()));
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/SidecarRig.java
+++ b/src/test/java/ivybank/daemon/SidecarRig.java
@@ -83,7 +83,7 @@
                 Timing.standard(false, config.drainGraceMs()),
                 null,
                 null,
-                options.memory);
+                ProcessMemory.withBudgets(options.memory));
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/SidecarTestBase.java
+++ b/src/test/java/ivybank/daemon/SidecarTestBase.java
@@ -73,7 +73,7 @@
                 Timing.standard(false, 500),
                 null,
                 inherited,
-                MessageMemory.unlimited());
+                ProcessMemory.withBudgets(MessageMemory.unlimited()));
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/daemon/StreamedBodiesTest.java
+++ b/src/test/java/ivybank/daemon/StreamedBodiesTest.java
@@ -94,7 +94,7 @@
                 Timing.standard(false, 500),
                 null,
                 null,
-                MessageMemory.unlimited());
+                ProcessMemory.withBudgets(MessageMemory.unlimited()));
         address = sidecar.start();
     }
 
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -28,7 +28,7 @@
     private record Limits(int sockets, String runtimeOptions) {}
 
     private static final int DEPLOYED_SOCKETS = 1024;
-    private static final int DEPLOYED_MEMORY_MB = 160;
+    static final int MEMORY_MB = 160;
 
     final SyscallFaults faults;
     final Path folder;
@@ -87,16 +87,14 @@
 
     /** One with the limits of the deployment on descriptors and memory; it ends where its heap is used up. */
     static FaultySidecar startAsDeployed(Path folder, FakeServer discovery, Upstreams upstreams) throws Exception {
-        return startAsDeployed(folder, discovery, upstreams, DEPLOYED_MEMORY_MB, DEPLOYED_SOCKETS);
+        return startAsDeployed(folder, discovery, upstreams, MEMORY_MB, DEPLOYED_SOCKETS);
     }
 
     /** The same with these limits, which stand in its settings. */
     static FaultySidecar startAsDeployed(
             Path folder, FakeServer discovery, Upstreams upstreams, int memoryMb, int sockets) throws Exception {
         int port = freePort();
-        String config = config(port, discovery, upstreams)
-                .replace("\"sockets\":" + SOCKETS, "\"sockets\":" + sockets)
-                .replace("\"memory_mb\":160", "\"memory_mb\":" + memoryMb);
+        String config = config(port, discovery, upstreams, memoryMb, sockets);
         Path file = Files.writeString(folder.resolve("config.json"), config);
         FaultySidecar sidecar = new FaultySidecar(
                 folder,
@@ -148,9 +146,14 @@
 
     /** The configuration of one that listens at this port. */
     static String config(int port, FakeServer discovery, Upstreams upstreams) {
+        return config(port, discovery, upstreams, MEMORY_MB, SOCKETS);
+    }
+
+    /** The same with these limits. */
+    static String config(int port, FakeServer discovery, Upstreams upstreams, int memoryMb, int sockets) {
         return """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"ff0e5a0000000001",
-                 "limits":{"cores":1,"memory_mb":160,"sockets":%d},"known":%s,
+                 "limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,
                  "settings":{"instances":1,"tickMs":5,"tenants":[],
                   "contract":{"drainGraceMs":500,"coldFrom":0.12,"coldMs":22000,"overloadFactor":2.5,"fallMs":2000},
                   "lanes":[{"name":"read","aimMs":1500,"hardLimitMs":3000,"idempotency":"retryable","worth":1},
@@ -158,7 +161,7 @@
                   "limits":{"maxAttempts":6,"cancel":true,"secondCopies":true,"retryAfter":true,
                             "maxRetryAfterMs":1500,"connectTimeoutMs":250,"connIdleMs":15000},
                   "failureDomains":["a"],"kinds":["k"]}}
-                """.formatted(port, discovery.address().getPort(), SOCKETS, upstreams.list());
+                """.formatted(port, discovery.address().getPort(), memoryMb, sockets, upstreams.list());
     }
 
     static int freePort() throws IOException {
--- a/src/test/java/ivybank/soak/MemoryLimitTest.java
+++ b/src/test/java/ivybank/soak/MemoryLimitTest.java
@@ -4,10 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.soak.PacedClients.Kind;
+import ivybank.testing.DeployedOptions;
+import ivybank.testing.SyscallFaults;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,6 +27,11 @@
     private static final int USUAL_MB = 128;
 
     private static final int LEAST_MB = 96;
+    /** What an upgrade has for both processes: the most of usual days. */
+    private static final int UPGRADE_MB = 192;
+    /** Within this time each process knows of the other. */
+    private static final long SHARED_AFTER_MS = 500;
+
     private static final int DESCRIPTORS = 1024;
     private static final int USUAL_CLIENTS = 300;
     private static final int MANY_CLIENTS = 450;
@@ -65,10 +74,35 @@
         }
     }
 
+    // Guards against two processes of an upgrade that each keep the whole limit.
+    @Test
+    void slowClientsDoNotTakeTwoProcessesOverTheLimitTogether() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, LongAnswers::serve);
+                Agent agent = new Agent(upstreams);
+                SharedListenerProcesses processes = new SharedListenerProcesses(
+                        folder, agent, upstreams, UPGRADE_MB, DESCRIPTORS, DeployedOptions.read())) {
+            long before = processes.start(new SyscallFaults(folder.resolve("faults-0")));
+            try (PacedClients slow = new PacedClients(processes.port(), USUAL_CLIENTS, List.of(Kind.values()));
+                    AskingClients small = new AskingClients(processes.port(), SMALL_CLIENTS)) {
+                Thread.sleep(PLAY_MS / 2);
+                long next = processes.start(new SyscallFaults(folder.resolve("faults-1")));
+                Thread.sleep(SHARED_AFTER_MS);
+                try (ResidentPeak peak = new ResidentPeak(List.of(before, next))) {
+                    Thread.sleep(PLAY_MS);
+                    System.out.println("memory limit, two processes, " + UPGRADE_MB + " MB: peak " + peak.mebibytes()
+                            + " MiB, " + small.answered() + " small requests answered, " + small.served()
+                            + " served, lost " + small.lost() + ", " + slow.ended() + " slow connections ended");
+                    assertEquals(List.of(), small.lost());
+                    assertTrue(peak.mebibytes() <= UPGRADE_MB, () -> peak.mebibytes() + " MiB");
+                }
+            }
+        }
+    }
+
     private static String log(FaultySidecar sidecar) {
         try {
             return Files.readString(sidecar.log());
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             return e.toString();
         }
     }
--- a/src/test/java/ivybank/soak/SharedListenerProcesses.java
+++ b/src/test/java/ivybank/soak/SharedListenerProcesses.java
@@ -23,11 +23,28 @@
     private final Agent agent;
     private final Upstreams upstreams;
     private final SharedListener listener;
+    private final int memoryMb;
+    private final int sockets;
+    private final String runtimeOptions;
     private final List<Long> started = new ArrayList<>();
     private final List<Path> logs = new ArrayList<>();
 
     /** @param folder takes configurations and logs */
     SharedListenerProcesses(Path folder, Agent agent, Upstreams upstreams) throws IOException {
+        this(folder, agent, upstreams, FaultySidecar.MEMORY_MB, FaultySidecar.SOCKETS, "");
+    }
+
+    /**
+     * The same with limits in the settings.
+     *
+     * @param runtimeOptions options of the Java runtime
+     */
+    SharedListenerProcesses(
+            Path folder, Agent agent, Upstreams upstreams, int memoryMb, int sockets, String runtimeOptions)
+            throws IOException {
+        this.memoryMb = memoryMb;
+        this.sockets = sockets;
+        this.runtimeOptions = runtimeOptions;
         this.folder = folder;
         this.agent = agent;
         this.upstreams = upstreams;
@@ -45,13 +62,13 @@
         int number = started.size();
         Path config = Files.writeString(
                 folder.resolve("config-" + number + ".json"),
-                FaultySidecar.config(listener.port(), agent.server, upstreams)
+                FaultySidecar.config(listener.port(), agent.server, upstreams, memoryMb, sockets)
                         .replaceFirst("\"limits\":", "\"control\":\"127.0.0.1:" + admin + "\",\"limits\":"));
         Path log = folder.resolve("process-" + number + ".log");
         logs.add(log);
-        long pid = listener.start("ulimit -n " + FaultySidecar.SOCKETS + " && export TMPDIR='" + folder
+        long pid = listener.start("ulimit -n " + sockets + " && export TMPDIR='" + folder
                 + "' EDGE_INHERITED_FD=0 EDGE_CONFIG='" + config + "' " + faults.environment() + "&& "
-                + ShortNight.program("") + "serve > '" + log + "' 2>&1");
+                + ShortNight.program(runtimeOptions) + "serve > '" + log + "' 2>&1");
         started.add(pid);
         awaitServing(pid, admin, log);
         return pid;
