A call id that comes again does not run a second time, also at another process

The second one is answered 409, as while the first is open: a refusal would say that nothing ran. The id is forgotten when an attempt proves that it has not run, or when the client sends another request behind the answer on the same connection and so has read it.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -84,6 +84,9 @@
     /** The request being processed, or null between requests. */
     private Arrival current;
 
+    /** The id of the last request that was answered, until a request behind the answer shows that it was read; or null. */
+    private String answeredCallId;
+
     private int currentId;
     /** The time since when the client counts as waiting for this connection to be served. */
     private double connectedMs;
@@ -189,6 +192,7 @@
      * are not kept but refused in order; the connection is still read, so that a disconnect is noticed at once.
      */
     private void enqueue(RequestReader.RequestEvent message) {
+        noteAnswerRead();
         Arrival arrival = waiting.hasSurplus() ? null : parser.parse(message, lastByte.earliestMs(clock.nowMs()));
         if (arrival == null || !waiting.offer(arrival, current != null)) {
             refuseInOrder(message);
@@ -199,6 +203,14 @@
         }
     }
 
+    /** Notifies the handler that the last answer was read, which a request behind it shows. */
+    private void noteAnswerRead() {
+        if (answeredCallId != null && current == null && waiting.isEmpty() && !hasUnwrittenAnswer()) {
+            handler.answerRead(answeredCallId);
+            answeredCallId = null;
+        }
+    }
+
     private void refuseInOrder(RequestReader.RequestEvent message) {
         message.release();
         if (message.head() == null) {
@@ -473,6 +485,9 @@
 
     /** Records that the current request has been answered. */
     private void finishRequest() {
+        answeredCallId = current == null || current.request() == null
+                ? null
+                : current.request().callId();
         current = null;
         currentId = 0;
         freeSinceMs = clock.nowMs();
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -50,6 +50,7 @@
     private final Log log;
     private final HandoverSnapshotFiles files;
     private final ScheduledExecutorService executor;
+    private SharedCallTable calls; // null: its file could not be made
     private volatile boolean siblingPresent;
     // Used on the handover thread only.
     private int roundCount;
@@ -78,6 +79,16 @@
         });
     }
 
+    /** Shares the calls that must not run twice; called before this process serves. */
+    void shareCalls(Path folder) {
+        try {
+            calls = SharedCallTable.create(folder, ProcessHandle.current().pid());
+            EventLoopTasks.execute(loop, () -> dispatcher.shareCalls(calls));
+        } catch (IOException e) {
+            logFailure("the calls of this process can't be shared: " + e);
+        }
+    }
+
     /** Takes over the state that the previous process has left, if any; called before this process serves. */
     void takeOver() {
         double nowMs = clock.monotonicMs();
@@ -107,6 +118,9 @@
             reportSiblingLoad();
         }
         if (siblingPresent || roundCount++ % INTERVALS_PER_WRITE_ALONE == 0) {
+            if (calls != null) {
+                calls.refresh(log);
+            }
             writeSnapshot();
         }
     }
--- /dev/null
+++ b/src/main/java/ivybank/daemon/RepeatedCalls.java
@@ -0,0 +1,108 @@
+package ivybank.daemon;
+
+import ivybank.common.Clock;
+import ivybank.exchange.ClientRequest;
+import ivybank.invariants.CallHistory;
+import ivybank.policy.Balancer.Effect;
+import ivybank.policy.Balancer.Group;
+import ivybank.policy.Balancer.RequestClass;
+import ivybank.policy.Balancer.Settings;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Knows which calls must not be sent because their id is in progress, or because a request with this id may have run that must not
+ * run twice: its client may have left before it has read the answer. Used on one event loop.
+ */
+final class RepeatedCalls {
+
+    /** The longest time for which a call is remembered, in milliseconds. */
+    private static final double MAX_RETENTION_MS = 300_000;
+
+    private final List<RequestClass> classes;
+    private final Clock clock;
+    private final double retentionMs;
+    /** The ids of the requests that have not been answered yet. */
+    private final Set<String> open = new HashSet<>();
+
+    private final CallHistory history = new CallHistory();
+    private SharedCallTable shared; // null: no other process can take over
+
+    RepeatedCalls(Settings settings, Clock clock) {
+        this.classes = settings.classes();
+        this.clock = clock;
+        double longestMs =
+                classes.stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0);
+        double windowMs =
+                classes.stream().mapToDouble(RequestClass::windowMs).max().orElse(0);
+        this.retentionMs = Math.min(MAX_RETENTION_MS, longestMs + windowMs);
+    }
+
+    /** From now on other processes of the sidecar see the calls of this one, and this one theirs. */
+    void share(SharedCallTable table) {
+        shared = table;
+    }
+
+    /** Returns whether a request with this id must not be sent now. */
+    boolean contains(String callId) {
+        return open.contains(callId)
+                || history.contains(callId, clock.nowMs())
+                || shared != null && shared.isElsewhere(callId, clock.monotonicMs());
+    }
+
+    /** Notifies that a request is in progress. */
+    void opened(ClientRequest request) {
+        open.add(request.callId());
+        if (shared != null && isProtected(request)) {
+            shared.put(request.callId(), clock.monotonicMs() + retentionMs);
+        }
+    }
+
+    /**
+     * Notifies that a request is answered, or needs no answer any more.
+     *
+     * @param mayHaveRun whether it may have run
+     */
+    void closed(ClientRequest request, boolean mayHaveRun) {
+        open.remove(request.callId());
+        if (!isProtected(request)) {
+            return;
+        }
+        if (mayHaveRun) {
+            history.add(request.callId(), clock.nowMs() + retentionMs);
+            if (shared != null) {
+                shared.put(request.callId(), clock.monotonicMs() + retentionMs);
+            }
+        } else {
+            forget(request.callId());
+        }
+    }
+
+    /** Notifies that a request which was closed as one that may have run is known not to have run. */
+    void provedNotRun(ClientRequest request) {
+        if (isProtected(request) && !open.contains(request.callId())) {
+            forget(request.callId());
+        }
+    }
+
+    /** Notifies that the client has read the answer to this call: its id does not come again for want of one. */
+    void answerRead(String callId) {
+        if (!open.contains(callId)) {
+            forget(callId);
+        }
+    }
+
+    private void forget(String callId) {
+        history.remove(callId);
+        if (shared != null) {
+            shared.remove(callId);
+        }
+    }
+
+    /** Returns whether a second run of the request may do harm, also at another node than the first. */
+    private boolean isProtected(ClientRequest request) {
+        RequestClass spec = classes.get(request.requestClass());
+        return spec.effect() == Effect.UNSAFE || spec.effect() == Effect.KEYED && spec.group() != Group.ALL;
+    }
+}
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -26,10 +26,8 @@
 import ivybank.upstream.UpstreamAttempt.Ending;
 import ivybank.upstream.UpstreamPool;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,8 +56,7 @@
     private final Log log;
     private final Balancer balancer;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
-    /** The ids, as clients give them, of the requests that have not been answered yet. */
-    private final Set<String> openIds = new HashSet<>();
+    private final RepeatedCalls repeatedCalls;
 
     private final AttemptSender sender;
     private final ModuleEvents events;
@@ -92,6 +89,7 @@
         this.log = log;
         this.sender = new AttemptSender(settings, clock, pool, this);
         this.events = new ModuleEvents(log);
+        this.repeatedCalls = new RepeatedCalls(settings, clock);
         this.balancer = factory.create(settings, seed, this);
         this.inheritedState = new InheritedState(directory, balancer, events, clock);
     }
@@ -185,6 +183,11 @@
         }
     }
 
+    /** From now on shares the calls that must not run twice with other processes of the sidecar. */
+    void shareCalls(SharedCallTable table) {
+        repeatedCalls.share(table);
+    }
+
     /** Returns whether a node with this id is known. */
     boolean isKnownNode(String node) {
         return directory.contains(node);
@@ -213,7 +216,7 @@
         Exchange exchange = new Exchange(++lastId, request, deadlineMs, earliestMs, client);
         request.memory().retain();
         exchanges.put(exchange.id, exchange);
-        openIds.add(request.callId());
+        repeatedCalls.opened(request);
         unanswered++;
         counters.taken++;
         tally.requestTaken();
@@ -263,7 +266,12 @@
 
     @Override
     public boolean isInFlight(String callId) {
-        return openIds.contains(callId);
+        return repeatedCalls.contains(callId);
+    }
+
+    @Override
+    public void answerRead(String callId) {
+        repeatedCalls.answerRead(callId);
     }
 
     @Override
@@ -330,6 +338,9 @@
             answer(exchange, Answer.served(ending.contentType(), ending.body()));
             tally.stageCompleted(Stage.ANSWER_WRITTEN, clock.nowMs() - endedMs);
         }
+        if (exchange.closed && ending.outcome().provesNotRun() && exchange.hasNotRun()) {
+            repeatedCalls.provedNotRun(exchange.request);
+        }
         Node node = exchange.attempts.get(number).node;
         events.deliver(() -> balancer.attemptEnded(
                 clock.nowMs(),
@@ -378,10 +389,10 @@
 
     private void close(Exchange exchange) {
         exchange.closed = true;
+        repeatedCalls.closed(exchange.request, !exchange.hasNotRun());
         tally.requestCompleted();
         exchange.cancelBackstop();
         unanswered--;
-        openIds.remove(exchange.request.callId());
         forget(exchange);
     }
 
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -356,6 +356,7 @@
     /** Takes over the state that another process has left in this folder, and shares the state of this one there. */
     void handOver(Path folder) {
         Handover next = new Handover(folder, loop, dispatcher, server, descriptors, clock, log);
+        next.shareCalls(folder);
         next.takeOver();
         handover = next;
         next.siblingPresent(siblingPresent);
--- a/src/main/java/ivybank/exchange/RequestHandler.java
+++ b/src/main/java/ivybank/exchange/RequestHandler.java
@@ -14,6 +14,12 @@
     /** Returns whether a request with this client-assigned ID is in progress. */
     boolean isInFlight(String callId);
 
+    /**
+     * Notifies that the client has read the answer to the request with this ID: it has sent another one on the same connection
+     * behind that answer.
+     */
+    default void answerRead(String callId) {}
+
     /** Handles a request and returns its number. {@code client} receives its one final answer, possibly before this returns. */
     int handle(ClientRequest request, Consumer<Answer> client);
 
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -275,6 +275,11 @@
         return dispatcher.isInFlight(callId);
     }
 
+    @Override
+    public void answerRead(String callId) {
+        dispatcher.answerRead(callId);
+    }
+
     @Override
     public int handle(ClientRequest request, Consumer<Answer> client) {
         RequestClass requestClass = classes.get(request.requestClass());
