A node whose address a later process has taken over gets nothing more

Change: the directory treats a node as draining while a process that started later is listed at its address, closes its idle connections, and uses it again when the address is its own. Nodes that started together may share one. The order within a list does not matter, nor does a list that tells of one without the other. Checked besides, without a change: idle connections and learned state go by node and start; a move or a start closes kept connections; connections that come up late are used only where node and address are still those.

--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -2,6 +2,7 @@
 
 import ivybank.policy.Balancer.Status;
 import ivybank.policy.Balancer.Upstream;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -105,9 +106,36 @@
                 }
             }
         }
+        applyReplacements(entries);
         return entries;
     }
 
+    /**
+     * Takes nodes out of service whose address another process has taken over, and returns those to service that have an address of
+     * their own again; adds or replaces their entries. A list may tell of the new process before it tells of the end of the old one.
+     */
+    private void applyReplacements(List<Upstream> entries) {
+        Map<SocketAddress, Node> latest = new HashMap<>();
+        for (Node node : byId.values()) {
+            if (node.status == Status.READY || node.status == Status.DRAINING) {
+                latest.merge(
+                        node.address, node, (one, other) -> one.listedStartMs >= other.listedStartMs ? one : other);
+            }
+        }
+        for (Node node : byId.values()) {
+            Node latestThere = latest.get(node.address);
+            boolean replaced = latestThere != null && latestThere.listedStartMs > node.listedStartMs;
+            if (replaced != node.replaced) {
+                node.replaced = replaced;
+                entries.removeIf(entry -> entry.id() == node.id);
+                entries.add(toUpstream(node));
+                if (replaced) {
+                    onRetired.accept(node);
+                }
+            }
+        }
+    }
+
     /**
      * Returns one entry for each host. Guards against a list that names a host twice: the latest start prevails, and for one
      * process the more restrictive status. Otherwise a gone and a ready entry replaced each other in turn, and the decision
@@ -129,11 +157,13 @@
     }
 
     /**
-     * Returns the entry of a node for the decision module. A node that is out of service is draining, whatever the list says.
+     * Returns the entry of a node for the decision module. A node that is out of service, or whose address has another process, is
+     * draining, whatever the list says.
      */
     private Upstream toUpstream(Node node) {
         NodeListUpdate.Entry entry = node.listed;
-        Status status = outOfService.containsKey(node.host) ? Status.DRAINING : node.status;
+        boolean withheld = outOfService.containsKey(node.host) || node.replaced && node.status == Status.READY;
+        Status status = withheld ? Status.DRAINING : node.status;
         node.outOfServiceSinceMs = outOfService.getOrDefault(node.host, 0.0);
         node.ready = status == Status.READY;
         return new Upstream(
--- a/src/main/java/ivybank/discovery/Node.java
+++ b/src/main/java/ivybank/discovery/Node.java
@@ -14,6 +14,8 @@
     public boolean ready;
     /** The last status from discovery; {@code GONE} where a whole list left the node out. */
     Status status;
+    /** Whether a process that started later is listed at the same address. */
+    boolean replaced;
     /** The start of the node's process as discovery last stated it, in Unix milliseconds; 0 for long ago. */
     double listedStartMs;
     /** The start of the node's process by the clock of this process. */
--- a/src/test/java/ivybank/discovery/DirectoryTest.java
+++ b/src/test/java/ivybank/discovery/DirectoryTest.java
@@ -106,4 +106,51 @@
         directory.apply(new NodeListUpdate(3, false, List.of(entry("s-1", Status.READY, 9))), NOW_MS);
         assertEquals(1, retired.size());
     }
+
+    private void tell(boolean whole, NodeListUpdate.Entry... entries) {
+        directory.apply(new NodeListUpdate(1, whole, List.of(entries)), NOW_MS);
+    }
+
+    private boolean isReady(String host) {
+        return directory.node(directory.number(host)).ready;
+    }
+
+    // Guards against a new process that is taken for the one which had its address, where the list tells of it first.
+    @Test
+    void aNodeWhoseAddressHasALaterProcessGetsNothing() {
+        tell(true, entry("old", Status.READY, 0));
+        Node old = directory.node(directory.number("old"));
+        tell(false, entry("new", Status.READY, 5000));
+        assertFalse(old.ready);
+        assertTrue(isReady("new"));
+        assertTrue(retired.contains(old), "its connections are not used any more");
+        tell(false, entry("old", Status.GONE, 0));
+        assertTrue(isReady("new"));
+    }
+
+    // Guards against the same where both are told at once, in either order.
+    @Test
+    void theOrderWithinAListDoesNotMatter() {
+        tell(true, entry("new", Status.READY, 5000), entry("old", Status.READY, 0));
+        assertFalse(isReady("old"));
+        tell(true, entry("old", Status.READY, 0), entry("new", Status.READY, 5000));
+        assertFalse(isReady("old"));
+        assertTrue(isReady("new"));
+    }
+
+    // Guards against a node that stays out of service after the process that had its address has gone.
+    @Test
+    void aNodeIsUsedAgainWhenItsAddressIsItsOwn() {
+        tell(true, entry("old", Status.READY, 0), entry("new", Status.READY, 5000));
+        tell(false, entry("new", Status.GONE, 5000));
+        assertTrue(isReady("old"));
+    }
+
+    // Guards against nodes that share an address from the start on, as behind a proxy, and lose each other.
+    @Test
+    void nodesThatStartedTogetherShareAnAddress() {
+        tell(true, entry("one", Status.READY, 0), entry("other", Status.READY, 0));
+        assertTrue(isReady("one"));
+        assertTrue(isReady("other"));
+    }
 }
