A client that goes on sending does not keep its connection open at the end

Cause, as far as the log shows: a connection that is to end is kept while requests wait on it, and is read out before its last answer; a client that sends as fast as it is answered never leaves it empty. Change: while a connection is to end, 64 more requests are read of it; the last of them is the one whose answer ends it.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -60,6 +60,8 @@
     private static final double IDLE_SURPLUS_MS = 250;
     /** The time after which a connection that has carried one request is surplus, if clients do not reuse connections. */
     private static final double SINGLE_USE_SURPLUS_MS = 50;
+    /** How many requests are read of a client that goes on sending while its connection is to end. */
+    private static final int MAX_REQUESTS_WHILE_ENDING = 64;
 
     private final long id;
     private final RequestReader reader;
@@ -104,6 +106,8 @@
     private double lastReadMs;
     /** The number of requests that were received, in full or in part if long. */
     private int requests;
+    /** The number of requests that were received since the connection is to end with its next answer. */
+    private int requestsWhileEnding;
     /** Whether the connection is closed once the rest of a request has been read that was answered early. */
     private boolean closeAfterRequest;
     /** Whether this side ends the connection as soon as nothing is queued on it. */
@@ -174,6 +178,10 @@
             return;
         }
         inputEnded |= message.head() == null;
+        if (isToEnd() && ++requestsWhileEnding >= MAX_REQUESTS_WHILE_ENDING) {
+            inputEnded = true;
+            reader.stop();
+        }
         if (++requests == 2) {
             server.connectionReused();
         }
@@ -513,7 +521,7 @@
         if (!arrival.keepAlive()) {
             return false;
         }
-        boolean wantsEnd = endsWhenAnswered || server.draining() || requests == 1 && server.closesAfterFirstAnswer();
+        boolean wantsEnd = isToEnd() || requests == 1 && server.closesAfterFirstAnswer();
         if (wantsEnd && waiting.isEmpty() && canReadNow()) {
             answerReady = true;
             closer.emptySocket();
@@ -522,6 +530,11 @@
         return !wantsEnd || !waiting.isEmpty();
     }
 
+    /** Returns whether the connection ends as soon as nothing that was received on it is unanswered. */
+    private boolean isToEnd() {
+        return endsWhenAnswered || server.draining();
+    }
+
     /** Returns whether the socket may be read: no read of it is under way, and none has failed last. */
     private boolean canReadNow() {
         return !processingRead && !failing && Double.isNaN(unreadableSinceMs) && !isRequestIncomplete();
--- a/src/test/java/ivybank/soak/ConnectionEndSoakTest.java
+++ b/src/test/java/ivybank/soak/ConnectionEndSoakTest.java
@@ -24,6 +24,7 @@
 
 /**
  * One sidecar as a real process while calls fail at random, signals stop and continue it, and on every second seed a crowd connects.
+ * On every third seed many clients are slow or never finish, and on every third another one sends at full speed.
  * At the end it gets SIGTERM, and SIGKILL at the earliest time of the protocol page; clients use their connections until then.
  * Where the machine was too busy, what came late is not judged; what was lost always is.
  * {@code -Dends.seeds=1-50} plays other seeds than those of the build.
@@ -58,6 +59,10 @@
     private static final int LATE_PERMILLE = 10;
 
     private static final int LEAST_ANSWERED = 200;
+    /** Clients that write or read slowly, or never finish, on every third seed. */
+    private static final int SLOW_CLIENTS = 60;
+
+    private static final int DISTURBANCES = 3;
 
     /** Errors that look like the end of a peer, or that no other test draws. */
     private static final List<OddError> ODD_ERRORS = List.of(
@@ -74,6 +79,7 @@
 
     private final List<Socket> silent = new ArrayList<>();
     private final List<RestingClients> crowds = new ArrayList<>();
+    private final List<AutoCloseable> disturbances = new ArrayList<>();
 
     static LongStream seeds() {
         String[] bounds = SEEDS.split("-");
@@ -93,9 +99,13 @@
                 RestingClients clients = new RestingClients(
                         sidecar.port(), CLIENTS, RestingClients.between(seed, LEAST_REST_MS, MOST_REST_MS))) {
             storm.start();
+            disturb(seed, sidecar.port());
             play(seed, sidecar, clients);
             judge(seed, sidecar, clients, storm, load);
         } finally {
+            for (AutoCloseable each : disturbances) {
+                each.close();
+            }
             for (RestingClients crowd : crowds) {
                 crowd.close();
             }
@@ -105,6 +115,16 @@
         }
     }
 
+    /** Starts other clients, which go on to the end. */
+    private void disturb(long seed, int port) {
+        if (seed % DISTURBANCES == 1) {
+            disturbances.add(new PacedClients(port, SLOW_CLIENTS, List.of(PacedClients.Kind.values())));
+        } else if (seed % DISTURBANCES == 2) {
+            Flood.Kind[] kinds = Flood.Kind.values();
+            disturbances.add(new Flood(port, kinds[(int) (seed / DISTURBANCES % kinds.length)]));
+        }
+    }
+
     /** Plays a seed up to the moment of SIGKILL. */
     private void play(long seed, FaultySidecar sidecar, RestingClients clients) throws Exception {
         SplittableRandom random = new SplittableRandom(seed);
--- a/src/test/java/ivybank/soak/FloodingClientTest.java
+++ b/src/test/java/ivybank/soak/FloodingClientTest.java
@@ -1,6 +1,7 @@
 package ivybank.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.testing.FakeServer;
@@ -21,6 +22,10 @@
     private static final int NODE_MS = 10;
     private static final long FLOOD_MS = 5000;
     private static final long AFTER_MS = 2000;
+    private static final long BEFORE_END_MS = 1000;
+    /** The longest deadline, 3 s at most, and 0.7 s. */
+    private static final long KILLED_AFTER_MS = 3700;
+
     private static final int MEMORY_MB = 128;
     private static final int DESCRIPTORS = 1024;
     /** Of a hundred requests of the others, so many are served: those of usual nodes on a calm day. */
@@ -70,4 +75,20 @@
             assertTrue(peak.mebibytes() <= MEMORY_MB, peak.mebibytes() + " MiB");
         }
     }
+
+    // Guards against a client that goes on sending and keeps a process from ending before it is killed.
+    @ParameterizedTest
+    @EnumSource(Flood.Kind.class)
+    void theProcessEndsBeforeItIsKilledWhateverOneClientSends(Flood.Kind kind) throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, FloodingClientTest::serve);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar =
+                        FaultySidecar.startAsDeployed(folder, agent.server, upstreams, MEMORY_MB, DESCRIPTORS);
+                Flood flood = new Flood(sidecar.port(), kind)) {
+            Thread.sleep(BEFORE_END_MS);
+            sidecar.terminate();
+            Thread.sleep(KILLED_AFTER_MS);
+            assertFalse(sidecar.isAlive(), "it has not ended after " + KILLED_AFTER_MS + " ms, " + flood.sent());
+        }
+    }
 }
