--- a/src/main/java/ivybank/daemon/ProcessMemory.java
+++ b/src/main/java/ivybank/daemon/ProcessMemory.java
@@ -40,13 +40,15 @@
      *
      * @param memoryMb the limit of the settings, in MB; 0 for none
      * @param clientConnections the client connections for which there are descriptors
+     * @param nodes the nodes that are listed
      */
-    static ProcessMemory ofProcess(int memoryMb, int clientConnections) {
+    static ProcessMemory ofProcess(int memoryMb, int clientConnections, int nodes) {
         MemoryTable.Limits limits = new MemoryTable.Limits(
                 memoryMb * BYTES_IN_MB,
                 Runtime.getRuntime().maxMemory(),
                 PlatformDependent.maxDirectMemory(),
-                clientConnections);
+                clientConnections,
+                nodes);
         MemoryTable table = MemoryTable.of(limits);
         return new ProcessMemory(
                 limits, table, new MessageMemory(table.messageHeapBytes(), table.messageDirectBytes()));
@@ -55,7 +57,7 @@
     /** Returns the memory of a process without a limit on the whole, in which messages have these budgets. */
     static ProcessMemory withBudgets(MessageMemory messages) {
         MemoryTable.Limits limits = new MemoryTable.Limits(
-                0, Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), UNLIMITED_CONNECTIONS);
+                0, Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), UNLIMITED_CONNECTIONS, 0);
         return new ProcessMemory(limits, MemoryTable.of(limits), messages);
     }
 
@@ -74,11 +76,7 @@
         if (limits.memoryBytes() <= 0) {
             return;
         }
-        table = MemoryTable.of(new MemoryTable.Limits(
-                limits.memoryBytes() / processes,
-                limits.maxHeapBytes(),
-                limits.maxDirectBytes(),
-                limits.clientConnections()));
+        table = MemoryTable.of(limits.withMemoryBytes(limits.memoryBytes() / processes));
         messages.setLimits(table.messageHeapBytes(), table.messageDirectBytes());
         log.line("memory of this process, one of " + processes + ": " + table
                 + (table.fits() ? "" : "; it does not fit, the least is admitted"));
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -266,7 +266,8 @@
                 InheritedListener.listener(environment, log),
                 ProcessMemory.ofProcess(
                         config.memoryMb(),
-                        DescriptorShares.of(config.sockets()).clients().maxAccepted()));
+                        DescriptorShares.of(config.sockets()).clients().maxAccepted(),
+                        config.known().entries().size()));
         sidecar.follow(ProcessAge.maxMs());
         sidecar.prepare();
         if (operatorFile != null && operatorFile.peers() != null) {
--- a/src/main/java/ivybank/memory/MemoryTable.java
+++ b/src/main/java/ivybank/memory/MemoryTable.java
@@ -18,8 +18,15 @@
      * @param maxHeapBytes the most that the virtual machine takes for its heap, in bytes
      * @param maxDirectBytes the most that it takes for buffers outside the heap, in bytes
      * @param clientConnections the client connections for which there are descriptors
+     * @param nodes the nodes that are listed
      */
-    public record Limits(long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections) {}
+    public record Limits(long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections, int nodes) {
+
+        /** Returns the same with another limit on the whole process. */
+        public Limits withMemoryBytes(long newMemoryBytes) {
+            return new Limits(newMemoryBytes, maxHeapBytes, maxDirectBytes, clientConnections, nodes);
+        }
+    }
 
     /**
      * One role.
@@ -39,8 +46,10 @@
 
     /** The virtual machine, its compiled code and class data, the libraries, and the stacks of its threads. */
     private static final long RUNTIME_BYTES = 60 * MEBIBYTE;
-    /** The young generation of the heap, the program's own objects, and the list of nodes. */
+    /** The young generation of the heap, and the program's own objects. */
     private static final long HEAP_BASE_BYTES = 12 * MEBIBYTE;
+    /** What is known of one node. */
+    private static final long NODE_BYTES = 2 * 1024;
     /** The pipeline of one client connection, its request, and the head that is being received. */
     private static final long CONNECTION_BYTES = 8 * 1024;
     /** The part of what the runtime leaves that buffers outside the heap take. */
@@ -50,7 +59,7 @@
     /** As much as messages take is left to what they leave behind until the next garbage collection. */
     private static final int HEAP_DIVISOR = 2;
     /** Where the limit is too small, a few requests at a time are still served. */
-    private static final long MIN_HEAP_BYTES = HEAP_BASE_BYTES + 4 * MEBIBYTE;
+    private static final long MIN_HEAP_BYTES = 4 * MEBIBYTE;
 
     private static final long MIN_DIRECT_BYTES = 2 * MEBIBYTE;
     private static final long MIN_MESSAGE_BYTES = MEBIBYTE;
@@ -60,13 +69,13 @@
     private static final int MIN_READ_BYTES = 2 * 1024;
     private static final int MAX_READ_BYTES = 16 * 1024;
 
-    private final long limitBytes;
+    private final Limits limits;
     private final int clientConnections;
     private final long heapBytes;
     private final long directBytes;
 
-    private MemoryTable(long limitBytes, int clientConnections, long heapBytes, long directBytes) {
-        this.limitBytes = limitBytes;
+    private MemoryTable(Limits limits, int clientConnections, long heapBytes, long directBytes) {
+        this.limits = limits;
         this.clientConnections = clientConnections;
         this.heapBytes = heapBytes;
         this.directBytes = directBytes;
@@ -75,14 +84,19 @@
     /** Returns the table of a process with these limits. */
     public static MemoryTable of(Limits limits) {
         if (limits.memoryBytes() <= 0) {
-            return new MemoryTable(0, limits.clientConnections(), limits.maxHeapBytes(), limits.maxDirectBytes());
+            return new MemoryTable(limits, limits.clientConnections(), limits.maxHeapBytes(), limits.maxDirectBytes());
         }
         long leftBytes = Math.max(0, limits.memoryBytes() - RUNTIME_BYTES);
         long directBytes = within(MIN_DIRECT_BYTES, (long) (DIRECT_PART * leftBytes), limits.maxDirectBytes());
-        long heapBytes = within(MIN_HEAP_BYTES, leftBytes - directBytes, limits.maxHeapBytes());
-        long connections = (heapBytes - HEAP_BASE_BYTES) / HEAP_DIVISOR / CONNECTION_BYTES;
-        return new MemoryTable(
-                limits.memoryBytes(), (int) Math.min(limits.clientConnections(), connections), heapBytes, directBytes);
+        long programBytes = programBytes(limits);
+        long heapBytes = within(programBytes + MIN_HEAP_BYTES, leftBytes - directBytes, limits.maxHeapBytes());
+        long connections = Math.max(1, (heapBytes - programBytes) / HEAP_DIVISOR / CONNECTION_BYTES);
+        return new MemoryTable(limits, (int) Math.min(limits.clientConnections(), connections), heapBytes, directBytes);
+    }
+
+    /** Returns what the heap holds without any client. */
+    private static long programBytes(Limits limits) {
+        return HEAP_BASE_BYTES + limits.nodes() * NODE_BYTES;
     }
 
     private static long within(long least, long wanted, long most) {
@@ -101,8 +115,11 @@
 
     /** Returns what messages may take on the heap, in bytes. */
     public long messageHeapBytes() {
-        long leftBytes = heapBytes - HEAP_BASE_BYTES - clientConnections * CONNECTION_BYTES;
-        return Math.max(MIN_MESSAGE_BYTES, leftBytes / HEAP_DIVISOR);
+        return Math.max(MIN_MESSAGE_BYTES, leftForMessagesBytes() / HEAP_DIVISOR);
+    }
+
+    private long leftForMessagesBytes() {
+        return heapBytes - programBytes(limits) - clientConnections * CONNECTION_BYTES;
     }
 
     /** Returns what messages may take outside the heap, in bytes. */
@@ -118,7 +135,7 @@
 
     /** Returns whether all rows together are within the limit. */
     public boolean fits() {
-        return limitBytes == 0 || sumBytes() <= limitBytes;
+        return limits.memoryBytes() <= 0 || sumBytes() <= limits.memoryBytes();
     }
 
     /** Returns the sum of all rows, in bytes. */
@@ -131,11 +148,10 @@
         List<Row> rows = new ArrayList<>();
         rows.add(new Row("runtime", 1, RUNTIME_BYTES));
         rows.add(new Row("heap of the program", 1, HEAP_BASE_BYTES));
+        rows.add(new Row("nodes", limits.nodes(), NODE_BYTES));
         rows.add(new Row("client connections", clientConnections, CONNECTION_BYTES));
         rows.add(new Row("messages on the heap", 1, messageHeapBytes()));
-        long connectionBytes = clientConnections * CONNECTION_BYTES;
-        long garbageBytes = heapBytes - HEAP_BASE_BYTES - connectionBytes - messageHeapBytes();
-        rows.add(new Row("garbage", 1, Math.max(0, garbageBytes)));
+        rows.add(new Row("garbage", 1, Math.max(0, leftForMessagesBytes() - messageHeapBytes())));
         rows.add(new Row("messages outside the heap", 1, messageDirectBytes()));
         rows.add(new Row("allocator", 1, Math.max(0, directBytes - messageDirectBytes())));
         return rows;
@@ -149,7 +165,7 @@
                                 + inMebibytes(row.bytesEach()))
                         .collect(Collectors.joining(", "))
                 + "; sum " + inMebibytes(sumBytes()) + " of "
-                + (limitBytes == 0 ? "no limit" : inMebibytes(limitBytes)) + " MiB";
+                + (limits.memoryBytes() <= 0 ? "no limit" : inMebibytes(limits.memoryBytes())) + " MiB";
     }
 
     private static String inMebibytes(long bytes) {
--- a/src/test/java/ivybank/memory/MemoryTableTest.java
+++ b/src/test/java/ivybank/memory/MemoryTableTest.java
@@ -12,11 +12,13 @@
 class MemoryTableTest {
 
     private static final long MB = 1_000_000;
+    private static final int NODES = 200;
     private static final long MAX_HEAP_BYTES = 48L << 20;
     private static final long MAX_DIRECT_BYTES = 24L << 20;
 
     private static MemoryTable table(long memoryMb, int connections) {
-        return MemoryTable.of(new MemoryTable.Limits(memoryMb * MB, MAX_HEAP_BYTES, MAX_DIRECT_BYTES, connections));
+        return MemoryTable.of(
+                new MemoryTable.Limits(memoryMb * MB, MAX_HEAP_BYTES, MAX_DIRECT_BYTES, connections, NODES));
     }
 
     // Guards against limits that are each sound and exceed the limit of the settings together.
