What a client connection has received and when is in a class of its own

ClientConnection held the timeouts of partial, stopped, silent and idle connections beside all else. The tests of the client's side, of connections, requests, ends and streamed bodies pass.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -21,22 +21,11 @@
         implements BodyPipe.Source, ClientLink {
 
     private static final long READ_DELAY_MS = 5;
-    /** The timeout for the first byte of a request on a new connection. */
-    private static final double SILENT_TIMEOUT_MS = 2500;
     /**
      * The timeout for a connection on which reads fail and which may carry an unread request: it is answered with 408,
      * within the 3 s in which a silent client is to be answered.
      */
     private static final double UNREADABLE_TIMEOUT_MS = 2800;
-    /**
-     * The timeout for a request head, which a client may take 2 s to send; a body extends it at this minimum rate, half of
-     * what a slow client sends.
-     */
-    private static final double PARTIAL_HEAD_TIMEOUT_MS = 2500;
-
-    private static final double MIN_BODY_BYTES_PER_MS = 32;
-    /** The timeout for a client that sends nothing more of a request: it is told within 3 s. */
-    private static final double STOPPED_TIMEOUT_MS = 2700;
     /** The usual delay between accepting a connection and activating its channel, if nothing fails. */
     private static final double USUAL_ACCEPT_DELAY_MS = 10;
     /** The timeout for a request whose connection is unreadable: a disconnect of the client would go unnoticed. */
@@ -48,18 +37,6 @@
     /** The limit on the time for which answers are written to a connection that can't be read any more. */
     private static final long UNWRITTEN_TIMEOUT_MS = 1000;
 
-    private static final double IDLE_TIMEOUT_MS = 10_000;
-    /** The time after which a silent connection is surplus and may be closed, if many connections are open. */
-    private static final double SILENT_SURPLUS_MS = 600;
-    /**
-     * The time after which a connection with a partial request is surplus, counted from its last bytes, so that a client
-     * that sends slowly keeps its connection and one that never finishes does not.
-     */
-    private static final double PARTIAL_SURPLUS_MS = 600;
-
-    private static final double IDLE_SURPLUS_MS = 250;
-    /** The time after which a connection that has carried one request is surplus, if clients do not reuse connections. */
-    private static final double SINGLE_USE_SURPLUS_MS = 50;
     /** How many requests are read of a client that goes on sending while its connection is to end. */
     private static final int MAX_REQUESTS_WHILE_ENDING = 64;
 
@@ -81,6 +58,7 @@
     private double unreadableSinceMs = Double.NaN;
 
     private final LoopShare share = new LoopShare();
+    private final ConnectionActivity activity = new ConnectionActivity();
     private LastByteTime lastByte;
     /** Whether input is being processed, so that what this channel holds has just been read. */
     private boolean processingRead;
@@ -91,21 +69,8 @@
     private String answeredCallId;
 
     private int currentId;
-    /** The time since when the client counts as waiting for this connection to be served. */
-    private double connectedMs;
-    /** The time since when no request has been in progress, by the module's clock. */
-    private double freeSinceMs;
     /** Whether malformed input was received; nothing behind it is parsed. */
     private boolean inputEnded;
-    /** The number of reads that returned data. */
-    private long readCount;
-    /** Whether a partial request has been received, and since when: its first bytes, or the connect if it is the first. */
-    private boolean partial;
-
-    private double partialSinceMs;
-    private double lastReadMs;
-    /** The number of requests that were received, in full or in part if long. */
-    private int requests;
     /** The number of requests that were received since the connection is to end with its next answer. */
     private int requestsWhileEnding;
     /** Whether the connection is closed once the rest of a request has been read that was answered early. */
@@ -140,16 +105,17 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         reader.setSource(this);
-        freeSinceMs = clock.nowMs();
-        connectedMs = freeSinceMs;
+        double nowMs = clock.nowMs();
+        double waitedMs = 0;
         mayBeDelayed = server.recentlyDelayed();
         if (ctx.channel() instanceof ClientSocketChannel channel) {
-            connectedMs = freeSinceMs - channel.acceptedConnection().waitedMs();
-            lastByte.acceptedLate(freeSinceMs - channel.acceptedConnection().maxWaitedMs());
+            waitedMs = channel.acceptedConnection().waitedMs();
+            lastByte.acceptedLate(nowMs - channel.acceptedConnection().maxWaitedMs());
             mayBeDelayed |= channel.acceptedConnection().maxWaitedMs() > USUAL_ACCEPT_DELAY_MS;
         } else {
             reading.foundEmpty();
         }
+        activity.opened(nowMs, waitedMs);
         server.connectionOpened(this);
     }
 
@@ -182,7 +148,8 @@
             inputEnded = true;
             reader.stop();
         }
-        if (++requests == 2) {
+        activity.requestReceived();
+        if (activity.requests() == 2) {
             server.connectionReused();
         }
         if (closeAfterRequest) {
@@ -263,7 +230,7 @@
             return;
         }
         reading.adjust(); // there may be memory again for a body that nobody consumes
-        if (evenIdle || current != null || isSilent() || channel.hasPendingWrites()) {
+        if (evenIdle || current != null || activity.isSilent() || channel.hasPendingWrites()) {
             boolean wasDelayed = mayBeDelayed;
             mayBeDelayed = true; // input found now may have arrived long ago
             RetryingSocketChannel.ReadResult found = channel.pollAndRearm();
@@ -303,7 +270,7 @@
                 server.logUnreadable();
                 failCurrent();
             } else if (isFree() && nowMs - unreadableSinceMs > server.unreadableIdleTimeoutMs()) {
-                server.logRequestTimeout(nowMs - connectedMs);
+                server.logRequestTimeout(activity.sinceConnectedMs(nowMs));
                 answerLast(HttpStatus.REQUEST_TIMEOUT);
             }
         }
@@ -329,14 +296,9 @@
         boolean empty = !(ctx.channel() instanceof RetryingSocketChannel channel) || channel.isDrained();
         reading.readEnded(empty && !reader.hasCompleteBody(), reader.bodyBytes());
         noteReadable();
-        readCount++;
-        double nowMs = clock.nowMs();
-        lastReadMs = nowMs;
-        if (!partial && reader.isMidRequest()) {
-            partialSinceMs = isSilent() ? connectedMs : nowMs;
+        if (activity.read(clock.nowMs(), reader.isMidRequest())) {
             reading.requestStarted();
         }
-        partial = reader.isMidRequest();
         reading.adjust();
         ctx.fireChannelReadComplete();
     }
@@ -510,7 +472,7 @@
                 : current.request().callId();
         current = null;
         currentId = 0;
-        freeSinceMs = clock.nowMs();
+        activity.freed(clock.nowMs());
     }
 
     /**
@@ -521,7 +483,7 @@
         if (!arrival.keepAlive()) {
             return false;
         }
-        boolean wantsEnd = isToEnd() || requests == 1 && server.closesAfterFirstAnswer();
+        boolean wantsEnd = isToEnd() || activity.requests() == 1 && server.closesAfterFirstAnswer();
         if (wantsEnd && waiting.isEmpty() && canReadNow()) {
             answerReady = true;
             closer.emptySocket();
@@ -586,40 +548,30 @@
         if (current != null) {
             return ConnectionState.IN_PROGRESS;
         }
-        return partial ? ConnectionState.RECEIVING : ConnectionState.IDLE;
+        return activity.isPartial() ? ConnectionState.RECEIVING : ConnectionState.IDLE;
     }
 
     double freeSinceMs() {
-        return freeSinceMs;
+        return activity.freeSinceMs();
     }
 
     /** Returns whether the connection may be closed if many connections are open. */
     boolean isSurplus(double nowMs) {
-        boolean unused = partial
-                ? nowMs - lastReadMs >= PARTIAL_SURPLUS_MS
-                : nowMs - freeSinceMs >= (isSilent() ? SILENT_SURPLUS_MS : IDLE_SURPLUS_MS);
-        return unused && isFree();
+        return activity.isSurplus(nowMs) && isFree();
     }
 
     /** Returns whether the client has stopped within the body of a request that is not in progress yet. */
     boolean hasStalledRequest(double nowMs) {
-        return partial && reader.bodyBytes() > 0 && isSurplus(nowMs);
+        return activity.isPartial() && reader.bodyBytes() > 0 && isSurplus(nowMs);
     }
 
     /** Returns whether no further request is to be expected, given that clients do not reuse connections. */
     boolean isSingleUseSurplus(double nowMs) {
-        return isSilent()
-                ? isSurplus(nowMs)
-                : hasServedOnce() && nowMs - freeSinceMs >= SINGLE_USE_SURPLUS_MS && isFree();
-    }
-
-    /** Returns whether no request, and nothing malformed, has been received. */
-    private boolean isSilent() {
-        return requests == 0;
+        return activity.isSingleUseSurplus(nowMs) && isFree();
     }
 
     boolean hasServedOnce() {
-        return requests == 1 && !partial;
+        return activity.hasServedOnce();
     }
 
     /** Returns whether no request is in progress and no answer is waiting to be written. */
@@ -642,21 +594,12 @@
      * @param keepIdle whether connections that have carried requests are kept
      */
     boolean hasTimedOut(double nowMs, boolean keepIdle) {
-        double sinceMs = partial ? partialSinceMs : isSilent() ? connectedMs : freeSinceMs;
-        double timeoutMs = partial
-                ? partialTimeoutMs()
-                : isSilent() ? SILENT_TIMEOUT_MS : keepIdle ? Double.MAX_VALUE : IDLE_TIMEOUT_MS;
-        return isFree() && (nowMs - sinceMs >= timeoutMs || hasStopped(nowMs));
+        return isFree() && (activity.hasTimedOut(nowMs, keepIdle, reader.bodyBytes()) || hasStopped(nowMs));
     }
 
     /** Returns whether the client has stopped within a request, and not because this side reads no more of it. */
     private boolean hasStopped(double nowMs) {
-        return partial && lastByte.isWatched() && nowMs - lastReadMs >= STOPPED_TIMEOUT_MS;
-    }
-
-    /** Returns the timeout for the part of a request that has been received. */
-    private double partialTimeoutMs() {
-        return PARTIAL_HEAD_TIMEOUT_MS + reader.bodyBytes() / MIN_BODY_BYTES_PER_MS;
+        return lastByte.isWatched() && activity.hasStopped(nowMs);
     }
 
     /**
@@ -666,9 +609,7 @@
      */
     void endStalled(double nowMs) {
         boolean tooSlow = hasStopped(nowMs)
-                || partial
-                        && reading.isDemanded()
-                        && nowMs - partialSinceMs - reading.notDemandedMs() > partialTimeoutMs();
+                || reading.isDemanded() && activity.isTooSlow(nowMs, reading.notDemandedMs(), reader.bodyBytes());
         if (tooSlow && closeAfterRequest || answers.isStalled(nowMs)) {
             closer.abort(EndReason.CLIENT_STALLED, null);
         } else if (tooSlow && isRequestIncomplete() && !inputEnded) {
@@ -690,9 +631,9 @@
         if (closer.isEnding() || !context.channel().isActive()) {
             return;
         }
-        long readCountBefore = readCount;
+        long readCountBefore = activity.readCount();
         boolean empty = closer.emptySocket();
-        if (readCount != readCountBefore) {
+        if (activity.readCount() != readCountBefore) {
             server.countRetirementCancelled();
             return;
         }
@@ -701,8 +642,8 @@
             return; // unread input would be lost
         }
         closing.run();
-        if (partial || !empty) {
-            server.logRequestTimeout(clock.nowMs() - connectedMs);
+        if (activity.isPartial() || !empty) {
+            server.logRequestTimeout(activity.sinceConnectedMs(clock.nowMs()));
             answerLast(HttpStatus.REQUEST_TIMEOUT);
         } else {
             closer.closeUnused(reason);
@@ -717,7 +658,8 @@
 
     /** Returns whether the client has waited almost as long as it may for an answer or a close, whatever input is unread. */
     private boolean mustBeEnded() {
-        return partial || isSilent() && clock.nowMs() - connectedMs >= UNREADABLE_TIMEOUT_MS;
+        return activity.isPartial()
+                || activity.isSilent() && activity.sinceConnectedMs(clock.nowMs()) >= UNREADABLE_TIMEOUT_MS;
     }
 
     /**
@@ -726,20 +668,14 @@
      * @param evenPartial whether to close it although a partial request has been received
      */
     void closeIfIdle(boolean evenPartial) {
-        if (isAnswered() && (evenPartial || !partial)) {
+        if (isAnswered() && (evenPartial || !activity.isPartial())) {
             retire(EndReason.DRAIN, () -> {});
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        server.ends()
-                .ended(
-                        id,
-                        closer.reason(),
-                        unanswered(),
-                        clock.nowMs() - Math.max(lastReadMs, freeSinceMs),
-                        closer.error());
+        server.ends().ended(id, closer.reason(), unanswered(), activity.quietMs(clock.nowMs()), closer.error());
         server.connectionClosed(this);
         if (current != null) {
             abandonCurrent();
@@ -772,7 +708,7 @@
         return new UnansweredState(
                 request == null ? null : request.callId(),
                 !waiting.isEmpty(),
-                partial,
+                activity.isPartial(),
                 answers.isStreaming(),
                 answers.hasUnwrittenAnswer());
     }
