--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -82,7 +82,7 @@
     /** Shares the calls that must not run twice; called before this process serves. */
     void shareCalls(Path folder) {
         try {
-            calls = SharedCallTable.create(folder, ProcessHandle.current().pid());
+            calls = SharedCallTable.create(folder, ProcessHandle.current().pid(), clock.monotonicMs());
             EventLoopTasks.execute(loop, () -> dispatcher.shareCalls(calls));
         } catch (IOException e) {
             logFailure("the calls of this process can't be shared: " + e);
@@ -119,7 +119,7 @@
         }
         if (siblingPresent || roundCount++ % INTERVALS_PER_WRITE_ALONE == 0) {
             if (calls != null) {
-                calls.refresh(log);
+                calls.refresh(clock.monotonicMs(), log);
             }
             writeSnapshot();
         }
--- a/src/main/java/ivybank/daemon/SharedCallTable.java
+++ b/src/main/java/ivybank/daemon/SharedCallTable.java
@@ -47,14 +47,15 @@
     /**
      * Creates the table of this process.
      *
+     * @param nowMs the time by the monotonic clock, in milliseconds
      * @throws IOException if its file can't be written or mapped
      */
-    static SharedCallTable create(Path folder, long process) throws IOException {
+    static SharedCallTable create(Path folder, long process, double nowMs) throws IOException {
         Path file = folder.resolve(FILE_PREFIX + process + FILE_SUFFIX);
         // Written in full before it is mapped: a page that a full file system can't provide would end the process.
         Files.write(file, new byte[FILE_BYTES]);
         SharedCallTable table = new SharedCallTable(folder, file, map(file, FileChannel.MapMode.READ_WRITE));
-        table.scan();
+        table.scan(nowMs);
         return table;
     }
 
@@ -67,25 +68,50 @@
         }
     }
 
-    /** Finds the tables of other processes, including those that have ended. */
-    void refresh(Log log) {
+    /** Finds the tables of other processes, and removes those of ended processes in which nothing is retained any more. */
+    void refresh(double nowMs, Log log) {
         try {
-            scan();
+            scan(nowMs);
         } catch (IOException e) {
             log.line("handover: the calls of other processes can't be read: " + e);
         }
     }
 
-    private void scan() throws IOException {
+    private void scan(double nowMs) throws IOException {
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, FILE_PREFIX + "*" + FILE_SUFFIX)) {
             for (Path file : files) {
                 boolean usable = !file.equals(ownFile) && !mapped.containsKey(file) && mapped.size() < MAX_FILES;
                 if (usable && Files.size(file) == FILE_BYTES) {
                     mapped.put(file, map(file, FileChannel.MapMode.READ_ONLY));
-                    others = List.copyOf(mapped.values());
                 }
             }
         }
+        for (Path file : List.copyOf(mapped.keySet())) {
+            if (!isAlive(file) && isExpired(mapped.get(file), nowMs)) {
+                mapped.remove(file);
+                Files.deleteIfExists(file);
+            }
+        }
+        others = List.copyOf(mapped.values());
+    }
+
+    private static boolean isAlive(Path file) {
+        String name = file.getFileName().toString();
+        String process = name.substring(FILE_PREFIX.length(), name.length() - FILE_SUFFIX.length());
+        try {
+            return ProcessHandle.of(Long.parseLong(process)).isPresent();
+        } catch (NumberFormatException e) {
+            return false; // not a file of a process
+        }
+    }
+
+    private static boolean isExpired(ByteBuffer table, double nowMs) {
+        for (int slot = 0; slot < FILE_BYTES; slot += SLOT_BYTES) {
+            if (table.getLong(slot) != 0 && table.getDouble(slot + Long.BYTES) > nowMs) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Records a call up to this time by the monotonic clock, in milliseconds. */
--- a/src/main/java/ivybank/memory/MemoryTable.java
+++ b/src/main/java/ivybank/memory/MemoryTable.java
@@ -42,6 +42,7 @@
         }
     }
 
+    private static final long KIBIBYTE = 1L << 10;
     private static final long MEBIBYTE = 1L << 20;
 
     /** The virtual machine, its compiled code and class data, the libraries, and the stacks of its threads. */
@@ -49,9 +50,9 @@
     /** The young generation of the heap, and the program's own objects. */
     private static final long HEAP_BASE_BYTES = 12 * MEBIBYTE;
     /** What is known of one node. */
-    private static final long NODE_BYTES = 2 * 1024;
+    private static final long NODE_BYTES = 2 * KIBIBYTE;
     /** The pipeline of one client connection, its request, and the head that is being received. */
-    private static final long CONNECTION_BYTES = 8 * 1024;
+    private static final long CONNECTION_BYTES = 8 * KIBIBYTE;
     /** The part of what the runtime leaves that buffers outside the heap take. */
     private static final double DIRECT_PART = 0.25;
     /** The allocator keeps chunks that are used in part, and each connection may read once more when nothing is left. */
@@ -162,13 +163,15 @@
     public String toString() {
         return rows().stream()
                         .map(row -> row.role() + " " + (row.number() > 1 ? row.number() + " x " : "")
-                                + inMebibytes(row.bytesEach()))
+                                + amount(row.bytesEach()))
                         .collect(Collectors.joining(", "))
-                + "; sum " + inMebibytes(sumBytes()) + " of "
-                + (limits.memoryBytes() <= 0 ? "no limit" : inMebibytes(limits.memoryBytes())) + " MiB";
+                + "; sum " + amount(sumBytes()) + " of "
+                + (limits.memoryBytes() <= 0 ? "no limit" : amount(limits.memoryBytes()));
     }
 
-    private static String inMebibytes(long bytes) {
-        return String.format(Locale.ROOT, "%.2f", (double) bytes / MEBIBYTE);
+    private static String amount(long bytes) {
+        return bytes < MEBIBYTE
+                ? bytes / KIBIBYTE + " KiB"
+                : String.format(Locale.ROOT, "%.1f MiB", (double) bytes / MEBIBYTE);
     }
 }
