A request with an identity is answered by its record, whatever its call id

Cause: the memory of calls that may have run stood before the store's records, which answer such a request. Change: with a store, only requests without an identity go by it. Of a connection that is to end no long body is cut off by the bound on its requests.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -144,7 +144,7 @@
             return;
         }
         inputEnded |= message.head() == null;
-        if (isToEnd() && ++requestsWhileEnding >= MAX_REQUESTS_WHILE_ENDING) {
+        if (isToEnd() && ++requestsWhileEnding >= MAX_REQUESTS_WHILE_ENDING && message.remainingBody() == null) {
             inputEnded = true;
             reader.stop();
         }
@@ -404,7 +404,7 @@
             answer(arrival, Answer.refused(server.retryAfterMs()));
         } else if (arrival.request() == null) {
             answer(arrival, Answer.status(arrival.status()));
-        } else if (handler.isInFlight(arrival.request().callId())) {
+        } else if (handler.isInFlight(arrival.request().callId()) || handler.mayHaveRun(arrival.request())) {
             // Otherwise one client could have another's request run twice, or receive its answer.
             answer(arrival, Answer.status(HttpStatus.CONFLICT));
         } else if (server.isOverCapacity()) {
--- a/src/main/java/ivybank/daemon/RepeatedCalls.java
+++ b/src/main/java/ivybank/daemon/RepeatedCalls.java
@@ -44,10 +44,14 @@
         shared = table;
     }
 
-    /** Returns whether a request with this id must not be sent now. */
-    boolean contains(String callId) {
-        return open.contains(callId)
-                || history.contains(callId, clock.nowMs())
+    /** Returns whether a request with this id is in progress here. */
+    boolean isOpen(String callId) {
+        return open.contains(callId);
+    }
+
+    /** Returns whether a request with this id may have run that must not run twice, or is in progress in another process. */
+    boolean mayHaveRun(String callId) {
+        return history.contains(callId, clock.nowMs())
                 || shared != null && shared.isElsewhere(callId, clock.monotonicMs());
     }
 
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -266,7 +266,12 @@
 
     @Override
     public boolean isInFlight(String callId) {
-        return repeatedCalls.contains(callId);
+        return repeatedCalls.isOpen(callId);
+    }
+
+    @Override
+    public boolean mayHaveRun(ClientRequest request) {
+        return repeatedCalls.mayHaveRun(request.callId());
     }
 
     @Override
--- a/src/main/java/ivybank/exchange/RequestHandler.java
+++ b/src/main/java/ivybank/exchange/RequestHandler.java
@@ -14,6 +14,14 @@
     /** Returns whether a request with this client-assigned ID is in progress. */
     boolean isInFlight(String callId);
 
+    /**
+     * Returns whether a request with the same client-assigned ID may have run, here or in another process of the sidecar, and must not
+     * run once more.
+     */
+    default boolean mayHaveRun(ClientRequest request) {
+        return false;
+    }
+
     /**
      * Notifies that the client has read the answer to the request with this ID: it has sent another one on the same connection
      * behind that answer.
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -275,6 +275,12 @@
         return dispatcher.isInFlight(callId);
     }
 
+    /** A request with an identity is answered by its record, whatever its ID. */
+    @Override
+    public boolean mayHaveRun(ClientRequest request) {
+        return request.identity() == null && dispatcher.mayHaveRun(request);
+    }
+
     @Override
     public void answerRead(String callId) {
         dispatcher.answerRead(callId);
