--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -61,6 +61,7 @@
         startTimes.observe(update.entries(), !update.whole(), nowMs);
         Set<Node> listedNodes = new HashSet<>();
         List<Upstream> entries = new ArrayList<>();
+        Set<SocketAddress> changedAddresses = new HashSet<>();
         Collection<NodeListUpdate.Entry> latest = latestPerHost(update.entries());
         for (NodeListUpdate.Entry entry : latest) {
             if (update.fromElsewhere()
@@ -81,6 +82,10 @@
             if (first || node.listedStartMs != entry.startedMs()) {
                 node.processStartedMs = startTimes.startedMs(entry.startedMs(), nowMs);
             }
+            if (moved || status != node.status) {
+                changedAddresses.add(node.address);
+                changedAddresses.add(entry.address());
+            }
             node.address = entry.address();
             node.listedStartMs = entry.startedMs();
             node.status = status;
@@ -93,12 +98,14 @@
         for (NodeListUpdate.Entry entry : latest) {
             if (entry.status() == Status.GONE) {
                 endedProcessStarts.put(entry.host(), entry.startedMs());
+                changedAddresses.add(entry.address());
                 remove(byHost.get(entry.host()));
             }
         }
         if (update.whole()) {
             for (Node node : List.copyOf(byId.values())) {
                 if (!listedNodes.contains(node)) {
+                    changedAddresses.add(node.address);
                     remove(node);
                     if (node.outOfServiceSinceMs > 0) {
                         entries.add(toUpstream(node));
@@ -106,7 +113,7 @@
                 }
             }
         }
-        applyReplacements(entries);
+        applyReplacements(changedAddresses, entries);
         return entries;
     }
 
@@ -114,17 +121,20 @@
      * Takes nodes out of service whose address another process has taken over, and returns those to service that have an address of
      * their own again; adds or replaces their entries. A list may tell of the new process before it tells of the end of the old one.
      */
-    private void applyReplacements(List<Upstream> entries) {
+    private void applyReplacements(Set<SocketAddress> changedAddresses, List<Upstream> entries) {
         Map<SocketAddress, Node> latest = new HashMap<>();
         for (Node node : byId.values()) {
-            if (node.status == Status.READY || node.status == Status.DRAINING) {
+            if (node.status != Status.GONE && changedAddresses.contains(node.address)) {
                 latest.merge(
                         node.address, node, (one, other) -> one.listedStartMs >= other.listedStartMs ? one : other);
             }
         }
         for (Node node : byId.values()) {
             Node latestThere = latest.get(node.address);
-            boolean replaced = latestThere != null && latestThere.listedStartMs > node.listedStartMs;
+            if (latestThere == null) {
+                continue;
+            }
+            boolean replaced = latestThere.listedStartMs > node.listedStartMs;
             if (replaced != node.replaced) {
                 node.replaced = replaced;
                 entries.removeIf(entry -> entry.id() == node.id);
