Timers in the log have names, and a hold-up counts for little against a client

Cause: the limit of log lines went by a text with the attempt's time in it, so each had a limit of its own. A process that is held up while it handles input had that connection paused for up to 40 ms. Change: AttemptTimer names the timers. One part of the input counts 8 ms at most.

--- a/src/main/java/ivybank/client/LoopShare.java
+++ b/src/main/java/ivybank/client/LoopShare.java
@@ -13,6 +13,9 @@
     /** A longer pause would delay the news that the client has left. */
     private static final double MAX_PAUSE_MS = 40;
 
+    /** What one part of the input counts at most: a process that is held up meanwhile works longer than its client is to blame for. */
+    private static final double MAX_COUNTED_MS = 8;
+
     private double leftMs = BURST_MS;
     private double refilledMs = Double.NaN;
 
@@ -24,7 +27,7 @@
     double pauseAfter(double nowMs, double workedMs) {
         double sinceMs = Double.isNaN(refilledMs) ? 0 : nowMs - refilledMs;
         refilledMs = nowMs;
-        leftMs = Math.min(BURST_MS, leftMs + MAX_PART * sinceMs) - workedMs;
+        leftMs = Math.min(BURST_MS, leftMs + MAX_PART * sinceMs) - Math.min(workedMs, MAX_COUNTED_MS);
         if (leftMs >= 0) {
             return 0;
         }
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -192,7 +192,7 @@
         boolean neverSent = connection == null || !connection.written();
         UpstreamConnection carrier = connection;
         if (carrier != null && ifSent == Outcome.TIMEOUT) {
-            carrier.reportTimeout("timeout of " + Math.round(timeoutMs) + " ms");
+            carrier.reportTimeout(AttemptTimer.TIMEOUT);
         }
         // A node starts with the last byte, so a timeout before that proves that the request has not run.
         end(Ending.of(neverSent && ifSent == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : ifSent));
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -162,7 +162,7 @@
     }
 
     /** Logs that a timer of this program ends the current attempt. */
-    void reportTimeout(String timer) {
+    void reportTimeout(AttemptTimer timer) {
         pool.reportTimeout(attempt, timer, progress());
     }
 
@@ -323,7 +323,7 @@
                         .schedule(
                                 () -> {
                                     if (attempt == sent && upload != null) {
-                                        reportTimeout("the node reads nothing");
+                                        reportTimeout(AttemptTimer.UPLOAD_STALL);
                                         finish(Ending.of(Outcome.CONNECT_FAILED), false);
                                     }
                                 },
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -82,7 +82,7 @@
     private Tally tally = Tally.NONE;
     private MessageMemory memory = MessageMemory.unlimited();
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
-    private final LineLimit<String> timeoutLines = new LineLimit<>();
+    private final LineLimit<AttemptTimer> timeoutLines = new LineLimit<>();
     private boolean idleDisabled;
     private long malformedAnswers;
 
@@ -146,10 +146,11 @@
     }
 
     /** Logs that a timer of this program ends an attempt, and how far the attempt had come. */
-    void reportTimeout(UpstreamAttempt attempt, String timer, String progress) {
-        if (timeoutLines.allows(timer, clock.nowMs())) {
-            log.line("attempt of request " + attempt.request.callId() + " at " + attempt.node + " ended: " + timer
-                    + "; " + progress);
+    void reportTimeout(UpstreamAttempt attempt, AttemptTimer timer, String progress) {
+        double nowMs = clock.nowMs();
+        if (timeoutLines.allows(timer, nowMs)) {
+            log.line("attempt of request " + attempt.request.callId() + " at " + attempt.node + " ended after "
+                    + Math.round(nowMs - attempt.startedMs) + " ms: " + timer + "; " + progress);
         }
     }
 
