An answer counts as arriving for 1.5 s after its last part

MutantsTest was passed over too: two of its texts had moved. Cause: since an arriving answer has the time of the whole request, one whose head came and nothing more had it as well, and its request was refused at the deadline and not when it is given up. Change: the attempt goes on while something of the answer came within the last 1.5 s, looked at again when that is over. The mutants name the code as it is.

--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -128,11 +128,11 @@
 
     private void endTime(EventLoop loop) {
         UpstreamConnection carrier = connection;
-        boolean arriving = !ended && carrier != null && carrier.hasAnswerBegun();
-        double leftMs = arriving ? listener.requestRemainingMs() : 0;
+        double arrivingMs = ended || carrier == null ? 0 : carrier.arrivalRemainingMs();
+        double leftMs = arrivingMs <= 0 ? 0 : Math.min(arrivingMs, listener.requestRemainingMs());
         if (leftMs >= MIN_EXTENSION_MS) {
             startTimer(loop, leftMs);
-        } else if (!arriving || !carrier.forwardArrivingAnswer()) {
+        } else if (arrivingMs < MIN_EXTENSION_MS || !carrier.forwardArrivingAnswer()) {
             stop(Outcome.TIMEOUT);
         }
     }
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -51,8 +51,8 @@
 
     private static final long UPLOAD_STALL_TIMEOUT_MS = 5000;
     private static final double STALL_CHECKS = 5; // within the stall timeout
-    /** The longest pause within a body after which it still counts as arriving. */
-    private static final double MAX_ARRIVAL_GAP_MS = 1000;
+    /** The longest pause within an answer after which it still counts as arriving. */
+    private static final double MAX_ARRIVAL_GAP_MS = 1500;
 
     private static final int MAX_INTERIM_RESPONSES = 16;
     private static final int STATUS_OK = 200;
@@ -410,18 +410,18 @@
         return pool.isStalled();
     }
 
-    /** Returns whether the head of an answer has come that can be served. */
-    boolean hasAnswerBegun() {
-        return head != null && outcome() == Outcome.OK;
+    /** Returns for how long an answer that can be served still counts as arriving, in milliseconds; 0 if none does. */
+    double arrivalRemainingMs() {
+        boolean begun = head != null && outcome() == Outcome.OK;
+        return begun ? Math.max(0, MAX_ARRIVAL_GAP_MS - (pool.nowMs() - lastInputMs)) : 0;
     }
 
     /**
-     * Forwards an answer that is not whole when its time ends, if its body is arriving. Returns false if it can't be: nothing of
-     * it came lately, or it has to be recorded before.
+     * Forwards an answer that is arriving when its time ends. Returns false if it can't be: nothing of its body has come, or it has to
+     * be recorded before.
      */
     boolean forwardArrivingAnswer() {
-        boolean arriving = body != null && body.size() > 0 && pool.nowMs() - lastInputMs <= MAX_ARRIVAL_GAP_MS;
-        if (!arriving || attempt.request.sendRecord() != null) {
+        if (body == null || body.size() == 0 || attempt.request.sendRecord() != null) {
             return false;
         }
         forwardAnswer(Unpooled.EMPTY_BUFFER);
--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -206,7 +206,7 @@
                     List.of("rule answer"),
                     List.of(new Edit(
                             "client/ClientConnection.java",
-                            "        if (isAnswered() && (evenPartial || !partial)) {\n"
+                            "        if (isAnswered() && (evenPartial || !activity.isPartial())) {\n"
                                     + "            retire(EndReason.DRAIN, () -> { });\n        }",
                             "        context.close();"))),
             new Mutant(
@@ -337,7 +337,10 @@
                     Night.SILENT,
                     List.of("rule answer"),
                     List.of(
-                            new Edit("upstream/UpstreamAttempt.java", "() -> stop(Outcome.TIMEOUT)", "() -> ended()"),
+                            new Edit(
+                                    "upstream/UpstreamAttempt.java",
+                                    "            stop(Outcome.TIMEOUT);",
+                                    "            ended();"),
                             new Edit(
                                     "daemon/RequestDispatcher.java",
                                     "        if (!exchange.closed) {\n            counters.expired++;",
