--- a/review/stand-2/RepeatedId.java
+++ b/review/stand-2/RepeatedId.java
@@ -10,7 +10,7 @@
         Stand stand = new Stand(arguments[0]);
         List<Stand.Node> nodes = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            nodes.add(stand.new Node("node-" + i, i % 2 == 0 ? "sanluis" : "malargue", (node, request) -> {
+            nodes.add(stand.new Node("node-" + i, i % 2 == 0 ? "sanluis" : "malargue", (node, request, out) -> {
                 Stand.sleep(300);
                 return Stand.ok("made for " + request.id());
             }));
--- a/review/stand-2/Stand.java
+++ b/review/stand-2/Stand.java
@@ -58,6 +58,16 @@
         note("disruption: " + TROUBLE);
     }
 
+    /** The temporary folder of the case. */
+    Path folder() {
+        return folder;
+    }
+
+    /** The root of the repository. */
+    Path root() {
+        return root;
+    }
+
     /** Milliseconds since the start of the case. */
     static double now() {
         return (System.nanoTime() - T0) / 1e6;
@@ -235,8 +245,12 @@
 
     /** How a node answers: called on the thread of the connection when the last byte of a request has come. */
     interface Work {
-        /** Returns what to write, or null to write nothing more on this connection and leave it open. */
-        byte[] answer(Node node, Message request) throws Exception;
+        /**
+         * Returns what to write, or null to write nothing more on this connection and leave it open.
+         *
+         * @param out for what is to be written in pieces, before this returns
+         */
+        byte[] answer(Node node, Message request, OutputStream out) throws Exception;
     }
 
     /** A node. It keeps connections, begins a request with its last byte, and has each request that it began on record. */
@@ -282,7 +296,7 @@
                         begun.computeIfAbsent(request.id(), id -> new ArrayList<>()).add(now());
                     }
                     note(host + " begins " + request.id());
-                    byte[] answer = work.answer(this, request);
+                    byte[] answer = work.answer(this, request, socket.getOutputStream());
                     if (answer == null) {
                         sleep(600_000);
                     }
@@ -404,12 +418,25 @@
             }
         }
 
-        @Override
-        public void close() throws IOException {
-            server.close();
+        /** Lists a node no longer, and ends the open watches instead of telling. */
+        synchronized void leaveOut(Node node) throws IOException {
+            seq++;
+            nodes.remove(node);
+            note("discovery at " + port + " leaves out " + node.host + " from version " + seq + " on, and ends its watches");
+            closeWatches();
+        }
+
+        private void closeWatches() throws IOException {
             for (Socket watch : watches) {
                 watch.close();
             }
+            watches.clear();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            closeWatches();
         }
     }
 
@@ -452,7 +479,9 @@
         final int control;
         final Map<String, String> environment = new LinkedHashMap<>();
         private final Path temporary;
-        private final Agent agent;
+        private final Path config;
+        private String configText;
+        private Agent agent;
         Process process;
         int starts;
 
@@ -461,10 +490,11 @@
             port = freePort();
             control = freePort();
             temporary = Files.createDirectory(folder.resolve("tmp-" + port));
-            Path config = folder.resolve("config-" + port + ".json");
-            Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"" + address(port) + "\",\"discovery\":\"" + address(agent.port)
+            config = folder.resolve("config-" + port + ".json");
+            configText = "{\"name\":\"n0\",\"listen\":\"" + address(port) + "\",\"discovery\":\"" + address(agent.port)
                     + "\",\"control\":\"" + address(control) + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                    + "\"memory_mb\":192,\"sockets\":1024},\"known\":" + agent.whole() + ",\"settings\":" + settings(lanes) + "}");
+                    + "\"memory_mb\":192,\"sockets\":1024},\"known\":" + agent.whole() + ",\"settings\":" + settings(lanes) + "}";
+            Files.writeString(config, configText);
             environment.put("EDGE_NAME", "n0");
             environment.put("EDGE_LISTEN", address(port));
             environment.put("EDGE_DISCOVERY", address(agent.port));
@@ -517,6 +547,17 @@
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         }
 
+        /** Replaces the file of the configuration by one that names another agent, and sends SIGHUP. */
+        void moveDiscovery(Agent next) throws IOException, InterruptedException {
+            configText = configText.replace("\"discovery\":\"" + address(agent.port), "\"discovery\":\"" + address(next.port));
+            agent = next;
+            Path file = config.resolveSibling("next.json");
+            Files.writeString(file, configText);
+            Files.move(file, config, java.nio.file.StandardCopyOption.ATOMIC_MOVE, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            note("the configuration names discovery at " + next.port);
+            signal("HUP");
+        }
+
         /** An operator's call; returns the status. */
         int operator(String path, String body) throws IOException {
             try (Client client = new Client(control)) {
--- a/review/stand-2/StandbySlowHead.java
+++ b/review/stand-2/StandbySlowHead.java
@@ -18,7 +18,7 @@
         Stand stand = new Stand(arguments[0]);
         List<Stand.Node> nodes = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            nodes.add(stand.new Node("node-" + i, "sanluis", (node, request) -> {
+            nodes.add(stand.new Node("node-" + i, "sanluis", (node, request, out) -> {
                 Stand.sleep(request.id().startsWith("first") ? 50 : NODE_MS);
                 return Stand.ok("made for " + request.id());
             }));
