--- a/review/stand-2/FullStore.java
+++ b/review/stand-2/FullStore.java
@@ -20,6 +20,13 @@
     private static final int CONNECTIONS = 250;
     private static final int BODY_BYTES = 60_000;
     private static final int USUAL_BODY_BYTES = 212;
+    /** The classes of the deployment, with requests that have a key where the site has ones that have none. */
+    private static final List<Stand.Lane> KEYED = Stand.LANES.stream()
+            .map(lane -> lane.effect().equals("fragile")
+                    ? new Stand.Lane(lane.name(), "dedup", "all", lane.aimMs(), lane.deadlineMs(), lane.windowMs(), lane.worth())
+                    : lane)
+            .toList();
+
     private static final double TRAFFIC_MS = 25_000;
 
     public static void main(String[] arguments) throws Exception {
@@ -46,7 +53,7 @@
             }));
         }
         Stand.Agent agent = stand.new Agent(nodes);
-        Stand.Sidecar sidecar = stand.new Sidecar(agent, Stand.LANES);
+        Stand.Sidecar sidecar = stand.new Sidecar(agent, KEYED);
         sidecar.environment.put("EDGE_OPERATOR", operator.toString());
         sidecar.start();
         String body = "x".repeat(Stand.TROUBLE ? BODY_BYTES : USUAL_BODY_BYTES);
