Keep the sources of the new cases out of the earlier build

Cause: review/build.sh compiles each source one folder below review/, and the new ones need the jar. Change: they are in review/stand-2/src.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac --release 17 -cp target/ivybank.jar -d target/review-2 review/stand-2/*.java
+javac --release 17 -cp target/ivybank.jar -d target/review-2 review/stand-2/src/*.java
