Show that a sidecar with a store can't be upgraded

Change: review/10 is an upgrade of a sidecar with a store; its new process ends, as the old one holds the folder.

--- a/review/stand-2/src/Stand.java
+++ b/review/stand-2/src/Stand.java
@@ -476,7 +476,10 @@
     /** A real sidecar, started by the command of the deploy file. */
     final class Sidecar {
         final int port;
-        final int control;
+        int control;
+        /** Whether the clients' listening socket is this process's standard input, which each process of the sidecar inherits. */
+        private final boolean held = System.getenv("HELD_PORT") != null;
+
         final Map<String, String> environment = new LinkedHashMap<>();
         private final Path temporary;
         private final Path config;
@@ -486,14 +489,18 @@
         int starts;
 
         Sidecar(Agent agent, List<Lane> lanes) throws IOException {
+            this(agent, lanes, 1024);
+        }
+
+        Sidecar(Agent agent, List<Lane> lanes, int descriptors) throws IOException {
             this.agent = agent;
-            port = freePort();
+            port = held ? Integer.parseInt(System.getenv("HELD_PORT")) : freePort();
             control = freePort();
             temporary = Files.createDirectory(folder.resolve("tmp-" + port));
             config = folder.resolve("config-" + port + ".json");
             configText = "{\"name\":\"n0\",\"listen\":\"" + address(port) + "\",\"discovery\":\"" + address(agent.port)
                     + "\",\"control\":\"" + address(control) + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                    + "\"memory_mb\":192,\"sockets\":1024},\"known\":" + agent.whole() + ",\"settings\":" + settings(lanes) + "}";
+                    + "\"memory_mb\":192,\"sockets\":" + descriptors + "},\"known\":" + agent.whole() + ",\"settings\":" + settings(lanes) + "}";
             Files.writeString(config, configText);
             environment.put("EDGE_NAME", "n0");
             environment.put("EDGE_LISTEN", address(port));
@@ -501,10 +508,21 @@
             environment.put("EDGE_CONTROL", address(control));
             environment.put("EDGE_CONFIG", config.toString());
             environment.put("TMPDIR", temporary.toString());
+            if (held) {
+                environment.put("EDGE_INHERITED_FD", "0");
+            }
         }
 
         /** Starts the process, and returns when it is ready. */
         void start() throws IOException {
+            if (!startWithin(30_000)) {
+                note(log());
+                unable("the sidecar did not become ready");
+            }
+        }
+
+        /** Starts a process, and returns whether it is ready within this time. */
+        private boolean startWithin(double ms) throws IOException {
             String command = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
                     .filter(line -> line.startsWith("run = "))
                     .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
@@ -512,29 +530,43 @@
                     .orElseThrow();
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(root.toFile());
             builder.environment().putAll(environment);
-            Path log = folder.resolve("log-" + port + "-" + starts++ + ".txt");
-            builder.redirectErrorStream(true).redirectOutput(log.toFile());
+            if (held) {
+                builder.redirectInput(ProcessBuilder.Redirect.INHERIT);
+            }
+            builder.redirectErrorStream(true).redirectOutput(folder.resolve("log-" + port + "-" + starts++ + ".txt").toFile());
             process = builder.start();
             processes.add(process);
             note("a sidecar starts as process " + process.pid());
-            double until = now() + 30_000;
+            double until = now() + ms;
             while (!ready()) {
                 if (now() > until || !process.isAlive()) {
-                    note(Files.readString(log));
-                    unable("the sidecar did not become ready");
+                    return false;
                 }
                 sleep(50);
             }
             note("the sidecar is ready");
+            return true;
+        }
+
+        /**
+         * Starts a second process on the same addresses but for the operators' one, and gives it 6 s to say yes.
+         *
+         * @return whether it did
+         */
+        boolean upgrade() throws IOException {
+            control = freePort();
+            environment.put("EDGE_CONTROL", address(control));
+            return startWithin(6000);
         }
 
         String log() throws IOException {
             return Files.readString(folder.resolve("log-" + port + "-" + (starts - 1) + ".txt"));
         }
 
+        /** Returns whether the process that was started last says yes: a shared socket may be another one's. */
         private boolean ready() {
-            try (Client client = new Client(port)) {
-                client.send("GET /health/ready HTTP/1.1\r\nHost: api.internal\r\n\r\n");
+            try (Client client = new Client(held ? control : port)) {
+                client.send("GET " + (held ? "/status" : "/health/ready") + " HTTP/1.1\r\nHost: api.internal\r\n\r\n");
                 Message answer = client.answer(2000);
                 return answer != null && answer.status() == 200;
             } catch (IOException e) {
