End a short answer that its node does not bring to its end

Cause: an answer that is being forwarded had no owner of its end. UpstreamAttempt.endTime forwarded whatever was arriving at the end of the request's time, and with that both the attempt's timer and the request's stopped; watchStall ends 5 s of silence alone. Change: RequestTimers owns the timer of a request from its last byte until its answer is complete or known to be long (over 64 KiB). An answer that is short by its length is not forwarded late: its attempt ends with the request's time. One without a length, or short and forwarded for lack of memory, is broken off by a reset 0.3 s after that time unless over 64 KiB have come or its client takes nothing; at a shutdown with the requests that are failed. No new limit: the 0.3 s are those of RequestDeadline.

--- a/src/main/java/ivybank/daemon/AttemptSender.java
+++ b/src/main/java/ivybank/daemon/AttemptSender.java
@@ -105,7 +105,7 @@
 
     /** Returns how long a request has left until its answer has to be returned. */
     private static double remainingMs(Exchange exchange, double nowMs) {
-        return exchange.deadlineMs - RequestDeadline.reserveMs(exchange.request) - nowMs;
+        return exchange.deadline.atMs() - RequestDeadline.reserveMs(exchange.request) - nowMs;
     }
 
     private UpstreamAttempt.Listener listener(Exchange exchange, Node node, int number, double attemptStartMs) {
--- a/src/main/java/ivybank/daemon/Exchange.java
+++ b/src/main/java/ivybank/daemon/Exchange.java
@@ -17,13 +17,10 @@
  */
 final class Exchange {
 
-    /** The deadline of a request whose last byte has not arrived yet. */
-    static final double NO_DEADLINE_YET = Double.MAX_VALUE;
-
     final int id;
     final ClientRequest request;
-    /** The deadline, or {@link #NO_DEADLINE_YET} while the last byte has not arrived. */
-    double deadlineMs;
+    /** The deadline, or {@link RequestDeadline#NONE_YET} while the last byte has not arrived. */
+    RequestDeadline deadline;
     /** When the last byte of a long request was read. */
     private double completedMs;
 
@@ -35,29 +32,36 @@
 
     final Consumer<Answer> client;
     final List<UpstreamAttempt> attempts = new ArrayList<>(2);
-    ScheduledFuture<?> backstop;
+    /** Runs until the answer is complete or known to be a long one; null before the last byte has arrived. */
+    ScheduledFuture<?> timer;
+
     int inFlight;
     boolean closed;
     /** The number of the attempt whose streamed answer is being forwarded, or -1. */
     int streamingAttempt = -1;
 
-    Exchange(int id, ClientRequest request, double deadlineMs, double earliestArrivalMs, Consumer<Answer> client) {
+    Exchange(
+            int id,
+            ClientRequest request,
+            RequestDeadline deadline,
+            double earliestArrivalMs,
+            Consumer<Answer> client) {
         this.earliestArrivalMs = earliestArrivalMs;
         this.id = id;
         this.request = request;
-        this.deadlineMs = deadlineMs;
+        this.deadline = deadline;
         this.client = client;
     }
 
     /** Returns whether the last byte of the request has not arrived yet. */
     boolean isArriving() {
-        return deadlineMs == NO_DEADLINE_YET;
+        return deadline.equals(RequestDeadline.NONE_YET);
     }
 
     /** Records that the last byte of a long request has been read, and when it has to be answered. */
-    void completed(double readMs, double newDeadlineMs) {
+    void completed(double readMs, RequestDeadline newDeadline) {
         completedMs = readMs;
-        deadlineMs = newDeadlineMs;
+        deadline = newDeadline;
     }
 
     /**
@@ -81,7 +85,7 @@
 
     /** Returns the maximum time that the client has left; its whole budget while the last byte has not arrived. */
     double maxClientRemainingMs(double nowMs) {
-        return isArriving() ? request.budgetMs() : deadlineMs - nowMs;
+        return isArriving() ? request.budgetMs() : deadline.atMs() - nowMs;
     }
 
     /** Returns the minimum time that the client has left: a request may have arrived before it was read. */
@@ -91,10 +95,9 @@
         return Math.min(byArrivalMs, maxClientRemainingMs(nowMs));
     }
 
-    void cancelBackstop() {
-        if (backstop != null) {
-            backstop.cancel(false);
-        }
+    /** Returns the attempt whose answer is being forwarded. */
+    UpstreamAttempt streaming() {
+        return attempts.get(streamingAttempt);
     }
 
     /** Returns whether no attempt can have run the request, so that it may be refused. */
@@ -107,6 +110,14 @@
         return !closed && streamingAttempt < 0;
     }
 
+    /** Returns whether an answer is being forwarded that is not known to be a long one, and for whose end its node is awaited. */
+    boolean isShortAnswerUnfinished() {
+        return !closed
+                && streamingAttempt >= 0
+                && !streaming().hasLongAnswer()
+                && !streaming().isAnswerHeldBack();
+    }
+
     /**
      * Ends the attempts of a closed request whose last byte has not been sent, so that nothing more is sent that nobody
      * waits for, even where the settings do not allow cancellation.
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -66,6 +66,7 @@
     private EventLoopStallDetector forwardStalls = EventLoopStallDetector.NEVER;
     private final InheritedState inheritedState;
     private volatile boolean listed; // read by the admin endpoint
+    private final RequestTimers timers;
     private int lastId;
     /** The request that the module is being notified of, or 0. */
     private int notifyingRequest;
@@ -89,6 +90,17 @@
         this.log = log;
         this.sender = new AttemptSender(settings, clock, pool, this);
         this.events = new ModuleEvents(log);
+        this.timers = new RequestTimers(loop, clock, new RequestTimers.Listener() {
+            @Override
+            public void unanswered(Exchange exchange) {
+                failAtDeadline(exchange);
+            }
+
+            @Override
+            public void unfinished(Exchange exchange) {
+                endAnswer(exchange);
+            }
+        });
         this.repeatedCalls = new RepeatedCalls(settings, clock);
         this.balancer = factory.create(settings, seed, this);
         this.inheritedState = new InheritedState(directory, balancer, events, clock);
@@ -210,10 +222,10 @@
     @Override
     public int handle(ClientRequest request, Consumer<Answer> client) {
         boolean arriving = request.isIncomplete();
-        double deadlineMs =
-                arriving ? Exchange.NO_DEADLINE_YET : RequestDeadline.atMs(request, clock.nowMs(), deadlineStalls);
+        RequestDeadline deadline =
+                arriving ? RequestDeadline.NONE_YET : RequestDeadline.of(request, clock.nowMs(), deadlineStalls);
         double earliestMs = Math.min(request.earliestArrivalMs(), forwardStalls.earliestArrivalMs(clock.nowMs()));
-        Exchange exchange = new Exchange(++lastId, request, deadlineMs, earliestMs, client);
+        Exchange exchange = new Exchange(++lastId, request, deadline, earliestMs, client);
         request.memory().retain();
         exchanges.put(exchange.id, exchange);
         repeatedCalls.opened(request);
@@ -224,7 +236,7 @@
         // retry.
         double leftMs = arriving ? request.budgetMs() : request.arrivedMs() + request.budgetMs() - clock.nowMs();
         if (!arriving) {
-            startBackstop(exchange, deadlineMs - clock.nowMs());
+            timers.start(exchange);
         }
         Request notified = new Request(
                 exchange.id,
@@ -249,21 +261,14 @@
         Exchange exchange = exchanges.get(id);
         if (exchange != null && !exchange.closed && exchange.isArriving()) {
             double nowMs = clock.nowMs();
-            exchange.completed(nowMs, RequestDeadline.atMs(exchange.request, earliestMs, nowMs, deadlineStalls));
-            double leftMs = exchange.deadlineMs - nowMs;
-            if (exchange.streamingAttempt < 0) {
-                startBackstop(exchange, leftMs);
-            }
+            exchange.completed(nowMs, RequestDeadline.of(exchange.request, earliestMs, nowMs, deadlineStalls));
+            double leftMs = exchange.deadline.atMs() - nowMs;
+            timers.start(exchange);
             events.deliver(() -> balancer.bodyCompleted(
                     clock.nowMs(), id, Math.max(0, leftMs - RequestDeadline.reserveMs(exchange.request))));
         }
     }
 
-    private void startBackstop(Exchange exchange, double leftMs) {
-        exchange.backstop =
-                schedule(leftMs - RequestDeadline.backstopMs(exchange.request), () -> failAtDeadline(exchange));
-    }
-
     @Override
     public boolean isInFlight(String callId) {
         return repeatedCalls.isOpen(callId);
@@ -290,6 +295,15 @@
         }
     }
 
+    /**
+     * Ends an answer that was begun and does not come to its end in time; the end of its connection tells its client.
+     */
+    private void endAnswer(Exchange exchange) {
+        log.line("request " + exchange.id + " of class " + exchange.request.requestClass()
+                + " has no end of its answer in time: broken off");
+        exchange.streaming().breakOffAnswer();
+    }
+
     /**
      * Fails a request at its deadline. Guards against a request that nothing has answered in time, for whatever reason:
      * its client would wait without end.
@@ -309,14 +323,20 @@
         }
     }
 
-    /** Fails all open requests when the process is about to end: nobody could answer them afterwards. */
+    /**
+     * Fails all open requests when the process is about to end, and breaks off short answers without an end: nobody could
+     * do so afterwards.
+     */
     void failOpen() {
-        List<Exchange> open = exchanges.values().stream()
-                .filter(exchange -> exchange.isUnanswered())
+        List<Exchange> open =
+                exchanges.values().stream().filter(Exchange::isUnanswered).toList();
+        List<Exchange> unfinished = exchanges.values().stream()
+                .filter(Exchange::isShortAnswerUnfinished)
                 .toList();
         if (!open.isEmpty()) {
             log.line("drain: failing " + open.size() + " requests that are still open");
         }
+        unfinished.forEach(this::endAnswer);
         for (Exchange exchange : open) {
             counters.failed++;
             answer(exchange, Answer.status(BAD_GATEWAY));
@@ -380,7 +400,7 @@
             return;
         }
         exchange.streamingAttempt = number;
-        exchange.cancelBackstop();
+        timers.answerStarted(exchange);
         exchange.client.accept(answer);
         events.deliver(() -> balancer.streamStarted(clock.nowMs(), exchange.id, number, clock.nowMs() - sentMs));
         exchange.abandonUnsent();
@@ -396,7 +416,7 @@
         exchange.closed = true;
         repeatedCalls.closed(exchange.request, !exchange.hasNotRun());
         tally.requestCompleted();
-        exchange.cancelBackstop();
+        timers.stop(exchange);
         unanswered--;
         forget(exchange);
     }
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -115,8 +115,8 @@
 
     /**
      * Ends the attempt when its time is over; behind a stall of the event loop only once all sockets have been read, as its answer may
-     * be in one. An attempt whose answer is arriving goes on: the answer has the time of the whole request, and belongs to the client
-     * from then on: a node that writes slowly has not failed.
+     * be in one. An attempt whose answer is arriving goes on: the answer has the time of the whole request. Where that ends, an answer
+     * that may be a long one belongs to the client: a node that writes slowly has not failed.
      */
     private void timedOut(EventLoop loop) {
         if (connection != null && connection.mayHaveUnreadAnswer()) {
@@ -161,6 +161,23 @@
         listener.answerStarted(answer);
     }
 
+    /** Returns whether its answer, which is being forwarded, is longer than one that is kept whole. */
+    public boolean hasLongAnswer() {
+        return connection != null && connection.hasLongAnswer();
+    }
+
+    /** Returns whether more of its answer, which is being forwarded, is read only when the client has taken what was read. */
+    public boolean isAnswerHeldBack() {
+        return connection != null && connection.isAnswerHeldBack();
+    }
+
+    /** Ends its answer, which is being forwarded and does not come to its end. */
+    public void breakOffAnswer() {
+        if (connection != null) {
+            connection.breakOffAnswer();
+        }
+    }
+
     /** Returns whether the attempt may be written now, with this time budget for its node. */
     Verdict mayBeWritten(double budgetMs) {
         return listener.mayBeWritten(budgetMs);
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -417,17 +417,39 @@
     }
 
     /**
-     * Forwards an answer that is arriving when its time ends. Returns false if it can't be: nothing of its body has come, or it has to
-     * be recorded before.
+     * Forwards an answer that is arriving when its time ends, and may be a long one, as it has no length. Returns false if it can't be:
+     * nothing of its body has come, it is a short one that will be late, or it has to be recorded before.
      */
     boolean forwardArrivingAnswer() {
-        if (body == null || body.size() == 0 || attempt.request.sendRecord() != null) {
+        if (body == null
+                || body.size() == 0
+                || HttpUtil.isContentLengthSet(head)
+                || attempt.request.sendRecord() != null) {
             return false;
         }
         forwardAnswer(Unpooled.EMPTY_BUFFER);
         return true;
     }
 
+    /** Returns whether the answer that is being forwarded is longer than one that is kept whole. */
+    boolean hasLongAnswer() {
+        return forwardedBytes > Framing.MAX_BUFFERED_BODY_BYTES
+                || head != null && HttpUtil.getContentLength(head, 0L) > Framing.MAX_BUFFERED_BODY_BYTES;
+    }
+
+    /** Returns whether more of the answer is read only when the client has taken what was read. */
+    boolean isAnswerHeldBack() {
+        return !channel.config().isAutoRead();
+    }
+
+    /** Ends the answer that is being forwarded, unless its end was just read. */
+    void breakOffAnswer() {
+        if (rest != null && pendingEnding == null) {
+            reportTimeout(AttemptTimer.ANSWER_END);
+            finish(Ending.of(Outcome.TIMEOUT), false);
+        }
+    }
+
     /** Starts to forward an answer that is too long to be kept whole, that there is no memory for, or whose time ends. */
     private void forwardAnswer(ByteBuf part) {
         if (outcome() != Outcome.OK) {
--- a/src/test/java/ivybank/daemon/WholeBodyMemoryTest.java
+++ b/src/test/java/ivybank/daemon/WholeBodyMemoryTest.java
@@ -1,6 +1,7 @@
 package ivybank.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.daemon.SidecarRig.Client;
@@ -8,6 +9,7 @@
 import ivybank.testing.FakeServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,6 +32,10 @@
     /** A client that sends half a request is told within this time. */
     private static final long STALLED_CLIENT_MS = 3000;
 
+    private static final int BUDGET_MS = 800;
+    /** Up to half a second after its time an answer only earns nothing; each time limit is 50 ms longer on sockets. */
+    private static final int LATE_MS = 550;
+
     @TempDir
     Path dir;
 
@@ -173,4 +179,47 @@
             awaitNothingReserved(rig);
         }
     }
+
+    /** Has a node answer a request that has {@link #BUDGET_MS} with half of a body, and with the rest if it goes on. */
+    private FakeServer nodeOfHalfAnswers(boolean goesOn) throws IOException {
+        String half = "x".repeat(BODY_BYTES / 2);
+        return new FakeServer(connection -> {
+            while (connection.read() != null) {
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n" + half);
+                connection.write(goesOn ? half : "");
+            }
+        });
+    }
+
+    private Client askWithBudget(SidecarRig rig) throws IOException {
+        return rig.client().write(SidecarRig.read("a").replace("6000", String.valueOf(BUDGET_MS)));
+    }
+
+    // Guards against a client that has no end of a short answer, which is forwarded for lack of memory and stops.
+    @Test
+    void aShortAnswerThatIsForwardedForLackOfMemoryIsEndedInTime() throws Exception {
+        try (FakeServer node = nodeOfHalfAnswers(false);
+                SidecarRig rig = rig(node.address())) {
+            options.memory.setLimits(0, DIRECT_LIMIT_BYTES);
+            long sentNanos = System.nanoTime();
+            Client client = askWithBudget(rig);
+            assertThrows(SocketException.class, client::read, "the client is reset within the answer");
+            long tookMs = (System.nanoTime() - sentNanos) / 1_000_000;
+            assertTrue(tookMs <= BUDGET_MS + LATE_MS, "ended after " + tookMs + " ms");
+            awaitNothingReserved(rig);
+        }
+    }
+
+    // Guards against ending a short answer that is forwarded for lack of memory because its client reads it late.
+    @Test
+    void aShortAnswerThatIsForwardedForLackOfMemoryIsWholeForAClientThatReadsItLate() throws Exception {
+        try (FakeServer node = nodeOfHalfAnswers(true);
+                SidecarRig rig = rig(node.address())) {
+            options.memory.setLimits(0, DIRECT_LIMIT_BYTES);
+            Client client = askWithBudget(rig);
+            Thread.sleep(BUDGET_MS + 2 * LATE_MS);
+            String answer = client.read();
+            assertTrue(answer.endsWith("\r\n\r\n" + "x".repeat(BODY_BYTES)), answer);
+        }
+    }
 }
