Hand the store over at an upgrade, and accept on a shared socket while alone

PromiseStartup.isPermanent took "held by another process" for a fault of the store itself, and nobody had decided who holds the store while two processes run. Sidecar.beginDrain took an inherited socket for the presence of another process and accepted nobody. Change: StoreOwnership decides: the process that serves holds the store. The new one says yes, accepts nobody and tries the folder's lock; at SIGTERM the old one takes no further promises, has 0.4 s for those in hand, and closes the store; what is in hand longer is in doubt, as after a cut. A plain start waits up to 10 s for a held folder. Where calls fail, a start no longer ends because it can't tell of others. A test takes longer: PromiseRecoveryTest.twoSidecarsCannotUseTheSameStore waits out the 10 s.

--- a/src/main/java/ivybank/client/ClientAcceptor.java
+++ b/src/main/java/ivybank/client/ClientAcceptor.java
@@ -205,6 +205,15 @@
         }
     }
 
+    /** Accepts nothing for a while; connections wait in the backlog. */
+    void pause(long durationMs) {
+        if (state != State.STOPPED && state != State.STARTING) {
+            pausedUntilMs = clock.nowMs() + durationMs;
+            adjust();
+            loop.schedule(this::adjust, durationMs + 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Stops accepting. The listening socket stays open if other processes may share it. */
     void stop() {
         if (state == State.STOPPED) {
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -529,6 +529,11 @@
         List.copyOf(connections).forEach(connection -> connection.closeIfIdle(evenPartial));
     }
 
+    /** Accepts nothing for a while, in milliseconds; connections wait in the backlog. */
+    public void pauseListening(long durationMs) {
+        acceptor.pause(durationMs);
+    }
+
     /** Stops accepting. The listening socket stays open if other processes may share it. */
     public void stopListening() {
         acceptor.stop();
--- a/src/main/java/ivybank/daemon/AdminStartup.java
+++ b/src/main/java/ivybank/daemon/AdminStartup.java
@@ -43,6 +43,15 @@
         }
     }
 
+    /** Returns whether another process of this sidecar may be running: also where the folder cannot be read now. */
+    static boolean mayHaveOthers(SiblingProcesses siblings) {
+        try {
+            return siblings != null && siblings.hasOthers();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Returns the folder shared by the processes of a sidecar, or null where there is none. */
     static Path sharedFolder(Map<String, String> environment) {
         String sharedFolder = environment.getOrDefault("TMPDIR", "");
--- a/src/main/java/ivybank/daemon/Handover.java
+++ b/src/main/java/ivybank/daemon/Handover.java
@@ -52,6 +52,7 @@
     private final ScheduledExecutorService executor;
     private SharedCallTable calls; // null: its file could not be made
     private volatile boolean siblingPresent;
+    private volatile boolean siblingReady;
     // Used on the handover thread only.
     private int roundCount;
     private boolean loadReported;
@@ -113,6 +114,11 @@
         siblingPresent = present;
     }
 
+    /** Returns whether another process of this sidecar can serve clients, or can as soon as this one leaves them to it. */
+    boolean isSiblingReady() {
+        return siblingPresent && siblingReady;
+    }
+
     private void round() {
         if (siblingPresent || loadReported) {
             reportSiblingLoad();
@@ -139,13 +145,16 @@
         Map<String, Integer> inFlight = new HashMap<>();
         int unanswered = 0;
         int usedDescriptors = siblingPresent ? EXTRA_DESCRIPTORS : 0;
+        boolean ready = false;
         for (HandoverSnapshot snapshot : siblingPresent ? readOthers() : List.<HandoverSnapshot>of()) {
             if (snapshot.isFresh(nowMs)) {
+                ready = true; // its first snapshot comes right before it serves
                 unanswered += snapshot.unansweredRequests();
                 usedDescriptors += snapshot.descriptors();
                 snapshot.learned().nodes().forEach((host, node) -> inFlight.merge(host, node.inFlight(), Integer::sum));
             }
         }
+        siblingReady = ready;
         int requests = unanswered;
         int siblingDescriptors = usedDescriptors;
         loadReported = siblingPresent;
--- a/src/main/java/ivybank/daemon/PromiseStartup.java
+++ b/src/main/java/ivybank/daemon/PromiseStartup.java
@@ -8,6 +8,7 @@
 import ivybank.store.FileSystemDisk;
 import ivybank.store.StoreException;
 import ivybank.store.StoreIdentity;
+import ivybank.store.StoreInUseException;
 import java.io.IOException;
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
@@ -21,17 +22,30 @@
     private PromiseStartup() {}
 
     /**
-     * Returns whether a failure to open a store is permanent: caused by the store itself, whatever the disk does next.
+     * Returns whether a failure to open a store is permanent: caused by the store itself, whatever the disk and other
+     * processes do next.
      */
     static boolean isPermanent(Throwable failure) {
-        return failure instanceof StoreException;
+        return failure instanceof StoreException && !(failure instanceof StoreInUseException);
     }
 
-    /** Opens the store and the promises in it. */
+    /** Locks and opens the store, and the promises in it. */
     static PromiseRequestHandler open(
             StoreSettings store, String name, Settings settings, ScheduledExecutorService loop, Clock clock, Log log)
             throws IOException {
-        FileSystemDisk disk = FileSystemDisk.lock(store.folder());
+        return open(FileSystemDisk.lock(store.folder()), store, name, settings, loop, clock, log);
+    }
+
+    /** Opens a store that this process has locked, and the promises in it. Closes the disk where that fails. */
+    static PromiseRequestHandler open(
+            FileSystemDisk disk,
+            StoreSettings store,
+            String name,
+            Settings settings,
+            ScheduledExecutorService loop,
+            Clock clock,
+            Log log)
+            throws IOException {
         try {
             StoreIdentity identity = StoreIdentity.acquire(
                     disk,
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -34,7 +34,6 @@
 import ivybank.operator.OperatorFile.StoreSettings;
 import ivybank.peers.PeerFleet;
 import ivybank.policy.LoadShiftingBalancer;
-import ivybank.promises.PromiseRequestHandler;
 import ivybank.supervision.EventLoopTasks;
 import ivybank.supervision.PeriodicTask;
 import ivybank.supervision.StartRetry;
@@ -98,6 +97,9 @@
     private static final int MAX_LISTEN_TRIES = 100;
     private static final long WARM_UP_TIMEOUT_MS = 3000;
     private static final long DRAIN_TIMEOUT_S = 15;
+    /** The time after which a process that ends accepts connections again if the store is not released. */
+    private static final long STORE_RELEASE_TIMEOUT_MS = 800;
+
     private static final int SIGTERM_EXIT_CODE = 143;
 
     private final MultiThreadIoEventLoopGroup group;
@@ -119,12 +121,12 @@
     private final StartTimeline timeline = new StartTimeline();
     private double tallyDueMs;
     private final StoreSettings store; // null: no promises are kept
+    private final StoreOwnership storeOwnership; // null: no promises are kept
     private final ClientServer.Limits clientLimits;
     /** Completes once clients may be served: discovery was asked, or does not have to be asked first. */
     private final Promise<Void> discoveryReady;
 
     private boolean followsDiscovery;
-    private volatile PromiseRequestHandler promises; // null: none are kept, or not yet
     private volatile ClientServer server; // null until it is prepared
     private final CountDownLatch drained = new CountDownLatch(1);
     private final ServerSocketChannel inherited; // null: this process listens itself
@@ -136,6 +138,14 @@
     private boolean discoveryAsked;
     /** Whether client connections are accepted, or would be with free capacity. */
     private volatile boolean listening;
+    /** Whether clients are accepted as soon as the other process of this sidecar has released the store. */
+    private volatile boolean readyToTakeOver;
+
+    /** Whether this process, which is to end, leaves clients to another one. */
+    private boolean leavingToSuccessor;
+
+    /** From when on a process that leaves clients to another one closes connections without a request. */
+    private double closeIdleAtMs;
 
     private final EventLoopStallDetector beforeSends;
     private final EventLoopStallDetector ofRequests;
@@ -212,6 +222,9 @@
                 dispatcher::listUpdated,
                 clock,
                 log);
+        storeOwnership = store == null
+                ? null
+                : new StoreOwnership(store, config.name(), config.settings(), dispatcher, loop, clock, log);
         configReload = new ConfigReload(loop, file, discovery::moveTo, clock, log);
         drain = new DrainSequence(clock, log);
         beforeSends = EventLoopStallDetector.forSends(config.drainGraceMs(), clock.nowMs());
@@ -221,13 +234,16 @@
     /**
      * Opens the store and creates the client side. May take long while the operating system reports temporary failures;
      * discovery is therefore followed before.
+     *
+     * @param siblingRunning whether another process of this sidecar is running, which may hold the store
      */
-    private void prepare() throws IOException {
-        promises = store == null ? null : openPromises();
-        timeline.reached(store == null ? "no store" : "store open");
+    private void prepare(boolean siblingRunning) throws IOException {
+        if (storeOwnership != null) {
+            openStore(siblingRunning);
+        }
         server = new ClientServer(
                 config.settings(),
-                promises == null ? dispatcher : promises,
+                storeOwnership == null ? dispatcher : storeOwnership.handler(),
                 clock,
                 clientLimits,
                 descriptors,
@@ -269,7 +285,8 @@
                         DescriptorShares.of(config.sockets()).clients().maxAccepted(),
                         config.known().entries().size()));
         sidecar.follow(ProcessAge.maxMs());
-        sidecar.prepare();
+        boolean siblingRunning = AdminStartup.mayHaveOthers(siblings);
+        sidecar.prepare(siblingRunning);
         if (operatorFile != null && operatorFile.peers() != null) {
             sidecar.joinPeers(
                     PeerStartup.of(
@@ -280,7 +297,7 @@
                             clock,
                             log,
                             count -> sidecar.dispatcher.sidecars(count, "from the view of the fleet")),
-                    siblings != null && siblings.hasOthers());
+                    siblingRunning);
         }
         if (config.adminAddress() != null) {
             StartRetry.call("opening the admin endpoint", log, e -> false, () -> {
@@ -365,26 +382,36 @@
         EventLoopTasks.execute(loop, () -> watchdog.watch(rounds));
     }
 
-    private PromiseRequestHandler openPromises() throws IOException {
+    private void openStore(boolean siblingRunning) throws IOException {
         try {
-            PromiseRequestHandler keeper = StartRetry.call(
-                    "opening the store",
-                    log,
-                    PromiseStartup::isPermanent,
-                    () -> PromiseStartup.open(store, config.name(), config.settings(), loop, clock, log));
-            keeper.setDispatcher(dispatcher);
-            return keeper;
+            storeOwnership.open(siblingRunning);
         } catch (IOException e) {
             group.shutdownGracefully();
-            throw new IOException("store " + store.folder() + ": " + e.getMessage(), e);
+            throw e;
         }
+        timeline.reached(storeOwnership.promises() == null ? "store held by the other process" : "store open");
+    }
+
+    /**
+     * Waits for the store that the other process of this sidecar holds. That process serves clients meanwhile, and this one
+     * says that it can.
+     */
+    private void takeOverStore() {
+        discoveryReady.awaitUninterruptibly();
+        timeline.reached("ready to take over");
+        readyToTakeOver = true;
+        storeOwnership.takeOver(() -> siblingPresent);
+        timeline.reached("store taken over");
     }
 
     /** Follows discovery, and listens once everything that clients need is available. */
     InetSocketAddress start() throws IOException {
         follow(0);
         if (server == null) {
-            prepare();
+            prepare(false);
+        }
+        if (storeOwnership != null && storeOwnership.promises() == null) {
+            takeOverStore();
         }
         Promise<Channel> bound = loop.newPromise();
         discoveryReady.addListener(asked -> {
@@ -412,7 +439,7 @@
     /** Returns whether this process can serve. */
     @Override
     public boolean isServing() {
-        return listening && dispatcher.ready();
+        return (listening || readyToTakeOver) && dispatcher.ready();
     }
 
     @Override
@@ -620,8 +647,8 @@
         if (counts != null || memory.messages().isInUse()) {
             log.line(memoryLine());
         }
-        if (counts != null && promises != null) {
-            log.line(promises.statusLine());
+        if (counts != null && storeOwnership != null && storeOwnership.promises() != null) {
+            log.line(storeOwnership.promises().statusLine());
         }
         if (peers != null) {
             log.line(peers.line());
@@ -632,8 +659,8 @@
      * Keeps serving new requests for a while, completes the requests in progress, and shuts down. Blocks until then.
      * Where this process listens by itself, clients keep using their connections and get no new ones after a while:
      * closing connections early left requests without a connection. Where another process has the listening socket as
-     * well, that process accepts all new connections from now on, and each answer closes its connection so that the
-     * client reconnects there. Connections that stay idle are closed late, so that no request crosses the close.
+     * well, and can serve, that process accepts all new connections from then on, and each answer closes its connection so
+     * that the client reconnects there; it also gets the store. Connections that stay idle are closed late, so that no request crosses the close.
      */
     void drain() {
         drainAndWait();
@@ -649,8 +676,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        if (promises != null) {
-            promises.close();
+        if (storeOwnership != null) {
+            storeOwnership.close();
         }
     }
 
@@ -659,29 +686,55 @@
             return;
         }
         log.line("drain started: " + dispatcher.unanswered() + " requests in progress; serving for "
-                + drainTimes.stopServingMs() + " ms" + (inherited == null ? "" : " on open connections"));
+                + drainTimes.stopServingMs() + " ms");
         if (peers != null) {
             drain.addStep(0, "notifying the peers", peers::draining);
         }
-        if (inherited == null) {
+        if (!isSuccessorReady()) {
             drain.addStep(0, "keeping client connections open", server::retainConnections);
-            drain.addStep(drainTimes.stopListeningMs(), "closing the listener", server::stopListening);
-            drain.addStep(drainTimes.stopServingMs(), "closing connections after their answers", server::drain);
-            drain.completeAfter(drainTimes.stopServingMs(), () -> isDrained(0));
-        } else {
-            drain.addStep(0, "stopping to accept connections", server::stopListening);
-            drain.addStep(0, "closing idle connections to upstreams", pool::disableIdleConnections);
-            drain.addStep(0, "closing connections after their answers", server::drain);
-            double closeIdleMs = clock.nowMs() + (double) drainTimes.stopServingMs();
-            drain.completeAfter(0, () -> isDrained(closeIdleMs));
         }
+        // Who waits in the backlog of a socket that this process does not close would be answered by nobody.
+        long stopListeningMs = inherited == null ? drainTimes.stopListeningMs() : drainTimes.stopServingMs();
+        drain.addStep(stopListeningMs, "stopping to accept connections", server::stopListening);
+        drain.addStep(drainTimes.stopServingMs(), "closing connections after their answers", server::drain);
+        closeIdleAtMs = clock.nowMs() + (double) drainTimes.stopServingMs();
+        drain.completeAfter(drainTimes.stopServingMs(), () -> isDrained(0));
         drain.addStep(drainTimes.failOpenMs(), "refusing new requests", server::refuseAll);
         drain.addStep(drainTimes.failOpenMs(), "failing open requests", dispatcher::failOpen);
         pollDrain();
         every("poll of the drain", DRAIN_POLL_INTERVAL_MS, this::pollDrain);
     }
 
+    /**
+     * Leaves clients to the other process of this sidecar, which can serve them. Where there is a store, that process accepts
+     * clients once it holds it; this one accepts again if the disk does not let it go in time.
+     */
+    private void leaveToSuccessor() {
+        leavingToSuccessor = true;
+        log.line("drain: another process of this sidecar serves clients from now on");
+        if (storeOwnership == null) {
+            drain.addStep(0, "stopping to accept connections", server::stopListening);
+        } else {
+            drain.addStep(0, "accepting nothing for a moment", () -> server.pauseListening(STORE_RELEASE_TIMEOUT_MS));
+            drain.addStep(0, "releasing the store", storeOwnership::beginRelease);
+        }
+        drain.addStep(0, "closing idle connections to upstreams", pool::disableIdleConnections);
+        drain.addStep(0, "closing connections after their answers", server::drain);
+        drain.completeAfter(0, () -> isDrained(closeIdleAtMs));
+    }
+
+    private boolean isSuccessorReady() {
+        Handover current = handover;
+        return current != null && current.isSiblingReady();
+    }
+
     private void pollDrain() {
+        if (!leavingToSuccessor && isSuccessorReady()) {
+            leaveToSuccessor();
+        }
+        if (leavingToSuccessor && storeOwnership != null && storeOwnership.pollRelease()) {
+            server.stopListening();
+        }
         if (drain.poll()) {
             drained.countDown();
         }
@@ -712,6 +765,8 @@
     }
 
     private int unanswered() {
-        return promises == null ? dispatcher.unanswered() : promises.unanswered();
+        return storeOwnership == null
+                ? dispatcher.unanswered()
+                : storeOwnership.handler().unanswered();
     }
 }
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -113,7 +113,7 @@
                     new PromiseRecord(State.SENT, clock.nowMs(), null).encode(),
                     outcome -> loop.execute(() -> {
                         recording = false;
-                        recorded = outcome == Store.Outcome.CONFIRMED || settings.letThrough();
+                        recorded = outcome == Store.Outcome.CONFIRMED || mayLetThrough();
                         failedRecords += outcome == Store.Outcome.CONFIRMED ? 0 : 1;
                         List<Runnable> callbacks = List.copyOf(recorded ? onRecorded : onRecordFailed);
                         onRecorded.clear();
@@ -174,6 +174,9 @@
     private final Set<String> awaitingLateAnswer = new HashSet<>();
 
     private RequestHandler dispatcher;
+    /** Whether the store belongs to the next process of the sidecar, or will in a moment. */
+    private boolean handingOver;
+
     private long anonymousCount;
     private int joinedCount;
     private long failedRecords;
@@ -229,6 +232,29 @@
                 + promises.statistics().inDoubt() + " in doubt from before");
     }
 
+    /** Returns whether requests go on without a promise: not where another process may hold one for the same identity. */
+    private boolean mayLetThrough() {
+        return settings.letThrough() && !handingOver;
+    }
+
+    /**
+     * Takes no further promises, because the store is to be closed for the next process of the sidecar. Requests that are new are
+     * refused from now on. Those in hand go on; whose answer comes when the store is closed is in doubt, as where the disk fails.
+     */
+    public void beginHandOver() {
+        handingOver = true;
+    }
+
+    /** Returns the number of requests in hand that have not been settled on the disk. */
+    public int inHand() {
+        return pending.size();
+    }
+
+    /** Returns whether the store is closed, and its folder free for another process. */
+    public boolean isClosed() {
+        return store.isClosed();
+    }
+
     /** Runs one of several callbacks that wait for the same write. A failing one does not affect the others. */
     private void runCallback(Runnable callback) {
         try {
@@ -315,7 +341,7 @@
 
     private int start(String identity, ClientRequest request, Consumer<Answer> client) {
         Store.State state = store.statistics().state();
-        if (state != Store.State.GOOD && !settings.letThrough()) {
+        if (handingOver || state != Store.State.GOOD && !settings.letThrough()) {
             promises.ended(identity, true, clock.nowMs());
             client.accept(Answer.refused(retryAfterMs));
             return 0;
@@ -344,10 +370,22 @@
         } else {
             promise.settled = true;
             finish(promise, answer.isRefusal() || promise.unresolvedAttempts == 0);
-            answerWaiters(promise, answer);
+            answerWaiters(promise, isInDoubtElsewhere(promise, answer) ? inDoubt() : answer);
         }
     }
 
+    /**
+     * Returns whether a refusal would be wrong, since the next process has the request in doubt: it has read the record that it may
+     * run, and this process can't take the record back.
+     */
+    private boolean isInDoubtElsewhere(Promise promise, Answer answer) {
+        return answer.isRefusal() && promise.recorded && handingOver && isClosed();
+    }
+
+    private static Answer inDoubt() {
+        return Answer.failure(STATUS_BAD_GATEWAY, "its outcome could not be recorded: in doubt");
+    }
+
     /** Records an answer, and passes it to the waiting clients when it is on the disk. */
     private void recordAnswer(Promise promise, Answer answer) {
         promise.settled = true;
--- a/src/main/java/ivybank/store/FileSystemDisk.java
+++ b/src/main/java/ivybank/store/FileSystemDisk.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -15,42 +13,42 @@
 /** A folder of the local file system, locked by one process at a time. */
 public final class FileSystemDisk implements Disk {
 
-    private static final String LOCK_FILE = "lock";
-
     private final Path folder;
-    private final FileChannel lockFile;
+    private final FolderLock lock;
 
-    private FileSystemDisk(Path folder, FileChannel lockFile) {
-        this.folder = folder;
-        this.lockFile = lockFile;
+    private FileSystemDisk(FolderLock lock) {
+        this.folder = lock.folder();
+        this.lock = lock;
     }
 
     /**
      * Locks a folder, which is created if it does not exist.
      *
-     * @throws StoreException if another process has locked it
+     * @throws StoreInUseException if another process has locked it
      */
     public static FileSystemDisk lock(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        FileChannel lockFile =
-                FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FolderLock lock = FolderLock.open(folder);
         try {
-            FileLock lock = lockFile.tryLock();
-            if (lock == null) {
-                throw new OverlappingFileLockException();
+            if (!lock.tryAcquire()) {
+                throw new StoreInUseException(folder + " is held by another process, which must end first");
             }
-        } catch (OverlappingFileLockException e) {
-            lockFile.close();
-            throw new StoreException(folder + " is held by another process, which must end first");
+        } catch (IOException e) {
+            lock.close();
+            throw e;
         }
-        return new FileSystemDisk(folder, lockFile);
+        return new FileSystemDisk(lock);
+    }
+
+    /** Returns the folder that this process has locked. The disk releases the lock when it is closed. */
+    public static FileSystemDisk locked(FolderLock acquired) {
+        return new FileSystemDisk(acquired);
     }
 
     @Override
     public List<String> names() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.map(path -> path.getFileName().toString())
-                    .filter(name -> !name.equals(LOCK_FILE))
+                    .filter(name -> !name.equals(FolderLock.FILE_NAME))
                     .sorted()
                     .toList();
         }
@@ -93,7 +91,7 @@
 
     @Override
     public void close() throws IOException {
-        lockFile.close();
+        lock.close();
     }
 
     private record OpenFile(FileChannel channel) implements File {
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -131,6 +131,11 @@
         return closeFailure;
     }
 
+    /** Returns whether the store is closed: nothing of it is written any more, and its disk is released. */
+    public boolean isClosed() {
+        return !writer.isAlive();
+    }
+
     /** Returns the statistics after the latest step of the writer. */
     public Statistics statistics() {
         return statistics;
--- a/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
+++ b/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
@@ -280,4 +280,26 @@
         assertTrue(e.getMessage().contains("is held by another process"), e.getMessage());
         sidecar = running;
     }
+
+    // Guards against a restart that ends because the process before, which is ending, holds the store for a moment
+    // longer.
+    @Test
+    void aRestartWaitsForTheProcessBeforeThatIsEnding() throws Exception {
+        InetSocketAddress node = node(this::serveAll);
+        start(node);
+        assertEquals(new Response(200, "#1"), submit("quake-8", 3000));
+        Sidecar before = sidecar;
+        Thread end = new Thread(() -> {
+            try {
+                Thread.sleep(700);
+                before.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        end.start();
+        start(node);
+        end.join();
+        assertEquals(new Response(200, "#1"), submit("quake-8", 3000));
+    }
 }
--- a/src/test/java/ivybank/soak/SharedListenerProcesses.java
+++ b/src/test/java/ivybank/soak/SharedListenerProcesses.java
@@ -26,6 +26,7 @@
     private final int memoryMb;
     private final int sockets;
     private final String runtimeOptions;
+    private String arguments = "";
     private final List<Long> started = new ArrayList<>();
     private final List<Path> logs = new ArrayList<>();
 
@@ -51,6 +52,14 @@
         this.listener = new SharedListener(folder.resolve("platform.log"));
     }
 
+    /** Has the processes that are started from now on keep promises in one store, by the header Idempotency-Key. */
+    void useStore() throws IOException {
+        Path operator = Files.writeString(
+                folder.resolve("operator.toml"),
+                "[store]\nfolder = \"" + folder.resolve("store") + "\"\nfirst_start = \"make\"\n");
+        arguments = " --operator '" + operator + "'";
+    }
+
     /** Returns where clients connect. */
     int port() {
         return listener.port();
@@ -68,7 +77,7 @@
         logs.add(log);
         long pid = listener.start("ulimit -n " + sockets + " && export TMPDIR='" + folder
                 + "' EDGE_INHERITED_FD=0 EDGE_CONFIG='" + config + "' " + faults.environment() + "&& "
-                + ShortNight.program(runtimeOptions) + "serve > '" + log + "' 2>&1");
+                + ShortNight.program(runtimeOptions) + "serve" + arguments + " > '" + log + "' 2>&1");
         started.add(pid);
         awaitServing(pid, admin, log);
         return pid;
@@ -107,11 +116,21 @@
 
     /** Sends SIGTERM to a process, and SIGKILL after a delay if it is still running. */
     void end(long pid, long killDelayMs) throws Exception {
-        new ProcessBuilder("kill", "-TERM", String.valueOf(pid)).start().waitFor();
+        terminate(pid);
         Thread.sleep(killDelayMs);
         ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
     }
 
+    /** Sends SIGTERM to a process. */
+    static void terminate(long pid) throws Exception {
+        new ProcessBuilder("kill", "-TERM", String.valueOf(pid)).start().waitFor();
+    }
+
+    /** Returns the log of the process that was started last but for this many. */
+    String log(int before) {
+        return text(logs.get(logs.size() - 1 - before));
+    }
+
     /** Returns the lines of all logs on violations that the guard prevented, and on faults of the program. */
     List<String> violations() throws IOException {
         List<String> found = new ArrayList<>();
