Forget an id only by the answer to the request that owns it

Cause: any answer read on a connection cleared the id of the last request on it, also that of a request which was turned away and never forwarded, in this process and in the table shared with the other process of an upgrade. Change: CallHistory keeps the number of the request that was forwarded with an id, and only the answer to that one makes it forgotten. An id with which a request was turned away stays refused for the retention of unsafe ids, in both processes of an upgrade: whoever sent it once may send it again when its owner's answer is read. Clients give each request an id of its own, so this meets nobody else.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -40,6 +40,9 @@
     /** How many requests are read of a client that goes on sending while its connection is to end. */
     private static final int MAX_REQUESTS_WHILE_ENDING = 64;
 
+    /** A request that was handled and answered. */
+    private record AnsweredRequest(int number, String callId) {}
+
     private final long id;
     private final RequestReader reader;
     private final ClientServer server;
@@ -65,10 +68,12 @@
     /** The request being processed, or null between requests. */
     private Arrival current;
 
-    /** The id of the last request that was answered, until a request behind the answer shows that it was read; or null. */
-    private String answeredCallId;
+    /** The request that was answered last, until a request behind the answer shows that it was read; null if it was not handled. */
+    private AnsweredRequest answered;
 
+    /** The number of the request being processed, or 0 if it is not handled. */
     private int currentId;
+
     /** Whether malformed input was received; nothing behind it is parsed. */
     private boolean inputEnded;
     /** The number of requests that were received since the connection is to end with its next answer. */
@@ -181,9 +186,9 @@
 
     /** Notifies the handler that the last answer was read, which a request behind it shows. */
     private void noteAnswerRead() {
-        if (answeredCallId != null && current == null && waiting.isEmpty() && !hasUnwrittenAnswer()) {
-            handler.answerRead(answeredCallId);
-            answeredCallId = null;
+        if (answered != null && current == null && waiting.isEmpty() && !hasUnwrittenAnswer()) {
+            handler.answerRead(answered.number(), answered.callId());
+            answered = null;
         }
     }
 
@@ -406,6 +411,7 @@
             answer(arrival, Answer.status(arrival.status()));
         } else if (handler.isInFlight(arrival.request().callId()) || handler.mayHaveRun(arrival.request())) {
             // Otherwise one client could have another's request run twice, or receive its answer.
+            handler.turnedAway(arrival.request().callId());
             answer(arrival, Answer.status(HttpStatus.CONFLICT));
         } else if (server.isOverCapacity()) {
             endsWhenAnswered = true;
@@ -467,9 +473,9 @@
 
     /** Records that the current request has been answered. */
     private void finishRequest() {
-        answeredCallId = current == null || current.request() == null
+        answered = current == null || currentId == 0
                 ? null
-                : current.request().callId();
+                : new AnsweredRequest(currentId, current.request().callId());
         current = null;
         currentId = 0;
         activity.freed(clock.nowMs());
--- a/src/main/java/ivybank/daemon/RepeatedCalls.java
+++ b/src/main/java/ivybank/daemon/RepeatedCalls.java
@@ -27,6 +27,9 @@
     private final Set<String> open = new HashSet<>();
 
     private final CallHistory history = new CallHistory();
+    /** The ids with which another request came while they could not be used. Clients give each request an id of its own. */
+    private final CallHistory contested = new CallHistory();
+
     private SharedCallTable shared; // null: no other process can take over
 
     RepeatedCalls(Settings settings, Clock clock) {
@@ -44,9 +47,20 @@
         shared = table;
     }
 
-    /** Returns whether a request with this id is in progress here. */
-    boolean isOpen(String callId) {
-        return open.contains(callId);
+    /** Returns whether a request with this id is in progress here, or was lately when another one came with it. */
+    boolean isInUse(String callId) {
+        return open.contains(callId) || contested.contains(callId, clock.nowMs());
+    }
+
+    /**
+     * Notifies that a request is turned away because of its id. The id stays refused from now on, also when the request that it belongs
+     * to is answered: whoever has sent it once may send it again.
+     */
+    void turnedAway(String callId) {
+        contested.add(callId, clock.nowMs() + retentionMs);
+        if (shared != null) {
+            shared.put(callId, clock.monotonicMs() + retentionMs);
+        }
     }
 
     /** Returns whether a request with this id may have run that must not run twice, or is in progress in another process. */
@@ -66,15 +80,16 @@
     /**
      * Notifies that a request is answered, or needs no answer any more.
      *
+     * @param number its number
      * @param mayHaveRun whether it may have run
      */
-    void closed(ClientRequest request, boolean mayHaveRun) {
+    void closed(int number, ClientRequest request, boolean mayHaveRun) {
         open.remove(request.callId());
         if (!isProtected(request)) {
             return;
         }
         if (mayHaveRun) {
-            history.add(request.callId(), clock.nowMs() + retentionMs);
+            history.add(request.callId(), number, clock.nowMs() + retentionMs);
             if (shared != null) {
                 shared.put(request.callId(), clock.monotonicMs() + retentionMs);
             }
@@ -90,16 +105,19 @@
         }
     }
 
-    /** Notifies that the client has read the answer to this call: its id does not come again for want of one. */
-    void answerRead(String callId) {
-        if (!open.contains(callId)) {
+    /**
+     * Notifies that the client has read the answer to the request with this number: its id does not come again for want of one. Nothing
+     * is forgotten if the id belongs to another request.
+     */
+    void answerRead(int number, String callId) {
+        if (!open.contains(callId) && history.isOwnedBy(callId, number)) {
             forget(callId);
         }
     }
 
     private void forget(String callId) {
         history.remove(callId);
-        if (shared != null) {
+        if (shared != null && !contested.contains(callId, clock.nowMs())) {
             shared.remove(callId);
         }
     }
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -271,7 +271,7 @@
 
     @Override
     public boolean isInFlight(String callId) {
-        return repeatedCalls.isOpen(callId);
+        return repeatedCalls.isInUse(callId);
     }
 
     @Override
@@ -280,8 +280,13 @@
     }
 
     @Override
-    public void answerRead(String callId) {
-        repeatedCalls.answerRead(callId);
+    public void turnedAway(String callId) {
+        repeatedCalls.turnedAway(callId);
+    }
+
+    @Override
+    public void answerRead(int number, String callId) {
+        repeatedCalls.answerRead(number, callId);
     }
 
     @Override
@@ -414,7 +419,7 @@
 
     private void close(Exchange exchange) {
         exchange.closed = true;
-        repeatedCalls.closed(exchange.request, !exchange.hasNotRun());
+        repeatedCalls.closed(exchange.id, exchange.request, !exchange.hasNotRun());
         tally.requestCompleted();
         timers.stop(exchange);
         unanswered--;
--- a/src/main/java/ivybank/exchange/RequestHandler.java
+++ b/src/main/java/ivybank/exchange/RequestHandler.java
@@ -11,7 +11,10 @@
     /** Returns the number of requests that are not answered yet. */
     int unanswered();
 
-    /** Returns whether a request with this client-assigned ID is in progress. */
+    /**
+     * Returns whether a request with this client-assigned ID is in progress, or was lately when another one with the same ID was turned
+     * away.
+     */
     boolean isInFlight(String callId);
 
     /**
@@ -22,11 +25,15 @@
         return false;
     }
 
+    /** Notifies that a request was turned away, and not handled, because its ID can't be used. */
+    default void turnedAway(String callId) {}
+
     /**
-     * Notifies that the client has read the answer to the request with this ID: it has sent another one on the same connection
-     * behind that answer.
+     * Notifies that the client has read the answer to a request: it has sent another one on the same connection behind that answer.
+     *
+     * @param number the number that {@link #handle} has returned for it
      */
-    default void answerRead(String callId) {}
+    default void answerRead(int number, String callId) {}
 
     /** Handles a request and returns its number. {@code client} receives its one final answer, possibly before this returns. */
     int handle(ClientRequest request, Consumer<Answer> client);
--- a/src/main/java/ivybank/promises/DeferredPromises.java
+++ b/src/main/java/ivybank/promises/DeferredPromises.java
@@ -62,8 +62,13 @@
     }
 
     @Override
-    public void answerRead(String callId) {
-        current().answerRead(callId);
+    public void turnedAway(String callId) {
+        current().turnedAway(callId);
+    }
+
+    @Override
+    public void answerRead(int number, String callId) {
+        current().answerRead(number, callId);
     }
 
     @Override
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -308,8 +308,13 @@
     }
 
     @Override
-    public void answerRead(String callId) {
-        dispatcher.answerRead(callId);
+    public void turnedAway(String callId) {
+        dispatcher.turnedAway(callId);
+    }
+
+    @Override
+    public void answerRead(int number, String callId) {
+        dispatcher.answerRead(number, callId);
     }
 
     @Override
--- a/src/test/java/ivybank/soak/RepeatedCallIdTest.java
+++ b/src/test/java/ivybank/soak/RepeatedCallIdTest.java
@@ -7,17 +7,20 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that leave while their unsafe request may be running, and send its call id once more. */
 @Timeout(60)
@@ -31,6 +34,10 @@
     private static final int MOST_WAIT_MS = 100;
     private static final int MOST_AWAY_MS = 500;
     private static final int ANSWER_MS = 3500;
+    private static final int MOST_PAUSE_MS = 200;
+    private static final int ROUNDS = 10;
+    private static final int BETWEEN_REPEATS_MS = 20;
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
     private static final Pattern CALL_ID = Pattern.compile("(?i)x-call-id: (\\S+)");
 
     @TempDir
@@ -78,6 +85,118 @@
         }
     }
 
+    // Guards against an id that is forgotten since its repeat was turned away, and then runs when it comes once more.
+    @Test
+    void anIdThatIsTurnedAwayAndComesOnceMoreOnTheSameConnectionRunsOnce() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, this::serve);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            for (int i = 0; i < IDS; i++) {
+                String id = "turned-away-" + i;
+                try (Socket first = new Socket(InetAddress.getLoopbackAddress(), sidecar.port())) {
+                    first.getOutputStream().write(request(id));
+                    Thread.sleep(random.nextInt(LEAST_WAIT_MS, MOST_WAIT_MS));
+                }
+                try (Socket second = connect(sidecar.port())) {
+                    status(second, request(id));
+                    Thread.sleep(random.nextInt(MOST_PAUSE_MS));
+                    status(second, request(id));
+                }
+            }
+            assertOnce();
+        }
+    }
+
+    // Guards against a client that repeats the id of another client's open request until that one is answered and its
+    // answer read.
+    @ParameterizedTest
+    @ValueSource(strings = {"submit", "read"})
+    void whoRepeatsAnotherClientsIdIsNotServedOnceThatOneHasItsAnswer(String lane) throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, this::serve);
+                Agent agent = new Agent(upstreams);
+                FaultySidecar sidecar = FaultySidecar.start(folder, agent.server, upstreams)) {
+            for (int i = 0; i < ROUNDS; i++) {
+                playRepeater(lane, sidecar.port(), "repeated-" + i);
+            }
+            if (lane.equals("submit")) { // what is safe to repeat may be sent twice for its own client
+                assertOnce();
+            }
+        }
+    }
+
+    // Guards against the same at two processes of an upgrade, either of which may have the client and who repeats its
+    // id.
+    @Test
+    void whoRepeatsAnotherClientsIdIsNotServedAtTheOtherProcessOfAnUpgrade() throws Exception {
+        try (Upstreams upstreams = new Upstreams(UPSTREAMS, this::serve);
+                Agent agent = new Agent(upstreams);
+                SharedListenerProcesses processes = new SharedListenerProcesses(folder, agent, upstreams)) {
+            processes.start(new SyscallFaults(folder.resolve("faults-0")));
+            processes.start(new SyscallFaults(folder.resolve("faults-1")));
+            for (int i = 0; i < ROUNDS; i++) {
+                playRepeater("submit", processes.port(), "shared-" + i);
+            }
+            assertOnce();
+        }
+    }
+
+    /** Has a client send a request and, behind its answer, another one; a second client sends the id of the first all the time. */
+    private void playRepeater(String lane, int port, String id) throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger served = new AtomicInteger();
+        try (Socket client = connect(port)) {
+            client.getOutputStream().write(request(lane, id));
+            Thread.sleep(LEAST_NODE_MS / 2);
+            Thread repeater = new Thread(() -> repeat(port, request(lane, id), over, served));
+            repeater.start();
+            assertEquals(200, status(client));
+            assertEquals(200, status(client, request(lane, id + "-next")));
+            Thread.sleep(MOST_PAUSE_MS);
+            over.set(true);
+            repeater.join();
+        }
+        assertEquals(0, served.get(), "the second client is served for " + id);
+    }
+
+    /** Sends a request again and again, on one connection as long as it stays open. */
+    private static void repeat(int port, byte[] request, AtomicBoolean over, AtomicInteger served) {
+        while (!over.get()) {
+            try (Socket socket = connect(port)) {
+                while (!over.get()) {
+                    served.addAndGet(status(socket, request) == 200 ? 1 : 0);
+                    Thread.sleep(BETWEEN_REPEATS_MS);
+                }
+            } catch (IOException e) {
+                // It was closed on; the next connection may be at the other process.
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static Socket connect(int port) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(ANSWER_MS);
+        return socket;
+    }
+
+    private static int status(Socket socket, byte[] request) throws IOException {
+        socket.getOutputStream().write(request);
+        return status(socket);
+    }
+
+    /** Reads an answer, and returns its status. */
+    private static int status(Socket socket) throws IOException {
+        String head = LongAnswers.head(socket.getInputStream());
+        if (head == null) {
+            throw new IOException("the connection has ended");
+        }
+        Matcher length = LENGTH.matcher(head);
+        socket.getInputStream().readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+        return Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+    }
+
     private void sendTwice(int firstPort, int secondPort, String id) throws Exception {
         try (Socket first = new Socket(InetAddress.getLoopbackAddress(), firstPort)) {
             first.getOutputStream().write(request(id));
@@ -98,8 +217,10 @@
     }
 
     private static byte[] request(String id) {
-        return ("POST /submit?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
-                        + "\r\nX-Budget-Ms: 3000\r\nContent-Length: 0\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII);
+        return request("submit", id);
+    }
+
+    private static byte[] request(String lane, String id) {
+        return lane.equals("read") ? FaultySidecar.request(id) : FaultySidecar.unsafeRequest(id);
     }
 }
