Give the store its rows in the table of memory, and a third of its size

Cause: MemoryTable divides the heap among its rows, and had none for the store: 318 bytes for each identity, 32 of 48 MiB, beside which 15.6 MB of messages were admitted. Answers that are to be recorded asked for no memory at all. Identities and buffers are rows; most is limited at the start to what fits, in one line. In an upgrade the store comes off the whole limit and is in the part of its holder; who has released it gives its memory back. Buffers outside the heap get their quarter once the heap has its least. An answer that is to be recorded is reserved; without memory its request is in doubt. The row of the nodes follows the list.

--- a/src/main/java/ivybank/daemon/ProcessMemory.java
+++ b/src/main/java/ivybank/daemon/ProcessMemory.java
@@ -23,9 +23,13 @@
     /** More than there are descriptors for. */
     private static final int UNLIMITED_CONNECTIONS = 65_536;
 
-    private final MemoryTable.Limits limits;
+    private MemoryTable.Limits limits;
     private final MessageMemory messages;
     private MemoryTable table;
+    /** The processes of the sidecar that share the limit. */
+    private int processes = 1;
+
+    private boolean holdsStore = true;
     private double collectedMs = Double.NEGATIVE_INFINITY;
     private double intervalMs = MIN_COLLECTION_INTERVAL_MS;
 
@@ -36,19 +40,23 @@
     }
 
     /**
-     * Returns the memory of this process.
+     * Returns the limits on this process, without a store.
      *
      * @param memoryMb the limit of the settings, in MB; 0 for none
      * @param clientConnections the client connections for which there are descriptors
      * @param nodes the nodes that are listed
      */
-    static ProcessMemory ofProcess(int memoryMb, int clientConnections, int nodes) {
-        MemoryTable.Limits limits = new MemoryTable.Limits(
+    static MemoryTable.Limits limits(int memoryMb, int clientConnections, int nodes) {
+        return new MemoryTable.Limits(
                 memoryMb * BYTES_IN_MB,
                 Runtime.getRuntime().maxMemory(),
                 PlatformDependent.maxDirectMemory(),
                 clientConnections,
                 nodes);
+    }
+
+    /** Returns the memory of a process with these limits. */
+    static ProcessMemory of(MemoryTable.Limits limits) {
         MemoryTable table = MemoryTable.of(limits);
         return new ProcessMemory(
                 limits, table, new MessageMemory(table.messageHeapBytes(), table.messageDirectBytes()));
@@ -72,11 +80,32 @@
     }
 
     /** Shares the limit with this many processes of the sidecar, this one among them, from now on. */
-    void shareAmong(int processes, Log log) {
+    void shareAmong(int newProcesses, Log log) {
+        processes = newProcesses;
+        update(log);
+    }
+
+    /** Sets whether this process holds the store, or is the one that will open it. */
+    void holdsStore(boolean holds, Log log) {
+        if (holdsStore != holds) {
+            holdsStore = holds;
+            update(log);
+        }
+    }
+
+    /** Sets how many nodes are listed; the log tells where there are more than ever. */
+    void nodesListed(int nodes, Log log) {
+        if (nodes > limits.nodes()) {
+            limits = limits.withNodes(nodes);
+            update(log);
+        }
+    }
+
+    private void update(Log log) {
         if (limits.memoryBytes() <= 0) {
             return;
         }
-        table = MemoryTable.of(limits.withMemoryBytes(limits.memoryBytes() / processes));
+        table = MemoryTable.of(limits.shared(processes, holdsStore));
         messages.setLimits(table.messageHeapBytes(), table.messageDirectBytes());
         log.line("memory of this process, one of " + processes + ": " + table
                 + (table.fits() ? "" : "; it does not fit, the least is admitted"));
--- a/src/main/java/ivybank/daemon/RequestDispatcher.java
+++ b/src/main/java/ivybank/daemon/RequestDispatcher.java
@@ -200,6 +200,11 @@
         repeatedCalls.share(table);
     }
 
+    /** Returns how many nodes are known. */
+    int knownNodes() {
+        return directory.size();
+    }
+
     /** Returns whether a node with this id is known. */
     boolean isKnownNode(String node) {
         return directory.contains(node);
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -27,8 +27,10 @@
 import ivybank.discovery.Discovery;
 import ivybank.discovery.DiscoverySocketChannel;
 import ivybank.discovery.ListLease;
+import ivybank.discovery.NodeListUpdate;
 import ivybank.discovery.Timing;
 import ivybank.invariants.InvariantGuard;
+import ivybank.memory.MemoryTable;
 import ivybank.operations.MaintenanceState;
 import ivybank.operator.OperatorFile;
 import ivybank.operator.OperatorFile.StoreSettings;
@@ -219,12 +221,13 @@
                 file::changedDiscovery,
                 config.known().resumeFrom(config.settings().subscribesToList()),
                 timing,
-                dispatcher::listUpdated,
+                this::listUpdated,
                 clock,
                 log);
         storeOwnership = store == null
                 ? null
-                : new StoreOwnership(store, config.name(), config.settings(), dispatcher, loop, clock, log);
+                : new StoreOwnership(
+                        store, config.name(), config.settings(), dispatcher, loop, clock, log, this::storeHeld);
         configReload = new ConfigReload(loop, file, discovery::moveTo, clock, log);
         drain = new DrainSequence(clock, log);
         beforeSends = EventLoopStallDetector.forSends(config.drainGraceMs(), clock.nowMs());
@@ -271,6 +274,13 @@
         Timing timing = operatorFile == null ? standard : operatorFile.discovery();
         Clock clock = Clock.system();
         Log log = new Log(System.err, clock);
+        MemoryTable.Limits limits = ProcessMemory.limits(
+                config.memoryMb(),
+                DescriptorShares.of(config.sockets()).clients().maxAccepted(),
+                config.known().entries().size());
+        StoreSettings store = operatorFile == null || operatorFile.store() == null
+                ? null
+                : PromiseStartup.fitted(operatorFile.store(), limits, log);
         Sidecar sidecar = new Sidecar(
                 config,
                 new ConfigFile(environment),
@@ -278,12 +288,9 @@
                 clock,
                 DrainTimes.longest(config.settings()),
                 timing,
-                operatorFile == null ? null : operatorFile.store(),
+                store,
                 InheritedListener.listener(environment, log),
-                ProcessMemory.ofProcess(
-                        config.memoryMb(),
-                        DescriptorShares.of(config.sockets()).clients().maxAccepted(),
-                        config.known().entries().size()));
+                ProcessMemory.of(store == null ? limits : limits.withStore(PromiseStartup.memory(store))));
         sidecar.follow(ProcessAge.maxMs());
         boolean siblingRunning = AdminStartup.mayHaveOthers(siblings);
         sidecar.prepare(siblingRunning);
@@ -382,6 +389,16 @@
         EventLoopTasks.execute(loop, () -> watchdog.watch(rounds));
     }
 
+    /** Notifies whether this process holds the store. Called on the event loop. */
+    private void storeHeld(boolean held) {
+        memory.holdsStore(held, log);
+    }
+
+    private void listUpdated(NodeListUpdate update) {
+        dispatcher.listUpdated(update);
+        memory.nodesListed(dispatcher.knownNodes(), log);
+    }
+
     private void openStore(boolean siblingRunning) throws IOException {
         try {
             storeOwnership.open(siblingRunning);
--- a/src/main/java/ivybank/daemon/StoreOwnership.java
+++ b/src/main/java/ivybank/daemon/StoreOwnership.java
@@ -30,7 +30,13 @@
     /** How long requests in progress may take to be recorded before the store is released without them. */
     private static final double SETTLE_TIMEOUT_MS = 400;
 
+    /** Notified on the event loop whether this process holds the store. */
+    interface HeldListener {
+        void held(boolean held);
+    }
+
     private final StoreSettings store;
+    private final HeldListener heldListener;
     private final String name;
     private final Settings settings;
     private final RequestHandler dispatcher;
@@ -43,7 +49,7 @@
     // Used on the event loop.
     private double releaseBegunMs = Double.NaN;
     private boolean closing;
-    private volatile boolean released;
+    private boolean released;
 
     StoreOwnership(
             StoreSettings store,
@@ -52,7 +58,9 @@
             RequestHandler dispatcher,
             EventLoop loop,
             Clock clock,
-            Log log) {
+            Log log,
+            HeldListener heldListener) {
+        this.heldListener = heldListener;
         this.store = store;
         this.name = name;
         this.settings = settings;
@@ -92,6 +100,7 @@
             }
             log.line("store " + store.folder()
                     + ": held by the other process of this sidecar, to be taken over from it");
+            EventLoopTasks.execute(loop, () -> heldListener.held(false));
         }
     }
 
@@ -102,7 +111,10 @@
     private void opened(PromiseRequestHandler opened) {
         opened.setDispatcher(dispatcher);
         promises = opened;
-        EventLoopTasks.execute(loop, () -> handler.opened(opened));
+        EventLoopTasks.execute(loop, () -> {
+            handler.opened(opened);
+            heldListener.held(true);
+        });
     }
 
     /**
@@ -212,12 +224,22 @@
         return false;
     }
 
+    private void released(PromiseRequestHandler closed) {
+        if (!released) {
+            released = true;
+            closed.handedOver();
+            heldListener.held(false);
+        }
+    }
+
     /** Closes the store. Blocks until all that is queued is written, or for a limited time. */
     void close() {
         PromiseRequestHandler open = promises;
         if (open != null) {
             open.close();
-            released = open.isClosed();
+            if (open.isClosed()) {
+                EventLoopTasks.execute(loop, () -> released(open));
+            }
         }
     }
 }
--- a/src/main/java/ivybank/discovery/Directory.java
+++ b/src/main/java/ivybank/discovery/Directory.java
@@ -52,6 +52,11 @@
         this.onRetired = onRetired;
     }
 
+    /** Returns the number of nodes that are or were listed and are not forgotten. */
+    public int size() {
+        return byHost.size();
+    }
+
     /**
      * Applies an update and returns its entries in the form of the decision module. A drain and the end of a process are
      * final: where another discovery address still lists the same process as ready, that address is behind, and its entry is
--- a/src/main/java/ivybank/exchange/BodyBuffer.java
+++ b/src/main/java/ivybank/exchange/BodyBuffer.java
@@ -66,13 +66,6 @@
         return true;
     }
 
-    /** Appends a part even where memory is used up: it can't be done without. */
-    public void append(ByteBuf part) {
-        int capacity = capacityFor(size + part.readableBytes());
-        memory.resize(reservation, (long) headBytes + capacity);
-        copy(part, capacity);
-    }
-
     private int capacityFor(int bytesNeeded) {
         if (bytesNeeded <= bytes.length) {
             return bytes.length;
--- a/src/main/java/ivybank/memory/MemoryTable.java
+++ b/src/main/java/ivybank/memory/MemoryTable.java
@@ -19,12 +19,60 @@
      * @param maxDirectBytes the most that it takes for buffers outside the heap, in bytes
      * @param clientConnections the client connections for which there are descriptors
      * @param nodes the nodes that are listed
+     * @param store what the store of promises takes
      */
-    public record Limits(long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections, int nodes) {
+    public record Limits(
+            long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections, int nodes, Store store) {
 
-        /** Returns the same with another limit on the whole process. */
-        public Limits withMemoryBytes(long newMemoryBytes) {
-            return new Limits(newMemoryBytes, maxHeapBytes, maxDirectBytes, clientConnections, nodes);
+        /** Limits of a process without a store. */
+        public Limits(long memoryBytes, long maxHeapBytes, long maxDirectBytes, int clientConnections, int nodes) {
+            this(memoryBytes, maxHeapBytes, maxDirectBytes, clientConnections, nodes, Store.NONE);
+        }
+
+        /** Returns the same with a store. */
+        public Limits withStore(Store newStore) {
+            return new Limits(memoryBytes, maxHeapBytes, maxDirectBytes, clientConnections, nodes, newStore);
+        }
+
+        /** Returns the same with this many nodes. */
+        public Limits withNodes(int newNodes) {
+            return new Limits(memoryBytes, maxHeapBytes, maxDirectBytes, clientConnections, newNodes, store);
+        }
+
+        /**
+         * Returns the limits of one of several processes that share the limit on memory. What the store takes comes off the whole, and
+         * is added to what the process that holds it may take.
+         *
+         * @param processes how many they are
+         * @param holdsStore whether this one holds the store, or is the one that will
+         */
+        public Limits shared(int processes, boolean holdsStore) {
+            long sharedBytes = Math.max(0, memoryBytes - store.bytes()) / processes;
+            return new Limits(
+                    memoryBytes <= 0 ? memoryBytes : sharedBytes + (holdsStore ? store.bytes() : 0),
+                    maxHeapBytes,
+                    maxDirectBytes,
+                    clientConnections,
+                    nodes,
+                    holdsStore ? store : Store.NONE);
+        }
+    }
+
+    /**
+     * What the store of promises takes on the heap.
+     *
+     * @param identities the most identities that it keeps
+     * @param bytesPerIdentity the most that each takes in the mean, in bytes
+     * @param bufferBytes the writes that wait for the disk, and the parts of its files that are read or written at a time
+     */
+    public record Store(int identities, long bytesPerIdentity, long bufferBytes) {
+
+        /** No store. */
+        public static final Store NONE = new Store(0, 0, 0);
+
+        /** Returns the bytes of all. */
+        public long bytes() {
+            return identities * bytesPerIdentity + bufferBytes;
         }
     }
 
@@ -88,8 +136,10 @@
             return new MemoryTable(limits, limits.clientConnections(), limits.maxHeapBytes(), limits.maxDirectBytes());
         }
         long leftBytes = Math.max(0, limits.memoryBytes() - RUNTIME_BYTES);
-        long directBytes = within(MIN_DIRECT_BYTES, (long) (DIRECT_PART * leftBytes), limits.maxDirectBytes());
         long programBytes = programBytes(limits);
+        // The heap gets its least first.
+        long wantedDirectBytes = Math.min((long) (DIRECT_PART * leftBytes), leftBytes - programBytes - MIN_HEAP_BYTES);
+        long directBytes = within(MIN_DIRECT_BYTES, wantedDirectBytes, limits.maxDirectBytes());
         long heapBytes = within(programBytes + MIN_HEAP_BYTES, leftBytes - directBytes, limits.maxHeapBytes());
         long connections = Math.max(1, (heapBytes - programBytes) / HEAP_DIVISOR / CONNECTION_BYTES);
         return new MemoryTable(limits, (int) Math.min(limits.clientConnections(), connections), heapBytes, directBytes);
@@ -97,7 +147,7 @@
 
     /** Returns what the heap holds without any client. */
     private static long programBytes(Limits limits) {
-        return HEAP_BASE_BYTES + limits.nodes() * NODE_BYTES;
+        return HEAP_BASE_BYTES + limits.nodes() * NODE_BYTES + limits.store().bytes();
     }
 
     private static long within(long least, long wanted, long most) {
@@ -134,6 +184,31 @@
         return (int) Math.max(MIN_READ_BYTES, Math.min(MAX_READ_BYTES, Long.highestOneBit(Math.max(1, bytes))));
     }
 
+    /**
+     * Returns how many identities a store may keep at the most for the rest to fit, beside its buffers; 0 if not even those fit.
+     */
+    public long maxStoreIdentities() {
+        Store store = limits.store();
+        long otherBytes = programBytes(limits) - store.bytes() + store.bufferBytes() + MIN_HEAP_BYTES;
+        return store.bytesPerIdentity() == 0
+                ? 0
+                : Math.max(0, (maxProgramHeapBytes() - otherBytes) / store.bytesPerIdentity());
+    }
+
+    /** Returns whether the store and the least that is admitted beside it fit. */
+    public boolean storeFits() {
+        return limits.store().identities() <= maxStoreIdentities()
+                || limits.store().bytes() == 0;
+    }
+
+    /** Returns what the heap may take at the most, whatever it has to hold. */
+    private long maxProgramHeapBytes() {
+        if (limits.memoryBytes() <= 0) {
+            return limits.maxHeapBytes();
+        }
+        return Math.min(limits.maxHeapBytes(), limits.memoryBytes() - RUNTIME_BYTES - directBytes);
+    }
+
     /** Returns whether all rows together are within the limit. */
     public boolean fits() {
         return limits.memoryBytes() <= 0 || sumBytes() <= limits.memoryBytes();
@@ -150,6 +225,13 @@
         rows.add(new Row("runtime", 1, RUNTIME_BYTES));
         rows.add(new Row("heap of the program", 1, HEAP_BASE_BYTES));
         rows.add(new Row("nodes", limits.nodes(), NODE_BYTES));
+        if (limits.store().bytes() > 0) {
+            rows.add(new Row(
+                    "identities of the store",
+                    limits.store().identities(),
+                    limits.store().bytesPerIdentity()));
+            rows.add(new Row("buffers of the store", 1, limits.store().bufferBytes()));
+        }
         rows.add(new Row("client connections", clientConnections, CONNECTION_BYTES));
         rows.add(new Row("messages on the heap", 1, messageHeapBytes()));
         rows.add(new Row("garbage", 1, Math.max(0, leftForMessagesBytes() - messageHeapBytes())));
@@ -170,6 +252,9 @@
     }
 
     private static String amount(long bytes) {
+        if (bytes < KIBIBYTE) {
+            return bytes + " bytes";
+        }
         return bytes < MEBIBYTE
                 ? bytes / KIBIBYTE + " KiB"
                 : String.format(Locale.ROOT, "%.1f MiB", (double) bytes / MEBIBYTE);
--- a/src/main/java/ivybank/operator/OperatorFile.java
+++ b/src/main/java/ivybank/operator/OperatorFile.java
@@ -22,7 +22,13 @@
      * store to be created where none exists.
      */
     public record StoreSettings(
-            Path folder, Limits limits, boolean degrade, boolean firstStart, PromiseSettings promises) {}
+            Path folder, Limits limits, boolean degrade, boolean firstStart, PromiseSettings promises) {
+
+        /** Returns the same settings with another maximum number of identities. */
+        public StoreSettings withMost(int most) {
+            return new StoreSettings(folder, limits, degrade, firstStart, promises.withMost(most));
+        }
+    }
 
     private static final int MIN_DURATION_MS = 50;
     private static final int MAX_DURATION_MS = 600_000;
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -17,7 +17,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -176,6 +175,8 @@
     private RequestHandler dispatcher;
     /** Whether the store belongs to the next process of the sidecar, or will in a moment. */
     private boolean handingOver;
+    /** Whether the store is closed, and what was known of ended requests forgotten. */
+    private boolean handedOver;
 
     private long anonymousCount;
     private int joinedCount;
@@ -206,26 +207,22 @@
         this.retryAfterMs = decisionSettings.limits().maxRetryAfterMs();
         this.maxRecordBytes = limits.value();
         this.promises = new PromiseTable(settings.keepMs(), settings.most(), this::forget);
-        List<RecoveredPromise> recovered = new ArrayList<>();
+        // The wall clock may have been stepped since the records were written, so each is kept for a whole period
+        // again, and their order is that in which they were written.
+        double nowMs = clock.nowMs();
         this.store = Store.open(
                 disk,
                 limits,
                 degrade,
                 (key, value) -> {
-                    PromiseRecord record = PromiseRecord.decode(value);
-                    recovered.add(new RecoveredPromise(
-                            new String(key, StandardCharsets.UTF_8), record.state(), record.atMs()));
+                    State state = PromiseRecord.decode(value).state();
+                    promises.recovered(new String(key, StandardCharsets.UTF_8), state, nowMs, nowMs);
                 },
                 task -> {
                     Thread thread = new Thread(task, "store");
                     thread.setDaemon(true);
                     return thread;
                 });
-        recovered.sort(Comparator.comparingDouble(RecoveredPromise::atMs));
-        double nowMs = clock.nowMs();
-        // The wall clock may have been stepped since the records were written, so each is kept for a whole period
-        // again.
-        recovered.forEach(each -> promises.recovered(each.identity, each.state, nowMs, nowMs));
         promises.trim(nowMs);
         log.line("store: " + store.report().summary());
         log.line("promises: " + promises.statistics().acked() + " acked and "
@@ -245,6 +242,12 @@
         handingOver = true;
     }
 
+    /** Notifies that the store is closed for the next process. What this one knows of ended requests is worth nothing from now on. */
+    public void handedOver() {
+        handedOver = true;
+        promises.clear();
+    }
+
     /** Returns the number of requests in hand that have not been settled on the disk. */
     public int inHand() {
         return pending.size();
@@ -264,8 +267,6 @@
         }
     }
 
-    private record RecoveredPromise(String identity, State state, double atMs) {}
-
     /** Sets the handler that requests are passed on to. */
     public void setDispatcher(RequestHandler handler) {
         dispatcher = handler;
@@ -346,6 +347,12 @@
 
     private int start(String identity, ClientRequest request, Consumer<Answer> client) {
         Store.State state = store.statistics().state();
+        if (handedOver) {
+            promises.ended(identity, true, clock.nowMs());
+            client.accept(Answer.failure(
+                    STATUS_BAD_GATEWAY, "the next process of this sidecar knows whether it has run: ask again"));
+            return 0;
+        }
         if (handingOver || state != Store.State.GOOD && !settings.letThrough()) {
             promises.ended(identity, true, clock.nowMs());
             client.accept(Answer.refused(retryAfterMs));
--- a/src/main/java/ivybank/promises/PromiseSettings.java
+++ b/src/main/java/ivybank/promises/PromiseSettings.java
@@ -8,4 +8,10 @@
  * @param most maximum number of identities
  * @param letThrough whether requests are sent without a promise, rather than refused, while nothing can be recorded
  */
-public record PromiseSettings(String header, double keepMs, int most, boolean letThrough) {}
+public record PromiseSettings(String header, double keepMs, int most, boolean letThrough) {
+
+    /** Returns the same settings with another maximum number of identities. */
+    public PromiseSettings withMost(int newMost) {
+        return new PromiseSettings(header, keepMs, newMost, letThrough);
+    }
+}
--- a/src/main/java/ivybank/promises/PromiseTable.java
+++ b/src/main/java/ivybank/promises/PromiseTable.java
@@ -1,8 +1,7 @@
 package ivybank.promises;
 
+import ivybank.promises.SettledIdentities.Settled;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -55,14 +54,18 @@
         void onForgotten(String identity, State was);
     }
 
-    /** An identity whose request has ended, with the time of its end. */
-    private record Settled(State state, double sinceMs) {}
+    /** The most that an identity takes in this table in the mean, in bytes; with longer ones there are fewer. */
+    public static final int MAX_BYTES_PER_IDENTITY = 112;
+
+    private static final int MAX_ENTRY_BYTES_PER_IDENTITY = MAX_BYTES_PER_IDENTITY - SettledIdentities.MAX_SLOT_BYTES;
+    private static final int MIN_CHUNKS = 2;
 
     private final double keepMs;
     private final int maxIdentities;
     private final ForgetListener listener;
     private final Map<String, State> pending = new HashMap<>();
-    private final Map<String, Settled> settled = new LinkedHashMap<>(); // oldest first
+    private final SettledIdentities settled = new SettledIdentities(System.identityHashCode(this));
+    private final long maxEntryBytes;
     private double lastMs;
     private int inDoubtCount;
     private long stored;
@@ -82,6 +85,8 @@
     public PromiseTable(double keepMs, int maxIdentities, ForgetListener listener) {
         this.keepMs = keepMs;
         this.maxIdentities = maxIdentities;
+        this.maxEntryBytes = Math.max(
+                (long) MIN_CHUNKS * SettledIdentities.CHUNK_BYTES, (long) maxIdentities * MAX_ENTRY_BYTES_PER_IDENTITY);
         this.listener = listener;
     }
 
@@ -103,31 +108,40 @@
      */
     public void trim(double nowMs) {
         double now = monotonicNow(nowMs);
-        for (Iterator<Map.Entry<String, Settled>> each = settled.entrySet().iterator(); each.hasNext(); ) {
-            Map.Entry<String, Settled> oldest = each.next();
-            boolean expired = now - oldest.getValue().sinceMs > keepMs;
-            if (!expired && settled.size() + pending.size() <= maxIdentities) {
+        for (Settled oldest = settled.oldest(); oldest != null; oldest = settled.oldest()) {
+            boolean expired = now - oldest.sinceMs() > keepMs;
+            if (!expired && !isOverfull()) {
                 return;
             }
-            each.remove();
+            settled.remove(oldest.identity());
             forgottenByAge += expired ? 1 : 0;
             forgottenBySize += expired ? 0 : 1;
-            if (oldest.getValue().state == State.IN_DOUBT) {
+            if (oldest.state() == State.IN_DOUBT) {
                 inDoubtCount--;
                 forgottenInDoubt++;
             }
-            listener.onForgotten(oldest.getKey(), oldest.getValue().state);
+            listener.onForgotten(oldest.identity(), oldest.state());
         }
     }
 
+    private boolean isOverfull() {
+        return settled.size() + pending.size() > maxIdentities || settled.bytes() > maxEntryBytes;
+    }
+
+    /** Forgets all ended requests without their records, which belong to another process now. */
+    public void clear() {
+        settled.clear();
+        inDoubtCount = 0;
+    }
+
     /** Returns how to handle an incoming request. */
     public Decision admit(String identity, double nowMs) {
         trim(nowMs);
         Settled found = settled.get(identity);
         if (found != null) {
-            stored += found.state == State.ACKED ? 1 : 0;
-            failedInDoubt += found.state == State.ACKED ? 0 : 1;
-            return found.state == State.ACKED ? Decision.STORED : Decision.IN_DOUBT;
+            stored += found.state() == State.ACKED ? 1 : 0;
+            failedInDoubt += found.state() == State.ACKED ? 0 : 1;
+            return found.state() == State.ACKED ? Decision.STORED : Decision.IN_DOUBT;
         }
         if (pending.containsKey(identity)) {
             joined++;
@@ -169,9 +183,9 @@
 
     private void settle(String identity, State state, double sinceMs) {
         Settled previous = settled.remove(identity);
-        inDoubtCount -= previous != null && previous.state == State.IN_DOUBT ? 1 : 0;
+        inDoubtCount -= previous != null && previous.state() == State.IN_DOUBT ? 1 : 0;
         inDoubtCount += state == State.IN_DOUBT ? 1 : 0;
-        settled.put(identity, new Settled(state, sinceMs));
+        settled.add(identity, state, sinceMs);
     }
 
     /** Returns the current statistics. */
--- a/src/main/java/ivybank/store/SegmentLog.java
+++ b/src/main/java/ivybank/store/SegmentLog.java
@@ -3,7 +3,8 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.function.BiConsumer;
 
@@ -82,25 +83,38 @@
         if (location == null) {
             return null;
         }
-        Records.StoredRecord record = location.segment().read(location.offset(), location.length());
-        if (record == null || record.kind() != Records.PUT || !new Key(record.key()).equals(key)) {
+        Records.StoredRecord record = read(location);
+        if (!new Key(record.key()).equals(key)) {
             throw new StoreException(Segment.fileName(location.segment().number) + ": the record at byte "
-                    + location.offset() + " can't be read any more");
+                    + location.offset() + " is of another key");
         }
         return record.valueBytes();
     }
 
     /**
-     * Passes all keys and their values to a consumer.
+     * Passes all keys and their values to a consumer, in the order in which they were written last.
      *
      * @throws StoreException at the first value that can't be read any more
      */
     void forEach(BiConsumer<byte[], byte[]> each) throws IOException {
-        List<Key> keys = new ArrayList<>(index.size());
-        index.forEach((key, location) -> keys.add(key));
-        for (Key key : keys) {
-            each.accept(key.bytes(), get(key));
+        IdentityHashMap<Segment, Integer> positions = new IdentityHashMap<>();
+        segments.forEach(segment -> positions.put(segment, positions.size()));
+        List<Index.Location> locations = index.locations();
+        locations.sort(Comparator.<Index.Location>comparingInt(location -> positions.get(location.segment()))
+                .thenComparingInt(Index.Location::offset));
+        for (Index.Location location : locations) {
+            Records.StoredRecord record = read(location);
+            each.accept(record.key(), record.valueBytes());
+        }
+    }
+
+    private static Records.StoredRecord read(Index.Location location) throws IOException {
+        Records.StoredRecord record = location.segment().read(location.offset(), location.length());
+        if (record == null || record.kind() != Records.PUT) {
+            throw new StoreException(Segment.fileName(location.segment().number) + ": the record at byte "
+                    + location.offset() + " can't be read any more");
         }
+        return record;
     }
 
     /** Writes and forces a batch: all of it is confirmed if this returns, and none of it if this throws. */
@@ -316,6 +330,7 @@
                 segment.file.close();
             }
             disk.close();
+            index.clear();
         }
     }
 
--- a/src/main/java/ivybank/store/Store.java
+++ b/src/main/java/ivybank/store/Store.java
@@ -62,6 +62,9 @@
             long failures,
             double longestForceMs) {}
 
+    /** The most heap that one key takes while the store is open, in bytes, however long it is. */
+    public static final int MAX_BYTES_PER_KEY = Index.MAX_BYTES_PER_KEY;
+
     private static final int MAX_KEY_BYTES = 65_535;
     private static final long RETRY_DELAY_MS = 200;
     private static final long IDLE_POLL_TIMEOUT_MS = 1000;
@@ -103,7 +106,7 @@
      * Recovers the store of a disk and starts its writer. The store owns the disk and closes it.
      *
      * @param degrade whether to quarantine corrupt segments and continue without the lost data, rather than fail
-     * @param visitor receives all stored keys and values before this returns
+     * @param visitor receives all stored keys and values before this returns, in the order in which they were written last
      * @throws StoreException if the store can't be used in its present state; nothing is changed then
      */
     public static Store open(
--- a/src/main/java/ivybank/upstream/UpstreamAttempt.java
+++ b/src/main/java/ivybank/upstream/UpstreamAttempt.java
@@ -209,7 +209,7 @@
         boolean neverSent = connection == null || !connection.written();
         UpstreamConnection carrier = connection;
         if (carrier != null && ifSent == Outcome.TIMEOUT) {
-            carrier.reportTimeout(AttemptTimer.TIMEOUT);
+            carrier.reportLocalEnd(LocalEndReason.TIMEOUT);
         }
         // A node starts with the last byte, so a timeout before that proves that the request has not run.
         end(Ending.of(neverSent && ifSent == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : ifSent));
--- a/src/main/java/ivybank/upstream/UpstreamConnection.java
+++ b/src/main/java/ivybank/upstream/UpstreamConnection.java
@@ -161,9 +161,9 @@
                 + Math.round(pool.nowMs() - lastInputMs) + " ms ago";
     }
 
-    /** Logs that a timer of this program ends the current attempt. */
-    void reportTimeout(AttemptTimer timer) {
-        pool.reportTimeout(attempt, timer, progress());
+    /** Logs that this program ends the current attempt. */
+    void reportLocalEnd(LocalEndReason reason) {
+        pool.reportLocalEnd(attempt, reason, progress());
     }
 
     /** Checks for unread input; unless there is none, the connection must be closed. */
@@ -323,7 +323,7 @@
                         .schedule(
                                 () -> {
                                     if (attempt == sent && upload != null) {
-                                        reportTimeout(AttemptTimer.UPLOAD_STALL);
+                                        reportLocalEnd(LocalEndReason.UPLOAD_STALL);
                                         finish(Ending.of(Outcome.CONNECT_FAILED), false);
                                     }
                                 },
@@ -398,9 +398,13 @@
         boolean isLong = Math.max(HttpUtil.getContentLength(head, 0L), (long) body.size() + part.readableBytes())
                 > Framing.MAX_BUFFERED_BODY_BYTES;
         boolean isRecorded = attempt.request.sendRecord() != null;
-        if (!isLong && isRecorded) {
-            body.append(part); // it can't be forwarded before it is recorded
-        } else if (isLong || !body.tryAppend(part)) {
+        if (!isLong && body.tryAppend(part)) {
+            return;
+        }
+        if (!isLong && isRecorded && outcome() == Outcome.OK) {
+            reportLocalEnd(LocalEndReason.NO_MEMORY);
+            finish(Ending.of(Outcome.CANCELLED), false); // it can't be forwarded before it is recorded
+        } else {
             forwardAnswer(part);
         }
     }
@@ -445,7 +449,7 @@
     /** Ends the answer that is being forwarded, unless its end was just read. */
     void breakOffAnswer() {
         if (rest != null && pendingEnding == null) {
-            reportTimeout(AttemptTimer.ANSWER_END);
+            reportLocalEnd(LocalEndReason.ANSWER_END);
             finish(Ending.of(Outcome.TIMEOUT), false);
         }
     }
--- a/src/main/java/ivybank/upstream/UpstreamPool.java
+++ b/src/main/java/ivybank/upstream/UpstreamPool.java
@@ -82,7 +82,7 @@
     private Tally tally = Tally.NONE;
     private MessageMemory memory = MessageMemory.unlimited();
     private EventLoopStallDetector stallDetector = EventLoopStallDetector.NEVER;
-    private final LineLimit<AttemptTimer> timeoutLines = new LineLimit<>();
+    private final LineLimit<LocalEndReason> localEndLines = new LineLimit<>();
     private boolean idleDisabled;
     private long malformedAnswers;
 
@@ -145,12 +145,12 @@
         log.line("an answer of " + node + " " + reason + ": attempt failed, connection closed");
     }
 
-    /** Logs that a timer of this program ends an attempt, and how far the attempt had come. */
-    void reportTimeout(UpstreamAttempt attempt, AttemptTimer timer, String progress) {
+    /** Logs that this program ends an attempt, and how far the attempt had come. */
+    void reportLocalEnd(UpstreamAttempt attempt, LocalEndReason reason, String progress) {
         double nowMs = clock.nowMs();
-        if (timeoutLines.allows(timer, nowMs)) {
+        if (localEndLines.allows(reason, nowMs)) {
             log.line("attempt of request " + attempt.request.callId() + " at " + attempt.node + " ended after "
-                    + Math.round(nowMs - attempt.startedMs) + " ms: " + timer + "; " + progress);
+                    + Math.round(nowMs - attempt.startedMs) + " ms: " + reason + "; " + progress);
         }
     }
 
--- a/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
+++ b/src/test/java/ivybank/daemon/PromiseRecoveryTest.java
@@ -35,6 +35,8 @@
 @Timeout(60)
 class PromiseRecoveryTest {
 
+    private static final int LONG_ANSWER_BYTES = 60_000;
+
     private record Response(int status, String body) {}
 
     @TempDir
@@ -57,6 +59,9 @@
         }
     }
 
+    /** What messages of the sidecars may take. */
+    private final MessageMemory memory = MessageMemory.unlimited();
+
     private InetSocketAddress node(FakeServer.Script script) throws IOException {
         FakeServer node = new FakeServer(script);
         toClose.add(node);
@@ -90,7 +95,7 @@
                 Timing.standard(false, 500),
                 OperatorFile.read(operator).store(),
                 null,
-                ProcessMemory.withBudgets(MessageMemory.unlimited()));
+                ProcessMemory.withBudgets(memory));
         address = sidecar.start();
     }
 
@@ -281,6 +286,24 @@
         sidecar = running;
     }
 
+    // Guards against answers that are kept beyond the limit on memory since they have to be recorded.
+    @Test
+    void anAnswerThatThereIsNoMemoryForIsInDoubtAndNotKept() throws Exception {
+        String body = "x".repeat(LONG_ANSWER_BYTES);
+        start(node(connection -> {
+            while (connection.read() != null) {
+                runs.incrementAndGet();
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+        }));
+        memory.setLimits(0, Long.MAX_VALUE / 2);
+        assertEquals(502, submit("quake-9", 3000).status());
+        sidecar.requestsInProgress(); // answered on the event loop, whose changes are seen from here on
+        assertTrue(memory.heap().reservedBytes() < LONG_ANSWER_BYTES, memory.toString());
+        assertEquals(409, submit("quake-9", 3000).status());
+        assertEquals(1, runs.get());
+    }
+
     // Guards against a restart that ends because the process before, which is ending, holds the store for a moment
     // longer.
     @Test
--- a/src/test/java/ivybank/soak/FaultySidecar.java
+++ b/src/test/java/ivybank/soak/FaultySidecar.java
@@ -93,6 +93,17 @@
     /** The same with these limits, which stand in its settings. */
     static FaultySidecar startAsDeployed(
             Path folder, FakeServer discovery, Upstreams upstreams, int memoryMb, int sockets) throws Exception {
+        return startAsDeployed(folder, discovery, upstreams, memoryMb, sockets, "");
+    }
+
+    /**
+     * The same.
+     *
+     * @param arguments behind {@code serve}
+     */
+    static FaultySidecar startAsDeployed(
+            Path folder, FakeServer discovery, Upstreams upstreams, int memoryMb, int sockets, String arguments)
+            throws Exception {
         int port = freePort();
         String config = config(port, discovery, upstreams, memoryMb, sockets);
         Path file = Files.writeString(folder.resolve("config.json"), config);
@@ -103,7 +114,7 @@
                 new Limits(sockets, DeployedOptions.read()),
                 new SyscallFaults(folder.resolve("faults")),
                 "",
-                "");
+                arguments);
         sidecar.awaitReady();
         return sidecar;
     }
--- a/src/test/java/ivybank/soak/SharedListenerProcesses.java
+++ b/src/test/java/ivybank/soak/SharedListenerProcesses.java
@@ -54,10 +54,14 @@
 
     /** Has the processes that are started from now on keep promises in one store, by the header Idempotency-Key. */
     void useStore() throws IOException {
-        Path operator = Files.writeString(
+        useOperatorFile(Files.writeString(
                 folder.resolve("operator.toml"),
-                "[store]\nfolder = \"" + folder.resolve("store") + "\"\nfirst_start = \"make\"\n");
-        arguments = " --operator '" + operator + "'";
+                "[store]\nfolder = \"" + folder.resolve("store") + "\"\nfirst_start = \"make\"\n"));
+    }
+
+    /** Has the processes that are started from now on read this operator file. */
+    void useOperatorFile(Path file) {
+        arguments = " --operator '" + file + "'";
     }
 
     /** Returns where clients connect. */
