--- a/src/test/java/ivybank/soak/FullStoreTest.java
+++ b/src/test/java/ivybank/soak/FullStoreTest.java
@@ -167,11 +167,7 @@
                     + "\r\nX-Budget-Ms: 3000\r\nIdempotency-Key: " + identity + "\r\nContent-Length: " + bytes
                     + "\r\n\r\n";
             socket.getOutputStream().write((head + "x".repeat(bytes)).getBytes(StandardCharsets.US_ASCII));
-            String answer = LongAnswers.head(socket.getInputStream());
-            if (answer == null) {
-                throw new IOException("the connection has ended");
-            }
-            return Integer.parseInt(answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+            return ReceivedAnswer.read(socket).status();
         }
     }
 }
--- a/src/test/java/ivybank/soak/RepeatedCallIdTest.java
+++ b/src/test/java/ivybank/soak/RepeatedCallIdTest.java
@@ -37,7 +37,6 @@
     private static final int MOST_PAUSE_MS = 200;
     private static final int ROUNDS = 10;
     private static final int BETWEEN_REPEATS_MS = 20;
-    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
     private static final Pattern CALL_ID = Pattern.compile("(?i)x-call-id: (\\S+)");
 
     @TempDir
@@ -186,15 +185,8 @@
         return status(socket);
     }
 
-    /** Reads an answer, and returns its status. */
     private static int status(Socket socket) throws IOException {
-        String head = LongAnswers.head(socket.getInputStream());
-        if (head == null) {
-            throw new IOException("the connection has ended");
-        }
-        Matcher length = LENGTH.matcher(head);
-        socket.getInputStream().readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
-        return Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+        return ReceivedAnswer.read(socket).status();
     }
 
     private void sendTwice(int firstPort, int secondPort, String id) throws Exception {
--- a/src/test/java/ivybank/soak/UpgradeWithStoreTest.java
+++ b/src/test/java/ivybank/soak/UpgradeWithStoreTest.java
@@ -144,7 +144,7 @@
         int asked = 0;
         for (Map.Entry<String, String> each : served.entrySet()) {
             if (asked++ % CLIENTS == 0) {
-                assertEquals(each.getValue(), ask(port, each.getKey(), "again").body, each.getKey());
+                assertEquals(each.getValue(), ask(port, each.getKey(), "again").body(), each.getKey());
             }
         }
         runs.forEach((key, count) -> assertEquals(1, count, key + " has run"));
@@ -160,13 +160,13 @@
             processes.useStore();
             long old = processes.start(noFaults(0));
             processes.start(noFaults(1));
-            List<Answer> first = new CopyOnWriteArrayList<>();
+            List<ReceivedAnswer> first = new CopyOnWriteArrayList<>();
             Thread client = new Thread(() -> first.add(askQuietly(processes.port(), "hanging")));
             client.start();
             Thread.sleep(APART_MS);
             assertEquals(1, runs.get("hanging"), "it runs at the old process");
             processes.end(old, 1000);
-            assertEquals(409, ask(processes.port(), "hanging", "twice").status);
+            assertEquals(409, ask(processes.port(), "hanging", "twice").status());
             client.join();
             assertEquals(1, first.size());
             assertEquals(1, runs.get("hanging"));
@@ -185,15 +185,15 @@
             processes.start(faults);
             faults.fail(Call.FILE_WRITE, Errno.EIO, SyscallFaults.ALWAYS);
             processes.end(old, KILL_MS);
-            assertEquals(503, ask(processes.port(), "refused", "1").status);
+            assertEquals(503, ask(processes.port(), "refused", "1").status());
             try (Socket socket = connect(processes.port())) {
                 socket.getOutputStream().write(FaultySidecar.request("safe"));
-                assertTrue(answer(socket).head.startsWith("HTTP/1.1 200"));
+                assertTrue(ReceivedAnswer.read(socket).head().startsWith("HTTP/1.1 200"));
             }
             faults.healAll();
             int status = 0;
             for (int i = 0; status != 200 && i < 100; i++) {
-                status = ask(processes.port(), "taken-" + i, "1").status;
+                status = ask(processes.port(), "taken-" + i, "1").status();
                 Thread.sleep(NODE_MS);
             }
             assertEquals(200, status, () -> processes.log(0));
@@ -212,15 +212,13 @@
             SharedListenerProcesses.terminate(alone);
             for (int i = 0; i < CLIENTS; i++) {
                 Thread.sleep(APART_MS / CLIENTS);
-                assertEquals(200, ask(processes.port(), "after-" + i, "1").status);
+                assertEquals(200, ask(processes.port(), "after-" + i, "1").status());
             }
             Thread.sleep(KILL_MS);
             assertFalse(ProcessHandle.of(alone).isPresent(), "it ends by itself");
         }
     }
 
-    private record Answer(String head, int status, String body) {}
-
     private static Socket connect(int port) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setTcpNoDelay(true);
@@ -228,21 +226,21 @@
         return socket;
     }
 
-    private static Answer ask(int port, String key, String callId) throws IOException {
+    private static ReceivedAnswer ask(int port, String key, String callId) throws IOException {
         try (Socket socket = connect(port)) {
             return ask(socket, key, callId);
         }
     }
 
-    private static Answer askQuietly(int port, String key) {
+    private static ReceivedAnswer askQuietly(int port, String key) {
         try {
             return ask(port, key, "first");
         } catch (IOException e) {
-            return new Answer(e.toString(), 0, "");
+            return new ReceivedAnswer(e.toString(), 0, "");
         }
     }
 
-    private static Answer ask(Socket socket, String key, String callId) throws IOException {
+    private static ReceivedAnswer ask(Socket socket, String key, String callId) throws IOException {
         String request = String.format(
                 Locale.ROOT,
                 "POST /submit?obj=1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s-%s\r\nX-Budget-Ms: %d\r\n"
@@ -252,19 +250,7 @@
                 BUDGET_MS,
                 key);
         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-        return answer(socket);
-    }
-
-    private static Answer answer(Socket socket) throws IOException {
-        String head = LongAnswers.head(socket.getInputStream());
-        if (head == null) {
-            throw new IOException("the connection has ended");
-        }
-        String fields = head.toLowerCase(Locale.ROOT);
-        int at = fields.indexOf("content-length: ") + "content-length: ".length();
-        int length = Integer.parseInt(fields.substring(at, fields.indexOf('\r', at)));
-        String body = new String(socket.getInputStream().readNBytes(length), StandardCharsets.US_ASCII);
-        return new Answer(head, Integer.parseInt(head.substring(9, 12)), body);
+        return ReceivedAnswer.read(socket);
     }
 
     /** Clients that send keyed requests on their connections, and note which were served and which got no answer. */
@@ -310,11 +296,11 @@
         private boolean askOnce(Socket socket, String key) {
             long sentNanos = System.nanoTime();
             try {
-                Answer answer = UpgradeWithStoreTest.ask(socket, key, "1");
-                if (answer.status == 200) {
-                    served.put(key, answer.body);
+                ReceivedAnswer answer = UpgradeWithStoreTest.ask(socket, key, "1");
+                if (answer.status() == 200) {
+                    served.put(key, answer.body());
                 }
-                return !answer.head.toLowerCase(Locale.ROOT).contains("connection: close");
+                return !answer.closes();
             } catch (IOException e) {
                 long tookMs = (System.nanoTime() - sentNanos) / 1_000_000;
                 if (!over && (tookMs > BUDGET_MS || !killing && tookMs > NODE_MS)) {
