Refuse new promises from the moment in which the store is to be released

Cause: the step that did so ran behind the first look whether the store can be released; both in one pass, so nothing was seen of it. Change: the release begins where it is decided; the timeline of a start names again that there is no store. Measured: UpgradeWithStoreTest green.

--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -243,6 +243,8 @@
     private void prepare(boolean siblingRunning) throws IOException {
         if (storeOwnership != null) {
             openStore(siblingRunning);
+        } else {
+            timeline.reached("no store");
         }
         server = new ClientServer(
                 config.settings(),
@@ -677,7 +679,8 @@
      * Where this process listens by itself, clients keep using their connections and get no new ones after a while:
      * closing connections early left requests without a connection. Where another process has the listening socket as
      * well, and can serve, that process accepts all new connections from then on, and each answer closes its connection so
-     * that the client reconnects there; it also gets the store. Connections that stay idle are closed late, so that no request crosses the close.
+     * that the client reconnects there; it also gets the store. Connections that stay idle are closed late, so that no
+     * request crosses the close.
      */
     void drain() {
         drainAndWait();
@@ -732,8 +735,8 @@
         if (storeOwnership == null) {
             drain.addStep(0, "stopping to accept connections", server::stopListening);
         } else {
+            storeOwnership.beginRelease();
             drain.addStep(0, "accepting nothing for a moment", () -> server.pauseListening(STORE_RELEASE_TIMEOUT_MS));
-            drain.addStep(0, "releasing the store", storeOwnership::beginRelease);
         }
         drain.addStep(0, "closing idle connections to upstreams", pool::disableIdleConnections);
         drain.addStep(0, "closing connections after their answers", server::drain);
