Let the mutant that holds refusals back follow the deadline of an exchange

Cause: it named a field that has become a record; it did not compile, and the entry of MutantsTest in KNOWN-RED.txt passed over that. Change: the mutant reads the record.

--- a/src/test/java/ivybank/rehearsal/MutantsTest.java
+++ b/src/test/java/ivybank/rehearsal/MutantsTest.java
@@ -275,7 +275,7 @@
                     List.of(new Edit(
                             "daemon/RequestDispatcher.java",
                             "            answer(exchange, Answer.refused(retryAfterMs));",
-                            "            schedule(exchange.deadlineMs - clock.nowMs() - 200, () -> {\n"
+                            "            schedule(exchange.deadline.atMs() - clock.nowMs() - 200, () -> {\n"
                                     + "                if (!exchange.closed) {\n"
                                     + "                    answer(exchange, Answer.refused(retryAfterMs));\n"
                                     + "                }\n            });"))),
