Give a long request that was answered before its end no second answer

What callers saw: a client whose long request was answered early (its node had refused it) and that still wrote the rest got a second answer, 408, at a shutdown, on standby or in a crowd. Cause: ClientConnection.retire ends a connection with a partial request by 408, and did not ask whether that request had been answered; behind an early answer the rest is read on, so that the client gets to see it. Change: endPartial is the one place where such a connection ends, behind an early answer without another one. Evidence: the new test in SidecarShutdownTest was red on ('expected: <null> but was: <HTTP/1.1 408 Request Timeout'). Measured: SidecarShutdownTest green.

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -649,8 +649,7 @@
         }
         closing.run();
         if (activity.isPartial() || !empty) {
-            server.logRequestTimeout(activity.sinceConnectedMs(clock.nowMs()));
-            answerLast(HttpStatus.REQUEST_TIMEOUT);
+            endPartial();
         } else {
             closer.closeUnused(reason);
         }
@@ -679,6 +678,17 @@
         }
     }
 
+    /** Ends a connection with a partial request: with an answer, unless that request was answered before its end. */
+    private void endPartial() {
+        if (closeAfterRequest) {
+            reader.stop();
+            closer.endAfterAnswers(EndReason.LAST_ANSWER);
+        } else {
+            server.logRequestTimeout(activity.sinceConnectedMs(clock.nowMs()));
+            answerLast(HttpStatus.REQUEST_TIMEOUT);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.ends().ended(id, closer.reason(), unanswered(), activity.quietMs(clock.nowMs()), closer.error());
--- a/src/test/java/ivybank/daemon/SidecarShutdownTest.java
+++ b/src/test/java/ivybank/daemon/SidecarShutdownTest.java
@@ -55,6 +55,24 @@
         sidecar = null;
     }
 
+    // Guards against a second answer, 408 at the end of the connection, to a request that was answered before its end.
+    @Test
+    void aLongRequestThatWasAnsweredBeforeItsEndGetsNoSecondAnswer() throws Exception {
+        FakeServer upstream = serve(new FakeServer(connection -> {
+            connection.socket.getInputStream().read();
+            connection.write(FakeServer.REJECTED);
+            connection.socket.close();
+        }));
+        start(FakeServer.nobody(), host("s-1", upstream.address(), "Ready"));
+        Client client = client();
+        client.write(submit(5000).replace("Length: 5", "Length: 1000000") + "x".repeat(100_000));
+        assertTrue(client.read().startsWith("HTTP/1.1 503"));
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(sidecar::drain);
+        assertNull(client.read());
+        ended.get(4, TimeUnit.SECONDS);
+        sidecar = null;
+    }
+
     @Test
     void finishesRequestsInProgressAndServesNewOnesDuringShutdown() throws Exception {
         CountDownLatch proceed = new CountDownLatch(1);
