Refuse requests on standby that come too late to be held, before they are sent

Cause: Standby knew phases of connections, and nobody decided about a request: what came on a connection that was not idle was forwarded with all of its time, and closeIfIdle never meets a connection whose body is still coming. Change: Standby.mayHold says of a request, by when its last byte was read, whether it may be held; ClientServer.mayHold asks it, and is the one question for this at the end of the process, too (refuseAll, which was a case of the limit on connections).

--- a/src/main/java/ivybank/client/ClientConnection.java
+++ b/src/main/java/ivybank/client/ClientConnection.java
@@ -136,6 +136,10 @@
     }
 
     private void receive(RequestReader.RequestEvent message) {
+        if (message == RequestReader.RequestEvent.BODY_ENDING) {
+            bodyEnding();
+            return;
+        }
         if (message == RequestReader.RequestEvent.BODY_COMPLETE) {
             double earliestMs = lastByte.earliestMs(clock.nowMs());
             reading.bodyEnded();
@@ -168,6 +172,18 @@
         }
     }
 
+    /** Refuses a long request whose last byte comes so late that it may not be held, before that byte is passed on. */
+    private void bodyEnding() {
+        if (server.mayHold(clock.nowMs())) {
+            return;
+        }
+        if (isRequestIncomplete()) {
+            refuseIncomplete();
+        } else {
+            waiting.refuseIncomplete();
+        }
+    }
+
     /**
      * Queues a request. To protect memory from a client that sends without waiting for answers, requests beyond the limit
      * are not kept but refused in order; the connection is still read, so that a disconnect is noticed at once.
@@ -207,6 +223,17 @@
         return current != null && current.request() != null && current.request().isIncomplete();
     }
 
+    /**
+     * Refuses the request in progress if its last byte has not been passed on yet: no node has the whole of it. The rest of it
+     * is still read, so that its client gets to see the answer. One that is being answered already goes on.
+     */
+    void refuseIncomplete() {
+        if (isRequestIncomplete() && !answers.isStreaming()) {
+            server.countRefusal();
+            abort(Answer.refused(server.retryAfterMs()));
+        }
+    }
+
     /** Answers the current request, which will never be complete and so has not run. */
     private void abort(Answer failure) {
         Arrival arrival = current;
@@ -413,6 +440,10 @@
             // Otherwise one client could have another's request run twice, or receive its answer.
             handler.turnedAway(arrival.request().callId());
             answer(arrival, Answer.status(HttpStatus.CONFLICT));
+        } else if (!server.mayHold(lastByteMs(arrival.request()))) {
+            server.countRefusal();
+            endsWhenAnswered = true;
+            answer(arrival, Answer.refused(server.retryAfterMs()));
         } else if (server.isOverCapacity()) {
             endsWhenAnswered = true;
             answer(arrival, Answer.refused(server.retryAfterMs()));
@@ -423,6 +454,11 @@
         }
     }
 
+    /** Returns when the last byte of a request was read; now, if it is still to come. */
+    private double lastByteMs(ClientRequest request) {
+        return request.isIncomplete() ? clock.nowMs() : request.arrivedMs();
+    }
+
     /**
      * Passes a request to the handler. Sending it at once may show that its client has left: it is then answered here before
      * the handler has returned its number, and cancelled afterwards.
--- a/src/main/java/ivybank/client/ClientServer.java
+++ b/src/main/java/ivybank/client/ClientServer.java
@@ -98,7 +98,7 @@
     private long connectionIds;
     private long cancelledRetirements;
 
-    private double standbySinceMs;
+    private Standby standby = Standby.NONE;
     private boolean ending;
     private boolean draining;
     private boolean refusing;
@@ -339,7 +339,7 @@
                 && ++closeCandidates % CLOSE_CANDIDATES_PER_KEPT != 0;
     }
 
-    /** Counts a request that is refused because too many are queued on its connection. */
+    /** Counts a request that is refused before it is passed to the handler. */
     void countRefusal() {
         refusedRequests++;
     }
@@ -417,13 +417,16 @@
         if (memory.mustEndStalledRequests()) {
             evict(connections.size(), EndReason.SURPLUS, connection -> connection.hasStalledRequest(nowMs));
         }
-        Standby standby = standby();
-        if (standby.compareTo(Standby.CLOSING_IDLE) >= 0) {
-            closeIdle(standby == Standby.CLOSING_ALL);
+        if (!mayHold(nowMs)) {
+            List.copyOf(connections).forEach(ClientConnection::refuseIncomplete);
+        }
+        Standby.Phase phase = standby.phase(nowMs);
+        if (phase.compareTo(Standby.Phase.CLOSING_IDLE) >= 0) {
+            closeIdle(phase == Standby.Phase.CLOSING_ALL);
         }
     }
 
-    /** Returns the number of requests refused for lack of file descriptors, or to keep some of the client's connections free. */
+    /** Returns the number of requests refused for lack of descriptors, of free connections or of time to hold them. */
     public long refusedRequests() {
         return refusedRequests;
     }
@@ -439,9 +442,9 @@
      * their requests would be sent all the same, and thousands were lost because nobody read them before their deadline.
      */
     boolean isOverCapacity() {
-        boolean overCapacity = refusing || connections.size() > limits.maxServed();
+        boolean overCapacity = connections.size() > limits.maxServed();
         refusedRequests += overCapacity ? 1 : 0;
-        if (overCapacity && !crowded && !refusing) {
+        if (overCapacity && !crowded) {
             crowded = true;
             log.line("client connections open: " + connections.size() + ", requests in progress: "
                     + handler.unanswered() + "; refusing requests on connections beyond " + limits.maxServed());
@@ -488,21 +491,26 @@
 
     /** Returns whether each answer closes its connection. */
     boolean draining() {
-        return draining || standby().compareTo(Standby.CLOSING_AFTER_ANSWER) >= 0;
+        return draining || standby.phase(clock.nowMs()).compareTo(Standby.Phase.CLOSING_AFTER_ANSWER) >= 0;
     }
 
-    /** Puts the sidecar on standby from this time on, in Unix milliseconds; 0 ends the standby. */
-    public void setStandbySince(double sinceMs) {
-        standbySinceMs = sinceMs;
+    /** Sets the standby order; {@link Standby#NONE} ends the standby. */
+    public void setStandby(Standby order) {
+        standby = order;
     }
 
-    /** Returns whether new clients are to use this sidecar. */
-    boolean ready() {
-        return handler.ready() && standby() == Standby.OFF;
+    /**
+     * Returns whether a request whose last byte was received at this time, in milliseconds of the clock, may be held for as
+     * long as its client waits. Any other is refused at once and not sent: the sidecar on standby has to let go of it, or the
+     * process ends, before it could be answered.
+     */
+    boolean mayHold(double lastByteMs) {
+        return !refusing && standby.mayHold(lastByteMs);
     }
 
-    private Standby standby() {
-        return Standby.at(standbySinceMs, clock.nowMs());
+    /** Returns whether new clients are to use this sidecar. */
+    boolean ready() {
+        return handler.ready() && standby.phase(clock.nowMs()) == Standby.Phase.OFF;
     }
 
     /** Stops closing unused connections to free capacity for others, since the client gets no new ones. */
--- a/src/main/java/ivybank/client/RequestQueue.java
+++ b/src/main/java/ivybank/client/RequestQueue.java
@@ -54,6 +54,16 @@
         return false;
     }
 
+    /** Refuses the request whose last byte has not been received yet, when its turn comes; it can only be the last one. */
+    void refuseIncomplete() {
+        Arrival last = waiting.peekLast();
+        if (last != null && last.request() != null && last.request().isIncomplete()) {
+            waiting.pollLast();
+            waiting.addLast(Arrival.SURPLUS);
+            last.release();
+        }
+    }
+
     /** Sets the status that answers malformed input behind all other requests. */
     void endWithStatus(int status) {
         finalStatus = status;
--- a/src/main/java/ivybank/client/RequestReader.java
+++ b/src/main/java/ivybank/client/RequestReader.java
@@ -31,13 +31,16 @@
 
     /**
      * A complete request; the beginning of a long one, with its {@code remainingBody}; the end of all valid input, with a
-     * {@code status}; or {@link #BODY_COMPLETE}.
+     * {@code status}; {@link #BODY_ENDING} or {@link #BODY_COMPLETE}.
      */
     record RequestEvent(HttpRequest head, byte[] body, Reservation memory, int status, BodyPipe remainingBody) {
 
         private static final byte[] NO_BODY = {};
 
-        /** The last byte of a long request has been read. */
+        /** The last byte of a long request has been read, and is about to be passed on. */
+        static final RequestEvent BODY_ENDING = invalid(0);
+
+        /** The last byte of a long request has been read and passed on. */
         static final RequestEvent BODY_COMPLETE = invalid(0);
 
         static RequestEvent invalid(int status) {
@@ -153,6 +156,7 @@
             completedBody = null;
             ByteBuf lastPart = finalChunk;
             finalChunk = null;
+            ctx.fireChannelRead(RequestEvent.BODY_ENDING);
             endedBody.write(lastPart);
             endedBody.end(true);
             ctx.fireChannelRead(RequestEvent.BODY_COMPLETE);
--- a/src/main/java/ivybank/daemon/Sidecar.java
+++ b/src/main/java/ivybank/daemon/Sidecar.java
@@ -471,7 +471,7 @@
         return CompletableFuture.runAsync(
                 () -> {
                     dispatcher.applyMaintenance(state.nodesInMaintenance());
-                    server.setStandbySince(state.standbySinceMs());
+                    server.setStandby(state.standby());
                 },
                 loop);
     }
@@ -659,8 +659,7 @@
                     + " malformed answers so far; "
                     + server.evictedConnections()
                     + " client connections closed as idle and " + server.refusedRequests()
-                    + " requests refused for lack of"
-                    + " descriptors or, while draining, of connections so far");
+                    + " requests refused so far for lack of descriptors or, while draining, of connections or of time");
             log.line(server.endedConnections());
         }
         if (counts != null || memory.messages().isInUse()) {
--- a/src/main/java/ivybank/operations/MaintenanceState.java
+++ b/src/main/java/ivybank/operations/MaintenanceState.java
@@ -70,6 +70,11 @@
         return new MaintenanceState(observedMaintenance, observedStandbyMs);
     }
 
+    /** Returns the standby order. */
+    public Standby standby() {
+        return new Standby(standbySinceMs);
+    }
+
     /** Returns whether the sidecar is on standby. */
     public boolean isOnStandby() {
         return standbySinceMs > 0;
