Date a standby by the monotonic clock in each process, however late it starts

What callers saw: a process that was started during a standby (an upgrade, a restart) served and held clients that connected in spite of the no by phases that began with its own start, 4 s after the order and later. Cause: the file has the order's Unix time, which may have been stepped, so withObservedTimes dated an order from when the process found it. Change: the file has the order's time by the machine's monotonic clock, too, from which each process takes its age; the process that takes the call dates it from the call. An order of unknown age (a file of an earlier version) is in its last phase. Measured: OperationsTest, MaintenanceStateTest, StandbyRequestsTest green.

--- a/src/main/java/ivybank/control/AdminEndpoint.java
+++ b/src/main/java/ivybank/control/AdminEndpoint.java
@@ -63,7 +63,7 @@
     private boolean siblingPresent;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Deque<Channel> callers = new ArrayDeque<>();
-    /** The state on file, and the same state with the times at which this process observed it. */
+    /** The state on file, and the same state with the times of this process's clock. */
     private MaintenanceState stateOnFile = MaintenanceState.NONE;
 
     private MaintenanceState observedState = MaintenanceState.NONE;
@@ -149,7 +149,7 @@
         if (next.equals(stateOnFile)) {
             return CompletableFuture.completedFuture(null);
         }
-        MaintenanceState here = next.withObservedTimes(stateOnFile, observedState, clock.nowMs());
+        MaintenanceState here = next.withObservedTimes(stateOnFile, observedState, clock.nowMs(), clock.monotonicMs());
         log.line("admin: in maintenance: " + next.nodesInMaintenance().keySet()
                 + (next.isOnStandby() ? ", on standby" : ", accepting clients"));
         stateOnFile = next;
@@ -211,6 +211,7 @@
                 ? null
                 : rejection(HttpResponseStatus.METHOD_NOT_ALLOWED, "ask with " + method);
         double nowMs = clock.nowMs();
+        double monotonicMs = clock.monotonicMs();
         return switch (path) {
             case "/status" ->
                 wrongMethod != null
@@ -221,7 +222,7 @@
             case "/fleet" -> wrongMethod != null ? wrongMethod : fleet();
             case "/maintenance/enter", "/maintenance/exit" ->
                 wrongMethod != null ? wrongMethod : maintenance(call, path.endsWith("enter"));
-            case "/standby" -> wrongMethod != null ? wrongMethod : change(now -> now.enterStandby(nowMs));
+            case "/standby" -> wrongMethod != null ? wrongMethod : change(now -> now.enterStandby(nowMs, monotonicMs));
             case "/active" -> wrongMethod != null ? wrongMethod : change(MaintenanceState::exitStandby);
             default -> rejection(HttpResponseStatus.NOT_FOUND, "no such call");
         };
--- a/src/main/java/ivybank/control/MaintenanceFile.java
+++ b/src/main/java/ivybank/control/MaintenanceFile.java
@@ -23,6 +23,9 @@
 final class MaintenanceFile {
 
     private static final String FILE_NAME = "ivybank-orders.json";
+    private static final String STANDBY_KEY = "standby_since_ms";
+    /** Not written by earlier versions of the program. */
+    private static final String STANDBY_MONOTONIC_KEY = "standby_since_monotonic_ms";
 
     private final Path file;
     private final Path lock;
@@ -41,14 +44,17 @@
             return MaintenanceState.NONE;
         }
         JsonNode root = Json.MAPPER.readTree(content);
-        if (!root.path("out").isObject() || !root.path("standby_since_ms").isNumber()) {
+        if (!root.path("out").isObject() || !root.path(STANDBY_KEY).isNumber()) {
             throw new IOException(file + " holds no maintenance state");
         }
         SortedMap<String, Double> out = new TreeMap<>();
         root.get("out")
                 .properties()
                 .forEach(node -> out.put(node.getKey(), node.getValue().asDouble()));
-        return new MaintenanceState(out, root.get("standby_since_ms").asDouble());
+        return new MaintenanceState(
+                out,
+                root.get(STANDBY_KEY).asDouble(),
+                root.path(STANDBY_MONOTONIC_KEY).asDouble(Double.NaN));
     }
 
     /** Changes the state on file, also while other processes change it, and returns the result. */
@@ -69,7 +75,10 @@
         ObjectNode root = Json.MAPPER.createObjectNode();
         ObjectNode out = root.putObject("out");
         state.nodesInMaintenance().forEach(out::put);
-        root.put("standby_since_ms", state.standbySinceMs());
+        root.put(STANDBY_KEY, state.standbySinceMs());
+        if (state.isOnStandby() && !Double.isNaN(state.standbySinceMonotonicMs())) {
+            root.put(STANDBY_MONOTONIC_KEY, state.standbySinceMonotonicMs());
+        }
         Path next = file.resolveSibling(FILE_NAME + ".next");
         Files.write(next, Json.MAPPER.writeValueAsBytes(root));
         Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
--- a/src/main/java/ivybank/operations/Standby.java
+++ b/src/main/java/ivybank/operations/Standby.java
@@ -30,7 +30,7 @@
 
     private static final double CLOSING_AFTER_ANSWER_FROM_MS = 1200;
     private static final double CLOSING_IDLE_FROM_MS = 1900;
-    private static final double CLOSING_ALL_FROM_MS = 3200;
+    static final double CLOSING_ALL_FROM_MS = 3200;
 
     /** Returns the phase at a time. */
     public Phase phase(double nowMs) {
--- a/src/test/java/ivybank/daemon/OperationsTest.java
+++ b/src/test/java/ivybank/daemon/OperationsTest.java
@@ -421,6 +421,24 @@
         }
     }
 
+    // Guards against a process that begins the time of a standby anew when it starts, and holds recent requests longer.
+    @Test
+    void aStandbyKeepsItsTimeInAProcessThatStartsLater() throws Exception {
+        FakeServer a = serve(node("a..."));
+        DiscoveryStub discovery = new DiscoveryStub(host("a", a, "Ready", 0));
+        startPlatform();
+        SidecarProcess first = new SidecarProcess(discovery);
+        assertEquals(200, first.call("PUT", "/standby", ""));
+        Thread.sleep(1900); // requests that come later are refused
+        SidecarProcess second = new SidecarProcess(discovery);
+        kill(first.pid, "KILL");
+        ProcessHandle.of(first.pid).ifPresent(process -> process.onExit().join());
+        String late = ask();
+        assertTrue(late.contains(" 503 "), late);
+        assertEquals(200, second.call("PUT", "/active", ""));
+        assertTrue(ask().contains(" 200 "));
+    }
+
     @Test
     void unfinishedAdminCallsDoNotBlockOthers() throws Exception {
         FakeServer a = serve(node("a..."));
--- a/src/test/java/ivybank/daemon/StandbyRequestsTest.java
+++ b/src/test/java/ivybank/daemon/StandbyRequestsTest.java
@@ -134,7 +134,7 @@
 
     /** Puts the sidecar on standby by an order of this age. */
     private void order(long ageMs) {
-        sidecar.applyMaintenance(MaintenanceState.NONE.enterStandby(clock.nowMs() - ageMs))
+        sidecar.applyMaintenance(MaintenanceState.NONE.enterStandby(clock.nowMs() - ageMs, clock.monotonicMs() - ageMs))
                 .toCompletableFuture()
                 .join();
         orderedNanos = System.nanoTime() - ageMs * 1_000_000;
