Give the state of a promise a type of its own

Cause: PromiseTable and SettledIdentities imported each other for it, the only circle among the files of the packages. Change: PromiseState, which both use; no behaviour is changed.

--- a/src/main/java/ivybank/cli/PromisesCommand.java
+++ b/src/main/java/ivybank/cli/PromisesCommand.java
@@ -1,7 +1,7 @@
 package ivybank.cli;
 
 import ivybank.promises.OfflinePromises;
-import ivybank.promises.PromiseTable.State;
+import ivybank.promises.PromiseState;
 import ivybank.store.StoreException;
 import ivybank.toml.InputException;
 import java.io.IOException;
@@ -40,7 +40,7 @@
         try {
             for (OfflinePromises.StoredPromise kept :
                     OfflinePromises.list(StoreCommand.open(folder), StoreCommand.INSPECTION_LIMITS)) {
-                if (!inDoubt || kept.state() == State.IN_DOUBT) {
+                if (!inDoubt || kept.state() == PromiseState.IN_DOUBT) {
                     System.out.printf(
                             "%-8s  %s  %s  %s%n",
                             kept.state().name().toLowerCase(Locale.ROOT).replace('_', '-'),
--- a/src/main/java/ivybank/promises/OfflinePromises.java
+++ b/src/main/java/ivybank/promises/OfflinePromises.java
@@ -1,6 +1,5 @@
 package ivybank.promises;
 
-import ivybank.promises.PromiseTable.State;
 import ivybank.store.Disk;
 import ivybank.store.Limits;
 import ivybank.store.Store;
@@ -18,7 +17,7 @@
      * A promise with its request class, the name of the request (empty if it had none), its state and the Unix time of
      * its record in milliseconds.
      */
-    public record StoredPromise(String requestClass, String name, State state, double atMs) {}
+    public record StoredPromise(String requestClass, String name, PromiseState state, double atMs) {}
 
     private OfflinePromises() {}
 
@@ -62,7 +61,7 @@
                     promises.add(new StoredPromise(
                             identity.substring(0, separator),
                             separator == 0 ? "" : identity.substring(separator + 1),
-                            record.state() == State.ACKED ? State.ACKED : State.IN_DOUBT,
+                            record.state() == PromiseState.ACKED ? PromiseState.ACKED : PromiseState.IN_DOUBT,
                             record.atMs()));
                 },
                 task -> new Thread(task, "store"));
--- a/src/main/java/ivybank/promises/PromiseRecord.java
+++ b/src/main/java/ivybank/promises/PromiseRecord.java
@@ -1,12 +1,11 @@
 package ivybank.promises;
 
 import ivybank.exchange.Answer;
-import ivybank.promises.PromiseTable.State;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /** The stored state of a promise: sent or acked, its Unix time in ms, and the answer if it is acked. */
-record PromiseRecord(State state, double atMs, Answer answer) {
+record PromiseRecord(PromiseState state, double atMs, Answer answer) {
 
     private static final byte KIND_SENT = 1;
     private static final byte KIND_ACKED = 2;
@@ -40,7 +39,7 @@
         byte kind = in.get();
         long atMs = in.getLong();
         if (kind == KIND_SENT) {
-            return new PromiseRecord(State.SENT, atMs, null);
+            return new PromiseRecord(PromiseState.SENT, atMs, null);
         }
         int status = in.getShort();
         byte[] type = new byte[in.getShort()];
@@ -48,7 +47,7 @@
         byte[] body = new byte[in.remaining()];
         in.get(body);
         return new PromiseRecord(
-                State.ACKED,
+                PromiseState.ACKED,
                 atMs,
                 new Answer(status, type.length == 0 ? null : new String(type, StandardCharsets.UTF_8), body, 0));
     }
--- a/src/main/java/ivybank/promises/PromiseRequestHandler.java
+++ b/src/main/java/ivybank/promises/PromiseRequestHandler.java
@@ -10,7 +10,6 @@
 import ivybank.policy.Balancer.RequestClass;
 import ivybank.policy.Balancer.Settings;
 import ivybank.promises.PromiseTable.Decision;
-import ivybank.promises.PromiseTable.State;
 import ivybank.store.Disk;
 import ivybank.store.Limits;
 import ivybank.store.Store;
@@ -109,7 +108,7 @@
             recording = true;
             store.put(
                     key(identity),
-                    new PromiseRecord(State.SENT, clock.nowMs(), null).encode(),
+                    new PromiseRecord(PromiseState.SENT, clock.nowMs(), null).encode(),
                     outcome -> loop.execute(() -> {
                         recording = false;
                         recorded = outcome == Store.Outcome.CONFIRMED || mayLetThrough();
@@ -142,7 +141,7 @@
                 recordAnswer(this, answer);
             } else if (!isAnonymous() && awaitingLateAnswer.remove(identity)) {
                 // The request was abandoned in doubt; this answer resolves the doubt.
-                byte[] record = new PromiseRecord(State.ACKED, clock.nowMs(), answer).encode();
+                byte[] record = new PromiseRecord(PromiseState.ACKED, clock.nowMs(), answer).encode();
                 if (record.length > maxRecordBytes) {
                     return;
                 }
@@ -215,7 +214,7 @@
                 limits,
                 degrade,
                 (key, value) -> {
-                    State state = PromiseRecord.decode(value).state();
+                    PromiseState state = PromiseRecord.decode(value).state();
                     promises.recovered(new String(key, StandardCharsets.UTF_8), state, nowMs, nowMs);
                 },
                 task -> {
@@ -276,8 +275,8 @@
         return identity.getBytes(StandardCharsets.UTF_8);
     }
 
-    private void forget(String identity, State was) {
-        if (was == State.IN_DOUBT) {
+    private void forget(String identity, PromiseState was) {
+        if (was == PromiseState.IN_DOUBT) {
             log.line("forgot a request in doubt because of its age or the size limit: " + identity);
         }
         store.delete(key(identity), outcome -> {}); // if this fails, the next start forgets it again
@@ -406,7 +405,7 @@
             answerWaiters(promise, answer);
             return;
         }
-        byte[] record = new PromiseRecord(State.ACKED, clock.nowMs(), answer).encode();
+        byte[] record = new PromiseRecord(PromiseState.ACKED, clock.nowMs(), answer).encode();
         if (record.length > maxRecordBytes) {
             onAnswerNotRecorded(promise, answer);
             return;
--- a/src/main/java/ivybank/promises/PromiseTable.java
+++ b/src/main/java/ivybank/promises/PromiseTable.java
@@ -10,18 +10,6 @@
  */
 public final class PromiseTable {
 
-    /** The state of the request of an identity. */
-    public enum State {
-        /** Pending; nothing was sent to a node. */
-        TAKEN,
-        /** Pending; it may run at a node. */
-        SENT,
-        /** Completed; its answer is recorded. */
-        ACKED,
-        /** Ended without an answer; it may have run. */
-        IN_DOUBT
-    }
-
     /** How to handle a request of an identity. */
     public enum Decision {
         /** The identity is unknown; the request is accepted. */
@@ -51,7 +39,7 @@
     /** Receives each identity that is forgotten, so that its record can be deleted. */
     public interface ForgetListener {
         /** Receives a forgotten identity and its last state. */
-        void onForgotten(String identity, State was);
+        void onForgotten(String identity, PromiseState was);
     }
 
     /** The most that an identity takes in this table in the mean, in bytes; with longer ones there are fewer. */
@@ -63,7 +51,7 @@
     private final double keepMs;
     private final int maxIdentities;
     private final ForgetListener listener;
-    private final Map<String, State> pending = new HashMap<>();
+    private final Map<String, PromiseState> pending = new HashMap<>();
     private final SettledIdentities settled = new SettledIdentities(System.identityHashCode(this));
     private final long maxEntryBytes;
     private double lastMs;
@@ -97,9 +85,12 @@
     }
 
     /** Adds an identity that an earlier process recorded. A request that was pending then is in doubt. */
-    public void recovered(String identity, State state, double sinceMs, double nowMs) {
+    public void recovered(String identity, PromiseState state, double sinceMs, double nowMs) {
         // A time in the future was written before the clock was set back.
-        settle(identity, state == State.ACKED ? State.ACKED : State.IN_DOUBT, Math.min(sinceMs, monotonicNow(nowMs)));
+        settle(
+                identity,
+                state == PromiseState.ACKED ? PromiseState.ACKED : PromiseState.IN_DOUBT,
+                Math.min(sinceMs, monotonicNow(nowMs)));
     }
 
     /**
@@ -116,7 +107,7 @@
             settled.remove(oldest.identity());
             forgottenByAge += expired ? 1 : 0;
             forgottenBySize += expired ? 0 : 1;
-            if (oldest.state() == State.IN_DOUBT) {
+            if (oldest.state() == PromiseState.IN_DOUBT) {
                 inDoubtCount--;
                 forgottenInDoubt++;
             }
@@ -139,9 +130,9 @@
         trim(nowMs);
         Settled found = settled.get(identity);
         if (found != null) {
-            stored += found.state() == State.ACKED ? 1 : 0;
-            failedInDoubt += found.state() == State.ACKED ? 0 : 1;
-            return found.state() == State.ACKED ? Decision.STORED : Decision.IN_DOUBT;
+            stored += found.state() == PromiseState.ACKED ? 1 : 0;
+            failedInDoubt += found.state() == PromiseState.ACKED ? 0 : 1;
+            return found.state() == PromiseState.ACKED ? Decision.STORED : Decision.IN_DOUBT;
         }
         if (pending.containsKey(identity)) {
             joined++;
@@ -150,41 +141,41 @@
         if (pending.size() >= maxIdentities) {
             return Decision.AT_CAPACITY;
         }
-        pending.put(identity, State.TAKEN);
+        pending.put(identity, PromiseState.TAKEN);
         trim(nowMs);
         return Decision.NEW;
     }
 
     /** Marks a recorded request as sent to a node. */
     public void sent(String identity) {
-        pending.replace(identity, State.SENT);
+        pending.replace(identity, PromiseState.SENT);
     }
 
     /** Returns whether a pending request may have run because it was sent to a node. */
     public boolean mayHaveRun(String identity) {
-        return pending.get(identity) == State.SENT;
+        return pending.get(identity) == PromiseState.SENT;
     }
 
     /** Marks a request as completed, with its answer recorded. */
     public void acknowledged(String identity, double nowMs) {
         pending.remove(identity);
-        settle(identity, State.ACKED, monotonicNow(nowMs));
+        settle(identity, PromiseState.ACKED, monotonicNow(nowMs));
     }
 
     /** Ends a request without an answer of a node. {@code proved}: every attempt has proved that it did not run. */
     public void ended(String identity, boolean proved, double nowMs) {
-        State was = pending.remove(identity);
-        if (was == State.SENT && !proved) {
-            settle(identity, State.IN_DOUBT, monotonicNow(nowMs));
+        PromiseState was = pending.remove(identity);
+        if (was == PromiseState.SENT && !proved) {
+            settle(identity, PromiseState.IN_DOUBT, monotonicNow(nowMs));
         } else if (was != null) {
-            listener.onForgotten(identity, State.TAKEN);
+            listener.onForgotten(identity, PromiseState.TAKEN);
         }
     }
 
-    private void settle(String identity, State state, double sinceMs) {
+    private void settle(String identity, PromiseState state, double sinceMs) {
         Settled previous = settled.remove(identity);
-        inDoubtCount -= previous != null && previous.state() == State.IN_DOUBT ? 1 : 0;
-        inDoubtCount += state == State.IN_DOUBT ? 1 : 0;
+        inDoubtCount -= previous != null && previous.state() == PromiseState.IN_DOUBT ? 1 : 0;
+        inDoubtCount += state == PromiseState.IN_DOUBT ? 1 : 0;
         settled.add(identity, state, sinceMs);
     }
 
--- a/src/main/java/ivybank/promises/SettledIdentities.java
+++ b/src/main/java/ivybank/promises/SettledIdentities.java
@@ -1,6 +1,5 @@
 package ivybank.promises;
 
-import ivybank.promises.PromiseTable.State;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,7 +14,7 @@
 final class SettledIdentities {
 
     /** An identity, the state in which its request has ended, and when, in milliseconds. */
-    record Settled(String identity, State state, double sinceMs) {}
+    record Settled(String identity, PromiseState state, double sinceMs) {}
 
     /** The number of bytes of an entry beside the identity. */
     static final int ENTRY_HEADER_BYTES = 1 + Long.BYTES + Integer.BYTES;
@@ -93,7 +92,7 @@
      *
      * @throws IllegalArgumentException if it is longer than a chunk
      */
-    void add(String identity, State state, double sinceMs) {
+    void add(String identity, PromiseState state, double sinceMs) {
         byte[] bytes = bytesOf(identity);
         if (bytes.length > CHUNK_BYTES - ENTRY_HEADER_BYTES) {
             throw new IllegalArgumentException("an identity of " + bytes.length + " bytes is too long");
@@ -140,14 +139,14 @@
         }
     }
 
-    private long append(byte[] identity, State state, double sinceMs) {
+    private long append(byte[] identity, PromiseState state, double sinceMs) {
         int needed = ENTRY_HEADER_BYTES + identity.length;
         if (chunks.isEmpty() || chunks.get(chunks.size() - 1).remaining() < needed) {
             chunks.add(ByteBuffer.allocate(CHUNK_BYTES));
         }
         ByteBuffer last = chunks.get(chunks.size() - 1);
         long place = firstChunk + chunks.size() - 1 << CHUNK_BITS | last.position();
-        last.put(state == State.ACKED ? ACKED : IN_DOUBT)
+        last.put(state == PromiseState.ACKED ? ACKED : IN_DOUBT)
                 .putDouble(sinceMs)
                 .putInt(identity.length)
                 .put(identity);
@@ -167,7 +166,7 @@
         int offset = offset(place);
         int length = chunk.getInt(offset + LENGTH_OFFSET);
         String identity = new String(chunk.array(), offset + ENTRY_HEADER_BYTES, length, StandardCharsets.UTF_8);
-        State state = chunk.get(offset) == ACKED ? State.ACKED : State.IN_DOUBT;
+        PromiseState state = chunk.get(offset) == ACKED ? PromiseState.ACKED : PromiseState.IN_DOUBT;
         return new Settled(identity, state, chunk.getDouble(offset + TIME_OFFSET));
     }
 
--- a/src/test/java/ivybank/promises/PromiseTableTest.java
+++ b/src/test/java/ivybank/promises/PromiseTableTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ivybank.promises.PromiseTable.Decision;
-import ivybank.promises.PromiseTable.State;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -37,8 +36,8 @@
 
     @Test
     void pendingRequestsAreInDoubtAfterARestartAndAClockSetBackKeepsNothingForEver() {
-        promises.recovered("sent", State.SENT, 500, 100);
-        promises.recovered("acked", State.ACKED, 90, 100);
+        promises.recovered("sent", PromiseState.SENT, 500, 100);
+        promises.recovered("acked", PromiseState.ACKED, 90, 100);
         assertEquals(Decision.IN_DOUBT, promises.admit("sent", 100));
         assertEquals(Decision.STORED, promises.admit("acked", 100));
         promises.trim(1101);
--- a/src/test/java/ivybank/promises/SettledIdentitiesTest.java
+++ b/src/test/java/ivybank/promises/SettledIdentitiesTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import ivybank.promises.PromiseTable.State;
 import ivybank.promises.SettledIdentities.Settled;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -27,7 +26,7 @@
         return number % 100 == 0 ? "x".repeat(LONG_NAME) + number : "submit\n" + number;
     }
 
-    private void add(String name, State state, double sinceMs) {
+    private void add(String name, PromiseState state, double sinceMs) {
         assertEquals(model.remove(name), settled.remove(name));
         settled.add(name, state, sinceMs);
         model.put(name, new Settled(name, state, sinceMs));
@@ -40,7 +39,7 @@
         for (int step = 0; step < STEPS; step++) {
             String name = name(random);
             if (random.nextInt(3) > 0) {
-                add(name, random.nextBoolean() ? State.ACKED : State.IN_DOUBT, step);
+                add(name, random.nextBoolean() ? PromiseState.ACKED : PromiseState.IN_DOUBT, step);
             } else {
                 assertEquals(model.remove(name), settled.remove(name));
             }
@@ -66,12 +65,12 @@
     // Guards against a table that is cleared and still knows something, or takes memory.
     @Test
     void aClearedTableIsEmptyAndCanBeUsedAgain() {
-        add("a", State.ACKED, 1);
+        add("a", PromiseState.ACKED, 1);
         settled.clear();
         assertNull(settled.get("a"));
         assertNull(settled.oldest());
         assertEquals(0, settled.bytes());
-        settled.add("a", State.IN_DOUBT, 2);
-        assertEquals(new Settled("a", State.IN_DOUBT, 2), settled.oldest());
+        settled.add("a", PromiseState.IN_DOUBT, 2);
+        assertEquals(new Settled("a", PromiseState.IN_DOUBT, 2), settled.oldest());
     }
 }
